--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/problems.py
@@ -0,0 +1,30 @@
+"""Refusals as RFC 9457 problem documents."""
+
+import json
+import math
+
+CONTENT_TYPE = 'application/problem+json'
+TYPE_PREFIX = 'urn:bramleysill:problem:'
+
+
+def to_problem(refusal, request_id):
+    """Return (status, headers, body) that tell a caller of a refusal.
+
+    `outcome` is `not_run` only when the request certainly did not run.
+    """
+    document = {
+        'type': TYPE_PREFIX + refusal.code,
+        'title': refusal.message,
+        'status': refusal.status,
+        'code': refusal.code,
+        'step': refusal.step,
+        'peer': refusal.peer,
+        'outcome': refusal.outcome,
+        'request_id': request_id,
+    }
+    headers = [('Content-Type', CONTENT_TYPE)]
+    if refusal.retry_after is not None:
+        seconds = max(1, math.ceil(refusal.retry_after))
+        headers.append(('Retry-After', str(seconds)))
+    body = json.dumps(document, separators=(',', ':')).encode()
+    return refusal.status, headers, body
--- /dev/null
+++ b/packages/router/src/bramleysill_router/admin.py
@@ -0,0 +1,61 @@
+"""The admin port on circuits.web: metrics, health, readiness and status."""
+
+import json
+
+from circuits.web import Controller
+from circuits.web import Server
+
+JSON_TYPE = 'application/json'
+
+
+class AdminController(Controller):
+    """Serves /metrics, /healthz, /readyz and /status.
+
+    `healthz` answers 200 while the loop runs. `readyz` answers 200 only when
+    the router can serve callers now, and 503 with the reason otherwise.
+    """
+
+    channel = '/'
+
+    def __init__(self, process):
+        super().__init__()
+        self._process = process
+
+    def index(self):
+        """List the pages of this port."""
+        return self._json({'pages': ['metrics', 'healthz', 'readyz']})
+
+    def metrics(self):
+        """Return metrics in a Prometheus exposition format."""
+        accept = self.request.headers.get('Accept', '')
+        body, fields = self._process.metrics.render((accept,))
+        for name, value in fields.items():
+            self.response.headers[name] = value
+        return body.decode()
+
+    def healthz(self):
+        """Tell that the loop runs."""
+        return self._json({'status': 'alive'})
+
+    def readyz(self):
+        """Tell whether callers can be served, and if not, why."""
+        reason = self._process.not_ready_reason()
+        if reason:
+            self.response.status = 503
+            return self._json({'status': 'not ready', 'reason': reason})
+        return self._json({'status': 'ready'})
+
+    def status(self):
+        """Return what this router knows, for sillctl status."""
+        return self._json(self._process.status())
+
+    def _json(self, document):
+        self.response.headers['Content-Type'] = JSON_TYPE
+        return json.dumps(document, indent=1) + '\n'
+
+
+def serve_admin(loop, address, process):
+    """Start the admin port on the loop."""
+    server = Server(address).register(loop)
+    AdminController(process).register(server)
+    return server
--- /dev/null
+++ b/packages/router/src/bramleysill_router/entry.py
@@ -0,0 +1,95 @@
+"""The entry role: takes callers' requests and brings back the answers."""
+
+import itertools
+
+from bramleysill_kernel import refusals
+from bramleysill_kernel.exceptions import Refusal
+from bramleysill_kernel.problems import to_problem
+from bramleysill_net.http_server import HttpServerConn
+from bramleysill_router import headers
+from bramleysill_router.exchange import Exchange
+from bramleysill_router.routing import find_target
+
+class Entry:
+    """Handles all caller connections of a router.
+
+    `locate(target, exclude)` returns (upstream, unit, fence, router) or
+    raises a Refusal; `submit(router, head, sink, body, last)` starts an
+    attempt; `retries` decides on retries.
+    """
+
+    __slots__ = (
+        'loop',
+        'locate',
+        'submit',
+        'retries',
+        'metrics',
+        '_name',
+        '_state',
+        '_serial',
+        'active',
+        'conns',
+        'waiting',
+    )
+
+    def __init__(self, loop, name, state, locate, submit, retries, metrics):
+        self.loop = loop
+        self.locate = locate
+        self.submit = submit
+        self.retries = retries
+        self.metrics = metrics
+        self._name = name
+        self._state = state
+        self._serial = itertools.count(1)
+        self.active = set()
+        self.waiting = set()
+        self.conns = set()
+
+    def accept(self, conn):
+        """Return the protocol of a new caller connection."""
+        server = HttpServerConn(conn, self)
+        self.conns.add(server)
+        return server
+
+    def on_disconnect(self, server):
+        """A caller's connection has closed."""
+        self.conns.discard(server)
+
+    def on_request(self, stream, req):
+        """Start a request; returns the sink of its body."""
+        request_id = req.header(headers.REQUEST_ID)
+        if not request_id or len(request_id) > 64:
+            request_id = f'{self._name}-{next(self._serial)}'
+        exchange = Exchange(self, stream, req, request_id)
+        self.active.add(exchange)
+        try:
+            exchange.start(self._target(req))
+        except Refusal as exc:
+            exchange.refuse(exc)
+        return exchange
+
+    def on_bad_request(self, stream, status, reason):
+        """Answer a request that can't be parsed."""
+        cls = refusals.HeadTooLarge if status == 431 else refusals.BadRequest
+        refusal = cls(reason, 'parse', stream.peer)
+        status, fields, body = to_problem(refusal, '')
+        self.metrics.requests['', refusal.code] += 1
+        stream.send(status, fields, body)
+
+    def on_state_changed(self):
+        """Let held requests look again."""
+        for exchange in list(self.waiting):
+            exchange.look_again()
+
+    def close_idle(self):
+        """Close connections without a request, for a shutdown."""
+        for server in list(self.conns):
+            if server.idle:
+                server.conn.close()
+
+    def _target(self, req):
+        if self._state.manifest is None:
+            raise refusals.NoState(
+                'no manifest yet', 'route', self._name, retry_after=1
+            )
+        return find_target(self._state.manifest, req)
--- /dev/null
+++ b/packages/router/src/bramleysill_router/exchange.py
@@ -0,0 +1,359 @@
+"""One request of a caller and its answer, over one or more attempts."""
+
+from bramleysill_kernel import refusals
+from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.exceptions import Refusal
+from bramleysill_kernel.problems import to_problem
+from bramleysill_router import headers
+from bramleysill_router.attempts import WINDOW_BYTES
+from bramleysill_router.attempts import RequestHead
+from bramleysill_router.logs import log_request
+
+# What is kept of a body so that a request that was not run can be sent again.
+REPLAY_BYTES = 64 * 1024
+# A caller is held this long while its key moves; design section 5.1.
+HOLD_SECONDS = 2.0
+HOLD_RETRY_SECONDS = 0.05
+# The dispatcher tells the outcome at the deadline; its answer takes a moment.
+DEADLINE_MARGIN_SECONDS = 0.25
+
+# The request was not run because ownership or a role is changing; looking
+# again costs no upstream anything, so that no retry budget applies.
+HELD_CODES = frozenset(
+    ('owner_moving', 'not_dispatcher', 'no_authority', 'owner_lost')
+)
+
+
+class Exchange:
+    """A caller's request: its body sink and the sink of its attempts.
+
+    The body is kept until an attempt is admitted, at most REPLAY_BYTES plus
+    one read, so that a request that was not run can be tried elsewhere. From
+    then on it streams, with the caller paused while WINDOW_BYTES wait.
+    """
+
+    __slots__ = (
+        'started',
+        'deadline',
+        'over',
+        '_entry',
+        '_stream',
+        '_req',
+        '_id',
+        '_hold_until',
+        '_target',
+        '_attempt',
+        '_retry_timer',
+        '_deadline_timer',
+        '_tries',
+        '_kept',
+        '_written',
+        '_body_size',
+        '_body_done',
+        '_streaming',
+        '_upstream',
+        '_excluded',
+        '_headers',
+    )
+
+    def __init__(self, entry, stream, req, request_id):
+        self.started = entry.loop.now()
+        self.deadline = self.started
+        self.over = False
+        self._entry = entry
+        self._stream = stream
+        self._req = req
+        self._id = request_id
+        self._hold_until = self.started + HOLD_SECONDS
+        self._target = None
+        self._attempt = None
+        self._retry_timer = None
+        self._deadline_timer = None
+        self._tries = 0
+        self._kept = bytearray()
+        self._written = 0
+        self._body_size = 0
+        self._body_done = not req.has_body
+        self._streaming = False
+        self._upstream = ''
+        self._excluded = ()
+        self._headers = None
+        stream.on_drained = self._on_caller_drained
+
+    # The caller's body.
+
+    def start(self, target):
+        """Begin; the first attempt waits for the start of the body."""
+        self._target = target
+        self.deadline = self.started + target.timeout
+        self._headers = headers.forwarded_request(self._req.headers)
+        self._entry.retries.note_request(target.service.name)
+        self._arm_deadline()
+        if self._body_done:
+            self._try()
+
+    def on_body(self, data):
+        """Take a piece of the caller's body."""
+        if self.over:
+            return
+        self._body_size += len(data)
+        if self._body_size > self._target.service.max_body_bytes:
+            self._refuse_body()
+            return
+        self._extend_deadline()
+        if self._streaming:
+            self._attempt.write(data)
+            if self._attempt.buffered >= WINDOW_BYTES:
+                self._stream.pause()
+            return
+        self._kept += data
+        if len(self._kept) >= REPLAY_BYTES:
+            self._stream.pause()
+            self._begin()
+
+    def on_end(self):
+        """The caller's body is complete."""
+        if self.over or self._body_done:
+            return
+        self._body_done = True
+        if self._streaming:
+            self._attempt.end()
+        else:
+            self._begin()
+
+    def on_abort(self, exc):
+        """The caller has left, or cut its body off."""
+        if not self.over:
+            self._cancel_attempt()
+            self._finish('caller_left')
+
+    # Attempts.
+
+    def look_again(self):
+        """Try again at once, after the state has changed."""
+        if self._retry_timer is not None and not self.over:
+            self._retry_timer.cancel()
+            self._try()
+
+    def _begin(self):
+        if self._attempt is None and self._retry_timer is None:
+            self._try()
+
+    def _try(self):
+        self._retry_timer = None
+        self._entry.waiting.discard(self)
+        if self.over:
+            return
+        try:
+            place = self._entry.locate(self._target, self._excluded)
+        except Refusal as exc:
+            self.on_refused(exc)
+            return
+        self._upstream, unit, fence, router = place
+        self._tries += 1
+        self._written = len(self._kept)
+        head = self._make_head(unit, fence)
+        attempt = self._entry.submit(
+            router, head, self, bytes(self._kept), self._body_done
+        )
+        if attempt is not None:
+            self._attempt = attempt
+
+    def _make_head(self, unit, fence):
+        req = self._req
+        target = self._target
+        length = req.length
+        if req.chunked:
+            length = len(self._kept) if self._body_done else -1
+        return RequestHead(
+            self._id,
+            target.service.name,
+            self._upstream,
+            unit,
+            fence,
+            req.method,
+            req.target,
+            self._headers,
+            length,
+            self.deadline,
+            target.repeatable,
+            self._stream.peer.rpartition(':')[0],
+            target.priority,
+            target.idempotency_key,
+        )
+
+    def _cancel_attempt(self):
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.cancel()
+
+    # The sink of attempts.
+
+    def on_admitted(self):
+        """The request has a slot: stream what is left of the body."""
+        attempt = self._attempt
+        if self._streaming or self.over or attempt is None:
+            return
+        if self._written == self._body_size and self._body_done:
+            return
+        self._streaming = True
+        rest = bytes(self._kept[self._written :])
+        self._kept.clear()
+        if rest:
+            attempt.write(rest)
+        if self._body_done:
+            attempt.end()
+        elif attempt.buffered < WINDOW_BYTES:
+            self._stream.resume()
+
+    def on_drain(self):
+        """The upstream has taken enough of the body to go on."""
+        attempt = self._attempt
+        if self.over or attempt is None:
+            return
+        self._extend_deadline()
+        if self._streaming and attempt.buffered < WINDOW_BYTES:
+            self._stream.resume()
+
+    def on_answer_head(self, status, fields, length):
+        """Pass on the head of the answer."""
+        if self.over:
+            return
+        fields = headers.forwarded_response(fields)
+        fields.append(('Sill-Request-Id', self._id))
+        self._stream.start(status, fields, length)
+
+    def on_answer_body(self, data):
+        """Pass on a piece of the answer's body."""
+        if self.over:
+            return
+        self._extend_deadline()
+        self._stream.write(data)
+        if self._stream.buffered >= WINDOW_BYTES and self._attempt:
+            self._attempt.pause()
+
+    def on_answer_end(self):
+        """The answer is complete."""
+        if self.over:
+            return
+        self._attempt = None
+        self._finish('ok')
+        self._stream.end()
+
+    def on_refused(self, refusal):
+        """Hold, retry or refuse."""
+        self._attempt = None
+        if self.over:
+            return
+        if self._stream.started:
+            # The head has gone out: only a cut connection tells the caller
+            # that the answer is not whole.
+            self._finish('answer_cut')
+            self._stream.abort()
+            return
+        delay = self._delay_after(refusal)
+        if delay is None:
+            self.refuse(refusal)
+            return
+        now = self._entry.loop.now()
+        self._entry.waiting.add(self)
+        self._retry_timer = self._entry.loop.scheduler.call_at(
+            now + delay, self._try
+        )
+
+    def refuse(self, refusal):
+        """Answer with a problem document."""
+        if self.over:
+            return
+        self._finish(refusal.code, refusal)
+        status, fields, body = to_problem(refusal, self._id)
+        fields.append(('Sill-Request-Id', self._id))
+        self._stream.send(status, fields, body)
+
+    # Internal.
+
+    def _delay_after(self, refusal):
+        if self._streaming:
+            return None
+        now = self._entry.loop.now()
+        if refusal.outcome == OUTCOME_NOT_RUN and refusal.code in HELD_CODES:
+            until = min(self._hold_until, self.deadline)
+            return HOLD_RETRY_SECONDS if now < until else None
+        if self._target.service.kind != 'keyed' and self._upstream:
+            self._excluded = (*self._excluded, self._upstream)
+        return self._entry.retries.delay(
+            self._target.service.name,
+            refusal,
+            self._target.repeatable,
+            self._tries,
+            self.deadline,
+        )
+
+    def _refuse_body(self):
+        outcome = OUTCOME_UNKNOWN if self._attempt else OUTCOME_NOT_RUN
+        self._cancel_attempt()
+        limit = self._target.service.max_body_bytes
+        self.refuse(
+            refusals.BodyTooLarge(
+                f'the body exceeds {limit} bytes',
+                'receive',
+                outcome=outcome,
+            )
+        )
+
+    def _on_caller_drained(self):
+        if self._attempt is not None and not self.over:
+            self._attempt.resume()
+
+    def _arm_deadline(self):
+        when = self.deadline + DEADLINE_MARGIN_SECONDS
+        self._deadline_timer = self._entry.loop.scheduler.call_at(
+            when, self._on_deadline
+        )
+
+    def _extend_deadline(self):
+        # A transfer may last longer than the limit for an answer as long as
+        # it makes progress.
+        limit = self._target.timeout
+        self.deadline = self._entry.loop.now() + limit
+
+    def _on_deadline(self):
+        if self.over:
+            return
+        if self._entry.loop.now() < self.deadline + DEADLINE_MARGIN_SECONDS:
+            self._arm_deadline()
+            return
+        attempted = self._attempt is not None
+        self._cancel_attempt()
+        if self._stream.started:
+            self._finish('answer_cut')
+            self._stream.abort()
+            return
+        cls = refusals.DeadlineNotRun
+        if attempted:
+            cls = refusals.DeadlineUnknown
+        self.refuse(cls('no answer in time', 'wait', self._upstream))
+
+    def _finish(self, code, refusal=None):
+        self.over = True
+        for timer in (self._retry_timer, self._deadline_timer):
+            if timer is not None:
+                timer.cancel()
+        entry = self._entry
+        entry.waiting.discard(self)
+        entry.active.discard(self)
+        service = self._target.service.name if self._target else ''
+        seconds = entry.loop.now() - self.started
+        entry.metrics.observe(service, code, seconds)
+        log_request(
+            role='entry',
+            request_id=self._id,
+            service=service,
+            upstream=self._upstream,
+            code=code,
+            tries=self._tries,
+            ms=seconds * 1000,
+            step=refusal.step if refusal else '',
+            peer=refusal.peer if refusal else '',
+        )
--- /dev/null
+++ b/packages/router/src/bramleysill_router/job.py
@@ -0,0 +1,240 @@
+"""One request at an upstream, from admission to the end of the answer."""
+
+from bramleysill_kernel import refusals
+from bramleysill_kernel.admission import Work
+from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
+from bramleysill_router import headers
+
+_RESULT_OK = 'ok'
+_RESULT_SHED = 'shed'
+_RESULT_FAILED = 'failed'
+_NOT_RUN_STATUS = frozenset((409, 503))
+_STALE_REASONS = frozenset(('no_grant', 'stale_fence'))
+
+
+class Job:
+    """A local attempt: holds a slot and an upstream connection.
+
+    The dispatcher calls `start` when the request is admitted. The slot is
+    given back through `dispatcher.job_done` when the upstream is known to be
+    free again.
+    """
+
+    __slots__ = (
+        'head',
+        'work',
+        'deadline',
+        'sent_at',
+        'answered',
+        '_dispatcher',
+        '_sink',
+        '_conn',
+        '_pending',
+        '_pending_bytes',
+        '_body_ended',
+        '_not_run_reason',
+        '_over',
+    )
+
+    def __init__(self, dispatcher, head, sink, now):
+        self.head = head
+        self.deadline = head.deadline
+        self.sent_at = 0.0
+        self.answered = False
+        self.work = Work(
+            id=head.request_id,
+            service=head.service,
+            unit=head.unit,
+            fence=head.fence,
+            deadline=head.deadline,
+            caller=head.caller,
+            priority=head.priority,
+            repeatable=head.repeatable,
+        )
+        self.work.job = self
+        self._dispatcher = dispatcher
+        self._sink = sink
+        self._conn = None
+        self._pending = []
+        self._pending_bytes = 0
+        self._body_ended = head.length == 0
+        self._not_run_reason = None
+        self._over = False
+
+    # The attempt, as the entry sees it.
+
+    @property
+    def buffered(self):
+        """Return the bytes of the body that the upstream has not taken."""
+        if self._conn is not None:
+            return self._pending_bytes + self._conn.buffered
+        return self._pending_bytes
+
+    def write(self, data):
+        """Take a piece of the request's body."""
+        if self._over:
+            return
+        if self._conn is None:
+            self._pending.append(data)
+            self._pending_bytes += len(data)
+        else:
+            self._touch()
+            self._conn.write(self._frame(data))
+
+    def end(self):
+        """The request's body is complete."""
+        if self._over:
+            return
+        self._body_ended = True
+        if self._conn is not None and self.head.length < 0:
+            self._conn.write(b'0\r\n\r\n')
+
+    def cancel(self):
+        """The entry has given up: free the queue place or stop the work."""
+        self._sink = None
+        if not self._over:
+            self._dispatcher.job_cancelled(self)
+
+    def pause(self):
+        """Stop reading the answer."""
+        if self._conn is not None and not self._over:
+            self._conn.pause()
+
+    def resume(self):
+        """Read the answer again."""
+        if self._conn is not None and not self._over:
+            self._conn.resume()
+
+    # Called by the dispatcher.
+
+    @property
+    def running(self):
+        """Tell whether the request was handed to a connection."""
+        return self._conn is not None and not self._over
+
+    def start(self, conn, host, now):
+        """Send the request on a connection."""
+        self._conn = conn
+        self.sent_at = now
+        timeout_ms = max(1, int((self.deadline - now) * 1000))
+        pieces = [headers.upstream_request(self.head, host, timeout_ms)]
+        pieces += [self._frame(d) for d in self._pending]
+        if self._body_ended and self.head.length < 0:
+            pieces.append(b'0\r\n\r\n')
+        self._pending.clear()
+        self._pending_bytes = 0
+        conn.request(b''.join(pieces), self, self.head.method == 'HEAD')
+        if self._sink is not None:
+            self._sink.on_admitted()
+
+    def refuse(self, refusal):
+        """End the attempt with a refusal."""
+        self._over = True
+        sink, self._sink = self._sink, None
+        if sink is not None:
+            sink.on_refused(refusal)
+
+    def expire(self):
+        """The deadline has passed while the request was running."""
+        self.refuse(
+            refusals.DeadlineUnknown(
+                'no answer of the upstream in time',
+                'upstream',
+                self.head.upstream,
+            )
+        )
+        self._dispatcher.job_cancelled(self)
+
+    def abort(self):
+        """Drop the connection, which also cancels the work."""
+        self._over = True
+        if self._conn is not None:
+            self._conn.abort()
+
+    # The sink of the upstream connection.
+
+    def on_head(self, status, fields, length):
+        """Look at the head of the answer; pass it on unless not run."""
+        self._touch()
+        self._dispatcher.note_fields(fields)
+        if status in _NOT_RUN_STATUS:
+            found = dict(fields)
+            if found.get(headers.NOT_RUN) == '1':
+                self._not_run_reason = found.get('sill-reason', 'shed')
+                return
+        self.answered = True
+        if self._sink is not None:
+            self._sink.on_answer_head(status, fields, length)
+
+    def on_body(self, data):
+        """Pass on a piece of the answer."""
+        if self._not_run_reason is None and self._sink is not None:
+            self._touch()
+            self._sink.on_answer_body(data)
+
+    def on_end(self):
+        """The answer is complete; the slot is free."""
+        if self._over:
+            return
+        if self._not_run_reason is not None:
+            self._refuse_not_run()
+            return
+        self._over = True
+        self._dispatcher.job_done(self, _RESULT_OK)
+        sink, self._sink = self._sink, None
+        if sink is not None:
+            sink.on_answer_end()
+
+    def on_request_drain(self):
+        """The upstream has taken what was sent of the body."""
+        self._touch()
+        if self._sink is not None:
+            self._sink.on_drain()
+
+    def on_failure(self, exc):
+        """The connection failed before the answer was complete."""
+        if self._over:
+            return
+        sent = self._conn.sent_bytes
+        peer = self.head.upstream
+        if sent == 0:
+            refusal = refusals.UpstreamUnreachable(
+                f'{exc}', 'connect', peer, retry_after=1
+            )
+        else:
+            refusal = refusals.ConnectionLost(f'{exc}', 'upstream', peer)
+        self._dispatcher.job_done(self, _RESULT_FAILED)
+        self.refuse(refusal)
+
+    # Internal.
+
+    def _touch(self):
+        # Progress of a transfer extends its deadline; see Exchange.
+        limit = self._dispatcher.service.timeout
+        self.deadline = max(
+            self.deadline, self._dispatcher.now() + limit
+        ) if self._transfers() else self.deadline
+
+    def _transfers(self):
+        return self.answered or self.head.length != 0
+
+    def _frame(self, data):
+        if self.head.length < 0:
+            return b'%x\r\n' % len(data) + data + b'\r\n'
+        return data
+
+    def _refuse_not_run(self):
+        reason = self._not_run_reason
+        cls = refusals.UpstreamShed
+        if reason in _STALE_REASONS:
+            cls = refusals.OwnerMoving
+        self._dispatcher.job_done(self, _RESULT_SHED)
+        self.refuse(
+            cls(
+                f'the upstream answered {reason}',
+                'upstream',
+                self.head.upstream,
+                outcome=OUTCOME_NOT_RUN,
+                retry_after=1,
+            )
+        )
--- /dev/null
+++ b/packages/router/src/bramleysill_router/logs.py
@@ -0,0 +1,44 @@
+"""One key=value line for each event, written with absl.logging."""
+
+from absl import logging
+
+_QUOTED = (' ', '"', '=')
+
+
+def _value(value):
+    if isinstance(value, float):
+        return f'{value:.3f}'
+    text = str(value).replace('\n', ' ').replace('\r', ' ')
+    if not text or any(c in text for c in _QUOTED):
+        return '"' + text.replace('"', "'") + '"'
+    return text
+
+
+def format_event(event, fields):
+    """Return the line of an event.
+
+    Example::
+
+        format_event('request', {'status': 200, 'peer': 'a b'})
+        'event=request status=200 peer="a b"'
+    """
+    parts = [f'event={event}']
+    parts += [f'{k}={_value(v)}' for k, v in fields.items()]
+    return ' '.join(parts)
+
+
+def log_event(event, **fields):
+    """Log an event at level info."""
+    if logging.level_info():
+        logging.info('%s', format_event(event, fields))
+
+
+def log_warning(event, **fields):
+    """Log an event that an operator may have to look at."""
+    logging.warning('%s', format_event(event, fields))
+
+
+def log_request(**fields):
+    """Log a request at debug level, one line for each hop."""
+    if logging.level_debug():
+        logging.debug('%s', format_event('request', fields))
--- /dev/null
+++ b/packages/router/src/bramleysill_router/remote.py
@@ -0,0 +1,360 @@
+"""Attempts over a peer link: the entry's side and the dispatcher's side."""
+
+from bramleysill_kernel import refusals
+from bramleysill_kernel.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.exceptions import Refusal
+from bramleysill_kernel.exceptions import SettingsError
+from bramleysill_router.attempts import WINDOW_BYTES
+from bramleysill_router.attempts import RequestHead
+from bramleysill_wire import streams
+
+CANCEL_CODE = 'cancelled'
+
+
+def refusal_to_reset(stream, refusal):
+    """Return the message that carries a refusal to the entry router."""
+    retry_after_ms = streams.NO_RETRY_AFTER
+    if refusal.retry_after is not None:
+        retry_after_ms = int(refusal.retry_after * 1000)
+    return streams.StreamReset(
+        stream,
+        refusal.code,
+        refusal.message,
+        refusal.step,
+        refusal.peer,
+        refusal.outcome,
+        retry_after_ms,
+    )
+
+
+def reset_to_refusal(message):
+    """Return the refusal of a message; an unknown code stays a refusal."""
+    try:
+        cls = refusals.refusals.get(message.code)
+    except SettingsError:
+        cls = Refusal
+    retry_after = None
+    if message.retry_after_ms >= 0:
+        retry_after = message.retry_after_ms / 1000
+    return cls(
+        message.message,
+        message.step,
+        message.peer,
+        outcome=message.outcome or OUTCOME_UNKNOWN,
+        retry_after=retry_after,
+    )
+
+
+class RemoteAttempt:
+    """The entry's side of an attempt at another router's dispatcher."""
+
+    __slots__ = ('_link', '_stream', '_sink', 'buffered', '_unacked', '_held')
+
+    def __init__(self, link, head, sink, now, body=b'', last=True):
+        self._link = link
+        self._sink = sink
+        self.buffered = len(body)
+        self._unacked = 0
+        self._held = False
+        self._stream = link.next_stream
+        link.next_stream += 2
+        link.streams[self._stream] = self
+        link.send(_open_message(self._stream, head, now, body, last))
+
+    def write(self, data):
+        """Send a piece of the request's body."""
+        self.buffered += len(data)
+        self._link.send(streams.StreamData(self._stream, data))
+
+    def end(self):
+        """The request's body is complete."""
+        self._link.send(streams.StreamData(self._stream, b'', True))
+
+    def cancel(self):
+        """Give up; the dispatcher frees the slot when it truly is free."""
+        if self._sink is not None:
+            self._detach()
+            self._link.send(streams.StreamReset(self._stream, CANCEL_CODE))
+
+    def pause(self):
+        """Hold back credit until the caller has taken what was sent."""
+        self._held = True
+
+    def resume(self):
+        """Give back the credit that was held."""
+        self._held = False
+        self._give_credit()
+
+    def on_message(self, message):
+        """Handle a message of this stream from the dispatcher."""
+        sink = self._sink
+        if sink is not None:
+            _ATTEMPT_HANDLERS[type(message)](self, sink, message)
+
+    def on_link_lost(self):
+        """The link is gone; what ran is not known."""
+        sink = self._detach()
+        if sink is not None:
+            sink.on_refused(
+                refusals.ConnectionLost(
+                    'the link to the dispatcher was lost',
+                    'forward',
+                    self._link.router,
+                )
+            )
+
+    def _on_admitted(self, sink, message):
+        sink.on_admitted()
+
+    def _on_window(self, sink, message):
+        self.buffered -= message.credit
+        sink.on_drain()
+
+    def _on_head(self, sink, message):
+        headers = streams.decode_headers(message.head)
+        length = message.length if message.length >= 0 else None
+        if message.last:
+            self._detach()
+        sink.on_answer_head(message.status, headers, length)
+        if message.body:
+            self._unacked += len(message.body)
+            sink.on_answer_body(message.body)
+        if message.last:
+            sink.on_answer_end()
+        else:
+            self._give_credit()
+
+    def _on_data(self, sink, message):
+        if message.last:
+            self._detach()
+        if message.data:
+            self._unacked += len(message.data)
+            sink.on_answer_body(message.data)
+        if message.last:
+            sink.on_answer_end()
+        else:
+            self._give_credit()
+
+    def _on_reset(self, sink, message):
+        self._detach()
+        sink.on_refused(reset_to_refusal(message))
+
+    def _give_credit(self):
+        if self._held or self._sink is None or not self._unacked:
+            return
+        credit, self._unacked = self._unacked, 0
+        self._link.send(streams.StreamWindow(self._stream, credit))
+
+    def _detach(self):
+        sink, self._sink = self._sink, None
+        self._link.streams.pop(self._stream, None)
+        return sink
+
+
+_ATTEMPT_HANDLERS = {
+    streams.StreamAdmitted: RemoteAttempt._on_admitted,
+    streams.StreamWindow: RemoteAttempt._on_window,
+    streams.StreamHead: RemoteAttempt._on_head,
+    streams.StreamData: RemoteAttempt._on_data,
+    streams.StreamReset: RemoteAttempt._on_reset,
+}
+
+
+def _open_message(stream, head, now, body, last):
+    timeout_ms = max(0, int((head.deadline - now) * 1000))
+    return streams.StreamOpen(
+        stream,
+        head.request_id,
+        head.upstream,
+        head.service,
+        head.unit,
+        head.fence,
+        head.method,
+        head.target,
+        streams.encode_headers(head.headers),
+        head.length,
+        timeout_ms,
+        head.repeatable,
+        head.caller,
+        head.priority,
+        head.idempotency_key,
+        body,
+        last,
+    )
+
+
+class RemoteServing:
+    """The dispatcher's side: runs an attempt and answers over the link."""
+
+    __slots__ = (
+        '_link',
+        '_stream',
+        '_attempt',
+        '_head',
+        '_body',
+        '_unacked',
+        '_owed',
+        '_done',
+        '_streaming',
+    )
+
+    def __init__(self, link, message, submit, now):
+        self._link = link
+        self._stream = message.stream
+        self._attempt = None
+        self._head = None
+        self._body = b''
+        self._unacked = 0
+        self._owed = 0
+        self._done = False
+        self._streaming = not message.last
+        link.serving[message.stream] = self
+        self._attempt = submit(_head_of(message, now), self)
+        if self._done:
+            return
+        if message.body:
+            self._owed += len(message.body)
+            self._attempt.write(message.body)
+        if message.last:
+            self._attempt.end()
+
+    def on_message(self, message):
+        """Handle a message of this stream from the entry."""
+        if self._done:
+            return
+        if isinstance(message, streams.StreamData):
+            self._on_request_body(message)
+        elif isinstance(message, streams.StreamWindow):
+            self._unacked -= message.credit
+            if self._unacked < WINDOW_BYTES:
+                self._attempt.resume()
+        elif isinstance(message, streams.StreamReset):
+            self.on_link_lost()
+
+    def on_link_lost(self):
+        """The entry has left; nobody waits for the answer."""
+        if not self._done:
+            self._finish()
+            self._attempt.cancel()
+
+    # The sink of the attempt.
+
+    def on_admitted(self):
+        """Tell the entry that it may stream the body."""
+        if self._streaming:
+            self._link.send(streams.StreamAdmitted(self._stream))
+            self._give_credit()
+
+    def on_drain(self):
+        """The upstream has taken what was sent."""
+        self._give_credit()
+
+    def on_answer_head(self, status, headers, length):
+        """Keep the head, so that it travels with the first piece of body."""
+        block = streams.encode_headers(headers)
+        known = streams.CHUNKED if length is None else length
+        self._head = streams.StreamHead(self._stream, status, block, known)
+
+    def on_answer_body(self, data):
+        """Send a piece of the answer, within the window."""
+        head = self._head
+        if head is not None and len(data) == head.length:
+            # The whole body is here: on_answer_end follows and sends one frame.
+            self._body = data
+            return
+        self._unacked += len(data)
+        if head is not None:
+            self._head = None
+            head.body = data
+            self._link.send(head)
+        else:
+            self._link.send(streams.StreamData(self._stream, data))
+        if self._unacked >= WINDOW_BYTES:
+            self._attempt.pause()
+
+    def on_answer_end(self):
+        """The answer is complete."""
+        head = self._head
+        if head is not None:
+            head.body = self._body
+            head.last = True
+            self._link.send(head)
+        else:
+            self._link.send(streams.StreamData(self._stream, b'', True))
+        self._finish()
+
+    def on_refused(self, refusal):
+        """Carry a refusal to the entry."""
+        self._link.send(refusal_to_reset(self._stream, refusal))
+        self._finish()
+
+    def _on_request_body(self, message):
+        if message.data:
+            self._owed += len(message.data)
+            self._attempt.write(message.data)
+            self._give_credit()
+        if message.last:
+            self._attempt.end()
+
+    def _give_credit(self):
+        attempt = self._attempt
+        if attempt is None or self._done or not self._owed:
+            return
+        taken = self._owed - attempt.buffered
+        if taken > 0 and attempt.buffered < WINDOW_BYTES:
+            self._owed -= taken
+            self._link.send(streams.StreamWindow(self._stream, taken))
+
+    def _finish(self):
+        self._done = True
+        self._link.serving.pop(self._stream, None)
+
+
+def _head_of(message, now):
+    return RequestHead(
+        message.request_id,
+        message.service,
+        message.upstream,
+        message.unit,
+        message.fence,
+        message.method,
+        message.target,
+        streams.decode_headers(message.head),
+        message.length,
+        now + message.timeout_ms / 1000,
+        message.repeatable,
+        message.caller,
+        message.priority,
+        message.idempotency_key,
+    )
+
+
+class StreamRouter:
+    """Passes stream messages of all links to their objects.
+
+    Messages of an unknown stream belong to one that was cancelled and are
+    dropped; stream numbers are never reused on a link.
+    """
+
+    __slots__ = ('_submit', '_now')
+
+    def __init__(self, submit, now):
+        self._submit = submit
+        self._now = now
+
+    def on_stream(self, link, message):
+        """Handle one message."""
+        if isinstance(message, streams.StreamOpen):
+            RemoteServing(link, message, self._submit, self._now())
+            return
+        number = message.stream
+        target = link.streams.get(number) or link.serving.get(number)
+        if target is not None:
+            target.on_message(message)
+
+    def on_lost(self, link):
+        """Fail all streams of a link that is gone."""
+        for stream in list(link.streams.values()):
+            stream.on_link_lost()
+        for stream in list(link.serving.values()):
+            stream.on_link_lost()
--- /dev/null
+++ b/packages/router/src/bramleysill_router/routing.py
@@ -0,0 +1,94 @@
+"""Maps a caller's request to a service, a route, a key and a deadline."""
+
+from urllib.parse import unquote
+
+from bramleysill_kernel import refusals
+from bramleysill_router import headers
+
+# Methods that may be sent again, unless the route says otherwise.
+_SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+_HEADER_KEY = 'header '
+MAX_KEY_BYTES = 512
+
+
+class Target:
+    """Where a request goes and under which rules."""
+
+    __slots__ = (
+        'service',
+        'key',
+        'route',
+        'repeatable',
+        'priority',
+        'timeout',
+        'idempotency_key',
+    )
+
+    def __init__(self, service, key, route, repeatable, priority, timeout):
+        self.service = service
+        self.key = key
+        self.route = route
+        self.repeatable = repeatable
+        self.priority = priority
+        self.timeout = timeout
+        self.idempotency_key = ''
+
+
+def find_target(manifest, req):
+    """Return the Target of a request; raises a Refusal."""
+    path, _, _ = req.target.partition('?')
+    service = manifest.service_for_path(path)
+    if service is None:
+        raise refusals.UnknownService(
+            f'no service has a path that {path[:80]!r} starts with', 'route'
+        )
+    key, suffix = _key_of(service, path, req)
+    route = service.route_for(req.method, suffix)
+    repeatable = req.method in _SAFE_METHODS
+    priority = 1
+    if route is not None:
+        repeatable = route.repeatable
+        priority = route.priority
+    if req.header(headers.REPEATABLE).lower() == 'no':
+        repeatable = False
+    timeout = _timeout_of(service, req)
+    target = Target(service, key, route, repeatable, priority, timeout)
+    target.idempotency_key = req.header(headers.IDEMPOTENCY_KEY)
+    if 0 <= service.max_body_bytes < req.length:
+        raise refusals.BodyTooLarge(
+            f'{req.length} bytes exceed the limit of '
+            f'{service.max_body_bytes}',
+            'route',
+        )
+    return target
+
+
+def _key_of(service, path, req):
+    rest = path[len(service.path) :]
+    first, _, suffix = rest.partition('/')
+    key = unquote(first)
+    if service.key.startswith(_HEADER_KEY):
+        key = req.header(service.key[len(_HEADER_KEY) :].strip().lower())
+        suffix = rest
+    if service.kind != 'keyed':
+        return key, suffix
+    if not key or len(key.encode()) > MAX_KEY_BYTES:
+        raise refusals.BadRequest(
+            f'the key is empty or longer than {MAX_KEY_BYTES} bytes',
+            'route',
+            hint='Put the key after the path of the service.',
+        )
+    return key, suffix
+
+
+def _timeout_of(service, req):
+    text = req.header(headers.TIMEOUT_MS)
+    if not text:
+        return service.timeout
+    if not text.isdecimal():
+        raise refusals.BadRequest(
+            f'{headers.TIMEOUT_MS} is {text[:20]!r}',
+            'route',
+            hint='Write a number of milliseconds.',
+        )
+    return min(int(text) / 1000, service.timeout)
--- /dev/null
+++ b/packages/router/src/bramleysill_router/store_client.py
@@ -0,0 +1,164 @@
+"""Clients of the platform's key-value service, one plug-in per protocol.
+
+A client carries out the store effects of the kernel and calls back with a
+StoreAnswer. A call that gets no answer before its deadline is `unknown`.
+"""
+
+import urllib.parse
+
+from bramleysill_kernel import effects
+from bramleysill_kernel.registry import Registry
+from bramleysill_net.http_client import HttpClientConn
+from bramleysill_net.http_client import WholeAnswer
+from bramleysill_net.http_client import encode_request
+
+CALL_TIMEOUT_SECONDS = 0.5
+WATCH_SECONDS = 10.0
+WATCH_SLACK_SECONDS = 2.0
+MAX_IDLE = 4
+
+store_clients = Registry('store client')
+
+
+def _quote(key):
+    return urllib.parse.quote(key, safe='/')
+
+
+@store_clients.register('http')
+class HttpStoreClient:
+    """Speaks the protocol of docs/platform-protocol.md.
+
+    `calls` counts calls by kind, since the platform limits their rate.
+    `reachable` tells whether the last call was answered.
+    """
+
+    __slots__ = ('_loop', '_host', '_port', '_idle', 'calls', 'reachable')
+
+    def __init__(self, loop, address):
+        self._loop = loop
+        self._host, self._port = address
+        self._idle = []
+        self.calls = {}
+        self.reachable = False
+
+    def execute(self, effect, callback):
+        """Carry out a store effect; `callback(StoreAnswer)` runs once."""
+        kind = type(effect)
+        method, target, body = _REQUESTS[kind](effect)
+
+        def answered(status, headers, data):
+            callback(_to_answer(effect.op, kind, status, headers, data))
+
+        self._call(method, target, body, answered, CALL_TIMEOUT_SECONDS)
+
+    def watch(self, key, after, callback):
+        """Wait for a version other than `after`.
+
+        `callback(result, value, version)`; `unknown` when the wait ended
+        without an answer, `ok` with the old version when nothing changed.
+        """
+        wait_ms = int(WATCH_SECONDS * 1000)
+        query = f'?after={after}&wait_ms={wait_ms}'
+        target = f'/v1/watch/{_quote(key)}{query}'
+
+        def answered(status, headers, data):
+            if status == 304:
+                callback(effects.RESULT_OK, None, after)
+            elif status == 200:
+                version = int(headers['x-version'])
+                callback(effects.RESULT_OK, data, version)
+            elif status == 404:
+                callback(effects.RESULT_MISSING, b'', 0)
+            else:
+                callback(effects.RESULT_UNKNOWN, b'', 0)
+
+        timeout = WATCH_SECONDS + WATCH_SLACK_SECONDS
+        self._call('GET', target, None, answered, timeout)
+
+    def list_vms(self, callback):
+        """Fetch the platform's list of VMs as JSON bytes, or None."""
+
+        def answered(status, headers, data):
+            callback(data if status == 200 else None)
+
+        self._call('GET', '/v1/vms', None, answered, CALL_TIMEOUT_SECONDS)
+
+    def _call(self, method, target, body, callback, timeout):
+        kind = method if '/watch/' not in target else 'WATCH'
+        self.calls[kind] = self.calls.get(kind, 0) + 1
+        conn = self._take()
+        deadline = self._loop.now() + timeout
+        timer = self._loop.scheduler.call_at(deadline, conn.abort_exchange)
+
+        def done(status, headers, data):
+            timer.cancel()
+            self.reachable = status != 0
+            callback(status, headers, data)
+
+        host = f'{self._host}:{self._port}'
+        data = encode_request(method, target, host, (), body)
+        conn.request(data, WholeAnswer(done))
+
+    def _take(self):
+        while self._idle:
+            conn = self._idle.pop()
+            if not conn.closed:
+                return conn
+        return HttpClientConn(
+            self._loop, self._host, self._port, self._put, self._drop
+        )
+
+    def _put(self, conn):
+        if conn in self._idle:
+            return
+        if len(self._idle) < MAX_IDLE:
+            self._idle.append(conn)
+        else:
+            conn.close()
+
+    def _drop(self, conn):
+        if conn in self._idle:
+            self._idle.remove(conn)
+
+
+def _read(effect):
+    return 'GET', f'/v1/kv/{_quote(effect.key)}', None
+
+
+def _write(effect):
+    target = f'/v1/kv/{_quote(effect.key)}?expected={effect.expected}'
+    if effect.lease:
+        target += f'&lease={effect.lease}'
+    return 'PUT', target, effect.value
+
+
+def _lease(effect):
+    return 'POST', f'/v1/leases?ttl_ms={int(effect.ttl * 1000)}', b''
+
+
+def _renew(effect):
+    return 'POST', f'/v1/leases/{effect.lease}', b''
+
+
+def _end_lease(effect):
+    return 'DELETE', f'/v1/leases/{effect.lease}', None
+
+
+_REQUESTS = {
+    effects.StoreRead: _read,
+    effects.StoreWrite: _write,
+    effects.StoreLease: _lease,
+    effects.StoreRenew: _renew,
+    effects.StoreEndLease: _end_lease,
+}
+
+
+def _to_answer(op, kind, status, headers, data):
+    version = int(headers.get('x-version', '0'))
+    if status in (200, 201):
+        return effects.StoreAnswer(op, effects.RESULT_OK, data, version)
+    if status == 409:
+        return effects.StoreAnswer(op, effects.RESULT_CONFLICT, b'', version)
+    if status in (404, 410):
+        return effects.StoreAnswer(op, effects.RESULT_MISSING)
+    return effects.StoreAnswer(op, effects.RESULT_UNKNOWN)
--- /dev/null
+++ b/packages/router/src/bramleysill_router/upstream_pool.py
@@ -0,0 +1,61 @@
+"""Connections of a dispatcher to one upstream."""
+
+from bramleysill_net.http_client import HttpClientConn
+
+IDLE_SECONDS = 30.0
+
+
+class UpstreamPool:
+    """Keeps idle connections and opens new ones within a bound.
+
+    A connection that is closed by an abort counts against the bound until
+    the kernel has closed it, which is at once on this side.
+    """
+
+    __slots__ = ('host', 'port', 'limit', '_loop', '_idle', '_open')
+
+    def __init__(self, loop, host, port, limit):
+        self._loop = loop
+        self.host = host
+        self.port = port
+        self.limit = limit
+        self._idle = {}
+        self._open = set()
+
+    @property
+    def size(self):
+        """Return the number of open connections."""
+        return len(self._open)
+
+    def take(self):
+        """Return a connection for one exchange, or None at the bound."""
+        while self._idle:
+            conn, _ = self._idle.popitem()
+            if not conn.closed:
+                return conn
+        if len(self._open) >= self.limit:
+            return None
+        conn = HttpClientConn(
+            self._loop, self.host, self.port, self._on_idle, self._on_closed
+        )
+        self._open.add(conn)
+        return conn
+
+    def sweep(self):
+        """Close connections that have been idle for long."""
+        oldest = self._loop.now() - IDLE_SECONDS
+        for conn, since in list(self._idle.items()):
+            if since < oldest:
+                conn.close()
+
+    def close(self):
+        """Close all idle connections."""
+        for conn in list(self._idle):
+            conn.close()
+
+    def _on_idle(self, conn):
+        self._idle[conn] = self._loop.now()
+
+    def _on_closed(self, conn):
+        self._idle.pop(conn, None)
+        self._open.discard(conn)
--- /dev/null
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -0,0 +1,262 @@
+"""Encodes messages between routers as Cap'n Proto frames.
+
+A frame is a 4-byte big-endian length and one `Frame` of messages.capnp. Each
+message type declares its fields once in the tables below; plain fields are
+copied, others have a converter pair.
+"""
+
+import pathlib
+import struct
+
+import capnp
+from bramleysill_kernel import messages
+from bramleysill_kernel.exceptions import FrameError
+from bramleysill_wire import streams
+
+MAX_FRAME_BYTES = 8 << 20
+LENGTH_BYTES = 4
+
+capnp.remove_import_hook()
+_schema = capnp.load(
+    str(pathlib.Path(__file__).with_name('messages.capnp'))
+)
+_pack_length = struct.Struct('>I').pack
+
+
+class _Field:
+    """One field: its attribute, its schema name and its converters."""
+
+    __slots__ = ('attr', 'name', 'encode', 'decode')
+
+    def __init__(self, attr, name, encode=None, decode=None):
+        self.attr = attr
+        self.name = name
+        self.encode = encode
+        self.decode = decode
+
+
+def _camel(attr):
+    first, *rest = attr.split('_')
+    return first + ''.join(part.title() for part in rest)
+
+
+def _plain(*attrs):
+    return [_Field(a, _camel(a)) for a in attrs]
+
+
+def _map_field(attr, encode_item, decode_item):
+    return _Field(
+        attr,
+        _camel(attr),
+        lambda value: [encode_item(k, v) for k, v in value.items()],
+        lambda items: dict(decode_item(i) for i in items),
+    )
+
+
+def _list_field(attr, encode_item, decode_item):
+    return _Field(
+        attr,
+        _camel(attr),
+        lambda value: [encode_item(v) for v in value],
+        lambda items: [decode_item(i) for i in items],
+    )
+
+
+def _encode_unit(unit, assignment):
+    if assignment is None:
+        return {'unit': unit, 'removed': True}
+    return {'unit': unit, 'owner': assignment[0], 'fence': assignment[1]}
+
+
+def _decode_unit(item):
+    if item.removed:
+        return item.unit, None
+    return item.unit, (item.owner, item.fence)
+
+
+_COUNTS = (
+    lambda k, v: {'name': k, 'value': v},
+    lambda i: (i.name, i.value),
+)
+_HELD = (
+    lambda k, v: {'upstream': k, 'term': v[0], 'number': v[1]},
+    lambda i: (i.upstream, (i.term, i.number)),
+)
+_DISPATCHERS = (
+    lambda k, v: {
+        'upstream': k,
+        'router': v[0],
+        'term': v[1],
+        'number': v[2],
+    },
+    lambda i: (i.upstream, (i.router, i.term, i.number)),
+)
+_MEMBERS = (
+    lambda k, v: {'router': k, 'address': v},
+    lambda i: (i.router, i.address),
+)
+
+_REPORT = _plain('upstream', 'condition', 'load', 'rate', 'cold')
+_REPORT.append(_map_field('hot_units', *_COUNTS))
+_TABLE = _plain('service', 'block', 'version', 'base', 'data')
+_TABLE.append(_map_field('units', _encode_unit, _decode_unit))
+
+_FIELDS = {
+    messages.Hello: _plain(
+        'schema_version', 'router', 'cell', 'incarnation', 'address'
+    ),
+    messages.Heartbeat: _plain(
+        'router',
+        'incarnation',
+        'seq',
+        'term',
+        'echo',
+        'address',
+        'failure_domain',
+        'promise',
+        'store_ok',
+        'leaving',
+    )
+    + [
+        _map_field('held', *_HELD),
+        _map_field('versions', *_COUNTS),
+        _list_field(
+            'reports',
+            lambda r: _to_dict(r, _REPORT),
+            lambda i: _from_struct(messages.UpstreamReport, i, _REPORT),
+        ),
+    ],
+    messages.HeartbeatReply: _plain(
+        'coordinator', 'term', 'seq', 'stamp', 'accepted'
+    ),
+    messages.StateUpdate: _plain(
+        'coordinator', 'term', 'serial', 'manifest_version', 'manifest_text'
+    )
+    + [
+        _list_field(
+            'tables',
+            lambda t: _to_dict(t, _TABLE),
+            lambda i: _from_struct(messages.TableUpdate, i, _TABLE),
+        ),
+        _map_field('dispatchers', *_DISPATCHERS),
+        _map_field('members', *_MEMBERS),
+        _Field('candidates', 'candidates', list, list),
+        _Field('drained', 'drained', list, list),
+    ],
+    messages.StateRequest: _plain('router'),
+    messages.Release: _plain('term', 'service', 'unit', 'fence', 'upstream'),
+    messages.Released: _plain('service', 'unit', 'fence', 'upstream'),
+    messages.Suspend: _plain('term', 'upstream'),
+    messages.Lapsed: _plain('upstream'),
+    messages.Warm: _plain('term', 'service', 'unit', 'upstream'),
+    messages.ProbeRequest: _plain('term', 'upstream'),
+    messages.ProbeResult: _plain('upstream', 'reachable'),
+    streams.StreamOpen: _plain(*streams.StreamOpen.__slots__),
+    streams.StreamHead: _plain(*streams.StreamHead.__slots__),
+    streams.StreamData: _plain(*streams.StreamData.__slots__),
+    streams.StreamAdmitted: _plain('stream'),
+    streams.StreamWindow: _plain('stream', 'credit'),
+    streams.StreamReset: _plain(*streams.StreamReset.__slots__),
+}
+
+
+def _to_dict(message, fields):
+    result = {}
+    for field in fields:
+        value = getattr(message, field.attr)
+        if field.encode is not None:
+            value = field.encode(value)
+        result[field.name] = value
+    return result
+
+
+def _from_struct(cls, item, fields):
+    kwargs = {}
+    for field in fields:
+        value = getattr(item, field.name)
+        if field.decode is not None:
+            value = field.decode(value)
+        kwargs[field.attr] = value
+    return cls(**kwargs)
+
+
+def _lapsed_to_dict(message):
+    term, number = message.generation
+    return {'upstream': message.upstream, 'term': term, 'number': number}
+
+
+def _lapsed_from_struct(item):
+    return messages.Lapsed(item.upstream, (item.term, item.number))
+
+
+def _union_name(cls):
+    name = cls.__name__
+    return name[0].lower() + name[1:]
+
+
+_NAMES = {cls: _union_name(cls) for cls in _FIELDS}
+_CLASSES = {name: cls for cls, name in _NAMES.items()}
+
+
+def encode(message):
+    """Return a message as one frame, ready to be sent."""
+    cls = type(message)
+    if cls is messages.Lapsed:
+        content = _lapsed_to_dict(message)
+    else:
+        content = _to_dict(message, _FIELDS[cls])
+    frame = _schema.Frame.new_message(**{_NAMES[cls]: content})
+    data = frame.to_bytes()
+    return _pack_length(len(data)) + data
+
+
+def decode(data):
+    """Return the message of a frame without its length.
+
+    Raises FrameError if the bytes are not a frame of this schema.
+    """
+    try:
+        with _schema.Frame.from_bytes(data) as frame:
+            name = frame.which()
+            item = getattr(frame, str(name))
+            if _CLASSES[str(name)] is messages.Lapsed:
+                return _lapsed_from_struct(item)
+            cls = _CLASSES[str(name)]
+            return _from_struct(cls, item, _FIELDS[cls])
+    except (capnp.KjException, KeyError, ValueError, TypeError) as exc:
+        raise FrameError(f'malformed frame: {exc}', 'decode') from exc
+
+
+class FrameReader:
+    """Splits a byte stream into frames.
+
+    Example::
+
+        reader = FrameReader()
+        for message in reader.feed(data):
+            ...
+    """
+
+    __slots__ = ('_buffer',)
+
+    def __init__(self):
+        self._buffer = bytearray()
+
+    def feed(self, data):
+        """Return the messages that are complete; raises FrameError."""
+        buffer = self._buffer
+        buffer += data
+        found = []
+        start = 0
+        while len(buffer) - start >= LENGTH_BYTES:
+            body = start + LENGTH_BYTES
+            length = int.from_bytes(buffer[start:body], 'big')
+            if length > MAX_FRAME_BYTES:
+                raise FrameError(f'frame of {length} bytes', 'decode')
+            if len(buffer) < body + length:
+                break
+            found.append(decode(bytes(buffer[body : body + length])))
+            start = body + length
+        if start:
+            del buffer[:start]
+        return found
--- /dev/null
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -0,0 +1,176 @@
+@0xc5a1f0b2d4e69738;
+# Messages between routers. Fields are only ever added; a change of meaning
+# raises SCHEMA_VERSION in bramleysill_kernel.messages.
+
+struct Hello {
+  schemaVersion @0 :UInt32;
+  router @1 :Text;
+  cell @2 :Text;
+  incarnation @3 :Text;
+  address @4 :Text;
+}
+
+struct Count { name @0 :Text; value @1 :Float64; }
+struct Version { name @0 :Text; value @1 :UInt64; }
+struct Held { upstream @0 :Text; term @1 :UInt64; number @2 :UInt64; }
+struct Address { router @0 :Text; address @1 :Text; }
+struct Dispatcher {
+  upstream @0 :Text;
+  router @1 :Text;
+  term @2 :UInt64;
+  number @3 :UInt64;
+}
+struct UnitOwner {
+  unit @0 :Text;
+  owner @1 :Text;
+  fence @2 :UInt64;
+  removed @3 :Bool;
+}
+
+struct UpstreamReport {
+  upstream @0 :Text;
+  condition @1 :Text;
+  load @2 :Float64;
+  rate @3 :Float64;
+  cold @4 :Bool;
+  hotUnits @5 :List(Count);
+}
+
+struct Heartbeat {
+  router @0 :Text;
+  incarnation @1 :Text;
+  seq @2 :UInt64;
+  term @3 :UInt64;
+  echo @4 :Float64;
+  address @5 :Text;
+  failureDomain @6 :Text;
+  promise @7 :Bool;
+  storeOk @8 :Bool;
+  leaving @9 :Bool;
+  held @10 :List(Held);
+  versions @11 :List(Version);
+  reports @12 :List(UpstreamReport);
+}
+
+struct HeartbeatReply {
+  coordinator @0 :Text;
+  term @1 :UInt64;
+  seq @2 :UInt64;
+  stamp @3 :Float64;
+  accepted @4 :Bool;
+}
+
+struct TableUpdate {
+  service @0 :Text;
+  block @1 :UInt32;
+  version @2 :UInt64;
+  base @3 :UInt64;
+  data @4 :Data;
+  units @5 :List(UnitOwner);
+}
+
+struct StateUpdate {
+  coordinator @0 :Text;
+  term @1 :UInt64;
+  serial @2 :UInt64;
+  manifestVersion @3 :UInt64;
+  manifestText @4 :Text;
+  tables @5 :List(TableUpdate);
+  dispatchers @6 :List(Dispatcher);
+  members @7 :List(Address);
+  candidates @8 :List(Text);
+  drained @9 :List(Text);
+}
+
+struct StateRequest { router @0 :Text; }
+
+struct Release {
+  term @0 :UInt64;
+  service @1 :Text;
+  unit @2 :Text;
+  fence @3 :UInt64;
+  upstream @4 :Text;
+}
+
+struct Released {
+  service @0 :Text;
+  unit @1 :Text;
+  fence @2 :UInt64;
+  upstream @3 :Text;
+}
+
+struct Suspend { term @0 :UInt64; upstream @1 :Text; }
+struct Lapsed { upstream @0 :Text; term @1 :UInt64; number @2 :UInt64; }
+struct Warm {
+  term @0 :UInt64;
+  service @1 :Text;
+  unit @2 :Text;
+  upstream @3 :Text;
+}
+struct ProbeRequest { term @0 :UInt64; upstream @1 :Text; }
+struct ProbeResult { upstream @0 :Text; reachable @1 :Bool; }
+
+struct StreamOpen {
+  stream @0 :UInt64;
+  requestId @1 :Text;
+  upstream @2 :Text;
+  service @3 :Text;
+  unit @4 :Text;
+  fence @5 :UInt64;
+  method @6 :Text;
+  target @7 :Text;
+  head @8 :Data;
+  length @9 :Int64;
+  timeoutMs @10 :UInt32;
+  repeatable @11 :Bool;
+  caller @12 :Text;
+  priority @13 :Int32;
+  idempotencyKey @14 :Text;
+  body @15 :Data;
+  last @16 :Bool;
+}
+
+struct StreamHead {
+  stream @0 :UInt64;
+  status @1 :UInt32;
+  head @2 :Data;
+  length @3 :Int64;
+  body @4 :Data;
+  last @5 :Bool;
+}
+
+struct StreamData { stream @0 :UInt64; data @1 :Data; last @2 :Bool; }
+struct StreamAdmitted { stream @0 :UInt64; }
+struct StreamWindow { stream @0 :UInt64; credit @1 :UInt32; }
+struct StreamReset {
+  stream @0 :UInt64;
+  code @1 :Text;
+  message @2 :Text;
+  step @3 :Text;
+  peer @4 :Text;
+  outcome @5 :Text;
+  retryAfterMs @6 :Int32;
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    heartbeat @1 :Heartbeat;
+    heartbeatReply @2 :HeartbeatReply;
+    stateUpdate @3 :StateUpdate;
+    stateRequest @4 :StateRequest;
+    release @5 :Release;
+    released @6 :Released;
+    suspend @7 :Suspend;
+    lapsed @8 :Lapsed;
+    warm @9 :Warm;
+    probeRequest @10 :ProbeRequest;
+    probeResult @11 :ProbeResult;
+    streamOpen @12 :StreamOpen;
+    streamHead @13 :StreamHead;
+    streamData @14 :StreamData;
+    streamAdmitted @15 :StreamAdmitted;
+    streamWindow @16 :StreamWindow;
+    streamReset @17 :StreamReset;
+  }
+}
