--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/admission.py
@@ -0,0 +1,368 @@
+"""Admission of work at one upstream: slots, queue and truthful refusals.
+
+The dispatcher keeps one `Admission` per upstream and drives it like this:
+
+- A request arrives: `offer(work)`. On `ADMITTED` send it to the upstream now;
+  on `QUEUED` keep it; otherwise the value is a `Refusal` (`not_run`) to answer
+  with. Only admitted work may be sent.
+- An attempt ends: `finished(work, result)`; send every work it returns.
+- A caller leaves or a request times out: `cancel(work)`. Queued work is gone.
+  Running work keeps its slot until `finished`, or until `tick()` finds that
+  its deadline and `LAPSE_MARGIN` have passed and the upstream has answered
+  something since; without such an answer until `settle` seconds have passed.
+- Every 10 to 50 ms: `tick()`; send every work it returns.
+- After each of these calls, and after `unhold`: answer `take_dropped()`, a
+  list of (work, refusal) for work that was shed or can't finish in time.
+- A unit is to be released: `hold(unit)`, and `withdraw(unit)` when its queued
+  work is to be re-routed; confirm when `idle(unit)`. `unhold(unit)` ends the
+  hold and returns work to send.
+
+Example::
+
+    admission = Admission('u1', clock, slots=4)
+    if admission.offer(work) is ADMITTED:
+        send(work)
+"""
+
+from bramleysill_kernel.queueing import STATE_ABANDONED
+from bramleysill_kernel.queueing import STATE_DONE
+from bramleysill_kernel.queueing import STATE_HELD
+from bramleysill_kernel.queueing import STATE_NEW
+from bramleysill_kernel.queueing import STATE_QUEUED
+from bramleysill_kernel.queueing import STATE_RUNNING
+from bramleysill_kernel.queueing import FairQueue
+from bramleysill_kernel.refusals import DeadlineNotRun
+from bramleysill_kernel.refusals import Overloaded
+from bramleysill_kernel.refusals import OwnerMoving
+from bramleysill_kernel.slow_start import SlowStart
+
+ADMITTED = 'admitted'
+QUEUED = 'queued'
+
+RESULT_OK = 'ok'
+RESULT_ERROR = 'error'
+RESULT_SHED = 'shed'
+RESULT_CANCELLED = 'cancelled'
+RESULT_LOST = 'lost'
+
+STEP = 'admission'
+
+DEFAULT_QUEUE_LENGTH = 128
+# Time a caller of a held unit waits for the move, as in design section 5.1.
+HOLD_SECONDS = 2.0
+# Time after its deadline by which an upstream has ended a request.
+LAPSE_MARGIN = 0.25
+DEFAULT_SETTLE_SECONDS = 30.0
+# Weight of one answer in the mean service time.
+MEAN_WEIGHT = 0.1
+# Relative step of the estimate of the median service time.
+MEDIAN_STEP = 0.05
+MIN_RETRY_AFTER = 0.1
+
+
+class Admission:
+    """Slots and queue of one upstream; see the module for its use.
+
+    `in_flight` counts work at the upstream, abandoned work included, and
+    `most_in_flight` is its highest value so far. `limit` is the number that
+    may run now: the lowest of slots, slow-start bound and restriction.
+    """
+
+    __slots__ = (
+        'upstream',
+        'slots',
+        'slow_start',
+        'limit',
+        'in_flight',
+        'most_in_flight',
+        'mean',
+        'median',
+        '_clock',
+        '_queue',
+        '_queue_length',
+        '_settle',
+        '_restriction',
+        '_running',
+        '_held',
+        '_held_count',
+        '_dropped',
+        '_heard_at',
+    )
+
+    def __init__(
+        self,
+        upstream,
+        clock,
+        slots,
+        slow_start=None,
+        queue_length=DEFAULT_QUEUE_LENGTH,
+        settle=DEFAULT_SETTLE_SECONDS,
+    ):
+        self.upstream = upstream
+        self.slots = slots
+        self.slow_start = slow_start or SlowStart(clock, slots)
+        self.in_flight = 0
+        self.most_in_flight = 0
+        self.mean = 0.0
+        self.median = 0.0
+        self._clock = clock
+        self._queue = FairQueue()
+        self._queue_length = queue_length
+        self._settle = settle
+        self._restriction = slots
+        self._running = set()
+        self._held = {}
+        self._held_count = 0
+        self._dropped = []
+        self._heard_at = clock.now()
+        self._refresh()
+
+    @property
+    def queued(self):
+        """Return the number of waiting works, those of held units too."""
+        return len(self._queue) + self._held_count
+
+    def restrict(self, bound):
+        """Bound the work further, for a suspect or ejected upstream.
+
+        None lifts the restriction; 0 sends nothing. Returns work to send.
+        """
+        self._restriction = self.slots if bound is None else bound
+        self._refresh()
+        return self._start_next(self._clock.now())
+
+    def _refresh(self):
+        self.limit = min(self.slots, self.slow_start.bound, self._restriction)
+
+    def offer(self, work):
+        """Return ADMITTED, QUEUED or a Refusal to answer with."""
+        now = self._clock.now()
+        work.enqueued_at = now
+        if work.deadline <= now:
+            return self._expired(work)
+        if not self.in_flight:
+            self.slow_start.note_idle(now)
+            self._refresh()
+        if self._held and work.unit in self._held:
+            return self._hold_work(work)
+        if self.in_flight < self.limit and not self._queue:
+            self._start(work, now)
+            return ADMITTED
+        return self._enqueue(work, now)
+
+    def _start(self, work, now):
+        work.state = STATE_RUNNING
+        work.started_at = now
+        self._running.add(work)
+        self.in_flight += 1
+        if self.in_flight > self.most_in_flight:
+            self.most_in_flight = self.in_flight
+
+    def _enqueue(self, work, now):
+        wait = self.expected_wait(work.priority)
+        if now + wait + self.median > work.deadline:
+            return self._overloaded(work, wait)
+        if self.queued >= self._queue_length:
+            victim = self._queue.least_valuable(work)
+            if victim is work:
+                return self._overloaded(work, wait)
+            self._queue.remove(victim)
+            self._drop(victim, self._overloaded(victim, wait))
+        self._queue.push(work)
+        return QUEUED
+
+    def _hold_work(self, work):
+        if self.queued >= self._queue_length:
+            return self._overloaded(work, HOLD_SECONDS)
+        work.state = STATE_HELD
+        self._held[work.unit].append(work)
+        self._held_count += 1
+        return QUEUED
+
+    def expected_wait(self, priority=1):
+        """Return the seconds until a new work of a priority would start."""
+        if self.in_flight < self.limit and not self._queue:
+            return 0.0
+        ahead = self._queue.ahead_of(priority) + 1
+        return self.mean * ahead / max(1, self.limit)
+
+    def _overloaded(self, work, wait):
+        work.state = STATE_DONE
+        return Overloaded(
+            f'the queue of {self.upstream} cannot meet the deadline',
+            STEP,
+            self.upstream,
+            retry_after=max(MIN_RETRY_AFTER, wait),
+        )
+
+    def _expired(self, work):
+        work.state = STATE_DONE
+        return DeadlineNotRun(
+            'the deadline passed before the request was sent',
+            STEP,
+            self.upstream,
+        )
+
+    def _drop(self, work, refusal):
+        work.state = STATE_DONE
+        self._dropped.append((work, refusal))
+
+    def take_dropped(self):
+        """Return (work, refusal) pairs to answer, and forget them."""
+        dropped = self._dropped
+        if dropped:
+            self._dropped = []
+        return dropped
+
+    def finished(self, work, result, state='', epoch=''):
+        """Return a slot; return the works to send next.
+
+        `result` is one of the RESULT constants, `state` the answer's
+        Sill-State and `epoch` its epoch, empty if it has none. A second call
+        for the same work has no effect.
+        """
+        if work not in self._running:
+            return []
+        now = self._clock.now()
+        self._free(work)
+        if result != RESULT_LOST:
+            self._heard_at = now
+        if result == RESULT_OK:
+            self._note_latency(now - work.started_at, state, now)
+        elif result == RESULT_SHED:
+            self.slow_start.note_shed(now)
+        if epoch:
+            self.slow_start.note_epoch(epoch)
+        self._refresh()
+        if self._queue:
+            return self._start_next(now)
+        return []
+
+    def _free(self, work):
+        self._running.discard(work)
+        work.state = STATE_DONE
+        self.in_flight -= 1
+
+    def _note_latency(self, latency, state, now):
+        if self.mean:
+            self.mean += MEAN_WEIGHT * (latency - self.mean)
+            step = MEDIAN_STEP * self.median
+            self.median += step if latency > self.median else -step
+        else:
+            self.mean = self.median = latency
+        self.slow_start.note_answer(latency, state, now)
+
+    def _start_next(self, now):
+        started = []
+        while self.in_flight < self.limit and self._queue:
+            work = self._queue.pop()
+            if work.deadline < now + self.median:
+                self._drop(work, self._expired(work))
+                continue
+            self._start(work, now)
+            started.append(work)
+        return started
+
+    def note_alive(self):
+        """Record an answer outside callers' work, such as a probe's."""
+        self._heard_at = self._clock.now()
+
+    def note_epoch(self, epoch):
+        """Record the upstream's epoch from a health or grant answer."""
+        self.slow_start.note_epoch(epoch)
+        self._refresh()
+
+    def cancel(self, work):
+        """Record that the caller left; drops work that was not sent."""
+        if work.state == STATE_QUEUED:
+            self._queue.remove(work)
+            work.state = STATE_DONE
+        elif work.state == STATE_HELD:
+            self._held[work.unit].remove(work)
+            self._held_count -= 1
+            work.state = STATE_DONE
+        elif work.state == STATE_RUNNING:
+            work.state = STATE_ABANDONED
+
+    def tick(self):
+        """Drop what can't finish in time; return works to send."""
+        now = self._clock.now()
+        self._free_lapsed(now)
+        self._drop_late(now)
+        self._drop_held(now)
+        self._refresh()
+        return self._start_next(now)
+
+    def _free_lapsed(self, now):
+        for work in list(self._running):
+            if work.state != STATE_ABANDONED:
+                continue
+            lapse = work.deadline + LAPSE_MARGIN
+            heard = self._heard_at > lapse
+            if (heard and now > lapse) or now > lapse + self._settle:
+                self._free(work)
+
+    def _drop_late(self, now):
+        latest = now + self.median
+        for work in self._queue:
+            if work.deadline < latest:
+                self._queue.remove(work)
+                self._drop(work, self._expired(work))
+
+    def _drop_held(self, now):
+        for works in self._held.values():
+            for work in list(works):
+                if work.deadline <= now:
+                    refusal = self._expired(work)
+                elif now - work.enqueued_at > HOLD_SECONDS:
+                    refusal = OwnerMoving(
+                        f'unit {work.unit} is being moved',
+                        STEP,
+                        self.upstream,
+                        retry_after=MIN_RETRY_AFTER,
+                    )
+                else:
+                    continue
+                works.remove(work)
+                self._held_count -= 1
+                self._drop(work, refusal)
+
+    def hold(self, unit):
+        """Start no more work of a unit; what is queued waits."""
+        if unit in self._held:
+            return
+        works = [w for w in self._queue if w.unit == unit]
+        for work in works:
+            self._queue.remove(work)
+            work.state = STATE_HELD
+        self._held[unit] = works
+        self._held_count += len(works)
+
+    def unhold(self, unit):
+        """End the hold; return the works to send now."""
+        works = self._held.pop(unit, ())
+        self._held_count -= len(works)
+        for work in works:
+            self._queue.push(work)
+        return self._start_next(self._clock.now())
+
+    def withdraw(self, unit):
+        """Hand back all unsent work of a unit, to be routed elsewhere.
+
+        The unit stays held if it was; the works are new again.
+        """
+        works = self._held.get(unit, [])
+        taken = list(works)
+        works.clear()
+        self._held_count -= len(taken)
+        for work in self._queue:
+            if work.unit == unit:
+                self._queue.remove(work)
+                taken.append(work)
+        for work in taken:
+            work.state = STATE_NEW
+        return taken
+
+    def idle(self, unit):
+        """Tell whether no work of a unit is at the upstream."""
+        return not any(w.unit == unit for w in self._running)
