--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/balancer.py
@@ -0,0 +1,145 @@
+"""Choice of an upstream for work of a shared service.
+
+The entry router keeps one balancer per shared service, by the name in
+`Service.balancer`, and one `Candidate` per eligible upstream. It adds one to
+`in_flight` when it sends work, takes one off when the attempt ends, keeps
+`latency` as a moving average of its own observations in seconds, and sets
+`ejected` from `outliers.OutlierDetector` and `cold` from the upstream's
+answers. `pick` is called for each attempt; a retry or a hedge passes the
+names already tried as `exclude`.
+
+Example::
+
+    balancer = balancers.get('power_of_two')(random.Random())
+    chosen = balancer.pick(candidates)
+    second = balancer.pick(candidates, exclude=(chosen.name,))
+"""
+
+from bramleysill_kernel.registry import Registry
+
+balancers = Registry('balancer')
+
+# A cold upstream is taken for one that offers this part of its slots.
+COLD_SHARE = 0.25
+
+
+class Candidate:
+    """One upstream of a shared service as the entry router observes it."""
+
+    __slots__ = ('name', 'in_flight', 'slots', 'latency', 'ejected', 'cold')
+
+    def __init__(
+        self,
+        name,
+        in_flight=0,
+        slots=4,
+        latency=0.0,
+        ejected=False,
+        cold=False,
+    ):
+        self.name = name
+        self.in_flight = in_flight
+        self.slots = slots
+        self.latency = latency
+        self.ejected = ejected
+        self.cold = cold
+
+
+def eligible(candidates, exclude=()):
+    """Return the candidates to choose from.
+
+    Ejected ones are used only if nothing else is left, because an upstream
+    that is slow or fails at times is better than a refusal.
+    """
+    if not exclude:
+        usable = [c for c in candidates if not c.ejected]
+        return usable or list(candidates)
+    rest = [c for c in candidates if c.name not in exclude]
+    return [c for c in rest if not c.ejected] or rest
+
+
+def expected_time(candidate):
+    """Return the relative time a new work would take at a candidate."""
+    slots = candidate.slots
+    if candidate.cold:
+        slots = max(1.0, slots * COLD_SHARE)
+    load = (candidate.in_flight + 1) / slots
+    # Up to its slots an upstream works in parallel, so that a partly used one
+    # is little slower than an idle one.
+    return (1 + load) * (candidate.latency or 1e-3)
+
+
+@balancers.register('power_of_two')
+class PowerOfTwo:
+    """The better of two random candidates by load and latency."""
+
+    __slots__ = ('_rng',)
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def pick(self, candidates, exclude=()):
+        """Return a candidate, or None if all are excluded."""
+        usable = eligible(candidates, exclude)
+        count = len(usable)
+        if count < 2:
+            return usable[0] if usable else None
+        first = int(self._rng.random() * count)
+        second = int(self._rng.random() * (count - 1))
+        if second >= first:
+            second += 1
+        one, two = usable[first], usable[second]
+        return one if expected_time(one) <= expected_time(two) else two
+
+
+@balancers.register('round_robin')
+class RoundRobin:
+    """Each eligible candidate in turn."""
+
+    __slots__ = ('_next',)
+
+    def __init__(self, rng):
+        self._next = 0
+
+    def pick(self, candidates, exclude=()):
+        """Return a candidate, or None if all are excluded."""
+        usable = eligible(candidates, exclude)
+        if not usable:
+            return None
+        self._next += 1
+        return usable[self._next % len(usable)]
+
+
+@balancers.register('random')
+class RandomChoice:
+    """Any eligible candidate."""
+
+    __slots__ = ('_rng',)
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def pick(self, candidates, exclude=()):
+        """Return a candidate, or None if all are excluded."""
+        usable = eligible(candidates, exclude)
+        return self._rng.choice(usable) if usable else None
+
+
+@balancers.register('least_in_flight')
+class LeastInFlight:
+    """The candidate with the least work per slot; ties are broken randomly."""
+
+    __slots__ = ('_rng',)
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def pick(self, candidates, exclude=()):
+        """Return a candidate, or None if all are excluded."""
+        usable = eligible(candidates, exclude)
+        if not usable:
+            return None
+        least = min(c.in_flight / c.slots for c in usable)
+        return self._rng.choice(
+            [c for c in usable if c.in_flight / c.slots == least]
+        )
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/health.py
@@ -0,0 +1,164 @@
+"""Condition of one upstream from probes, answers and lagging reports.
+
+The dispatcher keeps one `UpstreamHealth` per upstream and drives it:
+
+- `note_answer(ok, state)` for each attempt that ended; `ok` is False for a
+  refused or lost connection and for a timeout, and True for any complete
+  answer, also one with an error status (the upstream is alive);
+- when `probe_due()`, it calls `probe_sent()`, probes and reports
+  `note_probe(ok, state, epoch)`; no answer within `PROBE_TIMEOUT` is not ok;
+- `note_hint(leaving)` from the platform's VM list, which lags and may mislead:
+  it only brings the next probe forward;
+- `condition` feeds `UpstreamReport` and `Admission.restrict`.
+
+The condition is `suspect` after several failures in a row and `ok` again
+after several successes in a row. `leaving` follows from the upstream's own
+word alone and holds until it starts anew or has denied it for a while.
+
+A probe costs the upstream about 6 ms. Fresh answers tell as much, so they
+lengthen the interval; a suspect upstream is probed faster.
+"""
+
+from bramleysill_kernel.messages import UPSTREAM_LEAVING
+from bramleysill_kernel.messages import UPSTREAM_OK
+from bramleysill_kernel.messages import UPSTREAM_SUSPECT
+from bramleysill_kernel.slow_start import STATE_LEAVING
+
+SUSPECT_FAILURES = 3
+OK_SUCCESSES = 2
+# A lagging answer may deny a departure that has begun.
+LEAVING_SECONDS = 5.0
+LEAVING_DENIALS = 3
+PROBE_SECONDS = 1.0
+SUSPECT_PROBE_SECONDS = 0.25
+LONGEST_PROBE_SECONDS = 8.0
+PROBE_GROWTH = 2.0
+PROBE_TIMEOUT = 0.5
+# Probes of many upstreams are spread by this part of the interval.
+PROBE_JITTER = 0.1
+
+
+class UpstreamHealth:
+    """Condition of one upstream and the schedule of its probes."""
+
+    __slots__ = (
+        'condition',
+        'epoch',
+        'next_probe_at',
+        '_clock',
+        '_rng',
+        '_failures',
+        '_successes',
+        '_denials',
+        '_leaving_at',
+        '_interval',
+        '_answered_at',
+        '_probing_since',
+    )
+
+    def __init__(self, clock, rng):
+        self.condition = UPSTREAM_OK
+        self.epoch = ''
+        self._clock = clock
+        self._rng = rng
+        self._failures = 0
+        self._successes = 0
+        self._denials = 0
+        self._leaving_at = 0.0
+        self._interval = PROBE_SECONDS
+        self._answered_at = None
+        self._probing_since = None
+        self.next_probe_at = clock.now()
+
+    def note_answer(self, ok, state=''):
+        """Record the end of an attempt and the answer's Sill-State."""
+        now = self._clock.now()
+        if ok:
+            self._answered_at = now
+            self._note_alive(state, now)
+        else:
+            self._note_failure(now)
+
+    def probe_due(self):
+        """Tell whether to send a probe now."""
+        now = self._clock.now()
+        if self._probing_since is not None:
+            return now - self._probing_since > PROBE_TIMEOUT
+        return now >= self.next_probe_at
+
+    def probe_sent(self):
+        """Record that a probe is under way."""
+        self._probing_since = self._clock.now()
+
+    def note_probe(self, ok, state='', epoch=''):
+        """Record a probe's result and schedule the next one."""
+        now = self._clock.now()
+        self._probing_since = None
+        if not ok:
+            self._note_failure(now)
+        else:
+            self._note_epoch(epoch)
+            self._note_alive(state, now)
+        self._schedule(now)
+
+    def _note_epoch(self, epoch):
+        if not epoch or epoch == self.epoch:
+            return
+        if self.epoch and self.condition == UPSTREAM_LEAVING:
+            self.condition = UPSTREAM_OK
+        self.epoch = epoch
+
+    def note_hint(self, leaving=True):
+        """Record that the VM list shows the upstream as leaving or gone."""
+        if leaving and self.condition == UPSTREAM_OK:
+            self.next_probe_at = self._clock.now()
+
+    def _note_alive(self, state, now):
+        self._failures = 0
+        if state == STATE_LEAVING:
+            self.condition = UPSTREAM_LEAVING
+            self._leaving_at = now
+            self._denials = 0
+            return
+        self._successes += 1
+        if self.condition == UPSTREAM_LEAVING:
+            self._note_denial(state, now)
+        elif self._successes >= OK_SUCCESSES:
+            self.condition = UPSTREAM_OK
+
+    def _note_denial(self, state, now):
+        if not state:
+            return
+        self._denials += 1
+        late = now - self._leaving_at >= LEAVING_SECONDS
+        if late and self._denials >= LEAVING_DENIALS:
+            self.condition = UPSTREAM_OK
+
+    def _note_failure(self, now):
+        self._successes = 0
+        self._failures += 1
+        if self._failures < SUSPECT_FAILURES:
+            soon = now + SUSPECT_PROBE_SECONDS
+            self.next_probe_at = min(self.next_probe_at, soon)
+            return
+        if self.condition == UPSTREAM_OK:
+            self.condition = UPSTREAM_SUSPECT
+            self._schedule(now)
+
+    def _schedule(self, now):
+        if self.condition != UPSTREAM_OK or self._failures:
+            self._interval = SUSPECT_PROBE_SECONDS
+        elif self._is_fresh(now):
+            self._interval = min(
+                LONGEST_PROBE_SECONDS,
+                max(PROBE_SECONDS, self._interval * PROBE_GROWTH),
+            )
+        else:
+            self._interval = PROBE_SECONDS
+        jitter = self._rng.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
+        self.next_probe_at = now + self._interval * jitter
+
+    def _is_fresh(self, now):
+        if self._answered_at is None:
+            return False
+        return now - self._answered_at < PROBE_SECONDS
