Add the manifest parser

Cause: the INI sheet that operators export needs all problems in one run, each with its line and a correction; configparser stops at the first one and forgets line numbers.

A POST without `repeatable` is not repeatable. A sheet without a service is refused, so that a truncated export removes nothing.

--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/ini_reader.py
@@ -0,0 +1,164 @@
+"""Reads INI text into sections that know their line numbers.
+
+The standard `configparser` stops at the first malformed line and forgets
+line numbers; operators need all problems of a sheet at once, each with its
+line.
+"""
+
+import dataclasses
+import difflib
+
+COMMENT_SIGNS = (';', '#')
+BYTE_ORDER_MARK = '\ufeff'
+# Bounds the length of a message that quotes a long malformed line.
+MAX_QUOTED_CHARS = 60
+
+
+@dataclasses.dataclass(slots=True)
+class Problem:
+    """One problem of a sheet: where, what is wrong, what to write instead."""
+
+    file: str
+    line: int
+    what: str
+    write: str
+
+    def __str__(self):
+        return f'{self.file}:{self.line}: {self.what}; {self.write}'
+
+
+@dataclasses.dataclass(slots=True)
+class IniOption:
+    """A line `name = value` and the lines that continue it."""
+
+    name: str
+    value: str
+    line: int
+
+
+@dataclasses.dataclass(slots=True)
+class IniSection:
+    """A section; `[route ledger lookups]` has kind `route` and two names."""
+
+    kind: str
+    names: tuple
+    line: int
+    options: dict = dataclasses.field(default_factory=dict)
+    duplicate: bool = False
+
+    @property
+    def title(self):
+        """Return the section's header without brackets."""
+        return ' '.join((self.kind, *self.names))
+
+
+def quote(text):
+    """Return text for use in a message, shortened and printable."""
+    if len(text) > MAX_QUOTED_CHARS:
+        text = text[:MAX_QUOTED_CHARS] + '...'
+    return ascii(text) if not text.isprintable() else f"'{text}'"
+
+
+def nearest(name, known):
+    """Return the known name most like `name`, or an empty string."""
+    found = difflib.get_close_matches(name, known, n=1, cutoff=0.5)
+    return found[0] if found else ''
+
+
+class _Reader:
+    """Collects sections and problems line by line."""
+
+    __slots__ = ('file', 'sections', 'problems', '_section', '_option')
+
+    def __init__(self, file):
+        self.file = file
+        self.sections = {}
+        self.problems = []
+        self._section = None
+        self._option = None
+
+    def problem(self, line, what, write):
+        self.problems.append(Problem(self.file, line, what, write))
+
+    def feed(self, number, raw):
+        text = raw.strip()
+        if not text or text.startswith(COMMENT_SIGNS):
+            return
+        if not text.replace('\t', ' ').isprintable():
+            self.problem(
+                number,
+                f'{quote(text)} has a character that is not printable text',
+                'write the line again, in UTF-8 without control characters',
+            )
+        if text.startswith('['):
+            self._header(number, text)
+        elif raw[0].isspace() and self._option is not None:
+            self._option.value = f'{self._option.value} {text}'.strip()
+        else:
+            self._assignment(number, text)
+
+    def _header(self, number, text):
+        self._option = None
+        words = text[1:-1].split() if text.endswith(']') else []
+        if not words:
+            self.problem(
+                number,
+                f'{quote(text)} is not a section header',
+                'write `[KIND NAME]`, for example `[service ledger]`',
+            )
+            # Takes the options that follow, so that they aren't reported.
+            self._section = IniSection('', (), number, duplicate=True)
+            return
+        section = IniSection(words[0], tuple(words[1:]), number)
+        first = self.sections.get(section.title)
+        if first is not None:
+            section.duplicate = True
+            self.problem(
+                number,
+                f'section [{section.title}] is already on line {first.line}',
+                'merge the two sections or give one another name',
+            )
+            self.sections[f'{section.title}\n{number}'] = section
+        else:
+            self.sections[section.title] = section
+        self._section = section
+
+    def _assignment(self, number, text):
+        name, sign, value = text.partition('=')
+        name = name.strip()
+        self._option = None
+        if not sign or not name:
+            self.problem(
+                number,
+                f'{quote(text)} is not an option',
+                'write `NAME = VALUE`, or start a comment with `;`',
+            )
+            return
+        if self._section is None:
+            self.problem(
+                number,
+                f'option {quote(name)} stands before the first section',
+                'write a section header such as `[manifest]` above it',
+            )
+            return
+        self._option = IniOption(name, value.strip(), number)
+        first = self._section.options.setdefault(name, self._option)
+        if first is not self._option:
+            self.problem(
+                number,
+                f'option {quote(name)} is already on line {first.line}',
+                'keep one of the two lines',
+            )
+
+
+def read_ini(text, file):
+    """Return the sections of a sheet and the problems of its form.
+
+    An indented line continues the value of the line above it. Lines that
+    start with `;` or `#` are comments.
+    """
+    reader = _Reader(file)
+    lines = text.removeprefix(BYTE_ORDER_MARK).split('\n')
+    for number, line in enumerate(lines, 1):
+        reader.feed(number, line)
+    return list(reader.sections.values()), reader.problems
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/manifest_checks.py
@@ -0,0 +1,324 @@
+"""Checks across the sections of a manifest, one function per rule.
+
+A check takes a Draft and reports problems to it. Values that could not be
+converted are missing from the draft, so a check looks only at what is there
+and reports no consequence of another problem.
+"""
+
+import dataclasses
+
+from bramleysill_kernel import manifest_options
+from bramleysill_kernel.ini_reader import Problem
+from bramleysill_kernel.ini_reader import nearest
+from bramleysill_kernel.ini_reader import quote
+from bramleysill_kernel.manifest import KIND_KEYED
+from bramleysill_kernel.manifest_options import section_kinds
+from bramleysill_kernel.registry import Registry
+
+manifest_checks = Registry('manifest check')
+
+# The name of the partition of keys that no range covers.
+DEFAULT_PARTITION = 'default'
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A section with converted values; `lines` has each option's line."""
+
+    kind: str
+    names: tuple
+    line: int
+    values: dict
+    lines: dict
+
+    @property
+    def title(self):
+        """Return the section's header without brackets."""
+        return ' '.join((self.kind, *self.names))
+
+    @property
+    def service(self):
+        """Return the name of the service that the section belongs to."""
+        if self.kind == 'upstream':
+            return self.values.get('service')
+        return self.names[0] if self.names else None
+
+    def line_of(self, option):
+        """Return the line of an option, or of the header without one."""
+        return self.lines.get(option, self.line)
+
+
+class Draft:
+    """All sections of a sheet, and the problems found so far."""
+
+    __slots__ = ('file', 'entries', 'problems')
+
+    def __init__(self, file, problems):
+        self.file = file
+        self.entries = []
+        self.problems = problems
+
+    def problem(self, line, what, write):
+        """Add a problem."""
+        self.problems.append(Problem(self.file, line, what, write))
+
+    def of(self, kind, service=None):
+        """Return the sections of a kind, or those of one service."""
+        return [
+            e
+            for e in self.entries
+            if e.kind == kind and service in (None, e.service)
+        ]
+
+    def declared(self, kind):
+        """Return the sections of a kind by name."""
+        return {e.names[0]: e for e in self.of(kind)}
+
+
+@manifest_checks.register('sections_present')
+def _check_sections_present(draft):
+    if not draft.of('manifest'):
+        draft.problem(1, 'no section [manifest]', 'write it with `region`')
+    if not draft.of('service'):
+        draft.problem(
+            1, 'no service is declared', 'write a section `[service NAME]`'
+        )
+
+
+def _check_reference(draft, kind, name, line):
+    known = list(draft.declared(kind))
+    if name in known:
+        return
+    near = nearest(name, known)
+    write = f'write `{near}`, or ' if near else ''
+    draft.problem(
+        line,
+        f'{kind} {quote(name)} is not declared',
+        f'{write}add a section `[{kind} {name}]`',
+    )
+
+
+def _references(entry):
+    """Yield kind, name and line of all that a section refers to."""
+    kind = section_kinds.get(entry.kind)
+    for part, name in zip(kind.names, entry.names, strict=True):
+        if part == 'service':
+            yield part, name, entry.line
+    for option in kind.options:
+        if option.refers and option.name in entry.values:
+            value = entry.values[option.name]
+            names = value if isinstance(value, tuple) else (value,)
+            for name in names:
+                yield option.refers, name, entry.line_of(option.name)
+
+
+@manifest_checks.register('references')
+def _check_references(draft):
+    for entry in draft.entries:
+        for kind, name, line in _references(entry):
+            _check_reference(draft, kind, name, line)
+
+
+@manifest_checks.register('unused')
+def _check_unused(draft):
+    upstreams = draft.of('upstream')
+    used = {u.values.get('failure_domain') for u in upstreams}
+    for name, entry in draft.declared('failure_domain').items():
+        if name not in used and None not in used:
+            draft.problem(
+                entry.line,
+                f'failure domain {quote(name)} has no upstream',
+                'remove the section, or name it in an upstream',
+            )
+    served = {u.service for u in upstreams}
+    for name, entry in draft.declared('service').items():
+        if name not in served and None not in served:
+            draft.problem(
+                entry.line,
+                f'service {quote(name)} has no upstream',
+                f'add an upstream with `service = {name}`',
+            )
+
+
+def _check_unique(draft, pairs, describe, write):
+    """Report each value that an earlier section already has."""
+    seen = {}
+    for entry, option, value in pairs:
+        first = seen.setdefault(value, entry)
+        if first is not entry:
+            draft.problem(
+                entry.line_of(option),
+                f'{describe(value)} is already in [{first.title}] on line '
+                f'{first.line_of(option)}',
+                write,
+            )
+
+
+def _with_value(draft, kind, option):
+    for entry in draft.of(kind):
+        if option in entry.values:
+            yield entry, option, entry.values[option]
+
+
+@manifest_checks.register('unique_values')
+def _check_unique_values(draft):
+    _check_unique(
+        draft,
+        _with_value(draft, 'upstream', 'address'),
+        lambda a: f'address {a[0]} port {a[1]}',
+        'write the address of this upstream',
+    )
+    _check_unique(
+        draft,
+        _with_value(draft, 'service', 'path'),
+        lambda path: f'path `{path}`',
+        'write another path prefix',
+    )
+
+
+@manifest_checks.register('unique_routes')
+def _check_unique_routes(draft):
+    pairs = []
+    for entry in draft.of('route'):
+        if 'suffix' in entry.values:
+            for method in entry.values.get('methods', ()):
+                value = (entry.service, method, entry.values['suffix'])
+                pairs.append((entry, 'methods', value))
+    _check_unique(
+        draft,
+        pairs,
+        lambda v: f'method {v[1]} with suffix {quote(v[2])}',
+        'write each method and suffix of a service in one route',
+    )
+
+
+@manifest_checks.register('slots')
+def _check_slots(draft):
+    for entry in draft.of('upstream'):
+        slots = entry.values.get('slots', 0)
+        connections = entry.values.get('connections', slots)
+        if slots > connections:
+            draft.problem(
+                entry.line_of('connections'),
+                f'{slots} slots need more than {connections} connections',
+                f'write `connections = {slots}` or more, or fewer slots',
+            )
+
+
+@manifest_checks.register('keyed_only')
+def _check_keyed_only(draft):
+    services = draft.declared('service')
+    for entry in draft.of('range') + draft.of('key'):
+        service = services.get(entry.service)
+        if service is None or 'kind' not in service.values:
+            continue
+        if service.values['kind'] != KIND_KEYED:
+            draft.problem(
+                entry.line,
+                f'service {quote(entry.service)} is shared and has no owners',
+                'remove the section, or write `kind = keyed` in the service',
+            )
+
+
+@manifest_checks.register('owners')
+def _check_owners(draft):
+    upstreams = draft.declared('upstream')
+    for entry in draft.of('range') + draft.of('key'):
+        for name in entry.values.get('upstreams', ()):
+            upstream = upstreams.get(name)
+            if upstream is None or upstream.service is None:
+                continue
+            if upstream.service != entry.service:
+                draft.problem(
+                    entry.line_of('upstreams'),
+                    f'upstream {quote(name)} belongs to service '
+                    f'{quote(upstream.service)}',
+                    f'write upstreams of service {quote(entry.service)}',
+                )
+
+
+@manifest_checks.register('single_keys')
+def _check_single_keys(draft):
+    services = draft.declared('service')
+    for entry in draft.of('key'):
+        service = services.get(entry.service)
+        if service is None or service.values.get('key') != 'path':
+            continue
+        if '/' in entry.names[1]:
+            draft.problem(
+                entry.line,
+                f'key {quote(entry.names[1])} is more than one path segment',
+                'write the key as it stands in the path, without `/`',
+            )
+
+
+def _bounds(entry):
+    """Return the first key and the end of a range, or None if unknown."""
+    first = entry.values.get('first')
+    last = entry.values.get('last')
+    if first is None or last is None:
+        return None
+    return first, last
+
+
+@manifest_checks.register('range_form')
+def _check_range_form(draft):
+    for entry in draft.of('range'):
+        if entry.names[1] == DEFAULT_PARTITION:
+            draft.problem(
+                entry.line,
+                f'range name `{DEFAULT_PARTITION}` is reserved',
+                'write another name',
+            )
+        bounds = _bounds(entry)
+        if bounds and bounds[1] and bounds[0] >= bounds[1]:
+            draft.problem(
+                entry.line_of('last'),
+                f'last {quote(bounds[1])} is not after first '
+                f'{quote(bounds[0])}',
+                'write a `last` after `first`, or leave it empty',
+            )
+
+
+def _overlap(one, other):
+    """Tell whether two ranges, sorted by first key, share a key."""
+    return not one[1] or other[0] < one[1]
+
+
+def _report_overlaps(draft, ranges):
+    widest = ranges[0]
+    for entry in ranges[1:]:
+        if _overlap(_bounds(widest), _bounds(entry)):
+            draft.problem(
+                entry.line_of('first'),
+                f'range {quote(entry.names[1])} overlaps range '
+                f'{quote(widest.names[1])} on line {widest.line}',
+                'write ranges where each `first` is at or after the `last` '
+                'of the range before',
+            )
+        end, widest_end = _bounds(entry)[1], _bounds(widest)[1]
+        if widest_end and (not end or end > widest_end):
+            widest = entry
+
+
+@manifest_checks.register('range_overlap')
+def _check_range_overlap(draft):
+    for service in draft.declared('service'):
+        ranges = [e for e in draft.of('range', service) if _bounds(e)]
+        ranges.sort(key=lambda e: (_bounds(e)[0], e.line))
+        if ranges:
+            _report_overlaps(draft, ranges)
+
+
+@manifest_checks.register('shard_count')
+def _check_shard_count(draft):
+    limit = manifest_options.MAX_SHARDS_PER_SERVICE
+    for name, entry in draft.declared('service').items():
+        parts = [entry, *draft.of('range', name)]
+        total = sum(e.values.get('shards', 0) for e in parts)
+        if total > limit and entry.values.get('shards', 0) <= limit:
+            draft.problem(
+                entry.line_of('shards'),
+                f'service {quote(name)} and its ranges have {total} shards',
+                f'write numbers with a sum of at most {limit}',
+            )
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/manifest_parser.py
@@ -0,0 +1,258 @@
+"""Parses the operators' INI sheet into a Manifest.
+
+All problems are reported at once::
+
+    try:
+        manifest = parse_manifest(text, 'hsinchu.ini')
+    except ManifestError as exc:
+        for problem in exc.problems:
+            print(problem)
+"""
+
+from bramleysill_kernel import manifest
+from bramleysill_kernel import manifest_options
+from bramleysill_kernel.exceptions import ManifestError
+from bramleysill_kernel.ini_reader import Problem
+from bramleysill_kernel.ini_reader import nearest
+from bramleysill_kernel.ini_reader import quote
+from bramleysill_kernel.ini_reader import read_ini
+from bramleysill_kernel.manifest_checks import Draft
+from bramleysill_kernel.manifest_checks import Entry
+from bramleysill_kernel.manifest_checks import manifest_checks
+from bramleysill_kernel.manifest_options import section_kinds
+from bramleysill_kernel.manifest_values import NAME_FORM
+from bramleysill_kernel.manifest_values import SAFE_METHODS
+from bramleysill_kernel.manifest_values import BadValue
+from bramleysill_kernel.manifest_values import as_written
+from bramleysill_kernel.manifest_values import convert
+from bramleysill_kernel.registry import Registry
+
+__all__ = ('Problem', 'parse_manifest')
+
+PERCENT = 100.0
+
+_builders = Registry('section builder')
+
+
+def _check_header(draft, section):
+    """Return the section's table entry, or None if it can't be read."""
+    if section.kind not in section_kinds.names():
+        near = nearest(section.kind, section_kinds.names())
+        known = ', '.join(section_kinds.names())
+        write = f'write `{near}`' if near else f'write one of: {known}'
+        draft.problem(
+            section.line, f'section {quote(section.kind)} is unknown', write
+        )
+        return None
+    kind = section_kinds.get(section.kind)
+    if len(section.names) != len(kind.names):
+        draft.problem(
+            section.line,
+            f'section [{section.title}] has {len(section.names)} names',
+            f'write `{kind.header}`',
+        )
+        return None
+    return kind
+
+
+def _check_names(draft, section, kind):
+    for part, name in zip(kind.names, section.names, strict=True):
+        if part == 'name' and not NAME_FORM.fullmatch(name):
+            draft.problem(
+                section.line,
+                f'{quote(name)} is not a name',
+                'write 1 to 64 of the characters A-Z a-z 0-9 _ . -',
+            )
+
+
+def _check_unknown_options(draft, section, kind):
+    known = [option.name for option in kind.options]
+    for name, option in section.options.items():
+        if name in known:
+            continue
+        near = nearest(name, known)
+        write = (
+            f'write `{near}`' if near else f'write one of: {", ".join(known)}'
+        )
+        draft.problem(
+            option.line,
+            f'option {quote(name)} is unknown in [{section.title}]',
+            write,
+        )
+
+
+def _option_value(draft, section, option):
+    """Return the converted value; raises BadValue if there is none."""
+    written = section.options.get(option.name)
+    if written is not None:
+        return convert(written.value, option)
+    if option.required:
+        raise BadValue(
+            f'[{section.title}] has no option `{option.name}`',
+            f'write `{option.name} = ...`: {option.description}',
+        )
+    return option.default
+
+
+def _convert_section(draft, section, kind):
+    entry = Entry(section.kind, section.names, section.line, {}, {})
+    for name, option in section.options.items():
+        entry.lines[name] = option.line
+    for option in kind.options:
+        try:
+            value = _option_value(draft, section, option)
+        except BadValue as exc:
+            draft.problem(entry.line_of(option.name), exc.what, exc.write)
+        else:
+            entry.values[option.name] = value
+    return entry
+
+
+def _read_section(draft, section):
+    kind = _check_header(draft, section)
+    if kind is None:
+        return
+    _check_names(draft, section, kind)
+    _check_unknown_options(draft, section, kind)
+    entry = _convert_section(draft, section, kind)
+    if not section.duplicate:
+        draft.entries.append(entry)
+
+
+def _check_size(draft, text):
+    size = len(text.encode(errors='replace'))
+    limit = manifest_options.MAX_TEXT_BYTES
+    if size > limit:
+        draft.problem(
+            1,
+            f'the sheet has {size} bytes, more than the store can keep',
+            f'write at most {limit} bytes; remove comments or split the cell',
+        )
+
+
+@_builders.register('failure_domain')
+def _build_failure_domain(result, entry):
+    domain = manifest.FailureDomain(entry.names[0], **entry.values)
+    result.failure_domains[domain.name] = domain
+
+
+@_builders.register('service')
+def _build_service(result, entry):
+    values = dict(entry.values)
+    values['authority'] = values['authority'] == 'checked'
+    values['settle'] = values.pop('settle_s')
+    timeout_ms = values.pop('timeout_ms')
+    values['timeout'] = timeout_ms / manifest_options.MS_PER_SECOND
+    service = manifest.Service(entry.names[0], **values)
+    result.services[service.name] = service
+
+
+@_builders.register('upstream')
+def _build_upstream(result, entry):
+    values = dict(entry.values)
+    host, port = values.pop('address')
+    upstream = manifest.Upstream(
+        entry.names[0], host=host, port=port, **values
+    )
+    result.upstreams[upstream.name] = upstream
+    result.services[upstream.service].upstreams.append(upstream)
+
+
+@_builders.register('route')
+def _build_route(result, entry):
+    service, name = entry.names
+    values = dict(entry.values)
+    if values['repeatable'] is None:
+        safe = set(values['methods']) <= set(SAFE_METHODS)
+        values['repeatable'] = safe
+    route = manifest.Route(name, service, **values)
+    result.services[service].routes.append(route)
+
+
+@_builders.register('objective')
+def _build_objective(result, entry):
+    result.services[entry.service].objective = manifest.Objective(
+        entry.service,
+        entry.values['availability'] / PERCENT,
+        entry.values['latency_ms'],
+        entry.values['latency_percentile'] / PERCENT,
+    )
+
+
+@_builders.register('range')
+def _build_range(result, entry):
+    service, name = entry.names
+    rng = manifest.KeyRange(name, service, **entry.values)
+    result.services[service].ranges.append(rng)
+
+
+@_builders.register('key')
+def _build_key(result, entry):
+    service, key = entry.names
+    single = manifest.SingleKey(service, key, entry.values['upstreams'])
+    result.services[service].singles.append(single)
+
+
+def _build(draft, version, text):
+    head = draft.of('manifest')[0].values
+    result = manifest.Manifest(
+        head['region'],
+        head['cell'] or head['region'],
+        version=version,
+        text=text,
+    )
+    # Services come before what belongs to them, wherever the sheet has them.
+    order = ('failure_domain', 'service', 'upstream', 'route', 'objective')
+    for kind in (*order, 'range', 'key'):
+        for entry in draft.of(kind):
+            _builders.get(kind)(result, entry)
+    return result
+
+
+def parse_manifest(text, file='manifest.ini', version=0):
+    """Return the Manifest of a sheet.
+
+    `file` stands in the messages, `version` is the store's version of the
+    text. Raises ManifestError with all problems, ordered by line.
+    """
+    sections, problems = read_ini(text, file)
+    draft = Draft(file, problems)
+    _check_size(draft, text)
+    for section in sections:
+        _read_section(draft, section)
+    for name in manifest_checks.names():
+        manifest_checks.get(name)(draft)
+    if draft.problems:
+        draft.problems.sort(key=lambda p: p.line)
+        raise ManifestError(draft.problems, file)
+    return _build(draft, version, text)
+
+
+def options_table():
+    """Return the table of all sections and options in Markdown."""
+    lines = []
+    for name in section_kinds.names():
+        kind = section_kinds.get(name)
+        lines += [f'### `{kind.header}`', '', kind.description, '']
+        lines += ['| option | type | default | unit | limits | meaning |']
+        lines += ['|---|---|---|---|---|---|']
+        lines += [_option_row(option) for option in kind.options] + ['']
+    return '\n'.join(lines)
+
+
+def _option_row(option):
+    limits = ' or '.join(option.choices)
+    if option.high:
+        limits = f'{option.low:,} to {option.high:,}'
+    default = 'required' if option.required else as_written(option.default)
+    if option.default is None:
+        default = 'by method'
+    cells = (
+        f'`{option.name}`',
+        option.type,
+        default or 'empty',
+        option.unit,
+        limits,
+        option.description,
+    )
+    return f'| {" | ".join(cells)} |'
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/manifest_values.py
@@ -0,0 +1,238 @@
+"""Converts the text of an option into its value, one function per type.
+
+A converter takes the text and the option's table entry and returns the
+value; it raises BadValue, which says what is wrong and what to write.
+"""
+
+import importlib
+import ipaddress
+import re
+
+from bramleysill_kernel.ini_reader import nearest
+from bramleysill_kernel.ini_reader import quote
+from bramleysill_kernel.registry import Registry
+
+option_types = Registry('option type')
+
+NAME_FORM = re.compile(r'[A-Za-z0-9][A-Za-z0-9_.-]{0,63}')
+PATH_FORM = re.compile(r'/([A-Za-z0-9._~-]+/)*')
+SUFFIX_FORM = re.compile(r'([A-Za-z0-9._~-]+(/[A-Za-z0-9._~-]+)*)?')
+HEADER_FORM = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
+WHOLE_FORM = re.compile(r'[+-]?[0-9]{1,18}')
+NUMBER_FORM = re.compile(r'[+-]?[0-9]{1,12}(\.[0-9]{1,9})?')
+ADDRESS_FORM = re.compile(
+    r'(\[(?P<six>[^\]]+)\]|(?P<four>[^:]+)):(?P<port>.*)'
+)
+MAX_PORT = 65535
+SAFE_METHODS = ('GET', 'HEAD', 'OPTIONS')
+METHODS = (*SAFE_METHODS, 'POST', 'PUT', 'PATCH', 'DELETE')
+YES_NO = {'yes': True, 'no': False}
+
+
+class BadValue(ValueError):
+    """A value does not have the form of its type."""
+
+    def __init__(self, what, write):
+        super().__init__(what)
+        self.what = what
+        self.write = write
+
+
+def as_written(value):
+    """Return a value in the form in which the manifest writes it."""
+    if isinstance(value, bool):
+        return 'yes' if value else 'no'
+    if isinstance(value, float):
+        return f'{value:g}'
+    return str(value)
+
+
+def convert(text, option):
+    """Return the value of an option's text, or raise BadValue."""
+    return option_types.get(option.type)(text, option)
+
+
+@option_types.register('name')
+def _name(text, option):
+    if not NAME_FORM.fullmatch(text):
+        raise BadValue(
+            f'{option.name} {quote(text)} is not a name',
+            'write 1 to 64 of the characters A-Z a-z 0-9 _ . -',
+        )
+    return text
+
+
+def _split(text):
+    return [part.strip() for part in text.split(',')]
+
+
+@option_types.register('names')
+def _names(text, option):
+    names = [_name(part, option) for part in _split(text)]
+    for name in names:
+        if names.count(name) > 1:
+            raise BadValue(
+                f'{option.name} lists {quote(name)} twice',
+                f'write {quote(name)} once',
+            )
+    return tuple(names)
+
+
+@option_types.register('yes_no')
+def _yes_no(text, option):
+    try:
+        return YES_NO[text]
+    except KeyError:
+        raise BadValue(
+            f'{option.name} is {quote(text)}', 'write `yes` or `no`'
+        ) from None
+
+
+@option_types.register('choice')
+def _choice(text, option):
+    if text not in option.choices:
+        allowed = ' or '.join(f'`{c}`' for c in option.choices)
+        raise BadValue(f'{option.name} is {quote(text)}', f'write {allowed}')
+    return text
+
+
+def _registered(option):
+    """Return the registered variants, or None without their module."""
+    module, registry = option.variants
+    try:
+        return getattr(importlib.import_module(module), registry).names()
+    except ModuleNotFoundError:
+        return None
+
+
+@option_types.register('variant')
+def _variant(text, option):
+    known = _registered(option)
+    if known is None:
+        return _name(text, option)
+    if text not in known:
+        allowed = ', '.join(f'`{name}`' for name in known)
+        raise BadValue(
+            f'{option.name} {quote(text)} is not known',
+            f'write one of {allowed}',
+        )
+    return text
+
+
+def _in_limits(value, text, option):
+    if not option.low <= value <= option.high:
+        raise BadValue(
+            f'{option.name} {quote(text)} is out of its limits',
+            f'write a number from {option.low:,} to {option.high:,}'
+            f'{f" ({option.unit})" if option.unit else ""}, without commas',
+        )
+    return value
+
+
+@option_types.register('whole')
+def _whole(text, option):
+    if not WHOLE_FORM.fullmatch(text):
+        raise BadValue(
+            f'{option.name} {quote(text)} is not a whole number',
+            f'write digits only, for example `{as_written(option.default)}`',
+        )
+    return _in_limits(int(text), text, option)
+
+
+@option_types.register('number')
+def _number(text, option):
+    if not NUMBER_FORM.fullmatch(text):
+        raise BadValue(
+            f'{option.name} {quote(text)} is not a number',
+            'write digits with a decimal point, for example '
+            f'`{as_written(option.default)}`',
+        )
+    return _in_limits(float(text), text, option)
+
+
+@option_types.register('path')
+def _path(text, option):
+    if not PATH_FORM.fullmatch(text):
+        raise BadValue(
+            f'path {quote(text)} is not a path prefix',
+            'write a prefix that starts and ends with `/`, such as `/ledger/`',
+        )
+    return text
+
+
+@option_types.register('suffix')
+def _suffix(text, option):
+    if not SUFFIX_FORM.fullmatch(text):
+        raise BadValue(
+            f'suffix {quote(text)} is not a path below the key',
+            'write it without a `/` at either end, such as `openings`',
+        )
+    return text
+
+
+@option_types.register('key_source')
+def _key_source(text, option):
+    words = text.split()
+    if words == ['path']:
+        return text
+    is_header = len(words) == 2 and words[0] == 'header'
+    if is_header and HEADER_FORM.fullmatch(words[1]):
+        return f'header {words[1]}'
+    raise BadValue(
+        f'key is {quote(text)}',
+        'write `path`, or `header NAME` with the name of a header',
+    )
+
+
+@option_types.register('key')
+def _key(text, option):
+    if any(char.isspace() for char in text):
+        raise BadValue(
+            f'{option.name} {quote(text)} has a space', 'write one key'
+        )
+    return text
+
+
+@option_types.register('methods')
+def _methods(text, option):
+    methods = _split(text)
+    for method in methods:
+        if method not in METHODS:
+            near = nearest(method.upper(), METHODS) or ', '.join(METHODS)
+            raise BadValue(
+                f'method {quote(method)} is not known', f'write {near}'
+            )
+    return tuple(dict.fromkeys(methods))
+
+
+def _ip_address(text):
+    """Return an address that a connection can be made to, or None."""
+    try:
+        address = ipaddress.ip_address(text)
+    except ValueError:
+        return None
+    if address.is_unspecified or address.is_multicast or '%' in text:
+        return None
+    return address
+
+
+def _port(text):
+    """Return a port number, or 0 if it is none."""
+    if not WHOLE_FORM.fullmatch(text):
+        return 0
+    return int(text) if 1 <= int(text) <= MAX_PORT else 0
+
+
+@option_types.register('address')
+def _address(text, option):
+    match = ADDRESS_FORM.fullmatch(text)
+    if match:
+        address = _ip_address(match['six'] or match['four'])
+        port = _port(match['port'])
+        is_six = bool(match['six'])
+        if address and port and (address.version == 6) == is_six:
+            return str(address), port
+    raise BadValue(
+        f'address {quote(text)} is not an IP address and a port',
+        'write `IP:PORT`, such as `127.0.0.1:7001` or `[::1]:7001`',
+    )
