Look up declared names once per manifest check

Cause: each reference built the list of declared names again, which made the check quadratic in the number of upstreams.

Change: the declared names are collected once per run.

--- a/packages/kernel/src/bramleysill_kernel/manifest_checks.py
+++ b/packages/kernel/src/bramleysill_kernel/manifest_checks.py
@@ -72,7 +72,7 @@
 
     def declared(self, kind):
         """Return the sections of a kind by name."""
-        return {e.names[0]: e for e in self.of(kind)}
+        return {e.names[0]: e for e in self.of(kind) if e.names}
 
 
 @manifest_checks.register('sections_present')
@@ -85,8 +85,7 @@
         )
 
 
-def _check_reference(draft, kind, name, line):
-    known = list(draft.declared(kind))
+def _check_reference(draft, known, kind, name, line):
     if name in known:
         return
     near = nearest(name, known)
@@ -114,9 +113,10 @@
 
 @manifest_checks.register('references')
 def _check_references(draft):
+    known = {kind: draft.declared(kind) for kind in section_kinds.names()}
     for entry in draft.entries:
         for kind, name, line in _references(entry):
-            _check_reference(draft, kind, name, line)
+            _check_reference(draft, known[kind], kind, name, line)
 
 
 @manifest_checks.register('unused')
