--- a/packages/kernel/src/bramleysill_kernel/manifest_options.py
+++ b/packages/kernel/src/bramleysill_kernel/manifest_options.py
@@ -90,7 +90,7 @@
     (),
     'The region and the cell that the sheet is for.',
     Option('region', 'name', 'Name of the region.'),
-    Option('cell', 'name', 'Name of the cell.', default='', unit='region'),
+    Option('cell', 'name', 'Name of the cell; empty: the region.', default=''),
 )
 _section(
     'failure_domain',
--- a/tests/test_manifest_parser.py
+++ b/tests/test_manifest_parser.py
@@ -1,5 +1,6 @@
 """Tests of the manifest parser: what it accepts and what it reports."""
 
+import pathlib
 import random
 
 from hypothesis import given
@@ -11,6 +12,8 @@
 from bramleysill_kernel.exceptions import ManifestError
 from bramleysill_kernel.manifest import Manifest
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
 GOOD = """\
 ; exported every morning
 [manifest]
@@ -219,3 +222,29 @@
                 )
             )
         self._parse('\n'.join(lines))
+
+
+class ExamplesTest(testtools.TestCase):
+    def test_examples_have_the_sizes_of_the_design(self):
+        """Guards against examples that no longer parse or shrink."""
+        sizes = {}
+        for name in ('hsinchu', 'niederbayern'):
+            text = (ROOT / 'examples' / f'{name}.ini').read_text()
+            sheet = manifest_parser.parse_manifest(text, name)
+            sizes[name] = (
+                len(sheet.failure_domains),
+                {s.name: len(s.upstreams) for s in sheet.services.values()},
+                {u.slots for u in sheet.upstreams.values()},
+            )
+        self.assertEqual(
+            (3, {'ledger': 30, 'intake': 6}, {4}), sizes['hsinchu']
+        )
+        self.assertEqual(
+            (3, {'catalogue': 25, 'recordings': 6}, {4}),
+            sizes['niederbayern'],
+        )
+
+    def test_the_page_has_the_table_of_the_code(self):
+        """Guards against an option that docs/manifest.md does not describe."""
+        page = (ROOT / 'docs' / 'manifest.md').read_text()
+        self.assertIn(manifest_parser.options_table(), page)
