Add the store and upstream stand-ins

Cause: routers and tests need a far side that speaks the platform and upstream protocols without third-party servers. Change: bramleysill_standins.store and .upstream serve both protocols on loopback; key-value state, fences, ledger, workload and faults are small modules without I/O. Listener no longer starts a connection that its protocol closed on accept, which registered a closed descriptor.

--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -259,7 +259,8 @@
                 return
             conn = Conn.accepted(self.loop, sock, f'{peer[0]}:{peer[1]}')
             conn.protocol = self._make_protocol(conn)
-            conn.start()
+            if not conn.closed:
+                conn.start()
 
     def on_writable(self):
         """A listener never waits to write."""
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/download.py
@@ -0,0 +1,37 @@
+"""Streams a download at the pace of the caller."""
+
+from bramleysill_standins.pattern import iter_pattern
+
+# Bytes buffered for one download before it waits for the caller.
+HIGH_WATER_BYTES = 262144
+
+
+class Download:
+    """Sends the pattern of a seed; `done()` is called after the last byte."""
+
+    __slots__ = ('_stream', '_pieces', '_done', '_gate')
+
+    def __init__(self, stream, seed, size, gate, done):
+        self._stream = stream
+        self._pieces = iter_pattern(seed, size)
+        self._gate = gate
+        self._done = done
+
+    def start(self, headers, size):
+        """Send the head and the first pieces."""
+        self._stream.on_drained = lambda: self._gate(self.pump)
+        self._stream.start(200, headers, size)
+        self.pump()
+
+    def pump(self):
+        """Send pieces until the send buffer is full or all is sent."""
+        stream = self._stream
+        while not stream.closed and not stream.finished:
+            if stream.buffered >= HIGH_WATER_BYTES:
+                return
+            piece = next(self._pieces, None)
+            if piece is None:
+                stream.end()
+                self._done()
+                return
+            stream.write(piece)
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/fences.py
@@ -0,0 +1,76 @@
+"""The check of grants and fences on an upstream's own clock.
+
+It is written apart from the router's own logic, so that a mistake there is
+not repeated here.
+"""
+
+OK = ''
+NO_GRANT = 'no_grant'
+STALE_FENCE = 'stale_fence'
+EXPIRED = 'expired'
+
+
+class FenceTable:
+    """The granted units, their fences and the end of the grant.
+
+    All times are in milliseconds on the upstream's clock. Fences of a unit
+    never decrease: a grant of a lower fence than one seen before, or of a
+    fence that was released, leaves the unit without a grant.
+
+    Example::
+
+        table = FenceTable('start-1')
+        table.apply(command, now_ms)
+        table.check('17', 3, now_ms)  # '' or a reason
+    """
+
+    __slots__ = ('epoch', '_generation', '_until_ms', '_units', '_seen')
+
+    def __init__(self, epoch):
+        self.epoch = epoch
+        self._generation = (0, 0)
+        self._until_ms = 0
+        self._units = {}
+        # unit -> lowest fence that may still be granted.
+        self._seen = {}
+
+    def apply(self, command, now_ms):
+        """Apply a grant command; return False if it is refused.
+
+        A command of an older generation or for another start is refused.
+        Raises KeyError, TypeError or ValueError if it is malformed.
+        """
+        term, number = command['generation']
+        generation = (int(term), int(number))
+        until_ms = float(command['until_clock_ms'])
+        units = {str(k): int(v) for k, v in command['units'].items()}
+        if command['epoch'] != self.epoch or generation < self._generation:
+            return False
+        self._generation = generation
+        self._until_ms = until_ms
+        self._units = {
+            k: v for k, v in units.items() if v >= self._seen.get(k, 0)
+        }
+        self._seen.update(self._units)
+        return True
+
+    def check(self, unit, fence, now_ms):
+        """Return '' if the unit may run now, or the reason why not."""
+        granted = self._units.get(unit)
+        if granted is not None and granted != fence:
+            return STALE_FENCE
+        if granted is None:
+            return NO_GRANT
+        return OK if now_ms < self._until_ms else EXPIRED
+
+    def release(self, unit, fence):
+        """Stop a unit for good at this fence and the ones below."""
+        lowest = self._seen.get(unit, 0)
+        self._seen[unit] = max(lowest, fence + 1)
+        if self._units.get(unit, fence + 1) <= fence:
+            del self._units[unit]
+
+    def clear(self):
+        """Forget all grants, as a restart does."""
+        self._units = {}
+        self._until_ms = 0
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/freezer.py
@@ -0,0 +1,46 @@
+"""Stops an upstream for a time, as a paused process is stopped.
+
+The clock goes on, received bytes stay in the kernel, and everything that
+fell due meanwhile happens at the end, as if nothing had been.
+"""
+
+
+class Freezer:
+    """Holds the connections, the listener and the timers of an upstream."""
+
+    __slots__ = ('_app', '_until_ms', '_held')
+
+    def __init__(self, app):
+        self._app = app
+        self._until_ms = None
+        self._held = []
+
+    def run(self, callback):
+        """Run now, or at the end of the freeze."""
+        if self._until_ms is None:
+            callback()
+        else:
+            self._held.append(callback)
+
+    def freeze(self, until_ms):
+        """Freeze until a reading of the upstream's clock."""
+        app = self._app
+        self._until_ms = max(until_ms, self._until_ms or 0.0)
+        for server in app.servers:
+            server.conn.pause()
+        if app.listener is not None:
+            app.loop.poller.forget(app.listener)
+        app.schedule(self._until_ms, self._thaw)
+
+    def _thaw(self):
+        app = self._app
+        if self._until_ms is None or app.clock_ms() < self._until_ms:
+            return
+        self._until_ms = None
+        held, self._held = self._held, []
+        for callback in held:
+            callback()
+        for server in list(app.servers):
+            server.conn.resume()
+        if app.listener is not None:
+            app.loop.poller.watch(app.listener, True, False)
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/ledger.py
@@ -0,0 +1,120 @@
+"""The record of what an upstream ran, and the checks over several records."""
+
+import collections
+
+LOOKUP = 'lookup'
+
+
+class LedgerEntry:
+    """One request that took effect.
+
+    `clock_ms` is the upstream's own clock, `host_ms` the monotonic clock of
+    the machine, which orders the entries of several upstreams.
+    """
+
+    __slots__ = (
+        'request_id',
+        'call_id',
+        'unit',
+        'fence',
+        'method',
+        'path',
+        'idempotency_key',
+        'service',
+        'key',
+        'effect',
+        'clock_ms',
+        'host_ms',
+    )
+
+    def __init__(self, **fields):
+        for name in self.__slots__:
+            setattr(self, name, fields.get(name, ''))
+
+    def as_dict(self):
+        """Return the fields for JSON."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+class Ledger:
+    """All requests that ran, the uploads kept, and the high-water marks."""
+
+    __slots__ = ('entries', 'uploads', 'refused', 'cut_off', '_request_ids')
+
+    def __init__(self):
+        self.entries = []
+        self.uploads = {}
+        self.refused = collections.Counter()
+        self.cut_off = 0
+        self._request_ids = set()
+
+    def record(self, entry):
+        """Add a request that took effect."""
+        self.entries.append(entry)
+        self._request_ids.add(entry.request_id)
+
+    def store_upload(self, path, digest, size):
+        """Keep a complete upload's digest and size."""
+        self.uploads[path] = {'sha256': digest, 'bytes': size}
+
+    def has_run(self, request_id):
+        """Tell whether a request of that id took effect."""
+        return request_id in self._request_ids
+
+    def as_dict(self):
+        """Return everything for JSON."""
+        return {
+            'entries': [entry.as_dict() for entry in self.entries],
+            'uploads': self.uploads,
+            'refused': dict(self.refused),
+            'cut_off': self.cut_off,
+        }
+
+
+def keys_with_two_owners(ledgers):
+    """Return the violations in the ledgers of all upstreams.
+
+    `ledgers` maps upstream names to lists of entries as dicts. The fences of
+    a unit must not decrease over time, and one fence belongs to one
+    upstream. Each violation is `(service, key, unit, fences, upstreams)`.
+    """
+    units = collections.defaultdict(list)
+    for upstream, entries in ledgers.items():
+        for entry in entries:
+            if entry['unit'] == '':
+                continue
+            unit = (entry['service'], entry['unit'])
+            units[unit].append((entry['host_ms'], upstream, entry))
+    found = []
+    for (service, unit), runs in sorted(units.items()):
+        runs.sort(key=lambda run: run[0])
+        for (_, owner, before), (_, other, entry) in _pairs(runs):
+            if _is_ordered(owner, before['fence'], other, entry['fence']):
+                continue
+            fences = (before['fence'], entry['fence'])
+            found.append((service, entry['key'], unit, fences, (owner, other)))
+    return found
+
+
+def repeated_effects(ledgers, effect):
+    """Return the idempotency keys whose effect was recorded twice.
+
+    `ledgers` is as in `keys_with_two_owners`.
+    """
+    seen = collections.Counter(
+        entry['idempotency_key']
+        for entries in ledgers.values()
+        for entry in entries
+        if entry['effect'] == effect and entry['idempotency_key']
+    )
+    return sorted(key for key, count in seen.items() if count > 1)
+
+
+def _pairs(runs):
+    return zip(runs, runs[1:], strict=False)
+
+
+def _is_ordered(owner, fence, other, next_fence):
+    if owner == other:
+        return next_fence >= fence
+    return next_fence > fence
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/serving.py
@@ -0,0 +1,104 @@
+"""What the HTTP stand-ins share: bodies, answers and the process's start."""
+
+import json
+import urllib.parse
+
+from bramleysill_net.conn import Listener
+from bramleysill_net.http_server import HttpServerConn
+
+HOST = '127.0.0.1'
+JSON_TYPE = ('Content-Type', 'application/json')
+
+
+class Target:
+    """The decoded path and query of a request."""
+
+    __slots__ = ('path', 'query')
+
+    def __init__(self, target):
+        parts = urllib.parse.urlsplit(target)
+        self.path = urllib.parse.unquote(parts.path)
+        self.query = dict(urllib.parse.parse_qsl(parts.query))
+
+    def number(self, name, default=0):
+        """Return a query field as an integer; ValueError if malformed."""
+        return int(self.query.get(name, default))
+
+
+class BodySink:
+    """Collects a body of at most `limit` bytes, then calls `done(body)`.
+
+    A longer body is refused with 413. `abort()` is called when the
+    connection ends before the answer.
+    """
+
+    __slots__ = ('_stream', '_done', '_limit', '_pieces', '_size', 'abort')
+
+    def __init__(self, stream, done, limit):
+        self._stream = stream
+        self._done = done
+        self._limit = limit
+        self._pieces = []
+        self._size = 0
+        self.abort = None
+
+    def on_body(self, data):
+        """Keep a piece of the body."""
+        self._size += len(data)
+        if self._size > self._limit:
+            self._pieces.clear()
+            return
+        self._pieces.append(data)
+
+    def on_end(self):
+        """Hand on the whole body."""
+        if self._size > self._limit:
+            self._stream.send(413, [])
+            return
+        self._done(b''.join(self._pieces))
+
+    def on_abort(self, exc):
+        """The connection has ended."""
+        if self.abort is not None:
+            self.abort()
+
+
+class ConnTracker:
+    """Base of handlers: keeps the open connections of one listener."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.listener = None
+        self.servers = set()
+
+    def accept(self, conn):
+        """Build the protocol of an accepted connection."""
+        server = HttpServerConn(conn, self)
+        self.servers.add(server)
+        return server
+
+    def on_disconnect(self, server):
+        """Forget a connection."""
+        self.servers.discard(server)
+
+    def on_bad_request(self, stream, status, reason):
+        """Answer a malformed request."""
+        stream.send(status, [], reason.encode('latin-1', 'replace'))
+
+
+def send_json(stream, status, value, headers=()):
+    """Answer with a JSON document."""
+    body = json.dumps(value).encode()
+    stream.send(status, [JSON_TYPE, *headers], body)
+
+
+def listen(loop, app, port):
+    """Listen on loopback; port 0 picks one. Return the port."""
+    listener = Listener(loop, HOST, port, app.accept)
+    app.listener = listener
+    return listener.address[1]
+
+
+def announce(port):
+    """Print the line that tells a parent process where to connect."""
+    print(f'listening {HOST} {port}', flush=True)
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/store.py
@@ -0,0 +1,284 @@
+"""Stand-in of the platform's key-value service and VM list.
+
+`python -m bramleysill_standins.store --port N` serves the calls of
+docs/platform-protocol.md on loopback. `PUT /v1/vms` with a JSON list sets
+the VM list, which the protocol leaves to the platform.
+"""
+
+import collections
+import json
+
+import fire
+
+from bramleysill_net.loop import Loop
+from bramleysill_standins.kv_state import Conflict
+from bramleysill_standins.kv_state import KvState
+from bramleysill_standins.kv_state import LeaseGone
+from bramleysill_standins.serving import BodySink
+from bramleysill_standins.serving import ConnTracker
+from bramleysill_standins.serving import Target
+from bramleysill_standins.serving import announce
+from bramleysill_standins.serving import listen
+from bramleysill_standins.serving import send_json
+from bramleysill_standins.store_faults import StoreFaults
+
+MAX_VALUE_BYTES = 1 << 20
+WRITES = ('kv_put', 'kv_delete', 'lease_create', 'lease_renew', 'lease_end')
+_KV = '/v1/kv/'
+_WATCH = '/v1/watch/'
+_LEASES = '/v1/leases'
+
+
+class Reply:
+    """An answer that is sent now or after a delay."""
+
+    __slots__ = ('status', 'headers', 'body')
+
+    def __init__(self, status, body=b'', version=None):
+        self.status = status
+        self.headers = []
+        if version is not None:
+            self.headers.append(('X-Version', str(version)))
+        self.body = body
+
+
+class StoreApp(ConnTracker):
+    """Answers the store's calls."""
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.state = KvState(self._on_change)
+        self.faults = StoreFaults()
+        self.counters = collections.Counter()
+        self.vms = []
+        self._watchers = {}
+
+    def on_request(self, stream, req):
+        """Collect the body, then run the call."""
+        target = Target(req.target)
+        call = Call(self, stream, req.method, target)
+        sink = BodySink(stream, call.run, MAX_VALUE_BYTES)
+        sink.abort = call.cancel
+        return sink
+
+    def now_ms(self):
+        """Return the store's clock in milliseconds."""
+        return self.loop.now() * 1000.0
+
+    def watch(self, key, notify):
+        """Call `notify` at the next change of a key."""
+        self._watchers.setdefault(key, []).append(notify)
+
+    def unwatch(self, key, notify):
+        """Drop a waiting watch."""
+        waiting = self._watchers.get(key, [])
+        if notify in waiting:
+            waiting.remove(notify)
+        if not waiting:
+            self._watchers.pop(key, None)
+
+    def expire_at(self, deadline_ms):
+        """Expire leases when the clock reaches a deadline."""
+        self.loop.scheduler.call_at(
+            deadline_ms / 1000.0, lambda: self.state.expire(self.now_ms())
+        )
+
+    def _on_change(self, key):
+        for notify in self._watchers.pop(key, []):
+            notify()
+
+
+class Call:
+    """One call to the store."""
+
+    __slots__ = ('app', 'stream', 'method', 'target', '_sent', '_timer')
+
+    def __init__(self, app, stream, method, target):
+        self.app = app
+        self.stream = stream
+        self.method = method
+        self.target = target
+        self._sent = False
+        self._timer = None
+
+    def cancel(self):
+        """The caller has gone; a waiting watch ends."""
+        self._sent = True
+        self._stop_watch()
+
+    def run(self, body):
+        """Run the call and answer it."""
+        if self._run_control(body):
+            return
+        if self.app.faults.down:
+            self.app.counters['dropped'] += 1
+            self.stream.abort()
+            return
+        kind, step = self._find()
+        self.app.counters[kind] += 1
+        try:
+            reply = step(body)
+        except ValueError as exc:
+            reply = Reply(400, str(exc).encode())
+        except Conflict as exc:
+            self.app.counters['conflicts'] += 1
+            reply = Reply(409, version=exc.version)
+        except LeaseGone:
+            reply = Reply(410)
+        if reply is not None:
+            self._answer(kind, reply)
+
+    def _run_control(self, body):
+        path = self.target.path
+        if path == '/v1/counters':
+            send_json(self.stream, 200, dict(self.app.counters))
+        elif path == '/v1/faults':
+            self._set_faults()
+        elif path == '/v1/vms' and self.method == 'PUT':
+            self.app.vms = json.loads(body)
+            self.stream.send(200, [])
+        else:
+            return False
+        return True
+
+    def _set_faults(self):
+        target = self.target
+        try:
+            self.app.faults.set(
+                target.query.get('mode', 'none'),
+                target.number('delay_ms', 100),
+                target.number('count', 1),
+            )
+        except ValueError as exc:
+            self.stream.send(400, [], str(exc).encode())
+            return
+        self.stream.send(200, [])
+
+    def _find(self):
+        path, method = self.target.path, self.method
+        steps = {}
+        if path.startswith(_KV):
+            steps = {
+                'GET': ('kv_get', self._get),
+                'PUT': ('kv_put', self._put),
+                'DELETE': ('kv_delete', self._delete),
+            }
+        elif path.startswith(_WATCH):
+            steps = {'GET': ('watch', self._watch)}
+        elif path == _LEASES:
+            steps = {'POST': ('lease_create', self._create_lease)}
+        elif path.startswith(_LEASES + '/'):
+            steps = {
+                'POST': ('lease_renew', self._renew_lease),
+                'DELETE': ('lease_end', self._end_lease),
+            }
+        elif path == '/v1/vms':
+            steps = {'GET': ('vms', self._list_vms)}
+        return steps.get(method, ('unknown', lambda body: Reply(404)))
+
+    def _key(self, prefix=_KV):
+        return self.target.path[len(prefix) :]
+
+    def _lease_id(self):
+        return self.target.path[len(_LEASES) + 1 :]
+
+    def _get(self, body):
+        return self._value(self._key())
+
+    def _value(self, key):
+        self.app.state.expire(self.app.now_ms())
+        entry = self.app.state.get(key)
+        if entry is None:
+            return Reply(404, version=0)
+        return Reply(200, entry.value, entry.version)
+
+    def _put(self, body):
+        version = self.app.state.put(
+            self._key(),
+            body,
+            self.target.number('expected'),
+            self.target.query.get('lease'),
+            self.app.now_ms(),
+        )
+        return Reply(200, version=version)
+
+    def _delete(self, body):
+        expected = self.target.number('expected')
+        self.app.state.delete(self._key(), expected, self.app.now_ms())
+        return Reply(200)
+
+    def _create_lease(self, body):
+        ttl_ms = self.target.number('ttl_ms', 1000)
+        lease_id = self.app.state.create_lease(ttl_ms, self.app.now_ms())
+        self.app.expire_at(self.app.now_ms() + ttl_ms)
+        return Reply(201, lease_id.encode())
+
+    def _renew_lease(self, body):
+        now_ms = self.app.now_ms()
+        lease = self.app.state.renew_lease(self._lease_id(), now_ms)
+        self.app.expire_at(lease.deadline_ms)
+        return Reply(200)
+
+    def _end_lease(self, body):
+        self.app.state.end_lease(self._lease_id())
+        return Reply(200)
+
+    def _list_vms(self, body):
+        return Reply(200, json.dumps(self.app.vms).encode())
+
+    def _watch(self, body):
+        key = self._key(_WATCH)
+        if self.app.state.version(key) != self.target.number('after'):
+            return self._value(key)
+        wait = self.target.number('wait_ms', 1000) / 1000.0
+        scheduler = self.app.loop.scheduler
+        deadline = self.app.loop.now() + wait
+        self._timer = scheduler.call_at(deadline, self._unchanged)
+        self.app.watch(key, self._changed)
+        return None
+
+    def _stop_watch(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self.app.unwatch(self._key(_WATCH), self._changed)
+
+    def _changed(self):
+        self._stop_watch()
+        self._answer('watch', self._value(self._key(_WATCH)))
+
+    def _unchanged(self):
+        self._stop_watch()
+        self._answer('watch', Reply(304))
+
+    def _answer(self, kind, reply):
+        if self._sent:
+            return
+        self._sent = True
+        if kind in WRITES and self.app.faults.take_lost_answer():
+            self.app.counters['lost_answers'] += 1
+            self.stream.abort()
+            return
+        delay = self.app.faults.delay_ms / 1000.0
+        if not delay:
+            self._send(reply)
+            return
+        deadline = self.app.loop.now() + delay
+        self.app.loop.scheduler.call_at(deadline, lambda: self._send(reply))
+
+    def _send(self, reply):
+        if self.app.faults.down:
+            self.stream.abort()
+            return
+        self.stream.send(reply.status, reply.headers, reply.body)
+
+
+def main(port=0):
+    """Serve the store on loopback until terminated."""
+    loop = Loop()
+    app = StoreApp(loop)
+    announce(listen(loop, app, port))
+    loop.run()
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/upstream_control.py
@@ -0,0 +1,98 @@
+"""Control calls of the upstream protocol, below /.sill/."""
+
+import json
+
+from bramleysill_standins.serving import send_json
+
+# What a health probe costs an upstream, as measured in Hsinchu.
+PROBE_MS = 6.0
+
+
+class Control:
+    """Answers control calls of one upstream."""
+
+    __slots__ = ('app', '_steps')
+
+    def __init__(self, app):
+        self.app = app
+        self._steps = {
+            ('GET', '/.sill/health'): self._health,
+            ('POST', '/.sill/grants'): self._grants,
+            ('POST', '/.sill/release'): self._release,
+            ('POST', '/.sill/warm'): self._warm,
+            ('POST', '/.sill/cancel'): self._cancel,
+            ('GET', '/.sill/ledger'): self._ledger,
+            ('POST', '/.sill/faults'): self._faults,
+        }
+
+    def run(self, stream, method, target, body):
+        """Answer one control call."""
+        step = self._steps.get((method, target.path))
+        if step is None:
+            stream.send(404, [])
+            return
+        try:
+            step(stream, target, body)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            send_json(stream, 400, {'error': repr(exc)})
+
+    def _health(self, stream, target, body):
+        ready_ms = self.app.occupy(PROBE_MS)
+        self.app.call_at(ready_ms, lambda: self._send_health(stream))
+
+    def _send_health(self, stream):
+        app = self.app
+        value = {
+            'state': app.state(),
+            'load': app.shown_load(),
+            'clock_ms': int(app.clock_ms()),
+            'epoch': app.epoch,
+        }
+        send_json(stream, 200, value, app.report_headers())
+
+    def _grants(self, stream, target, body):
+        if self.app.fences is None:
+            stream.send(404, [])
+            return
+        now_ms = self.app.clock_ms()
+        accepted = self.app.fences.apply(json.loads(body), now_ms)
+        self._send_clock(stream, 200 if accepted else 409)
+
+    def _send_clock(self, stream, status):
+        clock_ms = int(self.app.clock_ms())
+        value = {'clock_ms': clock_ms, 'epoch': self.app.epoch}
+        send_json(stream, status, value, self.app.report_headers())
+
+    def _release(self, stream, target, body):
+        command = json.loads(body)
+        unit, fence = str(command['unit']), int(command['fence'])
+        if self.app.fences is not None:
+            self.app.fences.release(unit, fence)
+        self.app.when_idle(unit, lambda: self._send_clock(stream, 200))
+
+    def _warm(self, stream, target, body):
+        str(json.loads(body)['unit'])
+        self._send_clock(stream, 200)
+
+    def _cancel(self, stream, target, body):
+        request_id = str(json.loads(body)['request_id'])
+        state = self.app.cancel(request_id)
+        send_json(stream, 200, {'state': state}, self.app.report_headers())
+
+    def _ledger(self, stream, target, body):
+        app = self.app
+        value = {'name': app.name, 'clock_ms': app.clock_ms()}
+        value.update(app.ledger.as_dict())
+        value.update(app.workload.as_dict())
+        value['refused_connections'] = app.refused_connections
+        send_json(stream, 200, value)
+
+    def _faults(self, stream, target, body):
+        mode = target.query.get('mode', 'none')
+        self.app.faults.set(mode, target.query)
+        self.app.workload.slow_factor = self.app.faults.factor
+        stream.send(200, [])
+        if mode == 'freeze':
+            self.app.freeze(float(target.query.get('ms', 1000)))
+        elif mode == 'cold':
+            self.app.make_cold()
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/workload.py
@@ -0,0 +1,145 @@
+"""What an upstream can carry: slots, warming up, collapse and lagging load.
+
+All times are in milliseconds on a clock that the caller passes in.
+"""
+
+import collections
+
+LOAD_LAG_MS = 500.0
+# A cold upstream takes this many times the warm service time.
+COLD_SLOWDOWN = 4.0
+# Too much work while cold slows an upstream down by this factor, for as
+# long as the work stays and this time after it.
+COLLAPSE_SLOWDOWN = 4.0
+COLLAPSE_MS = 1000.0
+# Requests that a cold upstream must have run before it counts as warm.
+WARMUP_REQUESTS = 20
+
+
+class LoadReport:
+    """The load as a report shows it: half a second late."""
+
+    __slots__ = ('_notes', '_shown')
+
+    def __init__(self):
+        self._notes = collections.deque()
+        self._shown = 0.0
+
+    def note(self, now_ms, load):
+        """Record the load at a time."""
+        self._notes.append((now_ms, load))
+        self.shown(now_ms)
+
+    def shown(self, now_ms):
+        """Return the load of `LOAD_LAG_MS` ago."""
+        while self._notes and self._notes[0][0] <= now_ms - LOAD_LAG_MS:
+            self._shown = self._notes.popleft()[1]
+        return self._shown
+
+
+class Workload:
+    """Counts work in flight and derives the time that a request takes.
+
+    Example::
+
+        load = Workload(slots=4, cold_slots=1, warmup_ms=5000)
+        if load.start(now_ms):
+            duration = load.service_ms(now_ms, 2.0)
+            load.finish(now_ms, ran=True)
+    """
+
+    __slots__ = (
+        'slots',
+        'cold_slots',
+        'warmup_ms',
+        'in_flight',
+        'max_in_flight',
+        'cold_max_in_flight',
+        'collapses',
+        'slow_factor',
+        'report',
+        '_cold_since_ms',
+        '_ran_since_cold',
+        '_collapsed_until_ms',
+    )
+
+    def __init__(self, slots, cold_slots, warmup_ms, now_ms=0.0):
+        self.slots = slots
+        self.cold_slots = cold_slots
+        self.warmup_ms = warmup_ms
+        self.in_flight = 0
+        self.max_in_flight = 0
+        self.cold_max_in_flight = 0
+        self.collapses = 0
+        self.slow_factor = 1.0
+        self.report = LoadReport()
+        self.make_cold(now_ms)
+
+    def make_cold(self, now_ms):
+        """Start to warm up anew."""
+        self._cold_since_ms = now_ms
+        self._ran_since_cold = 0
+        self._collapsed_until_ms = now_ms
+
+    def warmth(self, now_ms):
+        """Return 0 (cold) to 1 (warm); time and work both count."""
+        if not self.warmup_ms:
+            return 1.0
+        by_time = (now_ms - self._cold_since_ms) / self.warmup_ms
+        by_work = self._ran_since_cold / WARMUP_REQUESTS
+        return max(0.0, min(1.0, by_time, by_work))
+
+    def capacity(self, now_ms):
+        """Return how many requests it bears at a time."""
+        extra = self.slots - self.cold_slots
+        return self.cold_slots + int(extra * self.warmth(now_ms))
+
+    def is_collapsed(self, now_ms):
+        """Tell whether it is slowed down by too much work while cold."""
+        return now_ms < self._collapsed_until_ms
+
+    def start(self, now_ms):
+        """Take a slot; return False if the request must be shed."""
+        if self.in_flight >= self.slots:
+            return False
+        self.in_flight += 1
+        self.max_in_flight = max(self.max_in_flight, self.in_flight)
+        self._note(now_ms)
+        if self.warmth(now_ms) < 1.0:
+            self._check_collapse(now_ms)
+        return True
+
+    def finish(self, now_ms, ran):
+        """Return a slot; `ran` tells whether the work was done."""
+        self.in_flight -= 1
+        self._ran_since_cold += 1 if ran else 0
+        self._note(now_ms)
+
+    def service_ms(self, now_ms, warm_ms):
+        """Return how long a request takes that starts now."""
+        cold = 1.0 - self.warmth(now_ms)
+        factor = 1.0 + (COLD_SLOWDOWN - 1.0) * cold
+        if self.is_collapsed(now_ms):
+            factor *= COLLAPSE_SLOWDOWN
+        return warm_ms * factor * self.slow_factor
+
+    def as_dict(self):
+        """Return the high-water marks for JSON."""
+        return {
+            'max_in_flight': self.max_in_flight,
+            'cold_max_in_flight': self.cold_max_in_flight,
+            'collapses': self.collapses,
+        }
+
+    def _check_collapse(self, now_ms):
+        self.cold_max_in_flight = max(self.cold_max_in_flight, self.in_flight)
+        if self.in_flight <= self.capacity(now_ms):
+            return
+        if not self.is_collapsed(now_ms):
+            self.collapses += 1
+        self._cold_since_ms = now_ms
+        self._ran_since_cold = 0
+        self._collapsed_until_ms = now_ms + COLLAPSE_MS
+
+    def _note(self, now_ms):
+        self.report.note(now_ms, self.in_flight / self.slots)
