Test the policies and compare latencies per route

Cause: uploads of seconds between lookups of milliseconds looked like a cold upstream, because the usual latency was one figure per upstream; and the wait estimate ignored an upstream that had stopped to answer.

Change: slow start and the finish estimate keep latencies per route (Work.route); the wait estimate counts the time since the youngest work in flight was sent; slow start needs answers within twice the usual latency to grow, and learns no latencies while cold.

--- a/packages/kernel/src/bramleysill_kernel/admission.py
+++ b/packages/kernel/src/bramleysill_kernel/admission.py
@@ -66,6 +66,7 @@
     `in_flight` counts work at the upstream, abandoned work included, and
     `most_in_flight` is its highest value so far. `limit` is the number that
     may run now: the lowest of slots, slow-start bound and restriction.
+    `mean` is the mean service time in seconds.
     """
 
     __slots__ = (
@@ -76,7 +77,8 @@
         'in_flight',
         'most_in_flight',
         'mean',
-        'median',
+        '_medians',
+        '_stall',
         '_clock',
         '_queue',
         '_queue_length',
@@ -104,7 +106,8 @@
         self.in_flight = 0
         self.most_in_flight = 0
         self.mean = 0.0
-        self.median = 0.0
+        self._medians = {}
+        self._stall = 0.0
         self._clock = clock
         self._queue = FairQueue()
         self._queue_length = queue_length
@@ -160,7 +163,7 @@
 
     def _enqueue(self, work, now):
         wait = self.expected_wait(work.priority)
-        if now + wait + self.median > work.deadline:
+        if now + wait + self.typical(work.route) > work.deadline:
             return self._overloaded(work, wait)
         if self.queued >= self._queue_length:
             victim = self._queue.least_valuable(work)
@@ -184,7 +187,11 @@
         if self.in_flight < self.limit and not self._queue:
             return 0.0
         ahead = self._queue.ahead_of(priority) + 1
-        return self.mean * ahead / max(1, self.limit)
+        return max(self.mean, self._stall) * ahead / max(1, self.limit)
+
+    def typical(self, route=''):
+        """Return the median service time of a route, or 0 if unknown."""
+        return self._medians.get(route, 0.0)
 
     def _overloaded(self, work, wait):
         work.state = STATE_DONE
@@ -228,7 +235,7 @@
         if result != RESULT_LOST:
             self._heard_at = now
         if result == RESULT_OK:
-            self._note_latency(now - work.started_at, state, now)
+            self._note_latency(work.route, now - work.started_at, state, now)
         elif result == RESULT_SHED:
             self.slow_start.note_shed(now)
         if epoch:
@@ -243,20 +250,21 @@
         work.state = STATE_DONE
         self.in_flight -= 1
 
-    def _note_latency(self, latency, state, now):
+    def _note_latency(self, route, latency, state, now):
         if self.mean:
             self.mean += MEAN_WEIGHT * (latency - self.mean)
-            step = MEDIAN_STEP * self.median
-            self.median += step if latency > self.median else -step
         else:
-            self.mean = self.median = latency
-        self.slow_start.note_answer(latency, state, now)
+            self.mean = latency
+        median = self._medians.get(route, latency)
+        step = MEDIAN_STEP * median
+        self._medians[route] = median + (step if latency > median else -step)
+        self.slow_start.note_answer(latency, state, now, route)
 
     def _start_next(self, now):
         started = []
         while self.in_flight < self.limit and self._queue:
             work = self._queue.pop()
-            if work.deadline < now + self.median:
+            if work.deadline < now + self.typical(work.route):
                 self._drop(work, self._expired(work))
                 continue
             self._start(work, now)
@@ -288,11 +296,21 @@
         """Drop what can't finish in time; return works to send."""
         now = self._clock.now()
         self._free_lapsed(now)
+        self._note_stall(now)
         self._drop_late(now)
         self._drop_held(now)
         self._refresh()
         return self._start_next(now)
 
+    def _note_stall(self, now):
+        """Measure how long all slots have been busy without an answer.
+
+        The mean covers answers only and would stay low at a frozen upstream.
+        """
+        self._stall = 0.0
+        if self._running and self.in_flight >= self.limit:
+            self._stall = now - max(w.started_at for w in self._running)
+
     def _free_lapsed(self, now):
         for work in list(self._running):
             if work.state != STATE_ABANDONED:
@@ -303,9 +321,8 @@
                 self._free(work)
 
     def _drop_late(self, now):
-        latest = now + self.median
         for work in self._queue:
-            if work.deadline < latest:
+            if work.deadline < now + self.typical(work.route):
                 self._queue.remove(work)
                 self._drop(work, self._expired(work))
 
--- a/packages/kernel/src/bramleysill_kernel/queueing.py
+++ b/packages/kernel/src/bramleysill_kernel/queueing.py
@@ -36,7 +36,8 @@
 
     `deadline`, `enqueued_at` and `started_at` are readings of the clock that
     the admission uses, in seconds. `unit` is empty for shared services.
-    `state` and `seq` belong to the admission and its queue.
+    `route` is the name of the `Route`, for latencies that are compared with
+    their like. `state` and `seq` belong to the admission and its queue.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         'caller',
         'priority',
         'repeatable',
+        'route',
         'enqueued_at',
         'started_at',
         'state',
@@ -64,6 +66,7 @@
         caller='',
         priority=1,
         repeatable=True,
+        route='',
     ):
         self.id = id
         self.service = service
@@ -73,6 +76,7 @@
         self.caller = caller
         self.priority = priority
         self.repeatable = repeatable
+        self.route = route
         self.enqueued_at = 0.0
         self.started_at = 0.0
         self.state = STATE_NEW
--- a/packages/kernel/src/bramleysill_kernel/slow_start.py
+++ b/packages/kernel/src/bramleysill_kernel/slow_start.py
@@ -7,12 +7,16 @@
 
 An upstream counts as cold when it is new to this dispatcher, its epoch
 changes, an answer says `Sill-State: cold`, or several answers in a row take
-far longer than its usual latency. The last sign finds an upstream that went
-cold unnoticed or whose reports mislead. While an upstream is cold the bound
-is `cold_bound`; it grows again, by doubling, only while answers are as fast as
-usual and none of them says cold. A latency that stays high for
-`relearn` seconds without any other sign becomes the usual one, so that
-an upstream slowed by its neighbours is not held at the cold bound for ever.
+far longer than is usual for their routes. The last sign finds an upstream
+that went cold unnoticed or whose reports mislead. While an upstream is cold
+the bound starts at `cold_bound` and doubles only after a number of answers
+that are nearly as fast as usual, with no sign of cold among them. A latency
+that stays high for `relearn` seconds without any other sign becomes the usual
+one, so that an upstream slowed by its neighbours is not held at the cold
+bound for ever.
+
+An answer that says cold is believed even if answers are fast: too little work
+is the safe error.
 """
 
 STATE_COLD = 'cold'
@@ -22,6 +26,9 @@
 DEFAULT_COLD_BOUND = 1
 # An answer this many times slower than usual is a sign of a cold upstream.
 JUMP_FACTOR = 4.0
+# While cold, only answers up to this many times the usual latency count as
+# good: a cold upstream at its bound is often just two or three times slower.
+GROW_FACTOR = 2.0
 # One slow answer is common (a large body, a collection pause); three in a
 # row at a known upstream are not.
 JUMP_ANSWERS = 3
@@ -38,11 +45,25 @@
 NEW_SECONDS = 1.0
 
 
+class _Usual:
+    """Usual latency of one route, in seconds."""
+
+    __slots__ = ('latency', 'answers')
+
+    def __init__(self, latency):
+        self.latency = latency
+        self.answers = 1
+
+    def learn(self, latency):
+        self.answers += 1
+        weight = max(LATENCY_WEIGHT, 1 / self.answers)
+        self.latency += weight * (latency - self.latency)
+
+
 class SlowStart:
     """Bound of one upstream; `slots` is its bound when warm.
 
-    Raises no errors. `usual` is the usual latency in seconds, 0 while it is
-    unknown; `cold` tells whether the upstream counts as cold.
+    `cold` tells whether the upstream counts as cold. Raises no errors.
     """
 
     __slots__ = (
@@ -51,13 +72,11 @@
         'cold_bound',
         'relearn',
         'bound',
-        'usual',
         'cold',
         'epoch',
-        '_answers',
+        '_usual',
         '_good',
         '_slow',
-        '_slow_min',
         '_cold_at',
         '_last_at',
     )
@@ -73,11 +92,8 @@
         self.slots = slots
         self.cold_bound = min(cold_bound, slots)
         self.relearn = relearn
-        self.usual = 0.0
         self.epoch = ''
-        self._answers = 0
-        self._slow = 0
-        self._slow_min = 0.0
+        self._usual = {}
         self._become_cold(clock.now())
 
     def _become_cold(self, now):
@@ -88,6 +104,22 @@
         self._cold_at = now
         self._last_at = now
 
+    def usual(self, route=''):
+        """Return the usual latency of a route, or 0 while unknown."""
+        usual = self._usual.get(route)
+        return usual.latency if usual else 0.0
+
+    def hint_usual(self, latency, route=''):
+        """Set a route's usual latency from other upstreams of the service.
+
+        Without it, a new upstream that is cold and says it is warm can't be
+        told from one that is slow by nature. Does nothing once answers of
+        this upstream are known.
+        """
+        if route not in self._usual:
+            self._usual[route] = usual = _Usual(latency)
+            usual.answers = LEARN_ANSWERS
+
     def note_epoch(self, epoch):
         """Record the id of the upstream's start; a new one means cold."""
         if not epoch or epoch == self.epoch:
@@ -107,7 +139,7 @@
         self._good = 0
         self._last_at = now
 
-    def note_answer(self, latency, state='', now=None):
+    def note_answer(self, latency, state='', now=None, route=''):
         """Record a complete answer: seconds it took and its Sill-State."""
         if now is None:
             now = self._clock.now()
@@ -115,41 +147,43 @@
         if state == STATE_COLD:
             self._become_cold(now)
             return
-        if self.usual and latency > self.usual * JUMP_FACTOR:
-            self._note_slow(latency, now)
+        usual = self._usual.get(route)
+        if usual is None:
+            self._usual[route] = _Usual(latency)
             return
-        self._slow = 0
-        self._learn(latency)
-        if self.bound < self.slots:
-            self._note_good(now)
+        if latency > usual.latency * JUMP_FACTOR:
+            self._note_slow(usual, latency, now)
         else:
-            self.cold = False
+            self._note_usual(usual, latency, now)
 
-    def _learn(self, latency):
-        self._answers += 1
-        weight = max(LATENCY_WEIGHT, 1 / self._answers)
-        self.usual += weight * (latency - self.usual)
-
-    def _note_slow(self, latency, now):
+    def _note_slow(self, usual, latency, now):
         self._good = 0
         self._slow += 1
-        if self._slow == 1:
-            self._slow_min = latency
-        self._slow_min = min(self._slow_min, latency)
         if self._slow < JUMP_ANSWERS:
             return
         if not self.cold:
             self._become_cold(now)
-            self._slow = JUMP_ANSWERS
         elif now - self._cold_at > self.relearn:
-            self.usual = self._slow_min
-            self._slow = 0
+            usual.learn(latency)
 
-    def _note_good(self, now):
-        if self._answers < LEARN_ANSWERS and (
-            now - self._cold_at < NEW_SECONDS
+    def _note_usual(self, usual, latency, now):
+        self._slow = 0
+        cold_for = now - self._cold_at
+        if (
+            not self.cold
+            or usual.answers < LEARN_ANSWERS
+            or cold_for > self.relearn
         ):
+            usual.learn(latency)
+        if self.bound == self.slots:
+            self.cold = False
             return
+        if usual.answers < LEARN_ANSWERS and cold_for < NEW_SECONDS:
+            return
+        if latency <= usual.latency * GROW_FACTOR:
+            self._note_good()
+
+    def _note_good(self):
         self._good += 1
         if self._good < GROW_ANSWERS * self.bound:
             return
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,311 @@
+"""Tests of admission at one upstream."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import testtools
+
+from bramleysill_kernel import admission
+from bramleysill_kernel.admission import ADMITTED
+from bramleysill_kernel.admission import QUEUED
+from bramleysill_kernel.admission import RESULT_LOST
+from bramleysill_kernel.admission import RESULT_OK
+from bramleysill_kernel.admission import Admission
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.exceptions import Refusal
+from bramleysill_kernel.queueing import Work
+from bramleysill_kernel.refusals import DeadlineNotRun
+from bramleysill_kernel.refusals import Overloaded
+from bramleysill_kernel.refusals import OwnerMoving
+from bramleysill_kernel.slow_start import SlowStart
+
+
+def _work(number, clock, unit='1', timeout=10.0, caller='a', priority=1):
+    deadline = clock.now() + timeout
+    return Work(number, 'ledger', unit, 1, deadline, caller, priority)
+
+
+def _warm(clock, slots=2, **kwargs):
+    """Return an admission without slow start."""
+    slow_start = SlowStart(clock, slots, cold_bound=slots)
+    return Admission('u1', clock, slots, slow_start, **kwargs)
+
+
+class AdmissionTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.admission = _warm(self.clock)
+
+    def _offer(self, count, **kwargs):
+        works = [_work(n, self.clock, **kwargs) for n in range(count)]
+        return works, [self.admission.offer(w) for w in works]
+
+    def _serve(self, seconds):
+        """Teach the admission a service time."""
+        work = _work('served', self.clock)
+        self.admission.offer(work)
+        self.clock.advance(seconds)
+        self.admission.finished(work, RESULT_OK)
+
+    def test_slots_bound_work_and_a_slot_goes_to_the_queue(self):
+        """Guards against work beyond the slots and a slot left unused."""
+        works, results = self._offer(3)
+        self.assertEqual([ADMITTED, ADMITTED, QUEUED], results)
+        started = self.admission.finished(works[0], RESULT_OK)
+        self.assertEqual([works[2]], started)
+        self.assertEqual(2, self.admission.most_in_flight)
+
+    def test_second_finish_returns_no_slot(self):
+        """Guards against a slot returned twice for one work."""
+        works, _ = self._offer(4)
+        self.admission.finished(works[0], RESULT_OK)
+        self.assertEqual([], self.admission.finished(works[0], RESULT_OK))
+        self.assertEqual(2, self.admission.in_flight)
+
+    def test_hopeless_work_is_refused_at_once(self):
+        """Guards against a queue of work that can't meet its deadline."""
+        self._serve(1.0)
+        self._offer(4)
+        refusal = self.admission.offer(_work('x', self.clock, timeout=1.5))
+        self.assertIsInstance(refusal, Overloaded)
+        self.assertEqual(OUTCOME_NOT_RUN, refusal.outcome)
+        self.assertEqual(1.5, refusal.retry_after)
+
+    def test_passed_deadline_is_told_apart_from_overload(self):
+        """Guards against work that is sent after its deadline."""
+        refusal = self.admission.offer(_work('x', self.clock, timeout=0.0))
+        self.assertIsInstance(refusal, DeadlineNotRun)
+
+    def test_wait_counts_a_stalled_upstream(self):
+        """Guards against an estimate that trusts answers of the past only."""
+        self._serve(0.01)
+        self._offer(2)
+        self.clock.advance(1.0)
+        self.admission.tick()
+        self.assertEqual(0.5, self.admission.expected_wait())
+
+    def test_tick_drops_what_cannot_finish(self):
+        """Guards against a slot spent on an answer that nobody awaits."""
+        self._serve(1.0)
+        works, _ = self._offer(3, timeout=2.0)
+        self.clock.advance(1.5)
+        self.assertEqual([], self.admission.tick())
+        dropped = self.admission.take_dropped()
+        self.assertEqual([works[2]], [w for w, _ in dropped])
+        self.assertIsInstance(dropped[0][1], DeadlineNotRun)
+        self.assertEqual([], self.admission.take_dropped())
+
+    def test_full_queue_sheds_the_least_valuable(self):
+        """Guards against valuable work refused for the sake of other work."""
+        self.admission = _warm(self.clock, queue_length=2)
+        works, _ = self._offer(4, priority=1)
+        better = _work('better', self.clock, priority=2)
+        self.assertEqual(QUEUED, self.admission.offer(better))
+        dropped = self.admission.take_dropped()
+        self.assertEqual([works[3]], [w for w, _ in dropped])
+        worse = _work('worse', self.clock, priority=0)
+        self.assertIsInstance(self.admission.offer(worse), Overloaded)
+
+    def test_cancelled_running_work_keeps_its_slot(self):
+        """Guards against a slot given out while the upstream still works."""
+        works, _ = self._offer(3, timeout=5.0)
+        self.admission.cancel(works[0])
+        self.clock.advance(4.0)
+        self.assertEqual([], self.admission.tick())
+        self.assertEqual(2, self.admission.in_flight)
+
+    def test_abandoned_slot_returns_after_a_sign_of_life(self):
+        """Guards against new work for an upstream that may be frozen."""
+        works, _ = self._offer(2, timeout=5.0)
+        self.admission.cancel(works[0])
+        self.clock.advance(5.0 + 2 * admission.LAPSE_MARGIN)
+        self.admission.tick()
+        self.assertEqual(2, self.admission.in_flight)
+        self.admission.note_alive()
+        self.admission.tick()
+        self.assertEqual(1, self.admission.in_flight)
+
+    def test_abandoned_slot_returns_after_settle(self):
+        """Guards against a slot that a silent upstream holds for ever."""
+        works, _ = self._offer(1, timeout=5.0)
+        self.admission.cancel(works[0])
+        self.clock.advance(5.0 + admission.DEFAULT_SETTLE_SECONDS + 1.0)
+        self.admission.tick()
+        self.assertEqual(0, self.admission.in_flight)
+
+    def test_held_unit_waits_and_others_go_on(self):
+        """Guards against work of a moving unit that starts at the old owner"""
+        works, _ = self._offer(2, unit='1')
+        self.admission.offer(queued := _work('q', self.clock, unit='1'))
+        self.admission.hold('1')
+        self.admission.offer(late := _work('late', self.clock, unit='1'))
+        self.admission.offer(other := _work('o', self.clock, unit='2'))
+        self.assertEqual([other], self.admission.finished(works[0], RESULT_OK))
+        self.assertFalse(self.admission.idle('1'))
+        self.assertEqual([], self.admission.finished(works[1], RESULT_OK))
+        self.assertTrue(self.admission.idle('1'))
+        self.assertEqual([queued, late], self.admission.withdraw('1'))
+        self.assertEqual(0, self.admission.queued)
+
+    def test_unhold_starts_held_work(self):
+        """Guards against held work that is lost when a move is given up."""
+        self.admission.hold('1')
+        works, _ = self._offer(3)
+        self.assertEqual(works[:2], self.admission.unhold('1'))
+
+    def test_hold_is_bounded(self):
+        """Guards against callers that wait for a move without end."""
+        self.admission.hold('1')
+        self._offer(1)
+        self.clock.advance(admission.HOLD_SECONDS + 0.1)
+        self.admission.tick()
+        ((_, refusal),) = self.admission.take_dropped()
+        self.assertIsInstance(refusal, OwnerMoving)
+
+    def test_restriction_bounds_and_lifts(self):
+        """Guards against a suspect upstream that is sent full load."""
+        self.admission.restrict(0)
+        works, results = self._offer(2)
+        self.assertEqual([QUEUED, QUEUED], results)
+        self.assertEqual(works, self.admission.restrict(None))
+
+    def test_shedding_upstream_gets_less(self):
+        """Guards against full load for an upstream that refuses it."""
+        self.admission = Admission(
+            'u1', self.clock, 4, slow_start=SlowStart(self.clock, 4, 4)
+        )
+        self.admission.slow_start.cold_bound = 1
+        works, _ = self._offer(4)
+        self.admission.finished(works[0], admission.RESULT_SHED)
+        self.assertEqual(2, self.admission.limit)
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ['offer'] * 6
+            + ['finish'] * 4
+            + ['cancel', 'tick', 'hold', 'unhold', 'withdraw', 'restrict']
+        ),
+        st.integers(0, 7),
+        st.floats(0.0, 0.5),
+    ),
+    max_size=120,
+)
+
+
+class _Driver:
+    """Drives an admission like the process and checks each work's end."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        slow_start = SlowStart(self.clock, 4, cold_bound=2)
+        self.admission = Admission(
+            'u1', self.clock, 4, slow_start, queue_length=6
+        )
+        self.waiting = set()
+        self.running = []
+        self.ended = []
+        self.offered = 0
+        self.held = set()
+
+    def start(self, works):
+        for work in works:
+            assert work.unit not in self.held, 'started while held'
+            self.waiting.remove(work)
+            self.running.append(work)
+        if works:
+            assert self.admission.in_flight <= self.admission.limit
+
+    def collect(self):
+        for work, refusal in self.admission.take_dropped():
+            assert refusal.outcome == OUTCOME_NOT_RUN
+            self.waiting.remove(work)
+            self.ended.append(work)
+
+    def offer(self, n):
+        work = Work(
+            self.offered,
+            f's{n % 2}',
+            str(n % 3),
+            deadline=self.clock.now() + n,
+            caller=f'c{n % 4}',
+            priority=n % 3,
+        )
+        self.offered += 1
+        result = self.admission.offer(work)
+        if isinstance(result, Refusal):
+            self.ended.append(work)
+            return
+        self.waiting.add(work)
+        if result is ADMITTED:
+            self.start([work])
+
+    def finish(self, n):
+        if self.running:
+            work = self.running.pop(n % len(self.running))
+            self.ended.append(work)
+            result = RESULT_LOST if n == 7 else RESULT_OK
+            self.start(self.admission.finished(work, result))
+
+    def cancel(self, n):
+        waiting = sorted(self.waiting, key=lambda w: w.id)
+        if waiting:
+            work = waiting[n % len(waiting)]
+            self.admission.cancel(work)
+            self.waiting.remove(work)
+            self.ended.append(work)
+
+    def tick(self, n):
+        self.start(self.admission.tick())
+
+    def hold(self, n):
+        self.admission.hold(str(n % 3))
+        self.held.add(str(n % 3))
+
+    def unhold(self, n):
+        self.held.discard(str(n % 3))
+        self.start(self.admission.unhold(str(n % 3)))
+
+    def withdraw(self, n):
+        for work in self.admission.withdraw(str(n % 3)):
+            self.waiting.remove(work)
+            self.ended.append(work)
+
+    def restrict(self, n):
+        bound = None if n > 4 else n
+        self.start(self.admission.restrict(bound))
+
+
+class AdmissionPropertyTest(testtools.TestCase):
+    @settings(derandomize=True, max_examples=300, deadline=None, database=None)
+    @given(_STEPS)
+    def test_each_work_ends_exactly_once_within_the_bound(self, steps):
+        """Guards against lost or doubled work and more than the bound.
+
+        Steps include holds, withdrawals, cancellations and restrictions;
+        hypothesis runs with its fixed seed (derandomize).
+        """
+        driver = _Driver()
+        for name, number, seconds in steps:
+            driver.clock.advance(seconds)
+            getattr(driver, name)(number)
+            driver.collect()
+            self.assertEqual(len(driver.running), driver.admission.in_flight)
+            self.assertEqual(len(driver.waiting), driver.admission.queued)
+            self.assertLessEqual(driver.admission.queued, 6)
+            self.assertLessEqual(driver.admission.most_in_flight, 4)
+        for unit in '012':
+            driver.unhold(int(unit))
+        driver.restrict(7)
+        while driver.running:
+            driver.finish(0)
+            driver.collect()
+        driver.clock.advance(60.0)
+        driver.tick(0)
+        driver.collect()
+        self.assertEqual(set(), driver.waiting)
+        ended = [w.id for w in driver.ended]
+        self.assertEqual(list(range(driver.offered)), sorted(ended))
--- /dev/null
+++ b/tests/test_balancer.py
@@ -0,0 +1,57 @@
+"""Tests of the balancers of shared services."""
+
+import random
+
+import testtools
+
+from bramleysill_kernel.balancer import Candidate
+from bramleysill_kernel.balancer import balancers
+
+SEED = 7
+
+
+class BalancerTest(testtools.TestCase):
+    def _each(self):
+        for name in balancers.names():
+            yield balancers.get(name)(random.Random(SEED))
+
+    def test_ejected_and_excluded_are_avoided(self):
+        """Guards against a retry at the upstream that just failed."""
+        candidates = [Candidate('a'), Candidate('b'), Candidate('c')]
+        candidates[0].ejected = True
+        for balancer in self._each():
+            picked = {
+                balancer.pick(candidates, ('b',)).name for _ in range(50)
+            }
+            self.assertEqual({'c'}, picked)
+
+    def test_ejected_are_used_when_nothing_else_is_left(self):
+        """Guards against refusals while a slow upstream could answer."""
+        candidates = [Candidate('a', ejected=True), Candidate('b')]
+        for balancer in self._each():
+            self.assertEqual('a', balancer.pick(candidates, ('b',)).name)
+            self.assertIsNone(balancer.pick(candidates, ('a', 'b')))
+            self.assertIsNone(balancer.pick([]))
+
+    def test_power_of_two_prefers_less_load_and_latency(self):
+        """Guards against work for the busier or slower of two upstreams."""
+        balancer = balancers.get('power_of_two')(random.Random(SEED))
+        for worse in (
+            Candidate('w', in_flight=3, latency=0.01),
+            Candidate('w', in_flight=1, slots=2, latency=0.01),
+            Candidate('w', in_flight=1, latency=0.1),
+            Candidate('w', in_flight=1, latency=0.01, cold=True),
+        ):
+            better = Candidate('b', in_flight=1, latency=0.01)
+            picked = {balancer.pick([worse, better]).name for _ in range(20)}
+            self.assertEqual({'b'}, picked)
+
+    def test_equal_candidates_share_evenly(self):
+        """Guards against a bias of the random choice."""
+        for balancer in self._each():
+            counts = {}
+            for _ in range(6000):
+                name = balancer.pick([Candidate(c) for c in 'abcdef']).name
+                counts[name] = counts.get(name, 0) + 1
+            self.assertLess(max(counts.values()), 1200)
+            self.assertGreater(min(counts.values()), 800)
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,79 @@
+"""Tests of the condition of an upstream and of its probes."""
+
+import random
+
+import testtools
+
+from bramleysill_kernel import health
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.messages import UPSTREAM_LEAVING
+from bramleysill_kernel.messages import UPSTREAM_OK
+from bramleysill_kernel.messages import UPSTREAM_SUSPECT
+
+SEED = 17
+
+
+class UpstreamHealthTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.health = health.UpstreamHealth(self.clock, random.Random(SEED))
+
+    def _run(self, seconds, probe_ok=True, traffic=False, state='warm'):
+        """Step the schedule; return the number of probes."""
+        probes = 0
+        for _ in range(int(seconds * 100)):
+            self.clock.advance(0.01)
+            if traffic:
+                self.health.note_answer(True, state)
+            if self.health.probe_due():
+                self.health.probe_sent()
+                self.health.note_probe(probe_ok, state)
+                probes += 1
+        return probes
+
+    def test_single_failures_do_not_make_suspect(self):
+        """Guards against a condition that flaps with single failures."""
+        for _ in range(20):
+            self.health.note_answer(False)
+            self.health.note_answer(False)
+            self.health.note_answer(True)
+            self.assertEqual(UPSTREAM_OK, self.health.condition)
+
+    def test_failed_probes_find_a_lost_idle_upstream_in_time(self):
+        """Guards against a loss that goes unnoticed without callers."""
+        self._run(5.0)
+        self._run(2.0, probe_ok=False)
+        self.assertEqual(UPSTREAM_SUSPECT, self.health.condition)
+        self._run(1.0)
+        self.assertEqual(UPSTREAM_OK, self.health.condition)
+
+    def test_fresh_answers_save_probes(self):
+        """Guards against probes that tell nothing new."""
+        idle = self._run(60.0)
+        busy = self._run(60.0, traffic=True)
+        self.assertLess(busy, idle / 4)
+
+    def test_leaving_outlasts_lagging_denials(self):
+        """Guards against work for a leaving upstream on a late answer."""
+        self.health.note_answer(True, 'leaving')
+        for _ in range(10):
+            self.health.note_answer(True, 'warm')
+        self.assertEqual(UPSTREAM_LEAVING, self.health.condition)
+        self._run(health.LEAVING_SECONDS + 2.0)
+        self.assertEqual(UPSTREAM_OK, self.health.condition)
+
+    def test_new_start_ends_leaving(self):
+        """Guards against a replaced upstream that gets no work."""
+        self.health.note_probe(True, 'warm', 'a')
+        self.health.note_probe(True, 'leaving', 'a')
+        self.health.note_probe(True, 'cold', 'b')
+        self.assertEqual(UPSTREAM_OK, self.health.condition)
+
+    def test_vm_list_only_brings_a_probe_forward(self):
+        """Guards against a misleading list that stops service."""
+        self._run(1.0)
+        self.clock.advance(0.01)
+        self.health.note_hint()
+        self.assertEqual(UPSTREAM_OK, self.health.condition)
+        self.assertTrue(self.health.probe_due())
--- /dev/null
+++ b/tests/test_outliers.py
@@ -0,0 +1,86 @@
+"""Tests of outlier detection."""
+
+import random
+
+import testtools
+
+from bramleysill_kernel import outliers
+from bramleysill_kernel.clock import ManualClock
+
+SEED = 11
+NAMES = ('a', 'b', 'c', 'd', 'e', 'f')
+
+
+class OutlierDetectorTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.detector = outliers.OutlierDetector(
+            self.clock, random.Random(SEED), NAMES
+        )
+
+    def _run(self, seconds, slow=(), failing=(), factor=10.0):
+        """Send trials and ordinary work; return the changes of state."""
+        changes = []
+        for _ in range(int(seconds * 10)):
+            self.clock.advance(0.1)
+            changes += self.detector.tick()
+            for name in NAMES:
+                trial = self.detector.take_trial(name)
+                if trial or not self.detector.is_ejected(name):
+                    latency = 0.01 * (factor if name in slow else 1.0)
+                    ok = name not in failing
+                    for _ in range(1 if trial else 5):
+                        self.detector.note_answer(name, latency, ok, trial)
+        return changes
+
+    def test_slow_and_failing_upstreams_are_ejected(self):
+        """Guards against work that goes on to a bad upstream."""
+        self._run(2.0, slow='a', failing='b')
+        self.assertEqual(['a', 'b'], self.detector.ejected())
+
+    def test_at_most_a_third_is_ejected_the_worst_first(self):
+        """Guards against an ejection that overloads the rest."""
+        self._run(1.0, slow='a', failing='bc')
+        self.assertEqual(['b', 'c'], self.detector.ejected())
+
+    def test_all_slow_ejects_none(self):
+        """Guards against ejection for load that all upstreams share."""
+        self._run(1.0)
+        self._run(5.0, slow=NAMES)
+        self.assertEqual([], self.detector.ejected())
+
+    def test_readmission_needs_good_trials(self):
+        """Guards against an upstream that returns still slow, or never."""
+        self._run(1.0, slow='a')
+        self._run(5.0, slow='a')
+        self.assertEqual(['a'], self.detector.ejected())
+        self._run(10.0)
+        self.assertEqual([], self.detector.ejected())
+
+    def test_lasting_outlier_does_not_flap(self):
+        """Guards against frequent returns of a bad upstream."""
+        changes = self._run(120.0, slow='a')
+        self.assertLess(len(changes), 2 * 8)
+        moderate = self._run(30.0, slow='b', factor=2.5)
+        self.assertEqual([], [n for n in moderate if n == 'b'])
+
+    def test_frozen_upstream_is_found_by_its_waiting_work(self):
+        """Guards against a wait for answers that never come."""
+        self._run(1.0)
+        for _ in range(3):
+            self.clock.advance(0.1)
+            self.detector.note_waiting('a', 1.0)
+            self.detector.tick()
+        self.assertEqual(['a'], self.detector.ejected())
+
+    def test_late_answers_of_old_work_decide_no_trial(self):
+        """Guards against a trial judged by work sent before the ejection."""
+        self._run(1.0, slow='a')
+        self.clock.advance(2.0)
+        self.detector.tick()
+        self.assertTrue(self.detector.take_trial('a'))
+        self.assertFalse(self.detector.take_trial('a'))
+        for _ in range(5):
+            self.detector.note_answer('a', 9.0)
+        self.assertEqual(['a'], self.detector.trial_names())
--- /dev/null
+++ b/tests/test_queueing.py
@@ -0,0 +1,97 @@
+"""Tests of the fair queue."""
+
+import random
+
+import testtools
+
+from bramleysill_kernel.queueing import FairQueue
+from bramleysill_kernel.queueing import Work
+
+SEED = 20261204
+
+
+def _push(queue, number, service='s', caller='a', deadline=1.0, priority=1):
+    work = Work(
+        number, service, deadline=deadline, caller=caller, priority=priority
+    )
+    queue.push(work)
+    return work
+
+
+def _pop_all(queue):
+    return [queue.pop() for _ in range(len(queue))]
+
+
+class FairQueueTest(testtools.TestCase):
+    def test_priority_then_deadline(self):
+        """Guards against urgent work behind work that can wait."""
+        queue = FairQueue()
+        _push(queue, 1, deadline=3.0)
+        _push(queue, 2, deadline=2.0)
+        _push(queue, 3, deadline=9.0, priority=5)
+        self.assertEqual([3, 2, 1], [w.id for w in _pop_all(queue)])
+        self.assertIsNone(queue.pop())
+
+    def test_caller_with_a_backlog_does_not_delay_others(self):
+        """Guards against one caller that takes the upstream for itself."""
+        queue = FairQueue()
+        for number in range(20):
+            _push(queue, number, caller='greedy')
+        _push(queue, 'x', caller='modest', deadline=9.0)
+        order = [w.id for w in _pop_all(queue)]
+        self.assertLessEqual(order.index('x'), 1)
+
+    def test_services_share_evenly_whatever_their_callers(self):
+        """Guards against a service whose many callers outvote another's."""
+        queue = FairQueue()
+        for number in range(30):
+            _push(queue, number, service='many', caller=f'c{number}')
+            _push(queue, number, service='one')
+        first = [w.service for w in _pop_all(queue)][:20]
+        self.assertEqual(10, first.count('one'))
+
+    def test_caller_with_one_work_at_a_time_does_not_starve_others(self):
+        """Guards against virtual time that is lost when a flow is empty."""
+        queue = FairQueue()
+        for number in range(20):
+            _push(queue, number, caller='batch')
+        taken = []
+        for number in range(20):
+            _push(queue, number, caller='quick', deadline=0.5)
+            taken += [queue.pop().caller, queue.pop().caller]
+        self.assertEqual(20, taken.count('batch'))
+
+    def test_shed_work_is_of_the_longest_flow(self):
+        """Guards against shedding the work of callers that ask for little."""
+        queue = FairQueue()
+        modest = _push(queue, 'm', caller='modest', deadline=9.0)
+        for number in range(5):
+            _push(queue, number, caller='greedy', deadline=number)
+        new = Work('n', 's', deadline=5.0, caller='third')
+        self.assertEqual(4, queue.least_valuable(new).id)
+        own = Work('g', 's', deadline=8.0, caller='greedy')
+        self.assertIs(own, queue.least_valuable(own))
+        self.assertIn(modest, list(queue))
+
+    def test_random_removals_lose_and_double_nothing(self):
+        """Guards against stale entries after removals, by a fixed seed."""
+        rng = random.Random(SEED)
+        queue, expected = FairQueue(), {}
+        for number in range(5000):
+            if expected and rng.random() < 0.25:
+                gone = expected.pop(rng.choice(list(expected)))
+                queue.remove(gone)
+            elif expected and rng.random() < 0.3:
+                expected.pop(queue.pop().id)
+            else:
+                expected[number] = _push(
+                    queue,
+                    number,
+                    rng.choice('st'),
+                    str(rng.randrange(300)),
+                    rng.random(),
+                    rng.randrange(3),
+                )
+            self.assertEqual(len(expected), len(queue))
+        left = {w.id for w in _pop_all(queue)}
+        self.assertEqual(set(expected), left)
--- /dev/null
+++ b/tests/test_slow_start.py
@@ -0,0 +1,90 @@
+"""Tests of slow start."""
+
+import testtools
+
+from bramleysill_kernel import slow_start
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.slow_start import SlowStart
+
+
+class SlowStartTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.start = SlowStart(self.clock, 4)
+
+    def _answers(self, count, latency=0.01, state='', route=''):
+        bounds = set()
+        for _ in range(count):
+            self.clock.advance(0.1)
+            self.start.note_answer(latency, state, route=route)
+            bounds.add(self.start.bound)
+        return bounds
+
+    def _warm_up(self):
+        self._answers(200)
+        self.assertEqual(4, self.start.bound)
+        self.assertFalse(self.start.cold)
+
+    def test_new_upstream_starts_at_the_cold_bound_and_grows(self):
+        """Guards against full load for an upstream that just started."""
+        self.assertEqual(1, self.start.bound)
+        self._answers(200)
+        self.assertEqual(4, self.start.bound)
+
+    def test_cold_answers_keep_the_bound(self):
+        """Guards against growth while the upstream says it is cold."""
+        self.assertEqual({1}, self._answers(500, state='cold'))
+
+    def test_epoch_change_means_cold(self):
+        """Guards against a restart between two answers."""
+        self.start.note_epoch('a')
+        self._warm_up()
+        self.start.note_epoch('a')
+        self.assertEqual(4, self.start.bound)
+        self.start.note_epoch('b')
+        self.assertEqual(1, self.start.bound)
+
+    def test_latency_jump_finds_a_cold_upstream_that_says_warm(self):
+        """Guards against misleading reports of a cold upstream."""
+        self._warm_up()
+        self._answers(slow_start.JUMP_ANSWERS, latency=0.08, state='warm')
+        self.assertEqual(1, self.start.bound)
+
+    def test_moderately_slow_answers_do_not_end_the_cold_state(self):
+        """Guards against growth on latencies of a still cold upstream."""
+        self._warm_up()
+        self.start.note_answer(0.01, 'cold')
+        self.assertEqual({1}, self._answers(100, latency=0.03))
+
+    def test_one_slow_answer_is_no_jump(self):
+        """Guards against a bound that one large body cuts."""
+        self._warm_up()
+        for _ in range(20):
+            self._answers(1, latency=1.0)
+            self._answers(2)
+        self.assertEqual(4, self.start.bound)
+
+    def test_routes_have_latencies_of_their_own(self):
+        """Guards against uploads that look like a cold upstream."""
+        self._warm_up()
+        self._answers(20, latency=2.0, route='upload')
+        self.assertEqual(4, self.start.bound)
+
+    def test_lasting_slowness_becomes_usual(self):
+        """Guards against an upstream held at the cold bound for ever."""
+        self._warm_up()
+        self._answers(3000, latency=0.1)
+        self.assertEqual(4, self.start.bound)
+
+    def test_long_idle_upstream_is_tried_carefully(self):
+        """Guards against a burst at an upstream that went cold unasked."""
+        self._warm_up()
+        self.clock.advance(slow_start.IDLE_SECONDS + 1.0)
+        self.start.note_idle(self.clock.now())
+        self.assertEqual(1, self.start.bound)
+
+    def test_hint_of_peers_reveals_a_cold_newcomer(self):
+        """Guards against cold latencies that are learned as usual ones."""
+        self.start.hint_usual(0.01)
+        self.assertEqual({1}, self._answers(150, latency=0.03))
