--- /dev/null
+++ b/bench/policy.py
@@ -0,0 +1,594 @@
+"""Compares the kernel's policies with simpler ones, in stepped time.
+
+`python -m bench.policy` prints ratios and marks where a target is missed.
+Everything runs in one process under a manual clock with one seed per
+scenario: a few upstreams with slots, each behind the kernel's `Admission`,
+and a few entry routers that see only their own work. It measures decisions,
+not the speed of the product, and is no cluster simulator.
+"""
+
+from collections import deque
+import heapq
+import random
+
+from bramleysill_kernel.admission import ADMITTED
+from bramleysill_kernel.admission import QUEUED
+from bramleysill_kernel.admission import RESULT_CANCELLED
+from bramleysill_kernel.admission import RESULT_LOST
+from bramleysill_kernel.admission import RESULT_OK
+from bramleysill_kernel.admission import Admission
+from bramleysill_kernel.balancer import Candidate
+from bramleysill_kernel.balancer import balancers
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.hedging import Hedge
+from bramleysill_kernel.hedging import HedgePolicy
+from bramleysill_kernel.outliers import OutlierDetector
+from bramleysill_kernel.queueing import Work
+from bramleysill_kernel.retries import RetryPolicy
+from bramleysill_kernel.slow_start import SlowStart
+
+SEED = 20261204
+SLOTS = 4
+SERVICE_SECONDS = 0.005
+SERVICE_SIGMA = 0.5
+TICK_SECONDS = 0.02
+
+TAIL_UPSTREAMS = 6
+TAIL_ENTRIES = 4
+TAIL_UTILIZATION = 0.5
+TAIL_SECONDS = 30.0
+TAIL_ONSET = 5.0
+TAIL_TIMEOUT = 1.0
+TAIL_TARGET = 1.5
+
+GOODPUT_SECONDS = 20.0
+GOODPUT_TARGET = 0.95
+LOADS = (1, 2, 5)
+
+
+class Simulation:
+    """A clock and events in order of time."""
+
+    def __init__(self, seed):
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self._events = []
+        self._seq = 0
+
+    def after(self, seconds, step, *args):
+        """Call `step(*args)` after a number of seconds."""
+        self._seq += 1
+        event = (self.clock.now() + seconds, self._seq, step, args)
+        heapq.heappush(self._events, event)
+
+    def every(self, seconds, step):
+        """Call `step()` again and again."""
+
+        def again():
+            step()
+            self.after(seconds, again)
+
+        self.after(seconds, again)
+
+    def arrivals(self, rate, step, until):
+        """Call `step()` at random times, `rate` a second."""
+
+        def again():
+            if self.clock.now() < until:
+                self.after(self.rng.expovariate(rate), again)
+                step()
+
+        self.after(self.rng.expovariate(rate), again)
+
+    def run(self, until):
+        """Advance to a reading of the clock."""
+        while self._events and self._events[0][0] <= until:
+            time, _, step, args = heapq.heappop(self._events)
+            self.clock.advance(time - self.clock.now())
+            step(*args)
+
+    def service_time(self):
+        """Return a random time of mean SERVICE_SECONDS."""
+        mu = -(SERVICE_SIGMA**2) / 2
+        return SERVICE_SECONDS * self.rng.lognormvariate(mu, SERVICE_SIGMA)
+
+
+class SimulatedUpstream:
+    """An upstream behind its dispatcher's admission.
+
+    `factor` multiplies service times. `on_end(work, ok)` is called when a
+    work ends in any way but its cancellation.
+    """
+
+    def __init__(self, sim, name, on_end, admission=None):
+        self.sim = sim
+        self.name = name
+        self.factor = 1.0
+        self.state = ''
+        self.on_end = on_end
+        self.on_send = None
+        self.admission = admission or Admission(
+            name, sim.clock, SLOTS, SlowStart(sim.clock, SLOTS, SLOTS)
+        )
+        sim.every(TICK_SECONDS, self._tick)
+
+    def offer(self, work):
+        """Offer a work; its end is reported by `on_end`."""
+        result = self.admission.offer(work)
+        if result is ADMITTED:
+            self._send([work])
+        elif result is not QUEUED:
+            self.on_end(work, False)
+        self._report_dropped()
+
+    def _send(self, works):
+        for work in works:
+            if self.on_send:
+                self.on_send()
+            seconds = self.sim.service_time() * self.factor
+            self.sim.after(seconds, self._answer, work, self.state)
+
+    def _answer(self, work, state):
+        if work.state != 'running':
+            return
+        self._send(self.admission.finished(work, RESULT_OK, state))
+        self._report_dropped()
+        self.on_end(work, True)
+
+    def cancel(self, work):
+        """Cancel a work; the upstream confirms a millisecond later."""
+        self.admission.cancel(work)
+        self.sim.after(0.001, self._confirm, work)
+
+    def _confirm(self, work):
+        self._send(self.admission.finished(work, RESULT_CANCELLED))
+        self._report_dropped()
+
+    def restart(self):
+        """Lose all work in flight, as when the upstream starts anew."""
+        for work in list(self.admission._running):
+            self._send(self.admission.finished(work, RESULT_LOST))
+            self.on_end(work, False)
+
+    def _tick(self):
+        self._send(self.admission.tick())
+        self._report_dropped()
+
+    def _report_dropped(self):
+        for work, _ in self.admission.take_dropped():
+            self.on_end(work, False)
+
+
+class _Request:
+    """A caller's request with its attempts."""
+
+    __slots__ = ('entry', 'began_at', 'hedge', 'tried', 'works')
+
+    def __init__(self, entry, began_at):
+        self.entry = entry
+        self.began_at = began_at
+        self.hedge = None
+        self.tried = []
+        self.works = {}
+
+
+class SimulatedEntry:
+    """An entry router of a shared service, with its own observations."""
+
+    def __init__(self, sim, upstreams, balancer, outliers, hedging):
+        self.sim = sim
+        self.upstreams = upstreams
+        self.candidates = {
+            name: Candidate(name, slots=SLOTS) for name in upstreams
+        }
+        self.balancer = balancers.get(balancer)(sim.rng)
+        self.outliers = None
+        self.hedges = HedgePolicy() if hedging else None
+        self.hedged = 0
+        self.latencies = []
+        self.oldest = {name: {} for name in upstreams}
+        if outliers:
+            self.outliers = OutlierDetector(sim.clock, sim.rng, upstreams)
+            sim.every(0.1, self._evaluate)
+
+    def _evaluate(self):
+        now = self.sim.clock.now()
+        for name, works in self.oldest.items():
+            if works:
+                oldest = next(iter(works.values()))
+                self.outliers.note_waiting(name, now - oldest)
+        self.outliers.tick()
+        for name, candidate in self.candidates.items():
+            candidate.ejected = self.outliers.is_ejected(name)
+
+    def arrive(self):
+        """Serve one caller's request."""
+        request = _Request(self, self.sim.clock.now())
+        first = self._attempt(request)
+        request.hedge = Hedge(first)
+        if self.hedges:
+            self.hedges.note_request()
+            if self.hedges.delay() is not None:
+                self.sim.after(self.hedges.delay(), self._hedge, request)
+        self._offer(first)
+
+    def _hedge(self, request):
+        if request.hedge.winner is None and self.hedges.start():
+            self.hedged += 1
+            second = self._attempt(request)
+            request.hedge.add(second)
+            self._offer(second)
+
+    def _choose(self, request):
+        for name in self.outliers.trial_names() if self.outliers else ():
+            if not request.tried and self.outliers.take_trial(name):
+                return name, True
+        candidates = list(self.candidates.values())
+        return self.balancer.pick(candidates, request.tried).name, False
+
+    def _attempt(self, request):
+        name, trial = self._choose(request)
+        request.tried.append(name)
+        self.candidates[name].in_flight += 1
+        now = self.sim.clock.now()
+        deadline = request.began_at + TAIL_TIMEOUT
+        work = Work((request, name, trial, now), 's', deadline=deadline)
+        self.oldest[name][work] = now
+        return work
+
+    def _offer(self, work):
+        self.upstreams[work.id[1]].offer(work)
+
+    def end(self, work, ok):
+        """Record the end of an attempt."""
+        request, name, trial, began = work.id
+        latency = self.sim.clock.now() - began
+        self._observe(name, latency, ok, trial, work)
+        if self.hedges and ok and len(request.tried) == 1:
+            self.hedges.note_latency(latency)
+        winner, losers = request.hedge.note_result(work, ok)
+        if winner is None:
+            return
+        now = self.sim.clock.now()
+        taken = now - request.began_at if ok else TAIL_TIMEOUT
+        self.latencies.append((request.began_at, taken))
+        for loser in losers:
+            self._cancel(loser)
+
+    def _cancel(self, work):
+        _, name, trial, began = work.id
+        latency = self.sim.clock.now() - began
+        self._observe(name, latency, True, trial, work)
+        self.upstreams[name].cancel(work)
+
+    def _observe(self, name, latency, ok, trial, work):
+        self.oldest[name].pop(work, None)
+        candidate = self.candidates[name]
+        candidate.in_flight -= 1
+        old = candidate.latency or latency
+        candidate.latency = old + 0.1 * (latency - old)
+        if self.outliers:
+            self.outliers.note_answer(name, latency, ok, trial)
+
+
+def _quantile(values, part):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
+
+
+def _slow_down(sim, upstreams, mode):
+    """Slow two upstreams tenfold, for good or in turns of three seconds."""
+    names = list(upstreams)
+    if mode == 'none':
+        return
+
+    def shift():
+        slowed = sim.rng.sample(names, 2)
+        for name in names:
+            upstreams[name].factor = 10.0 if name in slowed else 1.0
+
+    sim.after(TAIL_ONSET, shift)
+    if mode == 'turns':
+        sim.after(TAIL_ONSET, sim.every, 3.0, shift)
+
+
+def tail(balancer, outliers, hedging, mode):
+    """Return p50 and p99 in ms after the onset, and the share of hedges."""
+    sim = Simulation(SEED)
+    upstreams = {}
+    for number in range(TAIL_UPSTREAMS):
+        name = f'u{number}'
+        upstreams[name] = SimulatedUpstream(
+            sim, name, lambda w, ok: w.id[0].entry.end(w, ok)
+        )
+    entries = [
+        SimulatedEntry(sim, upstreams, balancer, outliers, hedging)
+        for _ in range(TAIL_ENTRIES)
+    ]
+    capacity = TAIL_UPSTREAMS * SLOTS / SERVICE_SECONDS
+    rate = capacity * TAIL_UTILIZATION / TAIL_ENTRIES
+    for entry in entries:
+        sim.arrivals(rate, entry.arrive, TAIL_SECONDS)
+    _slow_down(sim, upstreams, mode)
+    sim.run(TAIL_SECONDS + 2 * TAIL_TIMEOUT)
+    taken = [
+        seconds
+        for entry in entries
+        for began, seconds in entry.latencies
+        if began >= TAIL_ONSET
+    ]
+    total = sum(len(entry.latencies) for entry in entries)
+    return {
+        'p50_ms': _quantile(taken, 0.5) * 1000,
+        'p99_ms': _quantile(taken, 0.99) * 1000,
+        'hedged': sum(entry.hedged for entry in entries) / total,
+    }
+
+
+TAIL_POLICIES = {
+    'round_robin': ('round_robin', False, False),
+    'random': ('random', False, False),
+    'least_in_flight': ('least_in_flight', False, False),
+    'power_of_two': ('power_of_two', False, False),
+    'power_of_two+outliers': ('power_of_two', True, False),
+    'power_of_two+outliers+hedging': ('power_of_two', True, True),
+}
+
+
+def run_tail():
+    """Compare the balancers' p99 with two slowed upstreams."""
+    rows = {}
+    for name, policy in TAIL_POLICIES.items():
+        rows[name] = {m: tail(*policy, m) for m in ('none', 'two', 'turns')}
+    base = rows['power_of_two+outliers+hedging']['none']['p99_ms']
+    for row in rows.values():
+        for mode in ('two', 'turns'):
+            slowed = row[mode]['p99_ms']
+            row[f'{mode}_ratio'] = slowed / row['none']['p99_ms']
+            row[f'{mode}_to_best'] = slowed / base
+    return rows
+
+
+class UnboundedFifo:
+    """Baseline: slots and a queue without bound, order or deadlines."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.in_flight = 0
+        self._queue = deque()
+
+    def offer(self, work):
+        if self.in_flight < self.slots:
+            return self._start(work)
+        self._queue.append(work)
+        return QUEUED
+
+    def _start(self, work):
+        self.in_flight += 1
+        work.state = 'running'
+        return ADMITTED
+
+    def finished(self, work, result, state=''):
+        self.in_flight -= 1
+        if not self._queue:
+            return []
+        work = self._queue.popleft()
+        self._start(work)
+        return [work]
+
+    def cancel(self, work):
+        pass
+
+    def tick(self):
+        return []
+
+    def take_dropped(self):
+        return ()
+
+
+def goodput(load, fifo):
+    """Return good answers a second and the share of a modest caller.
+
+    One of ten callers sends half of the requests; the modest share is the
+    part of the other callers' requests that was answered in time.
+    """
+    sim = Simulation(SEED)
+    good = {'greedy': 0, 'modest': 0}
+    offered = {'greedy': 0, 'modest': 0}
+
+    def end(work, ok):
+        if ok and sim.clock.now() <= work.deadline:
+            good[work.id] += 1
+
+    baseline = UnboundedFifo(SLOTS) if fifo else None
+    upstream = SimulatedUpstream(sim, 'u', end, baseline)
+
+    def arrive():
+        greedy = sim.rng.random() < 0.5
+        kind = 'greedy' if greedy else 'modest'
+        offered[kind] += 1
+        deadline = sim.clock.now() + sim.rng.uniform(0.05, 0.5)
+        caller = 'g' if greedy else f'm{sim.rng.randrange(9)}'
+        upstream.offer(Work(kind, 's', deadline=deadline, caller=caller))
+
+    rate = load * SLOTS / SERVICE_SECONDS
+    sim.arrivals(rate, arrive, GOODPUT_SECONDS)
+    sim.run(GOODPUT_SECONDS)
+    total = good['greedy'] + good['modest']
+    return {
+        'goodput': total / GOODPUT_SECONDS,
+        'modest_share': good['modest'] / offered['modest'],
+    }
+
+
+def run_goodput():
+    """Compare goodput under overload with an unbounded FIFO queue."""
+    rows = {
+        name: {load: goodput(load, name == 'fifo') for load in LOADS}
+        for name in ('admission', 'fifo')
+    }
+    best = max(r['goodput'] for row in rows.values() for r in row.values())
+    for row in rows.values():
+        for result in row.values():
+            result['of_best'] = result['goodput'] / best
+    return rows
+
+
+COLD_AT = 5.0
+COLD_SECONDS = 5.0
+COLD_FACTOR = 5.0
+
+
+def cold(kind, slow_start):
+    """Return the most work sent to an upstream that goes cold.
+
+    `announced`: answers say cold; `restart`: work in flight is lost and
+    answers say cold; `unnoticed`: answers are slow and say warm. `most` is
+    the highest count of work in flight right after a send while cold;
+    `over_seconds` is how long sends above the bound went on.
+    """
+    sim = Simulation(SEED)
+    bound = 1 if slow_start else SLOTS
+    admission = Admission(
+        'u', sim.clock, SLOTS, SlowStart(sim.clock, SLOTS, bound)
+    )
+    upstream = SimulatedUpstream(sim, 'u', lambda w, ok: None, admission)
+    seen = {'most': 0, 'over': 0, 'over_seconds': 0.0}
+
+    def on_send():
+        now = sim.clock.now()
+        if COLD_AT <= now < COLD_AT + COLD_SECONDS:
+            seen['most'] = max(seen['most'], admission.in_flight)
+            if admission.in_flight > 1:
+                seen['over'] += 1
+                seen['over_seconds'] = now - COLD_AT
+
+    def set_cold(factor, state):
+        upstream.factor, upstream.state = factor, state
+
+    def go_cold():
+        said = 'warm' if kind == 'unnoticed' else 'cold'
+        set_cold(COLD_FACTOR, said)
+        if kind == 'restart':
+            upstream.restart()
+
+    def arrive():
+        deadline = sim.clock.now() + 0.5
+        upstream.offer(Work('w', 's', deadline=deadline))
+
+    upstream.on_send = on_send
+    sim.after(COLD_AT, go_cold)
+    sim.after(COLD_AT + COLD_SECONDS, set_cold, 1.0, 'warm')
+    sim.arrivals(0.6 * SLOTS / SERVICE_SECONDS, arrive, 15.0)
+    sim.run(15.0)
+    seen['warm_again'] = admission.limit == SLOTS
+    return seen
+
+
+def run_cold():
+    """Compare the most work at a cold upstream with and without bound."""
+    return {
+        name: {k: cold(k, on) for k in ('announced', 'restart', 'unnoticed')}
+        for name, on in (('slow_start', True), ('none', False))
+    }
+
+
+OUTAGE_SECONDS = 10.0
+OUTAGE_RATE = 200.0
+
+
+def amplification(policy):
+    """Return attempts per fresh request while all attempts fail."""
+    sim = Simulation(SEED)
+    counts = {'fresh': 0, 'attempts': 0}
+    budget = RetryPolicy(sim.clock, sim.rng)
+
+    def attempt(deadline, made):
+        counts['attempts'] += 1
+        if policy == 'fixed':
+            wait = 0.01 if made < 4 else None
+        else:
+            wait = budget.delay(OUTCOME_NOT_RUN, True, deadline, made)
+        if wait is not None:
+            sim.after(wait, attempt, deadline, made + 1)
+
+    def arrive():
+        counts['fresh'] += 1
+        budget.note_request()
+        attempt(sim.clock.now() + 1.0, 1)
+
+    sim.arrivals(OUTAGE_RATE, arrive, OUTAGE_SECONDS)
+    sim.run(OUTAGE_SECONDS + 2.0)
+    return counts['attempts'] / counts['fresh']
+
+
+def run():
+    """Run all comparisons; return their figures."""
+    return {
+        'tail': run_tail(),
+        'goodput': run_goodput(),
+        'cold': run_cold(),
+        'amplification': {p: amplification(p) for p in ('budget', 'fixed')},
+    }
+
+
+def _verdict(value, target, at_most):
+    met = value <= target if at_most else value >= target
+    if met:
+        return 'met'
+    return f'MISSED by {abs(value / target - 1):.1%}'
+
+
+def _print_tail(rows):
+    print('p99 with 2 of 6 upstreams slowed tenfold against none slowed')
+    print(f'{"policy":32}{"none ms":>9}{"two":>8}{"turns":>8}{"hedged":>8}')
+    for name, row in rows.items():
+        print(
+            f'{name:32}{row["none"]["p99_ms"]:9.1f}'
+            f'{row["two_ratio"]:7.2f}x{row["turns_ratio"]:7.2f}x'
+            f'{row["two"]["hedged"]:8.1%}'
+        )
+    chosen = rows['power_of_two+outliers+hedging']
+    for mode in ('two', 'turns'):
+        verdict = _verdict(chosen[f'{mode}_ratio'], TAIL_TARGET, True)
+        print(f'target {TAIL_TARGET}x, {mode}: {verdict}')
+
+
+def _print_goodput(rows):
+    print('\ngoodput against the best, and share of modest callers served')
+    for name, row in rows.items():
+        cells = [
+            f'{load}x {r["of_best"]:6.1%} ({r["modest_share"]:6.1%})'
+            for load, r in row.items()
+        ]
+        print(f'{name:12}' + '  '.join(cells))
+    worst = min(r['of_best'] for r in rows['admission'].values())
+    print(f'target 95%: {_verdict(worst, GOODPUT_TARGET, False)}')
+
+
+def _print_cold(rows):
+    print('\nmost work sent to a cold upstream (its bound is 1)')
+    for name, row in rows.items():
+        for kind, seen in row.items():
+            print(
+                f'{name:12}{kind:12}most {seen["most"]}, '
+                f'{seen["over"]} sends above the bound, the last '
+                f'{seen["over_seconds"] * 1000:.0f} ms after the onset, '
+                f'warm again: {seen["warm_again"]}'
+            )
+
+
+def main():
+    """Print all comparisons."""
+    results = run()
+    _print_tail(results['tail'])
+    _print_goodput(results['goodput'])
+    _print_cold(results['cold'])
+    print('\nattempts per fresh request during an outage')
+    for name, value in results['amplification'].items():
+        print(f'{name:12}{value:.2f}')
+
+
+if __name__ == '__main__':
+    main()
