Count cancelled first attempts in the hedging delay

Cause: only first attempts that were answered entered the quantile. Those a hedge overtook were missing, so the p95 sank with each hedge.

Change: a cancelled first attempt counts with the time until then.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -245,7 +245,7 @@
         request, name, trial, began = work.id
         latency = self.sim.clock.now() - began
         self._observe(name, latency, ok, trial, work)
-        if self.hedges and ok and len(request.tried) == 1:
+        if self.hedges and ok and name == request.tried[0]:
             self.hedges.note_latency(latency)
         winner, losers = request.hedge.note_result(work, ok)
         if winner is None:
@@ -257,8 +257,10 @@
             self._cancel(loser)
 
     def _cancel(self, work):
-        _, name, trial, began = work.id
+        request, name, trial, began = work.id
         latency = self.sim.clock.now() - began
+        if name == request.tried[0]:
+            self.hedges.note_latency(latency)
         self._observe(name, latency, True, trial, work)
         self.upstreams[name].cancel(work)
 
--- a/packages/kernel/src/bramleysill_kernel/hedging.py
+++ b/packages/kernel/src/bramleysill_kernel/hedging.py
@@ -3,7 +3,9 @@
 The entry router keeps one `HedgePolicy` per service with `hedge = yes`:
 
 - `note_request()` for each fresh safe read, `note_latency(seconds)` for each
-  first attempt that was answered;
+  first attempt that was answered or cancelled because the second one won. The
+  time until a cancellation is above the delay, so it keeps its place in the
+  quantile; without it the delay would sink with each hedge;
 - when it sends a safe read, `delay()`: after that many seconds without an
   answer it calls `start()`, and if that is true sends a second attempt to an
   upstream that the balancer picks with the first one excluded;
@@ -54,7 +56,7 @@
         self.tokens = min(self.burst, self.tokens + self.ratio)
 
     def note_latency(self, seconds):
-        """Record the latency of an answered first attempt."""
+        """Record how long a first attempt took or was waited for."""
         self._window.append(seconds)
         self._since += 1
         if self._since >= REFRESH_ANSWERS:
