Start pipelined requests one at a time

Cause: httptools parses on past the end of a message within one call, so two pipelined requests in one read were both started and the answer to one could be sent for the other. The head limit did not cover a header that arrives in pieces, an upgrade was run and then refused, trailers became headers, a late abort() or pause() of a finished answer hit the next request, and an early refusal was lost to the reset that a close with unread bytes causes. Change: RequestParser only queues events, HttpServerConn takes them when the answer before is complete, in a loop rather than by recursion. Answers check their announced length, 204 and 304 carry none, HTTP/1.0 gets no chunks, a failing handler closes its connection. Conn gains close_lingering(). Ambiguous framing also covers two Host headers, upgrades and Transfer-Encoding in HTTP/1.0. Conclusion: answers keep to their requests at any cut of the bytes.

--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -11,6 +11,8 @@
 # Reads in one callback; more would starve other connections.
 MAX_READS = 4
 LISTEN_BACKLOG = 1024
+# How long a lingering close reads and drops what the peer still sends.
+LINGER_SECONDS = 2.0
 
 _RETRY = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 
@@ -36,6 +38,7 @@
         '_writing',
         '_connecting',
         '_closing',
+        '_lingering',
     )
 
     def __init__(self, loop, sock, peer, protocol=None):
@@ -51,6 +54,7 @@
         self._writing = False
         self._connecting = False
         self._closing = False
+        self._lingering = False
 
     @classmethod
     def connect(cls, loop, host, port, protocol):
@@ -119,6 +123,20 @@
         if not self._pieces:
             self._fail(None)
 
+    def close_lingering(self):
+        """Close after the peer has closed, at most LINGER_SECONDS later.
+
+        The buffered bytes are sent and our side is shut down at once. The
+        protocol goes on to receive data, which it should drop.
+        """
+        if self.closed or self._lingering:
+            return
+        self._lingering = True
+        deadline = self.loop.now() + LINGER_SECONDS
+        self.loop.scheduler.call_at(deadline, lambda: self._fail(None))
+        if not self._pieces:
+            self._shut_down()
+
     def abort(self):
         """Close at once with a reset, dropping buffered bytes."""
         if self.closed:
@@ -146,6 +164,8 @@
         self._set_writing(False)
         if self._closing:
             self._fail(None)
+        elif self._lingering:
+            self._shut_down()
         else:
             self.protocol.on_drain()
 
@@ -198,6 +218,12 @@
             self._pieces.popleft()
         return True
 
+    def _shut_down(self):
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError as exc:
+            self._fail_later(exc)
+
     def _set_writing(self, writing):
         if writing != self._writing and not self.closed:
             self._writing = writing
--- a/packages/net/src/bramleysill_net/http_server.py
+++ b/packages/net/src/bramleysill_net/http_server.py
@@ -1,14 +1,29 @@
 """HTTP/1.1 on the caller's side: streaming bodies, requests in order.
 
-httptools parses; this module adds limits, refuses ambiguous framing, and
-handles one request at a time on a connection. Bytes of a later, pipelined
-request wait with reading paused until the answer before it is complete.
+One request at a time is handled on a connection. Events of a later,
+pipelined request wait with reading paused until the answer before it is
+complete.
 """
 
-import httptools
-
-MAX_HEAD_BYTES = 32768
-MAX_HEADERS = 100
+from absl import logging
+
+from bramleysill_net.request_parser import BODY
+from bramleysill_net.request_parser import END
+from bramleysill_net.request_parser import HEAD
+from bramleysill_net.request_parser import MAX_HEAD_BYTES
+from bramleysill_net.request_parser import MAX_HEADERS
+from bramleysill_net.request_parser import HeadTooLarge
+from bramleysill_net.request_parser import HttpRequest
+from bramleysill_net.request_parser import RequestParser
+
+__all__ = [
+    'MAX_HEADERS',
+    'MAX_HEAD_BYTES',
+    'HttpRequest',
+    'HttpServerConn',
+    'ResponseStream',
+    'encode_head',
+]
 
 _REASONS = {
     100: 'Continue',
@@ -22,6 +37,7 @@
     404: 'Not Found',
     405: 'Method Not Allowed',
     409: 'Conflict',
+    410: 'Gone',
     412: 'Precondition Failed',
     413: 'Content Too Large',
     431: 'Request Header Fields Too Large',
@@ -32,32 +48,6 @@
 }
 
 
-class HttpRequest:
-    """Head of one request. Header names are lower case."""
-
-    __slots__ = ('method', 'target', 'headers', 'length', 'chunked', 'close')
-
-    def __init__(self, method, target, headers, length, chunked, close):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.length = length
-        self.chunked = chunked
-        self.close = close
-
-    def header(self, name, default=''):
-        """Return the first header of that lower-case name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return default
-
-    @property
-    def has_body(self):
-        """Tell whether the request announces a body."""
-        return self.chunked or self.length > 0
-
-
 def encode_head(status, headers, reason=''):
     """Return the bytes of a response head."""
     reason = reason or _REASONS.get(status, 'Status')
@@ -78,34 +68,25 @@
     __slots__ = (
         'conn',
         'handler',
+        'idle',
         '_parser',
-        '_pending',
-        '_url',
-        '_headers',
-        '_head_bytes',
         '_sink',
         '_stream',
         '_body_done',
-        '_failed',
-        'idle',
+        '_closing',
+        '_pumping',
     )
 
     def __init__(self, conn, handler):
         self.conn = conn
         self.handler = handler
-        self._pending = bytearray()
+        self.idle = True
+        self._parser = RequestParser()
         self._stream = None
         self._sink = None
-        self._failed = False
-        self.idle = True
-        self._reset()
-
-    def _reset(self):
-        self._parser = httptools.HttpRequestParser(self)
-        self._url = b''
-        self._headers = []
-        self._head_bytes = 0
         self._body_done = False
+        self._closing = False
+        self._pumping = False
 
     # Called by the connection.
 
@@ -113,15 +94,15 @@
         """An accepted connection is already connected."""
 
     def on_data(self, data):
-        """Parse bytes, or keep them while an answer is outstanding."""
-        if self._failed:
+        """Parse bytes; hold the caller back while an answer is due."""
+        if self._closing:
             return
-        if self._body_done:
-            self._pending += data
+        self.idle = False
+        self._parser.feed(data)
+        if self._waiting():
             self.conn.pause()
             return
-        self.idle = False
-        self._feed(data)
+        self._pump()
 
     def on_drain(self):
         """Tell the request's stream that the send buffer has emptied."""
@@ -130,6 +111,7 @@
 
     def on_close(self, exc):
         """Abort the request in progress."""
+        self._parser.events.clear()
         stream, self._stream = self._stream, None
         sink, self._sink = self._sink, None
         if stream is not None:
@@ -138,126 +120,110 @@
             sink.on_abort(exc)
         self.handler.on_disconnect(self)
 
-    # Called by the parser.
-
-    def on_url(self, url):
-        """Collect the target."""
-        self._url += url
-        self._count(len(url))
-
-    def on_header(self, name, value):
-        """Collect a header."""
-        self._count(len(name) + len(value) + 4)
-        if len(self._headers) >= MAX_HEADERS:
-            raise _HeadTooLarge()
-        self._headers.append(
-            (name.decode('latin-1').lower(), value.decode('latin-1'))
-        )
-
-    def on_headers_complete(self):
-        """Check the framing and start the request."""
-        req = self._make_request()
-        self._stream = ResponseStream(self, req)
-        if req.header('expect').lower() == '100-continue':
-            self.conn.write(b'HTTP/1.1 100 Continue\r\n\r\n')
-        self._sink = self.handler.on_request(self._stream, req)
-
-    def on_body(self, data):
-        """Hand on a piece of the body."""
-        if self._sink is not None:
-            self._sink.on_body(data)
-
-    def on_message_complete(self):
-        """The request is complete; later bytes belong to the next one."""
-        self._body_done = True
-        if self._sink is not None:
-            self._sink.on_end()
-
-    # Internal.
-
-    def _count(self, size):
-        self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise _HeadTooLarge()
-
-    def _make_request(self):
-        lengths = [v for k, v in self._headers if k == 'content-length']
-        codings = [v for k, v in self._headers if k == 'transfer-encoding']
-        if lengths and codings:
-            raise _Ambiguous('both Content-Length and Transfer-Encoding')
-        if len(lengths) > 1:
-            raise _Ambiguous('more than one Content-Length')
-        if codings and codings != ['chunked']:
-            raise _Ambiguous('a transfer coding other than chunked')
-        if lengths and not lengths[0].isdecimal():
-            raise _Ambiguous('a malformed Content-Length')
-        version = self._parser.get_http_version()
-        if version not in ('1.1', '1.0'):
-            raise _Ambiguous('a version other than HTTP/1.1')
-        if version == '1.1' and not any(k == 'host' for k, _ in self._headers):
-            raise _Ambiguous('no Host header')
-        return HttpRequest(
-            self._parser.get_method().decode(),
-            self._url.decode('latin-1'),
-            self._headers,
-            int(lengths[0]) if lengths else 0,
-            bool(codings),
-            not self._parser.should_keep_alive(),
-        )
-
-    def _feed(self, data):
-        # A message that ends inside `data` is followed by a pipelined one;
-        # the parser is fed up to the end of the first only.
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError as exc:
-            self._fail_parse(exc.__context__)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as exc:
-            self._fail_parse(exc)
-
-    def _fail_parse(self, exc):
-        if self.conn.closed:
-            return
-        self._failed = True
-        status = 431 if isinstance(exc, _HeadTooLarge) else 400
-        sink, self._sink = self._sink, None
-        if sink is not None:
-            sink.on_abort(exc)
-        stream = self._stream or ResponseStream(self, None)
-        self._stream = stream
-        if not stream.started:
-            self.handler.on_bad_request(stream, status, str(exc))
-        self.conn.close()
+    # Called by the response stream.
 
     def finish(self, keep_alive):
         """The answer is complete; go on with the next request."""
         self._stream = None
         self._sink = None
-        if self._failed:
+        if self._closing:
+            return
+        if not self._body_done:
+            self._drop_rest_of_body()
+        if not self._body_done:
+            self._close_after_answer()
             return
-        if not keep_alive or not self._body_done:
+        self._body_done = False
+        if not keep_alive:
+            self._closing = True
             self.conn.close()
             return
-        self._reset()
-        self.idle = not self._pending
-        if self._pending:
-            data = bytes(self._pending)
-            self._pending.clear()
-            self.idle = False
-            self._feed(data)
-        if not self.conn.closed:
+        self.idle = not self._parser.events
+        self._pump()
+        if not self._waiting() and not self._closing:
             self.conn.resume()
 
+    def resume_body(self):
+        """Read more of the body of the request in progress."""
+        if not self._waiting():
+            self.conn.resume()
 
-class _HeadTooLarge(Exception):
-    pass
+    # Internal.
 
+    def _waiting(self):
+        return self._body_done
 
-class _Ambiguous(Exception):
-    pass
+    def _pump(self):
+        # An answer given inside a callback calls finish(), which must not
+        # recurse: a caller may pipeline thousands of requests.
+        if self._pumping:
+            return
+        self._pumping = True
+        events = self._parser.events
+        try:
+            while events and not self._waiting() and not self._closing:
+                kind, value = events.popleft()
+                self._deliver(kind, value)
+        except Exception:
+            logging.exception('event=handler_error step=request')
+            self._closing = True
+            self.conn.abort()
+        finally:
+            self._pumping = False
+        if self._waiting() and events:
+            self.conn.pause()
+
+    def _deliver(self, kind, value):
+        if kind == HEAD:
+            self._start_request(value)
+        elif kind == BODY:
+            if self._sink is not None:
+                self._sink.on_body(value)
+        elif kind == END:
+            self._body_done = True
+            if self._sink is not None:
+                self._sink.on_end()
+        else:
+            self._refuse(value)
+
+    def _start_request(self, req):
+        stream = ResponseStream(self, req)
+        self._stream = stream
+        self._body_done = False
+        if req.header('expect').lower() == '100-continue':
+            self.conn.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        sink = self.handler.on_request(stream, req)
+        if self._stream is stream:
+            self._sink = sink
+
+    def _drop_rest_of_body(self):
+        events = self._parser.events
+        while events and events[0][0] in (BODY, END):
+            kind, _ = events.popleft()
+            if kind == END:
+                self._body_done = True
+                return
+
+    def _refuse(self, exc):
+        status = 431 if isinstance(exc, HeadTooLarge) else 400
+        sink, self._sink = self._sink, None
+        if sink is not None:
+            sink.on_abort(exc)
+        stream = self._stream or ResponseStream(self, None)
+        self._stream = stream
+        if stream.started:
+            stream.abort()
+            return
+        stream.set_last()
+        self.handler.on_bad_request(stream, status, str(exc))
+        self._close_after_answer()
+
+    def _close_after_answer(self):
+        # A close with unread bytes resets the connection, and the caller
+        # would lose the answer; the rest is read and dropped for a while.
+        self._closing = True
+        self.conn.resume()
+        self.conn.close_lingering()
 
 
 class ResponseStream:
@@ -275,6 +241,7 @@
         'closed',
         'on_drained',
         '_chunked',
+        '_left',
         '_keep_alive',
         '_no_body',
     )
@@ -287,6 +254,8 @@
         self.closed = False
         self.on_drained = None
         self._chunked = False
+        # Bytes of the announced length that are still to be written.
+        self._left = None
         self._keep_alive = req is not None and not req.close
         self._no_body = req is not None and req.method == 'HEAD'
 
@@ -300,38 +269,57 @@
         """Return the bytes not yet taken by the caller."""
         return self._server.conn.buffered
 
+    def set_last(self):
+        """Announce that the connection closes after this answer."""
+        self._keep_alive = False
+
     def start(self, status, headers, length=None):
         """Send the head; without a length the body is sent in chunks."""
         if self.closed or self.started:
             return
         self.started = True
         headers = list(headers)
-        bodiless = status in (204, 304)
-        if bodiless:
+        if status in (204, 304):
             self._no_body = True
-        elif length is None:
+        elif length is not None:
+            self._left = length
+            headers.append(('Content-Length', str(length)))
+        elif self._req is not None and self._req.version == '1.0':
+            self._keep_alive = False
+        else:
             self._chunked = True
             headers.append(('Transfer-Encoding', 'chunked'))
-        else:
-            headers.append(('Content-Length', str(length)))
         if not self._keep_alive:
             headers.append(('Connection', 'close'))
         self._server.conn.write(encode_head(status, headers))
 
     def write(self, data):
-        """Send a piece of the body."""
+        """Send a piece of the body; too long a body cuts the connection."""
         if self.closed or self.finished or self._no_body or not data:
             return
         conn = self._server.conn
+        if self._left is not None:
+            self._left -= len(data)
+            if self._left < 0:
+                logging.error('event=body_too_long step=answer')
+                self.abort()
+                return
         if self._chunked:
             conn.write(b'%x\r\n' % len(data) + data + b'\r\n')
         else:
             conn.write(data)
 
     def end(self):
-        """Complete the answer."""
+        """Complete the answer; a short body cuts the connection.
+
+        Otherwise the next answer would be read as the rest of this one.
+        """
         if self.closed or self.finished:
             return
+        if not self.started or (self._left and not self._no_body):
+            logging.error('event=answer_incomplete step=answer')
+            self.abort()
+            return
         self.finished = True
         if self._chunked and not self._no_body:
             self._server.conn.write(b'0\r\n\r\n')
@@ -344,7 +332,10 @@
         self.started = True
         self.finished = True
         headers = list(headers)
-        headers.append(('Content-Length', str(len(body))))
+        if status in (204, 304):
+            self._no_body = True
+        else:
+            headers.append(('Content-Length', str(len(body))))
         if not self._keep_alive:
             headers.append(('Connection', 'close'))
         data = encode_head(status, headers)
@@ -354,19 +345,23 @@
         self._server.finish(self._keep_alive)
 
     def abort(self):
-        """Cut the connection, so that a partial answer is seen as such."""
-        if not self.closed:
+        """Cut the connection, so that a partial answer is seen as such.
+
+        Harmless after the answer is complete, when the connection may
+        already serve another request.
+        """
+        if not self.closed and not self.finished:
             self._server.conn.abort()
 
     def pause(self):
         """Stop reading the request's body."""
-        if not self.closed:
+        if not self.closed and not self.finished:
             self._server.conn.pause()
 
     def resume(self):
         """Read the request's body again."""
         if not self.closed and not self.finished:
-            self._server.conn.resume()
+            self._server.resume_body()
 
     def notify_drain(self):
         """Called by the connection when its send buffer is empty."""
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,285 @@
+"""Tests of the HTTP server side and its request parser."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import testtools
+
+from bramleysill_net import request_parser
+from tests.http_fakes import Recorder
+from tests.http_fakes import statuses
+
+GET = b'GET /%s HTTP/1.1\r\nHost: x\r\n\r\n'
+POST = (
+    b'POST /p HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+    b'2\r\nab\r\n3\r\ncde\r\n0\r\nX-Trailer: 1\r\n\r\n'
+)
+PUT = b'PUT /q HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcd'
+
+
+def _head(*lines):
+    text = '\r\n'.join(('POST /h HTTP/1.1',) + lines) + '\r\n\r\n'
+    return text.encode('latin-1')
+
+
+class PipelineTest(testtools.TestCase):
+    def test_answers_follow_the_order_of_requests(self):
+        """Guards against a pipelined request that starts too early."""
+        caller = Recorder(hold=True)
+        caller.feed(b''.join(GET % name for name in (b'a', b'b', b'c')))
+        self.assertEqual(1, len(caller.sinks))
+        self.assertFalse(caller.conn.reading)
+        for number in range(3):
+            caller.sinks[number].answer()
+        bodies = [body for _, body in statuses(caller.conn.sent)]
+        self.assertEqual([b'/a', b'/b', b'/c'], bodies)
+        self.assertTrue(caller.conn.reading)
+
+    def test_thousands_of_pipelined_requests_do_not_recurse(self):
+        """Guards against a recursion for each pipelined request."""
+        caller = Recorder()
+        caller.feed(GET % b'a' * 2000)
+        self.assertEqual(2000, len(statuses(caller.conn.sent)))
+
+    def test_error_after_a_request_waits_for_its_answer(self):
+        """Guards against a 400 that is taken for an earlier answer."""
+        caller = Recorder(hold=True)
+        caller.feed(GET % b'a' + b'\x00bad\r\n\r\n')
+        self.assertEqual([], caller.bad)
+        caller.sinks[0].answer()
+        codes = [status for status, _ in statuses(caller.conn.sent)]
+        self.assertEqual([200, 400], codes)
+        self.assertFalse(caller.sinks[0].aborted)
+
+    def test_nothing_runs_after_connection_close(self):
+        """Guards against a request behind one that closes."""
+        caller = Recorder()
+        last = b'GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+        caller.feed(last + GET % b'b')
+        self.assertEqual(1, len(caller.sinks))
+        self.assertEqual('close', caller.conn.ending)
+
+    def test_answer_at_the_head_keeps_the_connection(self):
+        """Guards against a close after an early answer without a body."""
+        caller = Recorder()
+        caller.on_request = lambda stream, req: stream.send(200, [])
+        caller.feed(GET % b'a' * 2)
+        self.assertEqual(2, len(statuses(caller.conn.sent)))
+        self.assertEqual('', caller.conn.ending)
+
+    def test_answer_before_the_body_closes_with_linger(self):
+        """Guards against a refusal that a reset destroys on the way."""
+        caller = Recorder()
+        caller.on_request = lambda stream, req: stream.send(503, [])
+        caller.feed(PUT[:-2])
+        caller.feed(b'cd' + GET % b'x')
+        self.assertEqual([(503, b'')], statuses(caller.conn.sent))
+        self.assertEqual('linger', caller.conn.ending)
+
+
+class SlowCallerTest(testtools.TestCase):
+    def test_byte_by_byte(self):
+        """Guards against state that depends on how bytes are cut."""
+        for step in (1, 2, 7, 1000):
+            caller = Recorder()
+            caller.feed(POST + PUT + GET % b'z', step)
+            found = [(s.req.target, s.body) for s in caller.sinks]
+            expected = [('/p', b'abcde'), ('/q', b'abcd'), ('/z', b'')]
+            self.assertEqual(expected, found)
+            self.assertEqual(3, len(statuses(caller.conn.sent)))
+
+    def test_disconnect_at_any_byte(self):
+        """Guards against a cut request that ends as a whole one."""
+        for message in (POST, PUT):
+            for cut in range(len(message)):
+                caller = Recorder()
+                caller.feed(message[:cut])
+                caller.conn.abort()
+                self.assertEqual(1, caller.disconnects)
+                for sink in caller.sinks:
+                    self.assertEqual((False, True), (sink.ended, sink.aborted))
+
+    def test_trailers_do_not_become_headers(self):
+        """Guards against a header that arrives after the checks."""
+        caller = Recorder()
+        caller.feed(POST)
+        self.assertEqual('', caller.sinks[0].req.header('x-trailer'))
+
+
+class FramingTest(testtools.TestCase):
+    def _refusal(self, data, step=None):
+        caller = Recorder(hold=True)
+        caller.feed(data, step)
+        self.assertEqual('linger', caller.conn.ending)
+        found = statuses(caller.conn.sent)
+        self.assertEqual(1, len(found))
+        self.assertIn(b'Connection: close', caller.conn.sent)
+        self.assertFalse(any(sink.ended for sink in caller.sinks))
+        return found[0][0]
+
+    def test_ambiguous_framing_is_refused(self):
+        """Guards against request smuggling."""
+        length, chunked = 'Content-Length: 3', 'Transfer-Encoding: chunked'
+        for lines in (
+            ('Host: x', length, chunked),
+            ('Host: x', chunked, length),
+            ('Host: x', length, length),
+            ('Host: x', length, 'Content-Length: 4'),
+            ('Host: x', 'Content-Length: +3'),
+            ('Host: x', 'Content-Length: 3, 3'),
+            ('Host: x', 'Content-Length: 99999999999999999999999'),
+            ('Host: x', 'Transfer-Encoding: gzip, chunked'),
+            ('Host: x', 'Transfer-Encoding: identity'),
+            ('Host: x', chunked, chunked),
+            ('Host: x', 'Host: y'),
+            ('Host: x', 'Connection: upgrade', 'Upgrade: h2c'),
+            ('Host : x',),
+            ('Host: x', ' folded: 1'),
+            (),
+        ):
+            self.assertEqual(400, self._refusal(_head(*lines) + b'abc'))
+
+    def test_bad_chunk_sizes_are_refused(self):
+        """Guards against a chunk whose size is read in two ways."""
+        head = _head('Host: x', 'Transfer-Encoding: chunked')
+        for size in (b'g', b'-1', b'0x2', b'', b' 2', b'f' * 17, b'2\n'):
+            body = size + b'\r\nab\r\n0\r\n\r\n'
+            self.assertEqual(400, self._refusal(head + body))
+
+    def test_other_versions_are_refused(self):
+        """Guards against bodies that an HTTP/1.0 peer can't delimit."""
+        for line in (b'GET /a', b'GET /a HTTP/2.0', b'GET /a HTTP/1.9'):
+            self.assertEqual(400, self._refusal(line + b'\r\n\r\n'))
+        chunked = POST.replace(b'HTTP/1.1', b'HTTP/1.0')
+        self.assertEqual(400, self._refusal(chunked))
+
+    def test_oversized_heads_are_refused(self):
+        """Guards against a head that fills the memory."""
+        big = request_parser.MAX_HEAD_BYTES + 1
+        lines = ['Host: x'] + ['a: b'] * request_parser.MAX_HEADERS
+        for data in (
+            _head(*lines),
+            _head('Host: x', 'a: ' + 'b' * big),
+            b'GET /' + b'a' * big,
+            b'GET / HTTP/1.1\r\nHost: x\r\na: ' + b'b' * big,
+        ):
+            self.assertEqual(431, self._refusal(data))
+            self.assertEqual(431, self._refusal(data, 100))
+
+    def test_broken_body_aborts_its_request(self):
+        """Guards against a started answer that a 400 runs into."""
+        caller = Recorder(hold=True)
+        caller.feed(POST[:70])
+        caller.sinks[0].stream.start(200, [])
+        caller.feed(b'nonsense\r\n')
+        self.assertTrue(caller.sinks[0].aborted)
+        self.assertEqual('abort', caller.conn.ending)
+        self.assertNotIn(b' 400 ', caller.conn.sent)
+
+
+class LateAnswerTest(testtools.TestCase):
+    def test_late_answer_reaches_no_other_request(self):
+        """Guards against an answer that reaches the next request."""
+        caller = Recorder(hold=True)
+        caller.feed(GET % b'a' + GET % b'b')
+        first = caller.sinks[0].stream
+        caller.sinks[0].answer()
+        before = caller.conn.sent
+        first.send(200, [], b'late')
+        first.start(200, [])
+        first.write(b'late')
+        first.end()
+        first.abort()
+        first.pause()
+        self.assertEqual(before, caller.conn.sent)
+        self.assertFalse(caller.conn.closed)
+        caller.sinks[1].answer()
+        bodies = [body for _, body in statuses(caller.conn.sent)]
+        self.assertEqual([b'/a', b'/b'], bodies)
+
+    def test_answer_after_a_disconnect_is_dropped(self):
+        """Guards against a write to a connection that has gone."""
+        caller = Recorder(hold=True)
+        caller.feed(GET % b'a')
+        caller.conn.abort()
+        caller.sinks[0].answer()
+        self.assertEqual(b'', caller.conn.sent)
+
+    def test_wrong_length_cuts_the_connection(self):
+        """Guards against a body that runs into the next answer."""
+        for body in (b'ab', b'abcd'):
+            caller = Recorder(hold=True)
+            caller.feed(GET % b'a')
+            stream = caller.sinks[0].stream
+            stream.start(200, [], 3)
+            stream.write(body)
+            stream.end()
+            self.assertEqual('abort', caller.conn.ending)
+
+    def test_no_content_has_no_length(self):
+        """Guards against a 204 or 304 with a Content-Length."""
+        for status in (204, 304):
+            caller = Recorder(hold=True)
+            caller.feed(GET % b'a')
+            caller.sinks[0].stream.send(status, [], b'x')
+            self.assertNotIn(b'Content-Length', caller.conn.sent)
+            self.assertTrue(caller.conn.sent.endswith(b'\r\n\r\n'))
+
+    def test_failing_handler_closes(self):
+        """Guards against a caller that waits for a failed handler."""
+        caller = Recorder(hold=True)
+        caller.on_request = lambda stream, req: 1 // 0
+        caller.feed(GET % b'a')
+        self.assertEqual('abort', caller.conn.ending)
+
+    def test_http_1_0_gets_no_chunks(self):
+        """Guards against chunks that an HTTP/1.0 caller can't read."""
+        caller = Recorder(hold=True)
+        caller.feed(b'GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n')
+        stream = caller.sinks[0].stream
+        stream.start(200, [])
+        stream.write(b'abc')
+        stream.end()
+        self.assertTrue(caller.conn.sent.endswith(b'\r\n\r\nabc'))
+        self.assertEqual('close', caller.conn.ending)
+
+
+_names = st.sampled_from(
+    ['Host', 'Content-Length', 'Transfer-Encoding', 'Connection', 'Expect']
+)
+_values = st.sampled_from(
+    ['x', '0', '3', 'chunked', 'close', 'upgrade', '100-continue', '\x00']
+) | st.text(st.characters(max_codepoint=255), max_size=8)
+_lines = st.tuples(_names | st.text(max_size=5), _values)
+
+
+class FuzzTest(testtools.TestCase):
+    def _check(self, data, step):
+        caller = Recorder()
+        caller.feed(data, step)
+        statuses(caller.conn.sent)
+        if caller.bad:
+            self.assertNotEqual('', caller.conn.ending)
+        self.assertLessEqual(
+            sum(sink.ended for sink in caller.sinks),
+            len(statuses(caller.conn.sent)),
+        )
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(st.lists(_lines, max_size=6), st.binary(max_size=20))
+    def test_heads(self, lines, body):
+        """Guards against heads that get a partial answer or raise."""
+        text = ''.join(f'{name}: {value}\r\n' for name, value in lines)
+        head = f'POST /f HTTP/1.1\r\nHost: h\r\n{text}\r\n'
+        for step in (1, None):
+            self._check(head.encode('latin-1', 'replace') + body, step)
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(st.data())
+    def test_damaged_requests(self, data):
+        """Guards against damaged bytes in otherwise valid requests."""
+        message = bytearray(POST + PUT + GET % b'a')
+        for _ in range(data.draw(st.integers(1, 3))):
+            where = data.draw(st.integers(0, len(message) - 1))
+            message[where] = data.draw(st.integers(0, 255))
+        self._check(bytes(message), data.draw(st.sampled_from((3, None))))
