Add the dispatcher, control and process of the router

Cause: the roles of a router were not yet driven by the kernel.

Change: dispatcher with admission, grants, releases and idempotency keys; locator for shared services; control that drives election, coordinator and agent; graceful shutdown; status.

--- a/packages/kernel/src/bramleysill_kernel/refusals.py
+++ b/packages/kernel/src/bramleysill_kernel/refusals.py
@@ -80,3 +80,23 @@
 ShuttingDown = _refusal(
     'ShuttingDown', 'shutting_down', 503, 'The router is shutting down.'
 )
+KeyInProgress = _refusal(
+    'KeyInProgress',
+    'key_in_progress',
+    409,
+    'A request with this idempotency key is running.',
+    OUTCOME_UNKNOWN,
+)
+KeyOutcomeUnknown = _refusal(
+    'KeyOutcomeUnknown',
+    'key_outcome_unknown',
+    409,
+    'It is not known whether the request with this key ran.',
+    OUTCOME_UNKNOWN,
+)
+KeyMismatch = _refusal(
+    'KeyMismatch',
+    'key_mismatch',
+    422,
+    'The idempotency key was used for another request.',
+)
--- a/packages/router/src/bramleysill_router/attempts.py
+++ b/packages/router/src/bramleysill_router/attempts.py
@@ -40,6 +40,7 @@
         'caller',
         'priority',
         'idempotency_key',
+        'key',
     )
 
     def __init__(
@@ -58,6 +59,7 @@
         caller,
         priority,
         idempotency_key,
+        key,
     ):
         self.request_id = request_id
         self.service = service
@@ -73,3 +75,4 @@
         self.caller = caller
         self.priority = priority
         self.idempotency_key = idempotency_key
+        self.key = key
--- /dev/null
+++ b/packages/router/src/bramleysill_router/dispatchers.py
@@ -0,0 +1,105 @@
+"""All dispatcher roles of this router."""
+
+from bramleysill_kernel import refusals
+from bramleysill_router.dispatcher import UpstreamDispatcher
+from bramleysill_router.upstream_control import UpstreamControl
+from bramleysill_router.upstream_pool import UpstreamPool
+
+
+class Dispatchers:
+    """Makes a dispatcher for each role and drops those no longer needed."""
+
+    __slots__ = ('_context', '_all')
+
+    def __init__(self, context):
+        self._context = context
+        self._all = {}
+
+    def submit(self, head, sink):
+        """Start an attempt at an upstream of this router."""
+        dispatcher = self.get(head.upstream)
+        if dispatcher is None:
+            sink.on_refused(
+                refusals.NotDispatcher(
+                    'this router is not the dispatcher',
+                    'dispatch',
+                    head.upstream,
+                )
+            )
+            return None
+        return dispatcher.submit(head, sink)
+
+    def get(self, upstream):
+        """Return the dispatcher of a role that is held or was held."""
+        found = self._all.get(upstream)
+        if found is None and self._context.agent.may_dispatch(upstream):
+            found = self._make(upstream)
+        return found
+
+    def is_busy(self, upstream):
+        """Tell whether requests are at the upstream."""
+        found = self._all.get(upstream)
+        return found is not None and found.is_busy()
+
+    def busy_count(self):
+        """Return the number of upstreams with requests."""
+        return sum(d.is_busy() for d in self._all.values())
+
+    def on_state_changed(self):
+        """Follow roles and tables: new roles start, grants are renewed."""
+        agent = self._context.agent
+        for upstream in list(agent.held):
+            if self.get(upstream) is not None:
+                self._all[upstream].authority.renew()
+
+    def tick(self):
+        """Drive all dispatchers; drop those without role and requests."""
+        for upstream, dispatcher in list(self._all.items()):
+            dispatcher.tick()
+            if dispatcher.is_unused():
+                dispatcher.close()
+                del self._all[upstream]
+
+    def report_all(self):
+        """Add a report of each held upstream to the next heartbeat."""
+        agent = self._context.agent
+        for upstream, dispatcher in self._all.items():
+            if upstream in agent.held:
+                agent.report(dispatcher.report())
+
+    def probe(self, upstream, callback):
+        """Probe an upstream for a second opinion; tells if it answers."""
+        pool = UpstreamPool(
+            self._context.loop, upstream.host, upstream.port, 1
+        )
+
+        def probed(status, document):
+            pool.close()
+            callback(status == 200)
+
+        UpstreamControl(self._context.loop, pool).probe(probed)
+
+    def values(self):
+        """Return all dispatchers."""
+        return list(self._all.values())
+
+    def gauges(self):
+        """Yield gauges for the metrics."""
+        for name, dispatcher in self._all.items():
+            labels = {'upstream': name}
+            admission = dispatcher.admission
+            yield 'bramleysill_in_flight', labels, admission.in_flight
+            most = admission.most_in_flight
+            yield 'bramleysill_most_in_flight', labels, most
+            yield 'bramleysill_queued', labels, admission.queued
+            yield 'bramleysill_limit', labels, admission.limit
+
+    def _make(self, upstream):
+        manifest = self._context.state.manifest
+        declared = manifest.upstreams.get(upstream) if manifest else None
+        if declared is None:
+            return None
+        service = manifest.services[declared.service]
+        made = UpstreamDispatcher(self._context, declared, service)
+        self._all[upstream] = made
+        return made
--- a/packages/router/src/bramleysill_router/entry.py
+++ b/packages/router/src/bramleysill_router/entry.py
@@ -13,14 +13,13 @@
 class Entry:
     """Handles all caller connections of a router.
 
-    `locate(target, exclude)` returns (upstream, unit, fence, router) or
-    raises a Refusal; `submit(router, head, sink, body, last)` starts an
-    attempt; `retries` decides on retries.
+    `locator` finds upstream and dispatcher, `submit(router, head, sink,
+    body, last)` starts an attempt, and `retries` decides on retries.
     """
 
     __slots__ = (
         'loop',
-        'locate',
+        'locator',
         'submit',
         'retries',
         'metrics',
@@ -32,9 +31,9 @@
         'waiting',
     )
 
-    def __init__(self, loop, name, state, locate, submit, retries, metrics):
+    def __init__(self, loop, name, state, locator, submit, retries, metrics):
         self.loop = loop
-        self.locate = locate
+        self.locator = locator
         self.submit = submit
         self.retries = retries
         self.metrics = metrics
--- a/packages/router/src/bramleysill_router/exchange.py
+++ b/packages/router/src/bramleysill_router/exchange.py
@@ -55,6 +55,7 @@
         '_upstream',
         '_excluded',
         '_headers',
+        '_attempted_at',
     )
 
     def __init__(self, entry, stream, req, request_id):
@@ -79,6 +80,7 @@
         self._upstream = ''
         self._excluded = ()
         self._headers = None
+        self._attempted_at = None
         stream.on_drained = self._on_caller_drained
 
     # The caller's body.
@@ -88,7 +90,7 @@
         self._target = target
         self.deadline = self.started + target.timeout
         self._headers = headers.forwarded_request(self._req.headers)
-        self._entry.retries.note_request(target.service.name)
+        self._entry.retries.note_request(target.service)
         self._arm_deadline()
         if self._body_done:
             self._try()
@@ -146,12 +148,14 @@
         if self.over:
             return
         try:
-            place = self._entry.locate(self._target, self._excluded)
+            place = self._entry.locator.locate(self._target, self._excluded)
         except Refusal as exc:
             self.on_refused(exc)
             return
         self._upstream, unit, fence, router = place
         self._tries += 1
+        self._attempted_at = self._entry.loop.now()
+        self._entry.locator.begin(self._target.service.name, self._upstream)
         self._written = len(self._kept)
         head = self._make_head(unit, fence)
         attempt = self._entry.submit(
@@ -181,9 +185,20 @@
             self._stream.peer.rpartition(':')[0],
             target.priority,
             target.idempotency_key,
+            target.key,
+        )
+
+    def _note_end(self, ok):
+        if self._attempted_at is None:
+            return
+        seconds = self._entry.loop.now() - self._attempted_at
+        self._attempted_at = None
+        self._entry.locator.end(
+            self._target.service.name, self._upstream, seconds, ok
         )
 
     def _cancel_attempt(self):
+        self._note_end(False)
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             attempt.cancel()
@@ -238,12 +253,14 @@
         if self.over:
             return
         self._attempt = None
+        self._note_end(True)
         self._finish('ok')
         self._stream.end()
 
     def on_refused(self, refusal):
         """Hold, retry or refuse."""
         self._attempt = None
+        self._note_end(False)
         if self.over:
             return
         if self._stream.started:
@@ -283,7 +300,7 @@
         if self._target.service.kind != 'keyed' and self._upstream:
             self._excluded = (*self._excluded, self._upstream)
         return self._entry.retries.delay(
-            self._target.service.name,
+            self._target.service,
             refusal,
             self._target.repeatable,
             self._tries,
--- a/packages/router/src/bramleysill_router/job.py
+++ b/packages/router/src/bramleysill_router/job.py
@@ -1,13 +1,13 @@
 """One request at an upstream, from admission to the end of the answer."""
 
 from bramleysill_kernel import refusals
-from bramleysill_kernel.admission import Work
+from bramleysill_kernel.admission import RESULT_LOST
+from bramleysill_kernel.admission import RESULT_OK
+from bramleysill_kernel.admission import RESULT_SHED
 from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.queueing import Work
 from bramleysill_router import headers
 
-_RESULT_OK = 'ok'
-_RESULT_SHED = 'shed'
-_RESULT_FAILED = 'failed'
 _NOT_RUN_STATUS = frozenset((409, 503))
 _STALE_REASONS = frozenset(('no_grant', 'stale_fence'))
 
@@ -26,6 +26,7 @@
         'deadline',
         'sent_at',
         'answered',
+        'state',
         '_dispatcher',
         '_sink',
         '_conn',
@@ -34,15 +35,18 @@
         '_body_ended',
         '_not_run_reason',
         '_over',
+        '_recording',
     )
 
-    def __init__(self, dispatcher, head, sink, now):
+    def __init__(self, dispatcher, head, sink, recording):
         self.head = head
         self.deadline = head.deadline
         self.sent_at = 0.0
         self.answered = False
+        self.state = ''
+        # The admission hands back works; the id leads to the job.
         self.work = Work(
-            id=head.request_id,
+            id=self,
             service=head.service,
             unit=head.unit,
             fence=head.fence,
@@ -51,7 +55,6 @@
             priority=head.priority,
             repeatable=head.repeatable,
         )
-        self.work.job = self
         self._dispatcher = dispatcher
         self._sink = sink
         self._conn = None
@@ -60,6 +63,7 @@
         self._body_ended = head.length == 0
         self._not_run_reason = None
         self._over = False
+        self._recording = recording
 
     # The attempt, as the entry sees it.
 
@@ -130,10 +134,23 @@
     def refuse(self, refusal):
         """End the attempt with a refusal."""
         self._over = True
+        self._recording.refused(refusal)
         sink, self._sink = self._sink, None
         if sink is not None:
             sink.on_refused(refusal)
 
+    def answer(self, recorded):
+        """Answer with what an earlier request of the same key got."""
+        self._over = True
+        sink, self._sink = self._sink, None
+        if sink is not None:
+            sink.on_answer_head(
+                recorded.status, recorded.fields, len(recorded.body)
+            )
+            if recorded.body:
+                sink.on_answer_body(recorded.body)
+            sink.on_answer_end()
+
     def expire(self):
         """The deadline has passed while the request was running."""
         self.refuse(
@@ -148,6 +165,7 @@
     def abort(self):
         """Drop the connection, which also cancels the work."""
         self._over = True
+        self._sink = None
         if self._conn is not None:
             self._conn.abort()
 
@@ -156,20 +174,24 @@
     def on_head(self, status, fields, length):
         """Look at the head of the answer; pass it on unless not run."""
         self._touch()
-        self._dispatcher.note_fields(fields)
+        self.state = self._dispatcher.note_fields(fields)
         if status in _NOT_RUN_STATUS:
             found = dict(fields)
             if found.get(headers.NOT_RUN) == '1':
                 self._not_run_reason = found.get('sill-reason', 'shed')
                 return
         self.answered = True
+        self._recording.note_head(status, fields)
         if self._sink is not None:
             self._sink.on_answer_head(status, fields, length)
 
     def on_body(self, data):
         """Pass on a piece of the answer."""
-        if self._not_run_reason is None and self._sink is not None:
-            self._touch()
+        if self._not_run_reason is not None:
+            return
+        self._touch()
+        self._recording.note_body(data)
+        if self._sink is not None:
             self._sink.on_answer_body(data)
 
     def on_end(self):
@@ -180,7 +202,8 @@
             self._refuse_not_run()
             return
         self._over = True
-        self._dispatcher.job_done(self, _RESULT_OK)
+        self._recording.done()
+        self._dispatcher.job_done(self, RESULT_OK)
         sink, self._sink = self._sink, None
         if sink is not None:
             sink.on_answer_end()
@@ -203,7 +226,7 @@
             )
         else:
             refusal = refusals.ConnectionLost(f'{exc}', 'upstream', peer)
-        self._dispatcher.job_done(self, _RESULT_FAILED)
+        self._dispatcher.job_done(self, RESULT_LOST)
         self.refuse(refusal)
 
     # Internal.
@@ -211,12 +234,8 @@
     def _touch(self):
         # Progress of a transfer extends its deadline; see Exchange.
         limit = self._dispatcher.service.timeout
-        self.deadline = max(
-            self.deadline, self._dispatcher.now() + limit
-        ) if self._transfers() else self.deadline
-
-    def _transfers(self):
-        return self.answered or self.head.length != 0
+        if self.answered or self.head.length:
+            self.deadline = self._dispatcher.now() + limit
 
     def _frame(self, data):
         if self.head.length < 0:
@@ -228,7 +247,7 @@
         cls = refusals.UpstreamShed
         if reason in _STALE_REASONS:
             cls = refusals.OwnerMoving
-        self._dispatcher.job_done(self, _RESULT_SHED)
+        self._dispatcher.job_done(self, RESULT_SHED)
         self.refuse(
             cls(
                 f'the upstream answered {reason}',
--- /dev/null
+++ b/packages/router/src/bramleysill_router/locator.py
@@ -0,0 +1,170 @@
+"""Chooses the upstream and the dispatcher of a request."""
+
+from bramleysill_kernel import refusals
+from bramleysill_kernel.balancer import Candidate
+from bramleysill_kernel.balancer import balancers
+from bramleysill_kernel.manifest import KIND_KEYED
+from bramleysill_kernel.outliers import OutlierDetector
+
+# Weight of one observation in the moving average of latency.
+LATENCY_WEIGHT = 0.2
+
+
+class SharedChoice:
+    """The upstreams of one shared service as this router observes them."""
+
+    __slots__ = ('_balancer', '_detector', '_candidates', '_rng', '_trials')
+
+    def __init__(self, service, clock, rng):
+        self._balancer = balancers.get(service.balancer)(rng)
+        self._detector = OutlierDetector(clock, rng)
+        self._candidates = {}
+        self._rng = rng
+        self._trials = set()
+
+    def update(self, upstreams):
+        """Take the eligible upstreams of the newest manifest."""
+        for upstream in upstreams:
+            if upstream.name not in self._candidates:
+                self._candidates[upstream.name] = Candidate(
+                    upstream.name, slots=upstream.slots
+                )
+        names = {u.name for u in upstreams}
+        for name in set(self._candidates) - names:
+            del self._candidates[name]
+        self._detector.set_upstreams(names)
+
+    def pick(self, excluded):
+        """Return the name of an upstream, or None without any."""
+        for name in self._detector.trial_names():
+            usable = name in self._candidates and name not in excluded
+            if usable and self._detector.take_trial(name):
+                self._trials.add(name)
+                return name
+        chosen = self._balancer.pick(
+            list(self._candidates.values()), exclude=excluded
+        )
+        return chosen.name if chosen is not None else None
+
+    def begin(self, name):
+        """An attempt was sent."""
+        candidate = self._candidates.get(name)
+        if candidate is not None:
+            candidate.in_flight += 1
+
+    def end(self, name, seconds, ok, route):
+        """An attempt has ended."""
+        trial = name in self._trials
+        self._trials.discard(name)
+        self._detector.note_answer(name, seconds, ok, trial=trial)
+        candidate = self._candidates.get(name)
+        if candidate is None:
+            return
+        candidate.in_flight = max(0, candidate.in_flight - 1)
+        if ok:
+            old = candidate.latency or seconds
+            candidate.latency = old + LATENCY_WEIGHT * (seconds - old)
+
+    def tick(self):
+        """Evaluate outliers."""
+        self._detector.tick()
+        for name, candidate in self._candidates.items():
+            candidate.ejected = self._detector.is_ejected(name)
+
+
+class Locator:
+    """Finds (upstream, unit, fence, router) for a target."""
+
+    __slots__ = ('_name', '_state', '_clock', '_rng', '_choices')
+
+    def __init__(self, name, state, clock, rng):
+        self._name = name
+        self._state = state
+        self._clock = clock
+        self._rng = rng
+        self._choices = {}
+
+    def locate(self, target, excluded):
+        """Return upstream, unit, fence and router; raises a Refusal."""
+        if target.service.kind == KIND_KEYED:
+            return self._locate_owner(target)
+        return self._locate_shared(target, excluded)
+
+    def _locate_owner(self, target):
+        service = target.service.name
+        place = self._state.route(service, target.key)
+        if place is None:
+            raise refusals.NoState(
+                'no ownership table yet', 'locate', self._name, retry_after=1
+            )
+        if not place.owner:
+            raise refusals.OwnerLost(
+                f'unit {place.unit} has no owner',
+                'locate',
+                service,
+                retry_after=1,
+            )
+        if not place.dispatcher:
+            raise refusals.NotDispatcher(
+                'the owner has no dispatcher now',
+                'locate',
+                place.owner,
+                retry_after=1,
+            )
+        return place.owner, place.unit, place.fence, place.dispatcher
+
+    def _locate_shared(self, target, excluded):
+        service = target.service
+        choice = self.choice(service.name)
+        name = choice.pick(excluded) if choice is not None else None
+        router = self._state.dispatcher_of(name) if name else ''
+        if not router:
+            raise refusals.NotDispatcher(
+                'no upstream of the service has a dispatcher now',
+                'locate',
+                service.name,
+                retry_after=1,
+            )
+        return name, '', 0, router
+
+    def choice(self, service):
+        """Return the SharedChoice of a shared service, or None."""
+        return self._choices.get(service)
+
+    def begin(self, service, upstream):
+        """An attempt was sent."""
+        choice = self._choices.get(service)
+        if choice is not None:
+            choice.begin(upstream)
+
+    def end(self, service, upstream, seconds, ok, route=''):
+        """An attempt has ended after `seconds`."""
+        choice = self._choices.get(service)
+        if choice is not None:
+            choice.end(upstream, seconds, ok, route)
+
+    def on_state_changed(self):
+        """Follow the newest manifest, drains and dispatchers."""
+        manifest = self._state.manifest
+        if manifest is None:
+            return
+        for service in manifest.services.values():
+            if service.kind == KIND_KEYED:
+                continue
+            choice = self._choices.get(service.name)
+            if choice is None:
+                choice = SharedChoice(service, self._clock, self._rng)
+                self._choices[service.name] = choice
+            choice.update(
+                [
+                    manifest.upstreams[name]
+                    for name in manifest.eligible(service.name)
+                    if name not in self._state.drained
+                    and self._state.dispatcher_of(name)
+                ]
+            )
+
+    def tick(self):
+        """Evaluate outliers of all shared services."""
+        for choice in self._choices.values():
+            choice.tick()
--- /dev/null
+++ b/packages/router/src/bramleysill_router/process.py
@@ -0,0 +1,271 @@
+"""Builds a router process from its parts and shuts it down gracefully."""
+
+import os
+import random
+import time
+
+from bramleysill_kernel import messages
+from bramleysill_kernel import refusals
+from bramleysill_kernel.election import Election
+from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.membership import RouterAgent
+from bramleysill_kernel.state import RouterState
+from bramleysill_net.conn import Listener
+from bramleysill_net.loop import Loop
+from bramleysill_router.admin import serve_admin
+from bramleysill_router.control import Control
+from bramleysill_router.dispatcher import DispatchContext
+from bramleysill_router.dispatchers import Dispatchers
+from bramleysill_router.entry import Entry
+from bramleysill_router.locator import Locator
+from bramleysill_router.logs import log_event
+from bramleysill_router.logs import log_warning
+from bramleysill_router.metrics import Metrics
+from bramleysill_router.peer_links import PeerLinks
+from bramleysill_router.remote import RemoteAttempt
+from bramleysill_router.remote import StreamRouter
+from bramleysill_router.retry_budgets import RetryBudgets
+from bramleysill_router.store_client import store_clients
+
+DISPATCH_TICK_SECONDS = 0.05
+SHUTDOWN_TICK_SECONDS = 0.05
+
+
+class RouterProcess:
+    """One router: entry, dispatcher and, when elected, coordinator."""
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+        self.loop = Loop()
+        self.metrics = Metrics()
+        self._rng = random.Random()
+        self._incarnation = f'{os.getpid()}-{time.time_ns()}'
+        self._shutdown_deadline = None
+        self.state = RouterState(parse_manifest)
+        self._store = store_clients.get(cfg.store_client)(
+            self.loop, cfg.store
+        )
+        self._build_control()
+        self._build_request_path()
+        self._connect_parts()
+        self._listen()
+
+    def run(self):
+        """Serve until terminated."""
+        self.loop.on_terminate = self.shut_down
+        self._control.start()
+        every = self.loop.scheduler.call_every
+        every(DISPATCH_TICK_SECONDS, self._tick)
+        log_event(
+            'started',
+            router=self.cfg.name,
+            cell=self.cfg.cell,
+            failure_domain=self.cfg.failure_domain,
+        )
+        self.loop.run()
+        log_event('stopped', router=self.cfg.name)
+
+    # Building.
+
+    def _build_control(self):
+        cfg = self.cfg
+        address = f'{cfg.peer_listen[0]}:{cfg.peer_listen[1]}'
+        hello = messages.Hello(
+            messages.SCHEMA_VERSION,
+            cfg.name,
+            cfg.cell,
+            self._incarnation,
+            address,
+        )
+        self.links = PeerLinks(self.loop, hello, self.metrics)
+        self.election = Election(
+            cfg.name,
+            self._incarnation,
+            address,
+            cfg.cell,
+            self.loop,
+            self._rng,
+        )
+        self.agent = RouterAgent(
+            cfg.name,
+            self._incarnation,
+            address,
+            cfg.failure_domain,
+            self.loop,
+            self.state,
+            self.election,
+            self._is_busy,
+        )
+        self._control = Control(
+            self.loop,
+            cfg,
+            self._rng,
+            self._store,
+            self.links,
+            self.election,
+            self.agent,
+            self.state,
+        )
+
+    def _build_request_path(self):
+        context = DispatchContext(
+            self.loop,
+            self._rng,
+            self.agent,
+            self.state,
+            self._control.send_to_coordinator,
+            self.metrics,
+        )
+        self.dispatchers = Dispatchers(context)
+        self.locator = Locator(
+            self.cfg.name, self.state, self.loop, self._rng
+        )
+        self.entry = Entry(
+            self.loop,
+            self.cfg.name,
+            self.state,
+            self.locator,
+            self._submit,
+            RetryBudgets(self.loop, self._rng),
+            self.metrics,
+        )
+
+    def _connect_parts(self):
+        streams = StreamRouter(self.dispatchers.submit, self.loop.now)
+        self.links.on_control = self._control.on_control
+        self.links.on_stream = streams.on_stream
+        self.links.on_lost = streams.on_lost
+        self._control.dispatchers = self.dispatchers
+        self._control.on_changed = self._on_changed
+        self.metrics.add_gauge(self.dispatchers.gauges)
+        self.metrics.add_gauge(self._gauges)
+
+    def _listen(self):
+        cfg = self.cfg
+        self.links.listen(*cfg.peer_listen)
+        self._listener = Listener(self.loop, *cfg.listen, self.entry.accept)
+        serve_admin(self.loop, cfg.admin_listen, self)
+
+    # Running.
+
+    def _tick(self):
+        self.dispatchers.tick()
+        self.locator.tick()
+
+    def _on_changed(self, parts):
+        self.dispatchers.on_state_changed()
+        self.locator.on_state_changed()
+        self.entry.on_state_changed()
+
+    def _is_busy(self, upstream):
+        return self.dispatchers.is_busy(upstream)
+
+    def _submit(self, router, head, sink, body, last):
+        if router == self.cfg.name:
+            attempt = self.dispatchers.submit(head, sink)
+            if attempt is not None:
+                if body:
+                    attempt.write(body)
+                if last:
+                    attempt.end()
+            return attempt
+        link = self.links.get(router)
+        if link is None:
+            sink.on_refused(_no_link(router))
+            return None
+        now = self.loop.now()
+        return RemoteAttempt(link, head, sink, now, body, last)
+
+    # Shutdown.
+
+    def shut_down(self):
+        """Stop taking callers, hand roles over, finish what is running."""
+        if self._shutdown_deadline is not None:
+            return
+        now = self.loop.now()
+        self._shutdown_deadline = now + self.cfg.grace
+        log_event('shutting_down', router=self.cfg.name)
+        self._listener.close()
+        self.agent.leaving = True
+        self.agent.heartbeat_due = True
+        self.entry.close_idle()
+        self.loop.scheduler.call_every(
+            SHUTDOWN_TICK_SECONDS, self._check_shutdown
+        )
+
+    def _check_shutdown(self):
+        self.entry.close_idle()
+        running = len(self.entry.active)
+        roles = len(self.agent.held)
+        busy = self.dispatchers.busy_count()
+        late = self.loop.now() >= self._shutdown_deadline
+        if late and (running or busy):
+            log_warning(
+                'grace_exceeded', running=running, roles=roles, busy=busy
+            )
+        if late or not (running or busy or roles):
+            self._control.stop()
+            self.links.close()
+            self.loop.stop()
+
+    # For the admin port.
+
+    def not_ready_reason(self):
+        """Return why callers cannot be served, or ''."""
+        if self._shutdown_deadline is not None:
+            return 'shutting down'
+        if self.state.manifest is None:
+            return 'no manifest'
+        if not self.agent.has_lease():
+            return 'no router lease'
+        missing = [
+            s.name
+            for s in self.state.manifest.services.values()
+            if s.kind == 'keyed' and s.name not in self.state.tables
+        ]
+        if missing:
+            return f'no ownership table of {missing[0]}'
+        return ''
+
+    def status(self):
+        """Return a JSON document for sillctl status."""
+        now = self.loop.now()
+        coordinator = self._control.coordinator
+        return {
+            'router': self.cfg.name,
+            'cell': self.cfg.cell,
+            'failure_domain': self.cfg.failure_domain,
+            'ready': not self.not_ready_reason(),
+            'not_ready_reason': self.not_ready_reason(),
+            'coordinator': self.agent.coordinator,
+            'leading': coordinator is not None,
+            'term': self.agent.term,
+            'lease_seconds': round(self.agent.lease_deadline - now, 3)
+            if self.agent.has_lease()
+            else 0,
+            'versions': self.state.versions(),
+            'members': self.state.members,
+            'candidates': self.state.candidates,
+            'drained': sorted(self.state.drained),
+            'dispatching': sorted(self.agent.held),
+            'active_requests': len(self.entry.active),
+            'store_calls': self._store.calls,
+            'store_reachable': self._store.reachable,
+            'control_bytes': dict(self.metrics.control_bytes),
+            'events': dict(self.metrics.events),
+        }
+
+    def _gauges(self):
+        left = 0.0
+        if self.agent.has_lease():
+            left = self.agent.lease_deadline - self.loop.now()
+        yield 'bramleysill_lease_seconds', {}, left
+        manifest = self.state.manifest
+        version = manifest.version if manifest else 0
+        yield 'bramleysill_manifest_version', {}, version
+
+
+def _no_link(router):
+    return refusals.NotDispatcher(
+        'no link to the dispatcher', 'forward', router, retry_after=1
+    )
--- a/packages/router/src/bramleysill_router/remote.py
+++ b/packages/router/src/bramleysill_router/remote.py
@@ -178,6 +178,7 @@
         head.caller,
         head.priority,
         head.idempotency_key,
+        head.key,
         body,
         last,
     )
@@ -326,6 +327,7 @@
         message.caller,
         message.priority,
         message.idempotency_key,
+        message.key,
     )
 
 
--- /dev/null
+++ b/packages/router/src/bramleysill_router/watches.py
@@ -0,0 +1,61 @@
+"""A watch of one store key, kept up through failures."""
+
+from bramleysill_kernel import effects
+
+# After a failed call, so that a store that recovers is not overrun.
+RETRY_SECONDS = 0.3
+
+
+class StoreWatch:
+    """Calls `on_value(value, version)` for each version newer than the last.
+
+    A missing key is reported once as an empty value of version 0.
+    """
+
+    __slots__ = ('_loop', '_store', '_key', '_on_value', '_after', '_active')
+
+    def __init__(self, loop, store, key, on_value):
+        self._loop = loop
+        self._store = store
+        self._key = key
+        self._on_value = on_value
+        self._after = None
+        self._active = False
+
+    def start(self):
+        """Read the key now and watch it from then on."""
+        self._active = True
+        self._read()
+
+    def stop(self):
+        """Report nothing more."""
+        self._active = False
+
+    def _read(self):
+        effect = effects.StoreRead(0, self._key)
+
+        def answered(answer):
+            self._take(answer.result, answer.value, answer.version)
+
+        self._store.execute(effect, answered)
+
+    def _watch(self):
+        if self._active:
+            self._store.watch(self._key, self._after, self._take)
+
+    def _take(self, result, value, version):
+        if not self._active:
+            return
+        if result == effects.RESULT_UNKNOWN:
+            self._retry()
+            return
+        if version != self._after and value is not None:
+            first = self._after is None
+            self._after = version
+            if version or not first:
+                self._on_value(value, version)
+        self._loop.scheduler.call_at(self._loop.now(), self._watch)
+
+    def _retry(self):
+        step = self._read if self._after is None else self._watch
+        self._loop.scheduler.call_at(self._loop.now() + RETRY_SECONDS, step)
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -128,6 +128,7 @@
   idempotencyKey @14 :Text;
   body @15 :Data;
   last @16 :Bool;
+  key @17 :Text;
 }
 
 struct StreamHead {
--- a/packages/wire/src/bramleysill_wire/streams.py
+++ b/packages/wire/src/bramleysill_wire/streams.py
@@ -30,6 +30,7 @@
     caller: str
     priority: int
     idempotency_key: str
+    key: str
     body: bytes = b''
     last: bool = False
 
