--- /dev/null
+++ b/packages/ctl/src/sillctl/commands.py
@@ -0,0 +1,339 @@
+"""The commands of sillctl; each public method is one command."""
+
+import json
+import os
+
+from fire import decorators
+
+from bramleysill_kernel import exceptions
+from bramleysill_kernel.ini_reader import nearest
+from bramleysill_kernel.manifest_parser import parse_manifest
+from sillctl import differences
+from sillctl import drains as drain_list
+from sillctl import key_moves
+from sillctl import ownership_view
+from sillctl import router_client
+from sillctl import sheets
+from sillctl.exceptions import NotFound
+from sillctl.exceptions import RaceLost
+from sillctl.output import Document
+from sillctl.store_clients import open_store
+
+STORE_VARIABLE = 'SILLCTL_STORE'
+
+
+class Commands:
+    """Checks and applies manifests, drains, and shows who owns what.
+
+    Args:
+      store: Address of the platform's store, as HOST:PORT. Without it, the
+        environment variable SILLCTL_STORE is used.
+      json: Print one JSON document instead of text.
+    """
+
+    @decorators.SetParseFns(store=str)
+    def __init__(self, *, store='', json=False):
+        self._store_address = store or os.environ.get(STORE_VARIABLE, '')
+        self._as_json = json
+
+    @decorators.SetParseFn(str)
+    def check(self, file):
+        """Checks a manifest file and reports all its problems at once."""
+        manifest = parse_manifest(sheets.load_file(file), file)
+        return self._document(
+            'check',
+            file=file,
+            region=manifest.region,
+            cell=manifest.cell,
+            failure_domains=len(manifest.failure_domains),
+            services=len(manifest.services),
+            upstreams=len(manifest.upstreams),
+        )
+
+    @decorators.SetParseFn(str)
+    def diff(self, file):
+        """Shows what a file changes in force, and which keys would move."""
+        store = self._open_store()
+        stored = sheets.load_stored(store)
+        manifest = parse_manifest(sheets.load_file(file), file)
+        found = differences.difference(stored.manifest, manifest)
+        return self._document(
+            'diff',
+            file=file,
+            version=stored.version,
+            author=stored.author if stored.version else 'nobody',
+            store_error=str(stored.error) if stored.error else '',
+            is_equal=differences.is_empty(found),
+            difference=found,
+            moves=_moves(store, stored.manifest, manifest),
+        )
+
+    @decorators.SetParseFns(file=str)
+    def apply(self, file, expected_version=None):
+        """Puts a file in force, if nobody else has written since.
+
+        Args:
+          file: The manifest file.
+          expected_version: The store's version that the file was made for,
+            as `sillctl diff` shows it; by default the current one.
+        """
+        _check_version(expected_version)
+        store = self._open_store()
+        text = sheets.load_file(file)
+        manifest = parse_manifest(text, file)
+        stored = sheets.load_stored(store)
+        found = differences.difference(stored.manifest, manifest)
+        fields = {
+            'file': file,
+            'difference': found,
+            'moves': _moves(store, stored.manifest, manifest),
+        }
+        if expected_version not in (None, stored.version):
+            raise _race_lost(stored, expected_version, manifest)
+        if sheets.strip_stamp(stored.text) == sheets.strip_stamp(text):
+            fields.update(is_written=False, version=stored.version)
+            return self._document('apply', write_id='', **fields)
+        try:
+            write_id, version = sheets.write_sheet(store, text, stored.version)
+        except exceptions.StoreConflict as exc:
+            current = sheets.load_stored(store)
+            raise _race_lost(current, stored.version, manifest) from exc
+        fields.update(is_written=True, version=version)
+        return self._document('apply', write_id=write_id, **fields)
+
+    @decorators.SetParseFns(kind=str, name=str)
+    def drain(self, kind, name, force=False):
+        """Takes a failure domain or an upstream out of service.
+
+        Args:
+          kind: failure_domain or upstream.
+          name: Its name in the manifest.
+          force: Drain even if a service then has no upstream left.
+        """
+        store = self._open_store()
+        manifest = self._manifest(store)
+        _check_target(manifest, kind, name)
+
+        def check(old, new):
+            if not force:
+                drain_list.check_services(
+                    _marked(manifest, old), _marked(manifest, new)
+                )
+
+        drains, is_changed = drain_list.change(store, kind, name, True, check)
+        return self._document(
+            'drain',
+            kind=kind,
+            name=name,
+            is_changed=is_changed,
+            version=drains.version,
+            drains=drains.names(),
+        )
+
+    @decorators.SetParseFn(str)
+    def restore(self, kind, name):
+        """Returns a failure domain or an upstream to service.
+
+        Args:
+          kind: failure_domain or upstream.
+          name: Its name in the manifest.
+        """
+        store = self._open_store()
+        manifest = self._manifest(store)
+        if name not in _drained_names(store, kind):
+            _check_target(manifest, kind, name)
+        drains, is_changed = drain_list.change(
+            store, kind, name, False, lambda old, new: None
+        )
+        return self._document(
+            'restore',
+            kind=kind,
+            name=name,
+            is_changed=is_changed,
+            version=drains.version,
+            drains=drains.names(),
+            drained_by=_still_drained(manifest, drains, kind, name),
+        )
+
+    @decorators.SetParseFn(str)
+    def owner(self, service, key):
+        """Shows the owner of a key, its fence, and why it is the owner."""
+        store = self._open_store()
+        manifest = self._manifest(store)
+        found = ownership_view.keyed_service(manifest, service)
+        table = ownership_view.load_table(store, manifest.cell, service)
+        if table is None:
+            raise NotFound(
+                f'the store has no ownership table of {service} yet',
+                'owner',
+                service,
+                'Check with `sillctl status` that a coordinator leads.',
+            )
+        drains = drain_list.load(store)
+        return self._document(
+            'owner',
+            **ownership_view.owner_of(manifest, drains, table, found, key),
+        )
+
+    @decorators.SetParseFn(str)
+    def status(self, router=''):
+        """Shows the leader, the ownership tables, the balance and drains.
+
+        Args:
+          router: HOST:PORT of a router's admin port, to show its status too.
+        """
+        store = self._open_store()
+        stored = sheets.load_stored(store)
+        drains = drain_list.load(store)
+        manifest = stored.manifest
+        tables, leader, lease = {}, None, None
+        if manifest is not None:
+            leader, lease = _leader(store, manifest.cell)
+            marked = _marked(manifest, drains)
+            tables = ownership_view.table_summaries(store, marked)
+        return self._document(
+            'status',
+            store=self._store_address,
+            manifest=_manifest_fields(stored),
+            leader=leader,
+            lease=lease,
+            tables=tables,
+            drains={**drains.names(), 'version': drains.version},
+            router=router_client.read_status(router) if router else None,
+        )
+
+    def _open_store(self):
+        if not self._store_address:
+            raise exceptions.SettingsError(
+                'no address of the store',
+                'settings',
+                hint=f'Add --store HOST:PORT or set {STORE_VARIABLE}.',
+            )
+        return open_store(self._store_address)
+
+    def _manifest(self, store):
+        """Return the manifest in force; raises NotFound or ManifestError."""
+        stored = sheets.load_stored(store)
+        if stored.error is not None:
+            raise stored.error
+        if stored.manifest is None:
+            raise NotFound(
+                'the store has no manifest',
+                'read',
+                sheets.MANIFEST_KEY,
+                'Run `sillctl apply FILE`.',
+            )
+        return stored.manifest
+
+    def _document(self, command, **fields):
+        return Document(command, fields, self._as_json)
+
+
+def _check_version(version):
+    if version is not None and (
+        isinstance(version, bool) or not isinstance(version, int)
+    ):
+        raise exceptions.SettingsError(
+            f'expected version {version!r} is not a whole number',
+            'settings',
+            hint='Write the version that `sillctl diff FILE` shows.',
+        )
+
+
+def _marked(manifest, drains):
+    """Return a copy of a manifest in which the drains are marked."""
+    copy = parse_manifest(manifest.text, 'store', manifest.version)
+    drains.mark(copy)
+    return copy
+
+
+def _moves(store, old, new):
+    if old is None:
+        return {}
+    drains = drain_list.load(store)
+    tables = ownership_view.load_tables(store, old)
+    return key_moves.moved_shares(
+        _marked(old, drains), _marked(new, drains), tables
+    )
+
+
+def _race_lost(stored, expected, manifest):
+    return RaceLost(
+        sheets.MANIFEST_KEY,
+        stored.version,
+        expected,
+        stored.author,
+        differences.difference(stored.manifest, manifest),
+    )
+
+
+def _check_kind(kind):
+    if kind not in drain_list.KINDS:
+        raise exceptions.SettingsError(
+            f'{kind!r} is not failure_domain or upstream',
+            'settings',
+            hint='Write `failure_domain NAME` or `upstream NAME`.',
+        )
+
+
+def _check_target(manifest, kind, name):
+    _check_kind(kind)
+    known = getattr(manifest, drain_list.KINDS[kind])
+    if name not in known:
+        near = nearest(name, known)
+        raise NotFound(
+            f'no {kind} {name!r}{f"; did you mean {near!r}?" if near else ""}',
+            'drain',
+            name,
+        )
+
+
+def _drained_names(store, kind):
+    _check_kind(kind)
+    return drain_list.load(store).of(kind)
+
+
+def _still_drained(manifest, drains, kind, name):
+    """Return what keeps a restored name out, or an empty string."""
+    if kind == 'upstream' and name in manifest.upstreams:
+        return ownership_view.drained_by(manifest, drains, name)
+    domain = manifest.failure_domains.get(name)
+    if kind == 'failure_domain' and domain and domain.drained:
+        return f'failure domain {name} in the manifest'
+    return ''
+
+
+def _leader(store, cell):
+    """Return the leader record and the lease, each as a dict or None."""
+    record = store.read(f'cell/{cell}/leader')
+    lease = store.read(f'cell/{cell}/lease')
+    leader = None
+    if record.version:
+        try:
+            fields = json.loads(record.data)
+            leader = {
+                'term': fields['term'],
+                'holder': fields['holder'],
+                'candidates': list(fields['candidates']),
+                'version': record.version,
+            }
+        except (ValueError, KeyError, TypeError) as exc:
+            raise exceptions.StoreError(
+                f'malformed leader record: {exc!r}', 'decode', cell
+            ) from exc
+    if not lease.version:
+        return leader, None
+    value = lease.data.decode(errors='replace')
+    return leader, {'version': lease.version, 'value': value}
+
+
+def _manifest_fields(stored):
+    manifest = stored.manifest
+    return {
+        'version': stored.version,
+        'author': stored.author,
+        'write_id': sheets.read_stamp(stored.text).get('write_id', ''),
+        'region': manifest.region if manifest else '',
+        'cell': manifest.cell if manifest else '',
+        'error': str(stored.error) if stored.error else '',
+    }
--- /dev/null
+++ b/packages/ctl/src/sillctl/drains.py
@@ -0,0 +1,122 @@
+"""The store's list of drained failure domains and upstreams."""
+
+import json
+
+from bramleysill_kernel.exceptions import StoreConflict
+from bramleysill_kernel.exceptions import StoreError
+from sillctl import swap
+from sillctl.exceptions import NoUpstreamLeft
+from sillctl.store_clients import StoreValue
+
+DRAINS_KEY = 'drains'
+KINDS = {'failure_domain': 'failure_domains', 'upstream': 'upstreams'}
+MAX_ATTEMPTS = 10
+
+
+class Drains:
+    """Names of drained failure domains and upstreams, and their version."""
+
+    __slots__ = ('failure_domains', 'upstreams', 'write_id', 'version')
+
+    def __init__(self):
+        self.failure_domains = set()
+        self.upstreams = set()
+        self.write_id = ''
+        self.version = 0
+
+    @classmethod
+    def decode(cls, value):
+        """Read a stored value; raises StoreError if it is malformed."""
+        drains = cls()
+        drains.version = value.version
+        if not value.version:
+            return drains
+        try:
+            fields = json.loads(value.data)
+            drains.failure_domains = {
+                str(n) for n in fields['failure_domains']
+            }
+            drains.upstreams = {str(n) for n in fields['upstreams']}
+            drains.write_id = str(fields.get('write_id', ''))
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            raise StoreError(
+                f'malformed drains: {exc!r}', 'decode', DRAINS_KEY
+            ) from exc
+        return drains
+
+    def copy(self):
+        """Return an independent copy."""
+        return Drains.decode(StoreValue(self.encode(), self.version))
+
+    def encode(self):
+        """Return the value as stored."""
+        fields = {**self.names(), 'write_id': self.write_id}
+        return json.dumps(fields).encode()
+
+    def names(self):
+        """Return the drained names, in order."""
+        return {
+            'failure_domains': sorted(self.failure_domains),
+            'upstreams': sorted(self.upstreams),
+        }
+
+    def of(self, kind):
+        """Return the set of names of a kind."""
+        return getattr(self, KINDS[kind])
+
+    def mark(self, manifest):
+        """Set the drained flags of a manifest that these drains add."""
+        for name, domain in manifest.failure_domains.items():
+            domain.drained = domain.drained or name in self.failure_domains
+        for name, upstream in manifest.upstreams.items():
+            upstream.drained = upstream.drained or name in self.upstreams
+
+
+def load(store):
+    """Return the store's drains."""
+    return Drains.decode(store.read(DRAINS_KEY))
+
+
+def check_services(before, after):
+    """Raise NoUpstreamLeft if a service loses its last eligible upstream."""
+    for name in after.services:
+        if before.eligible(name) and not after.eligible(name):
+            raise NoUpstreamLeft(
+                f'service {name} would have no upstream left', 'drain', name
+            )
+
+
+def change(store, kind, name, drained, check):
+    """Add or remove one name; return the drains and if they were changed.
+
+    A race with another operator's change is repeated on top of that change,
+    since adding or removing one name doesn't undo it. `check(old, new)` is
+    called with the drains before and after each write and may raise.
+    """
+    for attempt in range(MAX_ATTEMPTS):
+        drains = load(store)
+        if (name in drains.of(kind)) == drained:
+            return drains, False
+        old = drains.copy()
+        (drains.of(kind).add if drained else drains.of(kind).discard)(name)
+        drains.write_id = swap.new_write_id()
+        check(old, drains)
+        try:
+            drains.version = _write(store, drains)
+        except StoreConflict:
+            if attempt == MAX_ATTEMPTS - 1:
+                raise
+        else:
+            return drains, True
+
+
+def _write(store, drains):
+    def is_ours(data):
+        try:
+            return json.loads(data).get('write_id') == drains.write_id
+        except (ValueError, AttributeError):
+            return False
+
+    return swap.swap(
+        store, DRAINS_KEY, drains.encode(), drains.version, is_ours
+    )
--- /dev/null
+++ b/packages/ctl/src/sillctl/exceptions.py
@@ -0,0 +1,99 @@
+"""Errors of the operators' tool, and the exit code of each error class."""
+
+from bramleysill_kernel import exceptions
+
+EXIT_OK = 0
+EXIT_INTERNAL = 1
+# Used by fire for a command line that it can't read.
+EXIT_USAGE = 2
+EXIT_MANIFEST = 3
+EXIT_SETTINGS = 4
+EXIT_STORE = 5
+EXIT_CONFLICT = 6
+EXIT_UNKNOWN_OUTCOME = 7
+EXIT_NOT_FOUND = 8
+EXIT_NO_UPSTREAM_LEFT = 9
+EXIT_ROUTER = 10
+
+
+class StoreNotReached(exceptions.StoreUnavailable):
+    """No connection to the store could be made, so nothing was sent."""
+
+    code = 'store_not_reached'
+    hint = 'Check --store or SILLCTL_STORE; nothing was changed.'
+
+
+class OutcomeUnknown(exceptions.StoreError):
+    """A write may or may not have taken effect, or may do so later."""
+
+    code = 'outcome_unknown'
+    hint = (
+        'Run `sillctl status` to see what is in force. Running the same '
+        'command again is safe: it compares versions first.'
+    )
+
+
+class RaceLost(exceptions.StoreConflict):
+    """Another operator's manifest was written first.
+
+    `winner` is who wrote the current version, `difference` what a new
+    `apply` would change in it.
+    """
+
+    hint = (
+        'Merge the difference into your file, then run `sillctl diff FILE` '
+        'and `sillctl apply FILE` again.'
+    )
+
+    def __init__(self, key, version, expected, winner, difference):
+        super().__init__(key, version)
+        self.expected = expected
+        self.winner = winner
+        self.difference = difference
+        self.message = (
+            f'{winner} wrote {key} version {version}, which is '
+            f'{version - expected} after the expected version {expected}; '
+            'nothing was written'
+        )
+
+
+class NotFound(exceptions.SillError):
+    """The store has no such service, upstream, failure domain or value."""
+
+    code = 'not_found'
+    hint = 'Run `sillctl status` to see what is declared.'
+
+
+class NoUpstreamLeft(exceptions.SillError):
+    """A drain would leave a service without any upstream."""
+
+    code = 'no_upstream_left'
+    hint = 'Restore something first, or add --force to accept refusals.'
+
+
+class RouterUnavailable(exceptions.SillError):
+    """The router's admin port did not answer."""
+
+    code = 'router_unavailable'
+    hint = 'Check --router, which is the address of the admin port.'
+
+
+EXIT_CODES = {
+    exceptions.SillError: EXIT_INTERNAL,
+    exceptions.ManifestError: EXIT_MANIFEST,
+    exceptions.SettingsError: EXIT_SETTINGS,
+    exceptions.StoreError: EXIT_STORE,
+    exceptions.StoreConflict: EXIT_CONFLICT,
+    OutcomeUnknown: EXIT_UNKNOWN_OUTCOME,
+    NotFound: EXIT_NOT_FOUND,
+    NoUpstreamLeft: EXIT_NO_UPSTREAM_LEFT,
+    RouterUnavailable: EXIT_ROUTER,
+}
+
+
+def exit_code(exc):
+    """Return the exit code of the nearest listed class of an error."""
+    for cls in type(exc).__mro__:
+        if cls in EXIT_CODES:
+            return EXIT_CODES[cls]
+    return EXIT_INTERNAL
--- /dev/null
+++ b/packages/ctl/src/sillctl/key_moves.py
@@ -0,0 +1,162 @@
+"""The share of keys that change owner between two manifests.
+
+With an ownership table, the placement method of the service plans from the
+owners in force. Without a table, or if the shards are renumbered, owners are
+computed for both manifests by weighted rendezvous hashing over the eligible
+upstreams, which is an estimate.
+"""
+
+import importlib
+import math
+import random
+
+from bramleysill_kernel.hashing import rendezvous_score
+from bramleysill_kernel.manifest import KIND_KEYED
+from bramleysill_kernel.ownership import NO_OWNER
+from bramleysill_kernel.ownership import KeySpace
+
+SAMPLES = 4096
+SEED = 1
+# Bits of the hash that a float holds exactly.
+SCORE_BITS = 53
+HASH_BITS = 64
+DEFAULT_PARTITION = 'default'
+METHOD_ESTIMATE = 'estimate'
+PLACEMENT_MODULE = 'bramleysill_kernel.placement'
+
+
+def find_placement(name):
+    """Return a placement method of the kernel, or None without any."""
+    try:
+        module = importlib.import_module(PLACEMENT_MODULE)
+    except ModuleNotFoundError:
+        return None
+    return module.placements.get(name)
+
+
+def _eligible(manifest, service, part):
+    names = manifest.eligible(service.name)
+    if part.eligible:
+        names = [n for n in names if n in part.eligible]
+    return tuple(names)
+
+
+def _weighted_score(upstream, item):
+    score = rendezvous_score(upstream.name, item) >> (HASH_BITS - SCORE_BITS)
+    return upstream.weight / -math.log((score + 0.5) / (1 << SCORE_BITS))
+
+
+def _partition_owners(manifest, service, part):
+    names = _eligible(manifest, service, part)
+    upstreams = [manifest.upstreams[n] for n in names]
+    owners = []
+    for shard in range(part.shards):
+        scores = {
+            u.name: _weighted_score(u, f'{part.name}/{shard}')
+            for u in upstreams
+        }
+        owners.append(max(scores, key=scores.get, default=NO_OWNER))
+    return owners
+
+
+def _owners(manifest, service):
+    """Return the owner's name of each shard, by partition."""
+    return {
+        part.name: _partition_owners(manifest, service, part)
+        for part in KeySpace(service).partitions
+    }
+
+
+def _share(before, after):
+    """Return the share of a partition's keys that change owner.
+
+    With equal numbers of shards the share is exact; otherwise it is taken
+    from a fixed sample of hashes.
+    """
+    if len(before) == len(after):
+        points = range(len(before))
+    else:
+        rng = random.Random(SEED)
+        points = [rng.getrandbits(HASH_BITS) for _ in range(SAMPLES)]
+    moved = sum(
+        before[p % len(before)] != after[p % len(after)] for p in points
+    )
+    return moved / len(points)
+
+
+def _is_renumbered(old, new, name):
+    """Tell whether a shard number stands for other keys than before."""
+    numbers = [
+        [(p.first, p.last, p.base, p.shards) for p in space.partitions]
+        for space in (KeySpace(m.services[name]) for m in (old, new))
+    ]
+    return numbers[0] != numbers[1]
+
+
+def _estimated_shares(old, new, name):
+    """Return the share of each partition, from computed owners."""
+    before = _owners(old, old.services[name])
+    after = _owners(new, new.services[name])
+    return {
+        part: _share(before.get(part, before[DEFAULT_PARTITION]), owners)
+        for part, owners in after.items()
+    }
+
+
+def _planned_shares(plan, new, name, table):
+    """Return the share of each partition, from the owners in force."""
+    service = new.services[name]
+    space = KeySpace(service)
+    eligible = {p.name: _eligible(new, service, p) for p in space.partitions}
+    units_by_owner, eligible_by_unit, parts = {}, {}, {}
+    for shard, assignment in enumerate(table.shards):
+        unit = str(shard)
+        parts[unit] = space.partition_of_shard(shard).name
+        eligible_by_unit[unit] = eligible[parts[unit]]
+        units_by_owner.setdefault(assignment.owner, []).append(unit)
+    moves = plan(
+        units_by_owner=units_by_owner,
+        eligible_by_unit=eligible_by_unit,
+        weights={u.name: u.weight for u in service.upstreams},
+        loads={},
+        max_moves=len(parts),
+        rng=random.Random(SEED),
+    )
+    moved = [parts[m.unit] for m in moves]
+    return {p.name: moved.count(p.name) / p.shards for p in space.partitions}
+
+
+def _service_share(old, new, name, table):
+    service = new.services[name]
+    space = KeySpace(service)
+    is_renumbered = _is_renumbered(old, new, name)
+    plan = find_placement(service.placement)
+    has_table = table is not None and len(table.shards) == space.shard_count
+    if plan and has_table and not is_renumbered:
+        method = service.placement
+        shares = _planned_shares(plan, new, name, table)
+    else:
+        method = METHOD_ESTIMATE
+        shares = _estimated_shares(old, new, name)
+    moved = sum(shares[p.name] * p.shards for p in space.partitions)
+    return {
+        'share': moved / space.shard_count,
+        'partitions': shares,
+        'method': method,
+        'is_renumbered': is_renumbered,
+    }
+
+
+def moved_shares(old, new, tables):
+    """Return, by keyed service of both manifests, the share that moves.
+
+    `tables` holds the tables in force by service. Partitions count by their
+    number of shards, since the number of keys in each is not known here.
+    """
+    return {
+        name: _service_share(old, new, name, tables.get(name))
+        for name, service in new.services.items()
+        if service.kind == KIND_KEYED
+        and name in old.services
+        and old.services[name].kind == KIND_KEYED
+    }
--- /dev/null
+++ b/packages/ctl/src/sillctl/main.py
@@ -0,0 +1,50 @@
+"""The entry point of sillctl."""
+
+import sys
+
+import fire
+
+from bramleysill_kernel.exceptions import SillError
+from sillctl import output
+from sillctl.commands import Commands
+from sillctl.exceptions import EXIT_OK
+from sillctl.exceptions import exit_code
+
+JSON_FLAGS = ('--json', '-j', '--json=True')
+HELP_FLAGS = ('--help', '-h')
+
+
+def _command_name(words):
+    """Return the command of a command line, or an empty string."""
+    return next((w for w in words if hasattr(Commands, w)), '')
+
+
+def run(args):
+    """Run one command line; print its result and return the exit code."""
+    # fire takes the word after a bare flag for the flag's value, and shows
+    # the list of commands only for an empty command line.
+    as_json = any(a in JSON_FLAGS for a in args)
+    words = [a for a in args if a not in JSON_FLAGS]
+    if words and words[0] in HELP_FLAGS:
+        words = []
+    if as_json:
+        words.append(JSON_FLAGS[-1])
+    try:
+        fire.Fire(Commands, command=words, name='sillctl')
+    except SillError as exc:
+        if as_json:
+            error = {'error': output.error_fields(exc)}
+            print(output.to_json(_command_name(words), error))
+        else:
+            print(output.error_text(exc), file=sys.stderr)
+        return exit_code(exc)
+    return EXIT_OK
+
+
+def main():
+    """Run the command line of this process."""
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/ctl/src/sillctl/output.py
@@ -0,0 +1,180 @@
+"""Output of the commands: text for people or one JSON document."""
+
+import json
+
+import jinja2
+
+_DIFFERENCE = """\
+{%- macro sheet_difference(found) -%}
+{%- for title in found.added %}
++ [{{ title }}]
+{%- endfor %}
+{%- for title in found.removed %}
+- [{{ title }}]
+{%- endfor %}
+{%- for item in found.changed %}
+~ [{{ item.section }}] {{ item.option }}: {{ item.old }} -> {{ item.new }}
+{%- endfor %}
+{%- endmacro -%}
+"""
+
+_MOVES = """\
+{%- macro key_moves(moves) -%}
+{%- for service, found in moves.items() %}
+{{ service }}: about {{ '%.1f' % (found.share * 100) }}% of the keys would \
+move ({{ found.method }})
+{%- if found.is_renumbered %}
+{{ service }}: its shards are renumbered, so every unit may change its keys
+{%- endif %}
+{%- endfor %}
+{%- endmacro -%}
+"""
+
+_TEMPLATES = {
+    'check': """\
+{{ file }}: valid; region {{ region }}, cell {{ cell }}, \
+{{ failure_domains }} failure domains, {{ services }} services, \
+{{ upstreams }} upstreams""",
+    'diff': """\
+{{ file }} compared with version {{ version }} by {{ author }}
+{%- if store_error %}
+The store's manifest can't be read: {{ store_error }}
+{%- endif %}
+{%- if is_equal %}
+No difference.
+{%- endif %}
+{{- sheet_difference(difference) }}
+{{- key_moves(moves) }}""",
+    'apply': """\
+{% if is_written -%}
+{{ file }} is version {{ version }}, write id {{ write_id }}
+{%- else -%}
+{{ file }} equals version {{ version }}; nothing was written
+{%- endif %}
+{{- sheet_difference(difference) }}
+{{- key_moves(moves) }}""",
+    'drain': """\
+{{ kind }} {{ name }} {{ 'is drained' if is_changed else 'was already drained'\
+ }}; drains are at version {{ version }}""",
+    'restore': """\
+{{ kind }} {{ name }} \
+{{ 'is restored' if is_changed else 'was not drained by sillctl' }}; \
+drains are at version {{ version }}
+{%- if drained_by %}
+It stays out: drained by {{ drained_by }}
+{%- endif %}""",
+    'owner': """\
+owner  {{ owner or 'none: the key is refused with owner_lost' }}
+fence  {{ fence }}
+unit   {{ unit }}
+reason {{ reason }}
+{%- if drained_by %}
+drained by {{ drained_by }}; its units are being moved
+{%- endif %}
+table  version {{ table_version }}, term {{ term }}
+{%- if not is_current %}
+The table does not match the manifest yet; the owner may change soon.
+{%- endif %}""",
+    'status': """\
+store     {{ store }}
+manifest  {% if manifest.version -%}
+version {{ manifest.version }} by {{ manifest.author }}, \
+region {{ manifest.region }}, cell {{ manifest.cell }}
+{%- else %}none{% endif %}
+{%- if manifest.error %}
+          can't be read: {{ manifest.error }}
+{%- endif %}
+leader    {% if leader -%}
+{{ leader.holder }}, term {{ leader.term }}, \
+candidates {{ leader.candidates | join(', ') }}
+{%- else %}none on record{% endif %}
+lease     {% if lease -%}
+held{% if lease.value %} by {{ lease.value }}{% endif %}
+{%- else %}not held{% endif %}
+{%- for service, table in tables.items() %}
+table     {{ service }}: {% if not table -%}
+none
+{%- elif table.error -%}
+{{ table.error }}
+{%- else -%}
+version {{ table.version }}, term {{ table.term }}, {{ table.units }} units, \
+imbalance {{ 'unknown' if table.imbalance is none else table.imbalance }}, \
+{{ table.without_owner }} without owner, {{ table.on_drained }} on drained
+{%- endif %}
+{%- endfor %}
+drains    {% if drains.failure_domains or drains.upstreams -%}
+version {{ drains.version }}
+{%- for name in drains.failure_domains %}
+          failure_domain {{ name }}
+{%- endfor %}
+{%- for name in drains.upstreams %}
+          upstream {{ name }}
+{%- endfor %}
+{%- else %}none{% endif %}
+{%- if router is not none %}
+router    {{ router | tojson(indent=2) }}
+{%- endif %}""",
+}
+
+_ENVIRONMENT = jinja2.Environment(
+    undefined=jinja2.StrictUndefined, autoescape=False
+)
+
+
+class Document:
+    """The result of a command; `str()` renders it."""
+
+    __slots__ = ('_command', '_fields', '_as_json')
+
+    def __init__(self, command, fields, as_json):
+        self._command = command
+        self._fields = fields
+        self._as_json = as_json
+
+    def __str__(self):
+        if self._as_json:
+            return to_json(self._command, self._fields)
+        source = _DIFFERENCE + _MOVES + _TEMPLATES[self._command]
+        return _ENVIRONMENT.from_string(source).render(self._fields)
+
+
+def to_json(command, fields):
+    """Return one JSON document of a command's result."""
+    return json.dumps({'command': command, **fields}, indent=2, default=str)
+
+
+def error_fields(exc):
+    """Return an error as a dict for a JSON document."""
+    fields = {
+        'code': exc.code,
+        'message': exc.message,
+        'step': exc.step,
+        'peer': exc.peer,
+        'hint': exc.hint,
+    }
+    for problem in getattr(exc, 'problems', ()):
+        fields.setdefault('problems', []).append(
+            {
+                'file': problem.file,
+                'line': problem.line,
+                'what': problem.what,
+                'write': problem.write,
+            }
+        )
+    for name in ('version', 'expected', 'winner', 'difference'):
+        if hasattr(exc, name):
+            fields[name] = getattr(exc, name)
+    return fields
+
+
+def error_text(exc):
+    """Return an error for people, with what to do."""
+    lines = [str(problem) for problem in getattr(exc, 'problems', ())]
+    lines.append(str(exc))
+    if hasattr(exc, 'difference'):
+        source = _DIFFERENCE + '{{ sheet_difference(difference) }}'
+        template = _ENVIRONMENT.from_string(source)
+        lines.append('What your file would change in the current version:')
+        text = template.render(difference=exc.difference).strip()
+        lines.append(text or 'Nothing.')
+    return '\n'.join([*lines, exc.hint])
--- /dev/null
+++ b/packages/ctl/src/sillctl/ownership_view.py
@@ -0,0 +1,169 @@
+"""What the store says about owners: of one key, and of all shards."""
+
+from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.manifest import KIND_KEYED
+from bramleysill_kernel.ownership import NO_OWNER
+from bramleysill_kernel.ownership import SINGLE_PREFIX
+from bramleysill_kernel.ownership import KeySpace
+from bramleysill_kernel.ownership import OwnershipTable
+from sillctl.exceptions import NotFound
+
+# A cell's service fits one block (docs/manifest.md limits its shards).
+BLOCK = 0
+
+
+def table_key(cell, service):
+    """Return the store key of a service's table."""
+    return f'cell/{cell}/table/{service}/{BLOCK}'
+
+
+def load_table(store, cell, service):
+    """Return a service's table, or None if the store has none."""
+    value = store.read(table_key(cell, service))
+    if not value.version:
+        return None
+    return OwnershipTable.decode(value.data, value.version)
+
+
+def keyed_service(manifest, name):
+    """Return a keyed service by name; raises NotFound."""
+    service = manifest.services.get(name)
+    if service is None:
+        known = ', '.join(manifest.services)
+        raise NotFound(f'no service {name!r}; there are: {known}', 'owner')
+    if service.kind != KIND_KEYED:
+        raise NotFound(
+            f'service {name} is shared, so its keys have no owner', 'owner'
+        )
+    return service
+
+
+def drained_by(manifest, drains, name):
+    """Return why an upstream takes no new work, or an empty string.
+
+    `manifest` is as declared, without the store's drains.
+    """
+    upstream = manifest.upstreams.get(name)
+    if upstream is None:
+        return 'the manifest does not declare it'
+    domain = manifest.failure_domains[upstream.failure_domain]
+    causes = (
+        (upstream.drained, f'upstream {name} in the manifest'),
+        (domain.drained, f'failure domain {domain.name} in the manifest'),
+        (name in drains.upstreams, f'upstream {name} by sillctl drain'),
+        (
+            domain.name in drains.failure_domains,
+            f'failure domain {domain.name} by sillctl drain',
+        ),
+    )
+    return ', '.join(text for applies, text in causes if applies)
+
+
+def _reason(service, space, unit, key):
+    part = space.partition_of(key)
+    if not unit.startswith(SINGLE_PREFIX):
+        if part.name == space.partitions[-1].name:
+            return 'default partition, which no range covers'
+        bounds = f'from {part.first!r} to {part.last!r}'
+        return f'range {part.name} ({bounds}; empty is open)'
+    if any(single.key == key for single in service.singles):
+        return 'single key that the manifest declares'
+    return 'hot key with an entry of its own'
+
+
+def owner_of(manifest, drains, table, service, key):
+    """Return the owner of a key and the reason, as a dict."""
+    space = KeySpace(service)
+    unit = table.unit_of(space, key)
+    assignment = table.get(unit)
+    if assignment is None:
+        raise NotFound(
+            f'the table has no unit {unit}: it is older than the manifest',
+            'owner',
+            service.name,
+            'Wait for the coordinator, then ask again.',
+        )
+    has_owner = assignment.owner != NO_OWNER
+    return {
+        'service': service.name,
+        'key': key,
+        'unit': unit,
+        'owner': assignment.owner,
+        'fence': assignment.fence,
+        'partition': space.partition_of(key).name,
+        'reason': _reason(service, space, unit, key),
+        'drained_by': (
+            drained_by(manifest, drains, assignment.owner) if has_owner else ''
+        ),
+        'table_version': table.version,
+        'term': table.term,
+        'is_current': len(table.shards) == space.shard_count,
+    }
+
+
+def _unit_counts(table, service):
+    counts = {u.name: 0 for u in service.upstreams}
+    for _, assignment in table.units():
+        counts[assignment.owner] = counts.get(assignment.owner, 0) + 1
+    return counts
+
+
+def _imbalance(manifest, names, counts):
+    """Return the highest number of units by weight over the mean."""
+    weights = [manifest.upstreams[n].weight for n in names]
+    total = sum(counts[n] for n in names)
+    if not total:
+        return None
+    mean = total / sum(weights)
+    loads = [counts[n] / w for n, w in zip(names, weights, strict=True)]
+    return round(max(loads) / mean, 3)
+
+
+def table_summary(manifest, table, service):
+    """Return version, balance and gaps of a service's table.
+
+    `manifest` has the drains marked. `imbalance` is the highest number of
+    units by weight of an eligible upstream over the mean; 1 is even.
+    """
+    counts = _unit_counts(table, service)
+    without_owner = counts.pop(NO_OWNER, 0)
+    eligible = manifest.eligible(service.name)
+    drained = sum(n for name, n in counts.items() if name not in eligible)
+    return {
+        'version': table.version,
+        'term': table.term,
+        'units': sum(counts.values()) + without_owner,
+        'without_owner': without_owner,
+        'on_drained': drained,
+        'imbalance': _imbalance(manifest, eligible, counts),
+        'error': '',
+    }
+
+
+def _keyed_services(manifest):
+    services = manifest.services.values()
+    return [s for s in services if s.kind == KIND_KEYED]
+
+
+def load_tables(store, manifest):
+    """Return the tables of the keyed services that have one, by service."""
+    found = {
+        s.name: load_table(store, manifest.cell, s.name)
+        for s in _keyed_services(manifest)
+    }
+    return {name: table for name, table in found.items() if table}
+
+
+def table_summaries(store, manifest):
+    """Return the summary of each keyed service's table, by service."""
+    found = {}
+    for service in _keyed_services(manifest):
+        try:
+            table = load_table(store, manifest.cell, service.name)
+        except SillError as exc:
+            found[service.name] = {'error': str(exc)}
+            continue
+        found[service.name] = (
+            table_summary(manifest, table, service) if table else None
+        )
+    return found
--- /dev/null
+++ b/packages/ctl/src/sillctl/sheets.py
@@ -0,0 +1,116 @@
+"""Manifest sheets in files and in the store.
+
+A stored sheet starts with a comment line that names the write and who made
+it::
+
+    ; sillctl write_id=5f0c... by=mei@ops1 at=2026-12-04T05:40:00Z
+"""
+
+import dataclasses
+import datetime
+import getpass
+import pathlib
+import socket
+
+from bramleysill_kernel import exceptions
+from bramleysill_kernel.manifest import Manifest
+from bramleysill_kernel.manifest_parser import parse_manifest
+from sillctl import swap
+
+MANIFEST_KEY = 'manifest'
+STAMP_PREFIX = '; sillctl '
+
+
+@dataclasses.dataclass(slots=True)
+class Stored:
+    """The store's sheet; `manifest` is None if it can't be read."""
+
+    text: str = ''
+    version: int = 0
+    manifest: Manifest | None = None
+    error: exceptions.ManifestError | None = None
+
+    @property
+    def author(self):
+        """Return who wrote the sheet, as far as it says."""
+        return read_stamp(self.text).get('by', 'a writer without a name')
+
+
+def load_file(path):
+    """Return the text of a sheet; raises SettingsError if unreadable."""
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as exc:
+        raise exceptions.SettingsError(
+            f'cannot read the file: {exc.strerror}',
+            'read',
+            str(path),
+            'Give the path of a readable manifest file.',
+        ) from exc
+    # Bytes that aren't UTF-8 become characters that the parser reports.
+    return data.decode('utf-8-sig', errors='surrogateescape')
+
+
+def load_stored(store):
+    """Return the store's sheet."""
+    value = store.read(MANIFEST_KEY)
+    text = value.data.decode('utf-8', errors='replace')
+    stored = Stored(text, value.version)
+    if value.version:
+        try:
+            stored.manifest = parse_manifest(text, 'store', value.version)
+        except exceptions.ManifestError as exc:
+            stored.error = exc
+    return stored
+
+
+def caller_name():
+    """Return who runs this process, as user@host."""
+    try:
+        user = getpass.getuser()
+    except (OSError, KeyError):
+        user = 'unknown'
+    return f'{user}@{socket.gethostname()}'.replace(' ', '_')
+
+
+def strip_stamp(text):
+    """Return a sheet without the comment line of an earlier write."""
+    lines = text.split('\n')
+    while lines and lines[0].startswith(STAMP_PREFIX):
+        del lines[0]
+    return '\n'.join(lines)
+
+
+def stamp(text, write_id):
+    """Return a sheet with the comment line of this write."""
+    now = datetime.datetime.now(datetime.UTC).strftime('%Y-%m-%dT%H:%M:%SZ')
+    fields = f'write_id={write_id} by={caller_name()} at={now}'
+    return f'{STAMP_PREFIX}{fields}\n{strip_stamp(text)}'
+
+
+def read_stamp(text):
+    """Return the fields of the comment line as a dict."""
+    first = text.split('\n', 1)[0]
+    if not first.startswith(STAMP_PREFIX):
+        return {}
+    words = first.removeprefix(STAMP_PREFIX).split()
+    return dict(word.split('=', 1) for word in words if '=' in word)
+
+
+def write_sheet(store, text, expected):
+    """Write a sheet after version `expected`; return write id and version.
+
+    The sheet is checked in the form in which it is stored. Raises
+    ManifestError, StoreConflict or OutcomeUnknown.
+    """
+    write_id = swap.new_write_id()
+    stamped = stamp(text, write_id)
+    parse_manifest(stamped, MANIFEST_KEY)
+
+    def is_ours(data):
+        found = read_stamp(data.decode('utf-8', errors='replace'))
+        return found.get('write_id') == write_id
+
+    data = stamped.encode()
+    version = swap.swap(store, MANIFEST_KEY, data, expected, is_ours)
+    return write_id, version
--- /dev/null
+++ b/packages/ctl/src/sillctl/store_clients.py
@@ -0,0 +1,134 @@
+"""Synchronous clients of the platform's store.
+
+A client is registered under the scheme of its addresses; `host:port`
+without a scheme is `http`. It has these methods:
+
+- `read(key)` returns a `StoreValue`, with version 0 if the key is missing;
+- `write(key, data, expected)` returns the new version and raises
+  StoreConflict if the version differs;
+- `pause()` waits between two reads of a value that may still change.
+
+Both calls raise StoreNotReached if nothing was sent and StoreUnavailable if
+the answer was lost. A client never repeats a write.
+"""
+
+import dataclasses
+import http.client
+import time
+import urllib.parse
+
+from bramleysill_kernel import exceptions
+from bramleysill_kernel.registry import Registry
+from sillctl.exceptions import StoreNotReached
+
+store_clients = Registry('store client')
+
+DEFAULT_SCHEME = 'http'
+TIMEOUT_SECONDS = 5.0
+PAUSE_SECONDS = 0.5
+MAX_PORT = 65535
+STATUS_OK = 200
+STATUS_MISSING = 404
+STATUS_CONFLICT = 409
+FIRST_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreValue:
+    """A value and its version; version 0 stands for a missing key."""
+
+    data: bytes
+    version: int
+
+
+def open_store(address):
+    """Return a client for `[SCHEME://]ADDRESS`; raises SettingsError."""
+    scheme, sign, rest = address.partition('://')
+    if not sign:
+        scheme, rest = DEFAULT_SCHEME, address
+    return store_clients.get(scheme)(rest)
+
+
+def split_address(address):
+    """Return host and port of `host:port`; raises SettingsError."""
+    host, _, port = address.rpartition(':')
+    if not host or not (port.isascii() and port.isdigit()):
+        raise exceptions.SettingsError(
+            f'{address!r} is not host:port',
+            'settings',
+            hint='Write HOST:PORT.',
+        )
+    if not 1 <= int(port[:6]) <= MAX_PORT:
+        raise exceptions.SettingsError(
+            f'port {port} is not from 1 to {MAX_PORT}', 'settings'
+        )
+    return host.strip('[]'), int(port)
+
+
+@store_clients.register('http')
+class HttpStore:
+    """The client of docs/platform-protocol.md, one connection per call."""
+
+    __slots__ = ('address', '_host', '_port')
+
+    def __init__(self, address):
+        self.address = address
+        self._host, self._port = split_address(address)
+
+    def read(self, key):
+        """Return the value of a key."""
+        status, version, data = self._call('GET', key)
+        if status == STATUS_MISSING:
+            return StoreValue(b'', 0)
+        if status != STATUS_OK:
+            raise self._unexpected(status, 'read')
+        return StoreValue(data, version)
+
+    def write(self, key, data, expected):
+        """Compare-and-swap; return the new version."""
+        status, version, _ = self._call(
+            'PUT', f'{key}?expected={expected}', data
+        )
+        if status == STATUS_CONFLICT:
+            raise exceptions.StoreConflict(key, version)
+        if status != STATUS_OK:
+            raise self._unexpected(status, 'write')
+        return version
+
+    def pause(self):
+        """Wait before a value is read again."""
+        time.sleep(PAUSE_SECONDS)
+
+    def _unexpected(self, status, step):
+        cls = exceptions.StoreError
+        if status >= FIRST_SERVER_ERROR:
+            cls = exceptions.StoreUnavailable
+        return cls(f'the store answered {status}', step, self.address)
+
+    def _connect(self):
+        conn = http.client.HTTPConnection(
+            self._host, self._port, timeout=TIMEOUT_SECONDS
+        )
+        try:
+            conn.connect()
+        except OSError as exc:
+            raise StoreNotReached(
+                f'no connection to the store: {exc}', 'connect', self.address
+            ) from exc
+        return conn
+
+    def _call(self, method, path, body=None):
+        path = urllib.parse.quote(path, safe='/?=')
+        conn = self._connect()
+        try:
+            conn.request(method, f'/v1/kv/{path}', body)
+            answer = conn.getresponse()
+            data = answer.read()
+            version = int(answer.headers.get('X-Version', 0))
+            return answer.status, version, data
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            raise exceptions.StoreUnavailable(
+                f'no answer from the store: {exc!r}', method, self.address
+            ) from exc
+        finally:
+            conn.close()
--- /dev/null
+++ b/tests/test_ctl_commands.py
@@ -0,0 +1,446 @@
+"""Tests of sillctl's commands over an in-memory store."""
+
+import contextlib
+import io
+import json
+import os
+import pathlib
+import tempfile
+
+import fixtures
+import testtools
+
+from bramleysill_kernel import exceptions
+from bramleysill_kernel import refusals
+from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.ownership import OwnershipTable
+from sillctl import exceptions as ctl_exceptions
+from sillctl import key_moves
+from sillctl import main
+from sillctl import router_client
+from sillctl import sheets
+from sillctl.commands import Commands
+from sillctl.store_clients import store_clients
+from tests.test_ctl_store import FakeStore
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+EXAMPLE = ROOT / 'examples' / 'hsinchu.ini'
+CELL = 'tw-north-1'
+TABLE_KEY = f'cell/{CELL}/table/ledger/0'
+CURRENT = {}
+
+
+@store_clients.register('memory')
+def _open_memory(name):
+    return CURRENT['store']
+
+
+class _CommandTest(testtools.TestCase):
+    """Runs commands against a store that holds the Hsinchu example."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = CURRENT['store'] = FakeStore()
+        self.useFixture(
+            fixtures.EnvironmentVariable('SILLCTL_STORE', 'memory://')
+        )
+        self.text = EXAMPLE.read_text()
+        self.manifest = parse_manifest(self.text)
+
+    def _put_example(self, author='mei@ops1'):
+        line = f'; sillctl write_id=1 by={author}\n'
+        self.store.put('manifest', (line + self.text).encode())
+
+    def _put_table(self):
+        table = OwnershipTable('ledger', 1024)
+        names = [u.name for u in self.manifest.services['ledger'].upstreams]
+        for shard in range(1024):
+            table.assign(str(shard), names[shard % len(names)])
+        table.assign('key:CAP-000001', 'ledger-02')
+        table.assign('key:CAP-7', 'ledger-03')
+        table.term = 4
+        self.store.put(TABLE_KEY, table.encode())
+        return table
+
+    def _put_leader(self):
+        record = {'term': 4, 'holder': 'r1', 'candidates': ['r1', 'r2']}
+        self.store.put(f'cell/{CELL}/leader', json.dumps(record).encode())
+        self.store.put(f'cell/{CELL}/lease', b'r1')
+
+    def _file(self, text):
+        handle, path = tempfile.mkstemp(suffix='.ini')
+        self.addCleanup(os.unlink, path)
+        with open(handle, 'w') as file:
+            file.write(text)
+        return path
+
+    def _run(self, *args):
+        """Return exit code and standard output, then standard error."""
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            try:
+                code = main.run([str(a) for a in args])
+            except SystemExit as exc:
+                code = exc.code
+        return code, out.getvalue(), err.getvalue()
+
+    def _json(self, *args):
+        code, out, _ = self._run(*args, '--json')
+        return code, json.loads(out)
+
+
+class CheckTest(_CommandTest):
+    def test_all_problems_are_shown_with_file_and_line(self):
+        """Guards against a check that passes or hides a bad sheet."""
+        path = self._file(self.text.replace('slots = 4', 'slots = 0'))
+        code, _, err = self._run('check', path)
+        self.assertEqual(ctl_exceptions.EXIT_MANIFEST, code)
+        self.assertEqual(36, err.count(f'{path}:'))
+        code, found = self._json('check', path)
+        self.assertEqual(36, len(found['error']['problems']))
+
+    def test_bytes_that_are_not_utf8_are_a_problem(self):
+        """Guards against a traceback for a sheet in another encoding."""
+        path = self._file('')
+        pathlib.Path(path).write_bytes(b'\xff\xfe[manifest]\x00')
+        self.assertEqual(
+            ctl_exceptions.EXIT_MANIFEST, self._run('check', path)[0]
+        )
+
+    def test_a_missing_file_is_a_settings_error(self):
+        """Guards against a traceback for a mistyped path."""
+        self.assertEqual(
+            ctl_exceptions.EXIT_SETTINGS, self._run('check', '/none')[0]
+        )
+
+
+class ApplyTest(_CommandTest):
+    def test_the_first_apply_stores_the_sheet_with_its_write_id(self):
+        """Guards against a stored sheet that names no writer."""
+        code, found = self._json('apply', EXAMPLE)
+        stored = self.store.read('manifest').data.decode()
+        self.assertEqual((0, 1), (code, found['version']))
+        self.assertEqual(
+            found['write_id'], sheets.read_stamp(stored)['write_id']
+        )
+        self.assertEqual(self.text, sheets.strip_stamp(stored))
+
+    def test_an_equal_sheet_is_not_written_again(self):
+        """Guards against versions that grow without a change."""
+        self._put_example()
+        code, found = self._json('apply', EXAMPLE)
+        self.assertEqual((0, False), (code, found['is_written']))
+        self.assertEqual(0, self.store.writes)
+
+    def test_the_loser_of_a_race_is_told_who_won_and_what_differs(self):
+        """Guards against an operator's change that another one reverts."""
+        self._put_example()
+        other = self.text.replace('priority = 2', 'priority = 3')
+        path = self._file(self.text + '\n; new comment\n')
+
+        def write_twice():
+            for author in ('eve@ops3', 'ann@ops2'):
+                line = f'; sillctl write_id=2 by={author}\n'
+                self.store.put('manifest', (line + other).encode())
+
+        self.store.on_write = write_twice
+        code, out = self._json('apply', path)
+        error = out['error']
+        self.assertEqual(ctl_exceptions.EXIT_CONFLICT, code)
+        self.assertEqual('ann@ops2', error['winner'])
+        self.assertEqual((1, 3), (error['expected'], error['version']))
+        self.assertIn('which is 2 after', error['message'])
+        changed = {c['section'] for c in error['difference']['changed']}
+        self.assertIn('route ledger openings', changed)
+        self.assertIn('ann@ops2', self.store.read('manifest').data.decode())
+
+    def test_another_expected_version_writes_nothing(self):
+        """Guards against a sheet made for an older version."""
+        self._put_example()
+        path = self._file(self.text + '\n; new comment\n')
+        code, _, err = self._run('apply', path, '--expected-version', 0)
+        self.assertEqual(
+            (ctl_exceptions.EXIT_CONFLICT, 0), (code, self.store.writes)
+        )
+        self.assertIn('mei@ops1', err)
+        code, _, _ = self._run('apply', path, '--expected-version', 'new')
+        self.assertEqual(ctl_exceptions.EXIT_SETTINGS, code)
+        code, found = self._json('apply', path, '--expected-version', 1)
+        self.assertEqual((0, 2), (code, found['version']))
+
+    def test_a_lost_answer_is_resolved_without_a_second_write(self):
+        """Guards against a sheet that is written twice."""
+        self.store.lose = 'answer'
+        code, found = self._json('apply', EXAMPLE)
+        self.assertEqual(
+            (0, 1, 1), (code, found['version'], self.store.writes)
+        )
+        self.store.lose = 'request'
+        path = self._file(self.text + '\n; new comment\n')
+        self.assertEqual(
+            ctl_exceptions.EXIT_UNKNOWN_OUTCOME, self._run('apply', path)[0]
+        )
+        self.assertEqual(2, self.store.writes)
+
+    def test_an_unreadable_stored_sheet_can_be_replaced(self):
+        """Guards against a damaged manifest that blocks its repair."""
+        self.store.put('manifest', b'\xff')
+        self.assertEqual(0, self._run('diff', EXAMPLE)[0])
+        self.assertEqual(2, self._json('apply', EXAMPLE)[1]['version'])
+
+
+class DiffTest(_CommandTest):
+    def test_changes_are_listed_by_section_and_option(self):
+        """Guards against a difference that is not shown."""
+        self._put_example()
+        text = self.text.replace('timeout_ms = 5000', 'timeout_ms = 2500')
+        text = text.replace('[key ledger CAP-000001]', '[key ledger CAP-2]')
+        code, out, _ = self._run('diff', self._file(text))
+        self.assertEqual(0, code)
+        self.assertIn('\n+ [key ledger CAP-2]', out)
+        self.assertIn('\n- [key ledger CAP-000001]', out)
+        self.assertIn('\n~ [service ledger] timeout: 5.0 -> 2.5', out)
+        self.assertIn('about 0.0% of the keys would move', out)
+
+    def test_one_upstream_less_moves_only_its_share(self):
+        """Guards against an estimate that is far from 1 / upstreams."""
+        self._put_example()
+        head, _, tail = self.text.partition('[upstream ledger-30]')
+        text = head + tail[tail.index('[upstream intake') :]
+        found = self._json('diff', self._file(text))[1]
+        self.assertEqual(
+            ['upstream ledger-30'], found['difference']['removed']
+        )
+        moves = found['moves']['ledger']
+        self.assertThat(moves['share'], testtools.matchers.GreaterThan(1 / 60))
+        self.assertThat(moves['share'], testtools.matchers.LessThan(1 / 15))
+        self.assertFalse(moves['is_renumbered'])
+
+    def test_renumbered_shards_are_reported(self):
+        """Guards against a new range that looks like a small change."""
+        self._put_example()
+        rng = '[range ledger a]\nlast = B\nupstreams = ledger-01\n'
+        found = self._json('diff', self._file(self.text + rng))[1]
+        self.assertTrue(found['moves']['ledger']['is_renumbered'])
+
+    def test_a_placement_method_plans_from_the_table_in_force(self):
+        """Guards against a plan that ignores owners or eligibility."""
+        self._put_example()
+        self._put_table()
+
+        def plan(units_by_owner, eligible_by_unit, **others):
+            moves = []
+            for owner, units in units_by_owner.items():
+                for unit in units:
+                    if owner not in eligible_by_unit[unit]:
+                        moves.append(_Move(unit))
+            return moves
+
+        self.patch(key_moves, 'find_placement', lambda name: plan)
+        text = self.text.replace(
+            '[failure_domain tw-a]', '[failure_domain tw-a]\ndrained = yes'
+        )
+        moves = self._json('diff', self._file(text))[1]['moves']['ledger']
+        self.assertEqual('bounded', moves['method'])
+        self.assertEqual(len(range(0, 1024, 3)), moves['share'] * 1024)
+
+
+class _Move:
+    def __init__(self, unit):
+        self.unit = unit
+
+
+class DrainTest(_CommandTest):
+    def _stored(self):
+        return json.loads(self.store.read('drains').data)
+
+    def test_drain_and_restore_change_one_name(self):
+        """Guards against a drain that loses or keeps a name."""
+        self._put_example()
+        self.assertEqual(0, self._run('drain', 'failure_domain', 'tw-a')[0])
+        self.assertEqual(0, self._run('drain', 'upstream', 'ledger-02')[0])
+        self.assertEqual(
+            (['tw-a'], ['ledger-02']),
+            (self._stored()['failure_domains'], self._stored()['upstreams']),
+        )
+        self.assertEqual(0, self._run('restore', 'failure_domain', 'tw-a')[0])
+        self.assertEqual([], self._stored()['failure_domains'])
+        _, found = self._json('restore', 'failure_domain', 'tw-a')
+        self.assertFalse(found['is_changed'])
+
+    def test_racing_drains_are_both_kept(self):
+        """Guards against one operator's drain that another one reverts."""
+        self._put_example()
+        other = {'failure_domains': [], 'upstreams': ['ledger-09']}
+        self.store.on_write = lambda: self.store.put(
+            'drains', json.dumps(other).encode()
+        )
+        self.assertEqual(0, self._run('drain', 'upstream', 'ledger-02')[0])
+        self.assertEqual(
+            ['ledger-02', 'ledger-09'], self._stored()['upstreams']
+        )
+
+    def test_the_last_upstream_of_a_service_is_not_drained(self):
+        """Guards against two drains that together stop a service."""
+        self._put_example()
+        self._run('drain', 'failure_domain', 'tw-a')
+        others = {'failure_domains': ['tw-a', 'tw-b'], 'upstreams': []}
+        self.store.on_write = lambda: self.store.put(
+            'drains', json.dumps(others).encode()
+        )
+        code, _, err = self._run('drain', 'failure_domain', 'tw-c')
+        self.assertEqual(ctl_exceptions.EXIT_NO_UPSTREAM_LEFT, code)
+        self.assertIn('--force', err)
+        code, _, _ = self._run('drain', 'failure_domain', 'tw-c', '--force')
+        self.assertEqual(0, code)
+
+    def test_a_lost_answer_is_resolved_by_the_write_id(self):
+        """Guards against a drain whose outcome is guessed."""
+        self._put_example()
+        self.store.lose = 'answer'
+        code, found = self._json('drain', 'upstream', 'ledger-02')
+        self.assertEqual((0, 1), (code, self.store.writes))
+        self.assertTrue(found['is_changed'])
+
+    def test_unknown_names_are_refused(self):
+        """Guards against a mistyped name that drains nothing."""
+        self._put_example()
+        code, _, err = self._run('drain', 'upstream', 'leger-02')
+        self.assertEqual(ctl_exceptions.EXIT_NOT_FOUND, code)
+        self.assertIn("did you mean 'ledger-02'", err)
+        code, _, _ = self._run('restore', 'server', 'x')
+        self.assertEqual(ctl_exceptions.EXIT_SETTINGS, code)
+
+    def test_restore_tells_what_the_manifest_still_drains(self):
+        """Guards against a restored upstream that stays out silently."""
+        self.text = self.text.replace(
+            '[failure_domain tw-a]', '[failure_domain tw-a]\ndrained = yes'
+        )
+        self._put_example()
+        out = self._run('restore', 'upstream', 'ledger-01')[1]
+        self.assertIn('failure domain tw-a in the manifest', out)
+
+
+class OwnerTest(_CommandTest):
+    def test_owner_fence_and_reason_come_from_the_table(self):
+        """Guards against an owner that differs from the routers' view."""
+        self._put_example()
+        table = self._put_table()
+        _, found = self._json('owner', 'ledger', '1e5')
+        assignment = table.get(found['unit'])
+        self.assertEqual('1e5', found['key'])
+        self.assertEqual(
+            (assignment.owner, assignment.fence),
+            (found['owner'], found['fence']),
+        )
+        self.assertIn('default partition', found['reason'])
+        reasons = [
+            self._json('owner', 'ledger', key)[1]['reason']
+            for key in ('CAP-000001', 'CAP-7')
+        ]
+        self.assertIn('manifest declares', reasons[0])
+        self.assertIn('hot key', reasons[1])
+
+    def test_a_drained_owner_is_shown_with_the_cause(self):
+        """Guards against a move that looks like a fault."""
+        self._put_example()
+        self._put_table()
+        self._run('drain', 'failure_domain', 'tw-b')
+        out = self._run('owner', 'ledger', 'CAP-000001')[1]
+        self.assertIn('failure domain tw-b by sillctl drain', out)
+
+    def test_what_has_no_owner_is_told(self):
+        """Guards against a made-up owner."""
+        codes = []
+        for service in ('ledger', 'intake', 'none', 'ledger'):
+            codes.append(self._run('owner', service, 'k')[0])
+            if len(codes) == 1:
+                self._put_example()
+        self.assertEqual([ctl_exceptions.EXIT_NOT_FOUND] * 4, codes)
+
+
+class StatusTest(_CommandTest):
+    def test_an_empty_store_has_a_status(self):
+        """Guards against a status that fails when it is needed most."""
+        code, out, _ = self._run('status')
+        self.assertEqual(0, code)
+        self.assertIn('manifest  none', out)
+
+    def test_leader_tables_balance_and_drains_are_shown(self):
+        """Guards against figures that differ from the table."""
+        self._put_example()
+        self._put_table()
+        self._put_leader()
+        self._run('drain', 'upstream', 'ledger-01')
+        _, found = self._json('status')
+        self.assertEqual(
+            ('r1', 4), (found['leader']['holder'], found['leader']['term'])
+        )
+        table = found['tables']['ledger']
+        self.assertEqual((1026, 35), (table['units'], table['on_drained']))
+        self.assertAlmostEqual(
+            36 / ((1026 - 35) / 29), table['imbalance'], places=3
+        )
+        self.assertEqual(['ledger-01'], found['drains']['upstreams'])
+
+    def test_a_router_that_does_not_answer_has_its_own_exit_code(self):
+        """Guards against a router's fault taken for the store's."""
+        code, _, _ = self._run('status', '--router', '127.0.0.1:1')
+        self.assertEqual(ctl_exceptions.EXIT_ROUTER, code)
+
+    def test_malformed_values_are_errors(self):
+        """Guards against a traceback over a damaged value."""
+        self._put_example()
+        for key in ('drains', f'cell/{CELL}/leader'):
+            self.store.put(key, b'[]')
+            self.assertEqual(ctl_exceptions.EXIT_STORE, self._run('status')[0])
+            del self.store.values[key]
+
+
+class PagesTest(_CommandTest):
+    def _page(self, name):
+        return (ROOT / 'docs' / name).read_text()
+
+    def test_every_command_of_the_page_runs(self):
+        """Guards against a page whose commands fail."""
+        self.patch(router_client, 'read_status', lambda address: {'ok': 1})
+        self._put_example()
+        self._put_table()
+        self._put_leader()
+        lines = [
+            line.removeprefix('$ sillctl ').split()
+            for line in self._page('sillctl.md').splitlines()
+            if line.startswith('$ sillctl ')
+        ]
+        here = os.getcwd()
+        self.addCleanup(os.chdir, here)
+        os.chdir(ROOT)
+        for args in lines:
+            code, _, err = self._run(*args)
+            self.assertEqual((0, ''), (code, err), args)
+        shown = {word for args in lines for word in args}
+        commands = {n for n in dir(Commands) if not n.startswith('_')}
+        self.assertEqual(set(), commands - {'FIRE_METADATA'} - shown)
+
+    def test_exit_codes_of_the_page_are_those_of_the_code(self):
+        """Guards against a script that reads a wrong exit code."""
+        page = self._page('sillctl.md')
+        for name, value in vars(ctl_exceptions).items():
+            if name.startswith('EXIT_') and isinstance(value, int):
+                self.assertIn(f'| {value} | `{name}` |', page)
+
+    def test_the_page_of_errors_has_every_code(self):
+        """Guards against an error that tells nobody what to do."""
+        page = self._page('errors.md')
+        classes = [refusals.refusals.get(n) for n in refusals.refusals.names()]
+        for module in (exceptions, ctl_exceptions):
+            for item in vars(module).values():
+                if isinstance(item, type):
+                    classes.append(item)
+        for cls in classes:
+            if not issubclass(cls, exceptions.SillError):
+                continue
+            row = f'| `{cls.code}` |'
+            if issubclass(cls, exceptions.Refusal):
+                row += f' {cls.status} | {cls.outcome} |'
+            self.assertIn(row, page)
