Add the open-loop load generator

Change: bramleysill_standins.load sends weighted kinds of requests over several routers with Poisson or constant arrivals, retries refusals that say not_run under the same idempotency key, and prints an account with hdrhistogram latencies, outcomes by status and problem code, answers mixed up, unsolicited bytes and the longest time without a good answer for a key. Its HTTP client is written apart from the router's.

--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/caller_pool.py
@@ -0,0 +1,125 @@
+"""Callers' keep-alive connections over several routers.
+
+It stands for the platform's balancer: round robin over the routers, leaving
+out for a while those that refuse connections.
+"""
+
+import collections
+
+from bramleysill_standins.client_conn import CallerConn
+
+DOWN_SECONDS = 1.0
+
+
+class Pending:
+    """A call with its callback and the connection that it is sent on."""
+
+    __slots__ = ('call', 'done', 'caller_conn')
+
+    def __init__(self, call, done):
+        self.call = call
+        self.done = done
+        self.caller_conn = None
+
+
+class CallerPool:
+    """Sends calls; `max_conns` connections at most to each router."""
+
+    def __init__(self, loop, routers, max_conns):
+        self.loop = loop
+        self.max_conns = max_conns
+        self.failed_connects = 0
+        # Connections on which bytes came that no request had asked for.
+        self.unsolicited = 0
+        self._routers = collections.deque(routers)
+        self._idle = {router: [] for router in routers}
+        self._open = collections.Counter()
+        self._down_until = {}
+        self._waiting = collections.deque()
+        self._sent = {}
+
+    def send(self, call, done):
+        """Send a call; `done(answer, exc)` is called once.
+
+        Returns the Pending that `give_up` takes.
+        """
+        pending = Pending(call, done)
+        if not self._dispatch(pending):
+            self._waiting.append(pending)
+        return pending
+
+    def give_up(self, pending):
+        """Abort a call; `done` is called with neither answer nor error."""
+        if pending.caller_conn is not None:
+            pending.caller_conn.abort()
+        elif pending in self._waiting:
+            self._waiting.remove(pending)
+            pending.done(None, None)
+
+    def close(self):
+        """Close all idle connections."""
+        for conns in self._idle.values():
+            for caller_conn in list(conns):
+                caller_conn.abort()
+
+    def _dispatch(self, pending):
+        for _ in range(len(self._routers)):
+            router = self._routers[0]
+            self._routers.rotate(-1)
+            if self._down_until.get(router, 0.0) > self.loop.now():
+                continue
+            caller_conn = self._take(router)
+            if caller_conn is not None:
+                self._send_on(caller_conn, pending)
+                return True
+        return False
+
+    def _take(self, router):
+        while self._idle[router]:
+            caller_conn = self._idle[router].pop()
+            if not caller_conn.conn.closed:
+                return caller_conn
+        if self._open[router] >= self.max_conns:
+            return None
+        self._open[router] += 1
+        return CallerConn(self.loop, router, self._on_done, self._on_gone)
+
+    def _send_on(self, caller_conn, pending):
+        pending.caller_conn = caller_conn
+        self._sent[caller_conn] = pending
+        caller_conn.send(pending.call)
+
+    def _on_done(self, caller_conn, answer, exc):
+        pending = self._sent.pop(caller_conn)
+        pending.caller_conn = None
+        if answer is None and exc is not None and not caller_conn.connected:
+            self._retry_elsewhere(caller_conn, pending)
+            return
+        if answer is not None and caller_conn.reusable:
+            self._idle[caller_conn.address].append(caller_conn)
+        pending.done(answer, exc)
+        self._dispatch_waiting()
+
+    def _retry_elsewhere(self, caller_conn, pending):
+        # Nothing was sent on a connection that was never open.
+        self.failed_connects += 1
+        until = self.loop.now() + DOWN_SECONDS
+        self._down_until[caller_conn.address] = until
+        self.loop.scheduler.call_at(until, self._dispatch_waiting)
+        self._waiting.appendleft(pending)
+        self._dispatch_waiting()
+
+    def _on_gone(self, caller_conn):
+        router = caller_conn.address
+        self._open[router] -= 1
+        self.unsolicited += 1 if caller_conn.unsolicited else 0
+        if caller_conn in self._idle[router]:
+            self._idle[router].remove(caller_conn)
+        self._dispatch_waiting()
+
+    def _dispatch_waiting(self):
+        while self._waiting:
+            pending = self._waiting.popleft()
+            if not self._dispatch(pending):
+                self._waiting.appendleft(pending)
+                return
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/client_conn.py
@@ -0,0 +1,189 @@
+"""The caller's side of HTTP/1.1, written apart from the router's own.
+
+A fault in the router's parser or framing is not repeated here.
+"""
+
+import hashlib
+
+import httptools
+
+from bramleysill_net.conn import Conn
+
+# Bytes of an upload that are buffered before it waits for the router.
+HIGH_WATER_BYTES = 262144
+# Bytes of an answer that are kept; the rest is only counted and hashed.
+KEEP_BYTES = 65536
+
+
+class HttpCall:
+    """One request; `pieces` yields the `size` bytes of its body."""
+
+    __slots__ = ('method', 'path', 'headers', 'size', 'pieces')
+
+    def __init__(self, method, path, headers, size=0, pieces=()):
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.size = size
+        self.pieces = iter(pieces)
+
+    def encode_head(self, host):
+        """Return the bytes of the request head."""
+        lines = [f'{self.method} {self.path} HTTP/1.1', f'Host: {host}']
+        lines += [f'{name}: {value}' for name, value in self.headers]
+        if self.size or self.method in ('POST', 'PUT'):
+            lines.append(f'Content-Length: {self.size}')
+        return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
+
+
+class HttpAnswer:
+    """A complete answer: at most KEEP_BYTES of the body, size and digest."""
+
+    __slots__ = ('status', 'headers', 'body', 'size', 'digest')
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b''
+        self.size = 0
+        self.digest = hashlib.sha256()
+
+
+class CallerConn:
+    """One keep-alive connection to a router, one call at a time.
+
+    `on_done(self, answer, exc)` is called once for each call; `answer` is
+    None if the connection ended first. `on_gone(self)` is called at the end
+    of the connection, after `on_done`.
+    """
+
+    def __init__(self, loop, address, on_done, on_gone):
+        self.address = address
+        self.connected = False
+        self.reusable = True
+        self.unsolicited = False
+        self._complete = False
+        self._on_done = on_done
+        self._on_gone = on_gone
+        self._call = None
+        self._answer = None
+        self._parser = None
+        host, port = address
+        self.conn = Conn.connect(loop, host, port, self)
+
+    def send(self, call):
+        """Send a call, once connected; no other may be in progress."""
+        self._call = call
+        self._complete = False
+        self._answer = HttpAnswer()
+        self._parser = httptools.HttpResponseParser(self)
+        if self.connected:
+            self._begin()
+
+    def _begin(self):
+        host, port = self.address
+        self.conn.write(self._call.encode_head(f'{host}:{port}'))
+        self._send_body()
+
+    def abort(self):
+        """Give up the call in progress and the connection."""
+        self.conn.abort()
+
+    # Called by the connection.
+
+    def on_connect(self):
+        """The connection is open."""
+        self.connected = True
+        if self._call is not None:
+            self._begin()
+
+    def on_drain(self):
+        """Send more of the body."""
+        if self._call is not None:
+            self._send_body()
+
+    def on_data(self, data):
+        """Parse a piece of the answer."""
+        if self._call is None:
+            self.unsolicited = True
+            self.conn.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ):
+            self._stop_parsing()
+            return
+        if self._complete:
+            self._complete_call()
+
+    def on_close(self, exc):
+        """Report the call in progress as cut."""
+        self.reusable = False
+        self._finish(None, exc)
+        self._on_gone(self)
+
+    # Called by the parser.
+
+    def on_header(self, name, value):
+        """Keep a header under its lower-case name."""
+        key = name.decode('latin-1').lower()
+        self._answer.headers[key] = value.decode('latin-1')
+
+    def on_headers_complete(self):
+        """Keep the status; 1xx answers precede the real one."""
+        self._answer.status = self._parser.get_status_code()
+        self.reusable = self._parser.should_keep_alive()
+
+    def on_body(self, data):
+        """Count, hash and, up to a limit, keep a piece."""
+        answer = self._answer
+        answer.size += len(data)
+        answer.digest.update(data)
+        if len(answer.body) < KEEP_BYTES:
+            answer.body += data
+
+    def on_message_complete(self):
+        """The answer is complete."""
+        if self._answer.status < 200:
+            self._answer = HttpAnswer()
+            return
+        self._complete = True
+
+    def on_message_begin(self):
+        """A second answer to one request must not reach the next one."""
+        if self._complete:
+            raise ValueError('an answer without a request')
+
+    # Internal.
+
+    def _stop_parsing(self):
+        if not self._complete:
+            self.conn.abort()
+            return
+        self.unsolicited = True
+        self.reusable = False
+        self._complete_call()
+
+    def _complete_call(self):
+        if next(self._call.pieces, None) is not None:
+            self.reusable = False
+        self._finish(self._answer, None)
+        if not self.reusable:
+            self.conn.close()
+
+    def _finish(self, answer, exc):
+        if self._call is not None:
+            self._call = None
+            self._on_done(self, answer, exc)
+
+    def _send_body(self):
+        while self._call is not None and not self.conn.closed:
+            if self.conn.buffered >= HIGH_WATER_BYTES:
+                return
+            piece = next(self._call.pieces, None)
+            if piece is None:
+                return
+            self.conn.write(piece)
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/kinds.py
@@ -0,0 +1,136 @@
+"""Kinds of callers' requests, and the check of their answers by content."""
+
+import hashlib
+import json
+
+from bramleysill_kernel.registry import Registry
+from bramleysill_standins.client_conn import HttpCall
+from bramleysill_standins.pattern import iter_pattern
+from bramleysill_standins.pattern import pattern_digest
+
+UPLOAD_BYTES = 2 << 20
+DOWNLOAD_BYTES = 1 << 20
+
+kinds = Registry('request kind')
+
+
+class Plan:
+    """One intended request of a caller.
+
+    `start` is when it should start, in seconds of the loop's clock. The
+    call id and the idempotency key stay the same over retries.
+    """
+
+    __slots__ = (
+        'kind',
+        'number',
+        'key',
+        'call_id',
+        'start',
+        'method',
+        'path',
+        'body_size',
+        'download_size',
+        'idempotency_key',
+        'attempts',
+        '_body_digest',
+    )
+
+    def __init__(self, kind, number, key, call_id, start):
+        self.kind = kind
+        self.number = number
+        self.key = key
+        self.call_id = call_id
+        self.start = start
+        self.method = 'GET'
+        self.path = ''
+        self.body_size = 0
+        self.download_size = 0
+        self.idempotency_key = ''
+        self.attempts = 0
+        self._body_digest = None
+
+    def make_call(self, timeout_ms):
+        """Return the request to send."""
+        headers = [
+            ('X-Call-Id', self.call_id),
+            ('Sill-Timeout-Ms', str(timeout_ms)),
+        ]
+        if self.idempotency_key:
+            headers.append(('Idempotency-Key', self.idempotency_key))
+        pieces = iter_pattern(self.call_id, self.body_size)
+        return HttpCall(
+            self.method, self.path, headers, self.body_size, pieces
+        )
+
+    @property
+    def body_digest(self):
+        """Return the sha256 of the request's body."""
+        if self._body_digest is None:
+            digest = pattern_digest(self.call_id, self.body_size)
+            self._body_digest = digest
+        return self._body_digest
+
+    def is_own_answer(self, answer):
+        """Tell whether a 2xx answer belongs to this request."""
+        echoed = answer.headers.get('x-call-id', self.call_id)
+        if echoed != self.call_id:
+            return False
+        if self.download_size:
+            return self._is_download(answer)
+        return self._is_echo(answer)
+
+    def _is_download(self, answer):
+        expected = pattern_digest(self.key, self.download_size)
+        return answer.digest.hexdigest() == expected
+
+    def _is_echo(self, answer):
+        try:
+            result = json.loads(answer.body)
+            found = (result['key'], result['call_id'])
+            digest = result.get('sha256', '')
+        except (ValueError, KeyError, TypeError, AttributeError):
+            return False
+        expected = self.body_digest if self.body_size else ''
+        return found == (self.key, self.call_id) and digest == expected
+
+
+@kinds.register('lookup')
+def plan_lookup(plan):
+    """Look up a key of the ledger."""
+    plan.path = f'/ledger/{plan.key}'
+
+
+@kinds.register('handover')
+def plan_handover(plan):
+    """Record a handover, which is not repeatable."""
+    _plan_record(plan, 'handovers')
+
+
+@kinds.register('opening')
+def plan_opening(plan):
+    """Record an opening, which is not repeatable."""
+    _plan_record(plan, 'openings')
+
+
+@kinds.register('upload')
+def plan_upload(plan):
+    """Upload to the intake under a key of its own."""
+    plan.key = f'up-{plan.call_id}'
+    plan.method = 'PUT'
+    plan.path = f'/intake/{plan.key}'
+    plan.body_size = UPLOAD_BYTES
+
+
+@kinds.register('download')
+def plan_download(plan):
+    """Download from the intake."""
+    plan.download_size = DOWNLOAD_BYTES
+    plan.path = f'/intake/{plan.key}?bytes={plan.download_size}'
+
+
+def _plan_record(plan, effect):
+    plan.method = 'POST'
+    plan.path = f'/ledger/{plan.key}/{effect}'
+    plan.body_size = 64
+    plan.idempotency_key = hashlib.sha256(plan.call_id.encode()).hexdigest()
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/load.py
@@ -0,0 +1,255 @@
+"""Open-loop load over several routers.
+
+`python -m bramleysill_standins.load --routers HOST:PORT,... --rate N
+--seconds S --kinds lookup=8,opening=1` prints the account as JSON. Requests
+start when they are due, whatever the answers do, and latency counts from
+the time at which a request should have started, so that a stall is not
+hidden (coordinated omission).
+"""
+
+import json
+import random
+import signal
+
+import fire
+
+from bramleysill_net.loop import Loop
+from bramleysill_standins.arrivals import arrivals
+from bramleysill_standins.caller_pool import CallerPool
+from bramleysill_standins.kinds import Plan
+from bramleysill_standins.kinds import kinds
+from bramleysill_standins.tally import Tally
+
+KEYED_KINDS = ('lookup', 'handover', 'opening')
+# A refused request is sent again after Retry-After, but no later than this.
+MAX_RETRY_SECONDS = 0.5
+# Time beyond the timeouts in which the last requests must end.
+EXTRA_SECONDS = 10.0
+
+
+class Settings:
+    """What to send. `weights` maps kinds to their share of requests."""
+
+    __slots__ = (
+        'rate',
+        'seconds',
+        'weights',
+        'keys',
+        'seed',
+        'arrivals',
+        'timeout_ms',
+        'max_conns',
+        'retries',
+    )
+
+    def __init__(
+        self,
+        rate,
+        seconds,
+        weights,
+        keys=100,
+        seed=1,
+        arrivals='poisson',
+        timeout_ms=5000,
+        max_conns=64,
+        retries=0,
+    ):
+        self.rate = rate
+        self.seconds = seconds
+        self.weights = weights
+        self.keys = keys
+        self.seed = seed
+        self.arrivals = arrivals
+        self.timeout_ms = timeout_ms
+        self.max_conns = max_conns
+        self.retries = retries
+
+
+class LoadGenerator:
+    """Sends requests as planned and checks every answer."""
+
+    def __init__(self, loop, routers, cfg):
+        self.loop = loop
+        self.cfg = cfg
+        self.tally = Tally(KEYED_KINDS)
+        self.pool = CallerPool(loop, routers, cfg.max_conns)
+        self.open = 0
+        self.sending = True
+        self._rng = random.Random(cfg.seed)
+        self._offsets = arrivals.get(cfg.arrivals)(cfg.rate, self._rng)
+        self._names = sorted(cfg.weights)
+        self._shares = [cfg.weights[name] for name in self._names]
+        self._start = 0.0
+        self._number = 0
+
+    def start(self):
+        """Begin to send."""
+        self._start = self.loop.now()
+        self._schedule()
+
+    def stop(self):
+        """Send no more; requests in progress go on."""
+        self.sending = False
+
+    def is_done(self):
+        """Tell whether all requests have their outcome."""
+        return not self.sending and not self.open
+
+    def _schedule(self):
+        offset = next(self._offsets)
+        if offset >= self.cfg.seconds:
+            self.stop()
+        if not self.sending:
+            return
+        due = self._start + offset
+        self.loop.scheduler.call_at(due, lambda: self._begin(due))
+
+    def _begin(self, due):
+        self._schedule()
+        if self.sending:
+            self.open += 1
+            self.tally.sent += 1
+            self._attempt(self.make_plan(due))
+
+    def make_plan(self, due):
+        """Return the next request, which should start at `due`."""
+        kind = self._rng.choices(self._names, self._shares)[0]
+        self._number += 1
+        key = f'CAP-{self._rng.randrange(self.cfg.keys):06d}'
+        call_id = f'{self.cfg.seed}-{self._number}'
+        plan = Plan(kind, self._number, key, call_id, due)
+        kinds.get(kind)(plan)
+        return plan
+
+    def _attempt(self, plan):
+        plan.attempts += 1
+        attempt = _Attempt(self, plan)
+        attempt.start()
+
+    def finish(self, plan, answer, is_expired):
+        """Count an attempt's outcome, or send the request again."""
+        now = self.loop.now()
+        outcome, not_run, wait = _outcome(answer, is_expired)
+        if outcome == 'ok' and not plan.is_own_answer(answer):
+            self.tally.mixed_up.append(plan.call_id)
+            outcome = 'mixed_up'
+        if outcome == 'ok':
+            self.tally.note_success(plan, now)
+        elif not_run and self._may_retry(plan):
+            self.tally.note_failure(plan, outcome)
+            self.tally.retries += 1
+            due = now + min(wait, MAX_RETRY_SECONDS)
+            self.loop.scheduler.call_at(due, lambda: self._attempt(plan))
+            return
+        else:
+            self.tally.note_failure(plan, outcome)
+            if not_run:
+                self.tally.not_run.append(plan.call_id)
+        self.open -= 1
+
+    def _may_retry(self, plan):
+        return plan.idempotency_key and plan.attempts <= self.cfg.retries
+
+
+class _Attempt:
+    """One sending of a request, with its timeout."""
+
+    def __init__(self, generator, plan):
+        self._generator = generator
+        self._plan = plan
+        self._pending = None
+        self._timer = None
+        self._is_expired = False
+
+    def start(self):
+        loop = self._generator.loop
+        timeout_ms = self._generator.cfg.timeout_ms
+        deadline = loop.now() + timeout_ms / 1000.0
+        self._timer = loop.scheduler.call_at(deadline, self._expire)
+        call = self._plan.make_call(timeout_ms)
+        self._pending = self._generator.pool.send(call, self._done)
+
+    def _expire(self):
+        self._is_expired = True
+        self._generator.pool.give_up(self._pending)
+
+    def _done(self, answer, exc):
+        self._timer.cancel()
+        self._generator.finish(self._plan, answer, self._is_expired)
+
+
+def _outcome(answer, is_expired):
+    """Return `(outcome, not_run, retry_after_seconds)`."""
+    if answer is None:
+        return ('timeout' if is_expired else 'disconnected'), False, 0.0
+    if answer.status < 300:
+        return 'ok', False, 0.0
+    try:
+        problem = json.loads(answer.body)
+        code = problem.get('code', 'unknown')
+        not_run = problem.get('outcome') == 'not_run'
+    except (ValueError, AttributeError):
+        code, not_run = 'no_problem_document', False
+    wait = answer.headers.get('retry-after', '')
+    wait = float(wait) if wait.isdecimal() else 0.0
+    return f'{answer.status} {code}', not_run, wait
+
+
+def parse_weights(text):
+    """Return the weights of `lookup=8,opening=1`; raises ValueError."""
+    parts = (part.partition('=') for part in text.split(','))
+    return {name: float(weight or 1) for name, _, weight in parts}
+
+
+def parse_routers(text):
+    """Return the addresses of `HOST:PORT,...`; raises ValueError."""
+    parts = (part.rpartition(':') for part in text.split(','))
+    return [(host, int(port)) for host, _, port in parts]
+
+
+def report(generator):
+    """Return the account of a run for JSON."""
+    account = generator.tally.as_dict(generator.loop.now())
+    account['failed_connects'] = generator.pool.failed_connects
+    account['unsolicited'] = generator.pool.unsolicited
+    account['open'] = generator.open
+    return account
+
+
+@fire.decorators.SetParseFns(routers=str, kinds=str, arrivals=str)
+def main(
+    routers,
+    rate=100.0,
+    seconds=10.0,
+    kinds='lookup=8,handover=1,opening=1',
+    keys=100,
+    seed=1,
+    arrivals='poisson',
+    timeout_ms=5000,
+    max_conns=64,
+    retries=0,
+):
+    """Send load for some seconds, or until SIGTERM; print the account."""
+    cfg = Settings(
+        rate,
+        seconds,
+        parse_weights(kinds),
+        keys,
+        seed,
+        arrivals,
+        timeout_ms,
+        max_conns,
+        retries,
+    )
+    loop = Loop()
+    generator = LoadGenerator(loop, parse_routers(routers), cfg)
+    signal.signal(signal.SIGTERM, lambda signo, frame: generator.stop())
+    print('sending', flush=True)
+    generator.start()
+    patience = timeout_ms / 1000.0 * (retries + 1) + EXTRA_SECONDS
+    loop.run_until(generator.is_done, seconds + patience)
+    print(json.dumps(report(generator)), flush=True)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/tally.py
@@ -0,0 +1,122 @@
+"""Counts outcomes and latencies, and for how long keys were unavailable."""
+
+import collections
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+PERCENTILES = (50, 90, 99, 99.9)
+
+
+class Unavailability:
+    """The longest time for which a key got no good answer.
+
+    It is counted from the intended start of the earliest request since the
+    last good answer, to the end of the next good answer; so it includes the
+    latency and the gap to the next request.
+    """
+
+    __slots__ = ('longest', 'longest_key', '_failed_since')
+
+    def __init__(self):
+        self.longest = 0.0
+        self.longest_key = ''
+        self._failed_since = {}
+
+    def note_failure(self, key, start):
+        """A request that should have started at `start` failed."""
+        since = self._failed_since.get(key, start)
+        self._failed_since[key] = min(since, start)
+
+    def note_success(self, key, start, end):
+        """A request that should have started at `start` succeeded."""
+        since = min(start, self._failed_since.pop(key, start))
+        self._note(key, end - since)
+
+    def finish(self, end):
+        """Count the keys that never recovered up to the end."""
+        for key, since in self._failed_since.items():
+            self._note(key, end - since)
+
+    def _note(self, key, seconds):
+        if seconds > self.longest:
+            self.longest = seconds
+            self.longest_key = key
+
+
+class Tally:
+    """The account of a load run."""
+
+    __slots__ = (
+        'sent',
+        'outcomes',
+        'mixed_up',
+        'retries',
+        'acknowledged',
+        'not_run',
+        'unavailability',
+        'keyed_kinds',
+        '_latencies',
+    )
+
+    def __init__(self, keyed_kinds):
+        self.sent = 0
+        self.outcomes = collections.Counter()
+        self.mixed_up = []
+        self.retries = 0
+        # kind -> call id -> digest of the request's body.
+        self.acknowledged = collections.defaultdict(dict)
+        # Call ids whose every attempt was refused as not run.
+        self.not_run = []
+        self.unavailability = Unavailability()
+        self.keyed_kinds = keyed_kinds
+        self._latencies = {}
+
+    def note_success(self, plan, end):
+        """Record a good answer."""
+        self.outcomes[f'{plan.kind} ok'] += 1
+        if plan.kind not in self._latencies:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            self._latencies[plan.kind] = histogram
+        latency_us = max(LOWEST_US, int((end - plan.start) * 1e6))
+        self._latencies[plan.kind].record_value(latency_us)
+        if plan.kind in self.keyed_kinds:
+            self.unavailability.note_success(plan.key, plan.start, end)
+        if plan.body_size:
+            self.acknowledged[plan.kind][plan.call_id] = plan.body_digest
+
+    def note_failure(self, plan, outcome):
+        """Record a refusal, a cut connection or a timeout."""
+        self.outcomes[f'{plan.kind} {outcome}'] += 1
+        if plan.kind in self.keyed_kinds:
+            self.unavailability.note_failure(plan.key, plan.start)
+
+    def as_dict(self, end):
+        """Return everything for JSON; latencies in milliseconds."""
+        self.unavailability.finish(end)
+        return {
+            'sent': self.sent,
+            'outcomes': dict(sorted(self.outcomes.items())),
+            'mixed_up': self.mixed_up,
+            'retries': self.retries,
+            'acknowledged': self.acknowledged,
+            'not_run': self.not_run,
+            'unavailable_s': self.unavailability.longest,
+            'unavailable_key': self.unavailability.longest_key,
+            'latency_ms': {
+                kind: _percentiles(histogram)
+                for kind, histogram in self._latencies.items()
+            },
+        }
+
+
+def _percentiles(histogram):
+    found = {
+        f'p{p}': histogram.get_value_at_percentile(p) / 1000.0
+        for p in PERCENTILES
+    }
+    found['max'] = histogram.get_max_value() / 1000.0
+    found['count'] = histogram.get_total_count()
+    return found
