Test the stand-ins and the load generator

Change: tests step the store and the upstream on a manual clock and run the load generator against stand-ins on one loop. The load generator dropped the last request that was due when the next one lay beyond the end; it now sends it. Conclusion: checks that must be able to fail (two owners, repeated openings, mixed up and unsolicited answers) each have a failing case.

--- a/packages/standins/src/bramleysill_standins/load.py
+++ b/packages/standins/src/bramleysill_standins/load.py
@@ -105,11 +105,12 @@
         self.loop.scheduler.call_at(due, lambda: self._begin(due))
 
     def _begin(self, due):
+        if not self.sending:
+            return
+        self.open += 1
+        self.tally.sent += 1
         self._schedule()
-        if self.sending:
-            self.open += 1
-            self.tally.sent += 1
-            self._attempt(self.make_plan(due))
+        self._attempt(self.make_plan(due))
 
     def make_plan(self, due):
         """Return the next request, which should start at `due`."""
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -38,7 +38,8 @@
         if not self.closed:
             self.closed = True
             self.ending = how
-            self.protocol.on_close(None)
+            if self.protocol is not None:
+                self.protocol.on_close(None)
 
 
 class Sink:
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,152 @@
+"""Tests of the load generator against stand-ins on one loop."""
+
+import itertools
+import random
+
+import testtools
+
+from bramleysill_net.loop import Loop
+from bramleysill_standins.arrivals import arrivals
+from bramleysill_standins.load import LoadGenerator
+from bramleysill_standins.load import Settings
+from bramleysill_standins.load import parse_routers
+from bramleysill_standins.load import parse_weights
+from bramleysill_standins.load import report
+from bramleysill_standins.serving import BodySink
+from bramleysill_standins.serving import ConnTracker
+from bramleysill_standins.serving import listen
+from bramleysill_standins.serving import send_json
+from bramleysill_standins.tally import Unavailability
+from bramleysill_standins.upstream import Limits
+from bramleysill_standins.upstream import UpstreamApp
+
+TIMEOUT_SECONDS = 30
+
+
+class Scripted(ConnTracker):
+    """Answers every request as a function says."""
+
+    def __init__(self, loop, answer):
+        super().__init__(loop)
+        self._answer = answer
+
+    def on_request(self, stream, req):
+        return BodySink(stream, lambda body: self._answer(stream, req), 9999)
+
+
+def _refuse(stream, req):
+    problem = {'code': 'owner_lost', 'outcome': 'not_run'}
+    send_json(stream, 503, problem, [('Retry-After', '0')])
+
+
+def _answer_of_another(stream, req):
+    send_json(stream, 200, {'key': req.target[8:], 'call_id': 'another'})
+
+
+def _answer_twice(stream, req):
+    key, call_id = req.target[8:], req.header('x-call-id')
+    conn = stream._server.conn
+    send_json(stream, 200, {'key': key, 'call_id': call_id})
+    conn.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+
+
+class LoadTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop()
+
+    def _run(self, apps, kinds, **options):
+        routers = [('127.0.0.1', listen(self.loop, a, 0)) for a in apps]
+        for app in apps:
+            self.addCleanup(app.listener.close)
+        weights = parse_weights(kinds)
+        cfg = Settings(1000, 0.05, weights, 5, 7, 'constant', **options)
+        generator = LoadGenerator(self.loop, routers, cfg)
+        self.addCleanup(generator.pool.close)
+        generator.start()
+        done = self.loop.run_until(generator.is_done, TIMEOUT_SECONDS)
+        self.assertTrue(done)
+        return report(generator)
+
+    def test_answers_are_checked_and_counted(self):
+        """Guards against good answers that are counted as wrong."""
+        limits = Limits(slots=100, warmup_ms=0)
+        app = UpstreamApp(self.loop, 'u', limits, checked=False)
+        found = self._run(
+            [app], 'lookup=4,opening=1,handover=1,upload=1,download=1'
+        )
+        self.assertEqual(50, found['sent'])
+        self.assertEqual(50, sum(found['outcomes'].values()))
+        self.assertTrue(all(n.endswith(' ok') for n in found['outcomes']))
+        self.assertEqual([], found['mixed_up'])
+        uploads = [item['sha256'] for item in app.ledger.uploads.values()]
+        for digest in found['acknowledged']['upload'].values():
+            self.assertIn(digest, uploads)
+
+    def test_answer_of_another_request_is_noticed(self):
+        """Guards against a check by content that can't fail."""
+        app = Scripted(self.loop, _answer_of_another)
+        found = self._run([app], 'lookup=1')
+        self.assertEqual(50, len(found['mixed_up']))
+
+    def test_second_answer_is_noticed(self):
+        """Guards against a late answer that the next request takes."""
+        found = self._run([Scripted(self.loop, _answer_twice)], 'lookup=1')
+        self.assertEqual({'lookup ok': 50}, found['outcomes'])
+        self.assertEqual([], found['mixed_up'])
+        self.assertGreater(found['unsolicited'], 0)
+
+    def test_refusals_are_retried_and_counted(self):
+        """Guards against retries without end or without a trace."""
+        app = Scripted(self.loop, _refuse)
+        found = self._run([app], 'opening=1', retries=2)
+        self.assertEqual({'opening 503 owner_lost': 150}, found['outcomes'])
+        self.assertEqual(100, found['retries'])
+        self.assertEqual(50, len(found['not_run']))
+
+    def test_closed_router_is_left_out(self):
+        """Guards against requests lost to a router that is down."""
+        limits = Limits(slots=100, warmup_ms=0)
+        up = UpstreamApp(self.loop, 'u', limits, checked=False)
+        down = Scripted(self.loop, _refuse)
+        listen(self.loop, down, 0)
+        address = down.listener.address
+        down.listener.close()
+        cfg = Settings(1000, 0.05, {'lookup': 1}, 5)
+        routers = [address, ('127.0.0.1', listen(self.loop, up, 0))]
+        self.addCleanup(up.listener.close)
+        generator = LoadGenerator(self.loop, routers, cfg)
+        self.addCleanup(generator.pool.close)
+        generator.start()
+        self.loop.run_until(generator.is_done, TIMEOUT_SECONDS)
+        found = report(generator)
+        self.assertEqual({'lookup ok': found['sent']}, found['outcomes'])
+        self.assertGreater(found['failed_connects'], 0)
+
+
+class AccountTest(testtools.TestCase):
+    def test_unavailable_time_spans_failures(self):
+        """Guards against an outage that only counts one request."""
+        times = Unavailability()
+        times.note_success('a', 0.0, 0.1)
+        times.note_failure('a', 1.0)
+        times.note_failure('a', 2.0)
+        times.note_success('a', 3.0, 3.5)
+        self.assertEqual(2.5, times.longest)
+        times.note_failure('b', 3.0)
+        times.finish(9.0)
+        self.assertEqual((6.0, 'b'), (times.longest, times.longest_key))
+
+    def test_arrivals_keep_the_rate(self):
+        """Guards against a generator that sends less than it states."""
+        for name, low, high in (('constant', 100, 100), ('poisson', 90, 110)):
+            times = arrivals.get(name)(100.0, random.Random(3))
+            last = list(itertools.islice(times, 10001))[-1]
+            self.assertTrue(low <= 10000 / last <= high, name)
+
+    def test_addresses_and_weights(self):
+        """Guards against settings that are read wrongly."""
+        self.assertEqual([('h', 1), ('::1', 2)], parse_routers('h:1,::1:2'))
+        self.assertEqual(
+            {'lookup': 8.0, 'upload': 1.0}, parse_weights('lookup=8,upload')
+        )
--- /dev/null
+++ b/tests/test_store_standin.py
@@ -0,0 +1,207 @@
+"""Tests of the store stand-in: state by steps, HTTP without sockets."""
+
+import json
+
+import testtools
+
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_net.loop import Scheduler
+from bramleysill_standins import kv_state
+from bramleysill_standins.store import StoreApp
+from tests.http_fakes import FakeConn
+
+
+class ManualLoop:
+    """A loop whose clock a test advances."""
+
+    def __init__(self):
+        self.clock = ManualClock(100.0)
+        self.now = self.clock.now
+        self.scheduler = Scheduler(self.now)
+
+    def advance(self, seconds):
+        """Move the clock and run what has fallen due, in small steps."""
+        end = self.now() + seconds
+        while self.now() < end - 1e-9:
+            self.clock.advance(min(0.001, end - self.now()))
+            self.scheduler.run_due()
+
+
+class Caller:
+    """Sends requests to an app over a fake connection."""
+
+    def __init__(self, app):
+        self.conn = FakeConn()
+        self.server = app.accept(self.conn)
+        self.conn.protocol = self.server
+
+    def send(self, method, path, body=b'', headers=()):
+        """Send a request and return what was answered by now."""
+        self.conn.sent = b''
+        lines = [f'{method} {path} HTTP/1.1', 'Host: x']
+        lines += [f'{name}: {value}' for name, value in headers]
+        lines.append(f'Content-Length: {len(body)}')
+        head = '\r\n'.join(lines) + '\r\n\r\n'
+        self.server.on_data(head.encode() + body)
+        return self.answer()
+
+    def answer(self):
+        """Return `(status, headers, body)`, or None without an answer."""
+        if not self.conn.sent:
+            return None
+        head, _, body = self.conn.sent.partition(b'\r\n\r\n')
+        lines = head.decode().split('\r\n')
+        headers = dict(line.split(': ', 1) for line in lines[1:])
+        return int(lines[0].split()[1]), headers, body
+
+
+class KvStateTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.changed = []
+        self.state = kv_state.KvState(self.changed.append)
+
+    def test_compare_and_swap(self):
+        """Guards against two writers that both win."""
+        self.assertEqual(1, self.state.put('k', b'a', 0, None, 0))
+        exc = self.assertRaises(
+            kv_state.Conflict, self.state.put, 'k', b'b', 0, None, 0
+        )
+        self.assertEqual(1, exc.version)
+        self.assertEqual(2, self.state.put('k', b'b', 1, None, 0))
+        self.assertEqual(b'b', self.state.get('k').value)
+
+    def test_versions_continue_after_removal(self):
+        """Guards against a version that is used for two values."""
+        self.state.put('k', b'a', 0, None, 0)
+        self.state.delete('k', 1, 0)
+        self.assertEqual(0, self.state.version('k'))
+        self.assertEqual(2, self.state.put('k', b'b', 0, None, 0))
+
+    def test_lease_removes_its_keys(self):
+        """Guards against a leader whose key outlives its lease."""
+        lease = self.state.create_lease(100, 0)
+        self.state.put('k', b'a', 0, lease, 0)
+        self.state.renew_lease(lease, 90)
+        self.state.expire(189)
+        self.assertEqual(1, self.state.version('k'))
+        self.state.expire(190)
+        self.assertEqual(['k', 'k'], self.changed)
+        self.assertEqual(0, self.state.version('k'))
+        for call in (
+            lambda: self.state.renew_lease(lease, 191),
+            lambda: self.state.put('k', b'b', 0, lease, 191),
+        ):
+            self.assertRaises(kv_state.LeaseGone, call)
+
+    def test_lease_keeps_keys_that_were_rewritten(self):
+        """Guards against a value that an old lease removes."""
+        lease = self.state.create_lease(100, 0)
+        self.state.put('k', b'a', 0, lease, 0)
+        self.state.put('k', b'b', 1, None, 0)
+        self.state.expire(200)
+        self.assertEqual(b'b', self.state.get('k').value)
+
+
+class StoreHttpTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = ManualLoop()
+        self.app = StoreApp(self.loop)
+        self.caller = Caller(self.app)
+
+    def _put(self, expected, key='a/b', query=''):
+        path = f'/v1/kv/{key}?expected={expected}{query}'
+        return self.caller.send('PUT', path, b'v')
+
+    def test_calls_of_the_protocol_page(self):
+        """Guards against statuses that differ from the page."""
+        self.assertEqual('1', self._put(0)[1]['X-Version'])
+        status, headers, _ = self._put(0)
+        self.assertEqual((409, '1'), (status, headers['X-Version']))
+        self.assertEqual(410, self._put(1, query='&lease=gone')[0])
+        status, headers, body = self.caller.send('GET', '/v1/kv/a/b')
+        self.assertEqual((200, '1'), (status, headers['X-Version']))
+        self.assertEqual(b'v', body)
+        for method, path, status in (
+            ('DELETE', '/v1/kv/a/b?expected=7', 409),
+            ('DELETE', '/v1/kv/a/b?expected=1', 200),
+            ('GET', '/v1/kv/a/b', 404),
+            ('PUT', '/v1/kv/a/b?expected=x', 400),
+            ('POST', '/v1/leases?ttl_ms=50', 201),
+            ('POST', '/v1/leases/lease-1', 200),
+            ('DELETE', '/v1/leases/lease-1', 200),
+            ('POST', '/v1/leases/lease-1', 410),
+            ('GET', '/v1/vms', 200),
+            ('GET', '/v1/other', 404),
+        ):
+            self.assertEqual(status, self.caller.send(method, path)[0], path)
+
+    def test_value_over_the_limit_is_refused(self):
+        """Guards against a value that the platform would not take."""
+        body = b'x' * ((1 << 20) + 1)
+        answer = self.caller.send('PUT', '/v1/kv/k?expected=0', body)
+        self.assertEqual(413, answer[0])
+        self.assertEqual(404, self.caller.send('GET', '/v1/kv/k')[0])
+
+    def test_watch_ends_with_a_change_or_the_wait(self):
+        """Guards against a watch that misses a change or never ends."""
+        watcher = Caller(self.app)
+        path = '/v1/watch/a/b?wait_ms=500&after='
+        self.assertIsNone(watcher.send('GET', path + '0'))
+        self._put(0)
+        self.assertEqual((200, b'v'), watcher.answer()[::2])
+        self.assertEqual(200, watcher.send('GET', path + '0')[0])
+        self.assertIsNone(watcher.send('GET', path + '1'))
+        self.loop.advance(0.499)
+        self.assertIsNone(watcher.answer())
+        self.loop.advance(0.002)
+        self.assertEqual(304, watcher.answer()[0])
+
+    def test_watch_of_a_leased_key_ends_with_the_lease(self):
+        """Guards against an expired leader that nobody hears of."""
+        self.caller.send('POST', '/v1/leases?ttl_ms=100')
+        self._put(0, 'k', '&lease=lease-1')
+        watcher = Caller(self.app)
+        watcher.send('GET', '/v1/watch/k?wait_ms=9000&after=1')
+        self.loop.advance(0.101)
+        status, headers, _ = watcher.answer()
+        self.assertEqual((404, '0'), (status, headers['X-Version']))
+
+    def test_watch_of_a_gone_caller_is_dropped(self):
+        """Guards against watches that pile up."""
+        watcher = Caller(self.app)
+        watcher.send('GET', '/v1/watch/k?after=0')
+        watcher.conn.abort()
+        self.assertEqual({}, self.app._watchers)
+        self.assertEqual(200, self._put(0, 'k')[0])
+
+    def test_lost_answers_take_effect(self):
+        """Guards against a lost answer that is a lost write."""
+        self.caller.send('POST', '/v1/faults?mode=lose_answer&count=1')
+        self.assertIsNone(self._put(0))
+        self.assertTrue(self.caller.conn.closed)
+        self.caller = Caller(self.app)
+        self.assertEqual(409, self._put(0)[0])
+
+    def test_down_and_slow(self):
+        """Guards against an outage that answers, or can't be ended."""
+        caller = Caller(self.app)
+        caller.send('POST', '/v1/faults?mode=down')
+        self.assertIsNone(self._put(0))
+        self.assertTrue(self.caller.conn.closed)
+        caller.send('POST', '/v1/faults?mode=slow&delay_ms=200')
+        self.caller = Caller(self.app)
+        self.assertIsNone(self._put(0))
+        self.loop.advance(0.201)
+        self.assertEqual(200, self.caller.answer()[0])
+        caller.send('POST', '/v1/faults?mode=none')
+        self.assertEqual(200, self._put(1)[0])
+
+    def test_counters_count_each_call(self):
+        """Guards against calls that the rate budget doesn't see."""
+        self._put(0)
+        self._put(0)
+        self.caller.send('GET', '/v1/kv/a/b')
+        found = json.loads(self.caller.send('GET', '/v1/counters')[2])
+        self.assertEqual({'kv_put': 2, 'conflicts': 1, 'kv_get': 1}, found)
--- /dev/null
+++ b/tests/test_upstream_standin.py
@@ -0,0 +1,313 @@
+"""Tests of the upstream stand-in, on a clock that is advanced by hand."""
+
+import hashlib
+import json
+
+import testtools
+
+from bramleysill_standins.fences import FenceTable
+from bramleysill_standins.ledger import keys_with_two_owners
+from bramleysill_standins.ledger import repeated_effects
+from bramleysill_standins.pattern import iter_pattern
+from bramleysill_standins.upstream import Limits
+from bramleysill_standins.upstream import UpstreamApp
+from bramleysill_standins.workload import Workload
+from tests.test_store_standin import Caller
+from tests.test_store_standin import ManualLoop
+
+
+def _grant(generation, units, until=900, epoch='e'):
+    return {
+        'dispatcher': 'd',
+        'generation': generation,
+        'until_clock_ms': until,
+        'epoch': epoch,
+        'units': units,
+    }
+
+
+def _entry(host_ms, fence, unit='3', key='K', idempotency=''):
+    return {
+        'host_ms': host_ms,
+        'fence': fence,
+        'unit': unit,
+        'service': 'ledger',
+        'key': key,
+        'effect': 'openings',
+        'idempotency_key': idempotency,
+    }
+
+
+class FenceTableTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = FenceTable('e')
+        self.table.apply(_grant([1, 1], {'3': 5, '4': 1}), 0)
+
+    def test_check_gives_the_reason(self):
+        """Guards against a request that runs without authority."""
+        for unit, fence, now_ms, reason in (
+            ('3', 5, 899, ''),
+            ('3', 5, 900, 'expired'),
+            ('3', 4, 0, 'stale_fence'),
+            ('3', 6, 0, 'stale_fence'),
+            ('9', 5, 0, 'no_grant'),
+        ):
+            self.assertEqual(reason, self.table.check(unit, fence, now_ms))
+
+    def test_older_grants_are_refused(self):
+        """Guards against a late grant that reverts a newer one."""
+        self.assertTrue(self.table.apply(_grant([2, 0], {'4': 1}), 0))
+        self.assertFalse(self.table.apply(_grant([1, 9], {'3': 5}), 0))
+        other = _grant([3, 0], {'3': 5}, epoch='x')
+        self.assertFalse(self.table.apply(other, 0))
+        self.assertEqual('no_grant', self.table.check('3', 5, 0))
+
+    def test_fences_never_go_back(self):
+        """Guards against a unit that returns under an old fence."""
+        self.table.apply(_grant([1, 2], {'3': 4}), 0)
+        self.assertEqual('no_grant', self.table.check('3', 4, 0))
+        self.table.release('4', 1)
+        self.table.apply(_grant([1, 3], {'4': 1}), 0)
+        self.assertEqual('no_grant', self.table.check('4', 1, 0))
+        self.table.apply(_grant([1, 4], {'4': 2}), 0)
+        self.assertEqual('', self.table.check('4', 2, 0))
+
+
+class LedgerCheckTest(testtools.TestCase):
+    def test_two_owners_are_found(self):
+        """Guards against a proof of one owner that can't fail."""
+        good = {'a': [_entry(1, 1), _entry(9, 3)], 'b': [_entry(5, 2)]}
+        self.assertEqual([], keys_with_two_owners(good))
+        for bad in (
+            {'a': [_entry(1, 1)], 'b': [_entry(2, 1)]},
+            {'a': [_entry(2, 1)], 'b': [_entry(1, 2)]},
+            {'a': [_entry(1, 2), _entry(2, 1)]},
+        ):
+            self.assertEqual(1, len(keys_with_two_owners(bad)))
+
+    def test_repeated_effects_are_found(self):
+        """Guards against an opening that two upstreams recorded."""
+        twice = {
+            'a': [_entry(1, 1, idempotency='x')],
+            'b': [_entry(2, 2, idempotency='x')],
+        }
+        self.assertEqual(['x'], repeated_effects(twice, 'openings'))
+        self.assertEqual([], repeated_effects(twice, 'handovers'))
+
+
+class WorkloadTest(testtools.TestCase):
+    def test_warms_up_by_time_and_work(self):
+        """Guards against an upstream that is warm after idle time."""
+        load = Workload(4, 1, 1000)
+        self.assertEqual(1, load.capacity(5000))
+        for _ in range(20):
+            load.start(0)
+            load.finish(0, True)
+        self.assertEqual((1, 4), (load.capacity(0), load.capacity(1000)))
+        self.assertEqual(2.0, load.service_ms(1000, 2.0))
+        self.assertEqual(8.0, load.service_ms(0, 2.0))
+
+    def test_collapses_under_too_much_work_while_cold(self):
+        """Guards against a slow start that goes unpunished."""
+        load = Workload(4, 1, 1000)
+        taken = [load.start(0) for _ in range(5)]
+        self.assertEqual([True] * 4 + [False], taken)
+        self.assertEqual((1, 4), (load.collapses, load.cold_max_in_flight))
+        self.assertEqual(32.0, load.service_ms(0, 2.0))
+
+
+class UpstreamHttpTest(testtools.TestCase):
+    def _start(self, checked=False, **options):
+        limits = Limits(warmup_ms=0, connections=6)
+        self.loop = ManualLoop()
+        self.app = UpstreamApp(self.loop, 'u', limits, checked, **options)
+        self.caller = Caller(self.app)
+        self.loop.advance(0.01)
+
+    def _send(self, path, body=b'', caller=None, **fields):
+        headers = [
+            (name.replace('_', '-'), value) for name, value in fields.items()
+        ]
+        caller = caller or self.caller
+        method = 'POST' if body else 'GET'
+        return caller.send(method, path, body, headers)
+
+    def _ran(self):
+        return [entry.request_id for entry in self.app.ledger.entries]
+
+    def test_request_runs_for_the_service_time(self):
+        """Guards against an effect before its time."""
+        self._start()
+        self._send('/ledger/K', Sill_Request_Id='r', X_Call_Id='c')
+        self.loop.advance(0.0019)
+        self.assertIsNone(self.caller.answer())
+        self.assertEqual([], self._ran())
+        self.loop.advance(0.0002)
+        status, headers, body = self.caller.answer()
+        found = json.loads(body)
+        self.assertEqual(
+            (200, 'K', 'c'), (status, found['key'], found['call_id'])
+        )
+        self.assertIn('Sill-Clock-Ms', headers)
+        self.assertEqual(['r'], self._ran())
+
+    def test_more_than_slots_are_shed(self):
+        """Guards against work beyond the slots."""
+        self._start()
+        callers = [Caller(self.app) for _ in range(5)]
+        self.loop.advance(0.01)
+        answers = [self._send('/a/K', caller=c) for c in callers]
+        self.assertEqual([None] * 4, answers[:4])
+        status, headers, _ = answers[4]
+        self.assertEqual(503, status)
+        self.assertEqual('1', headers['Sill-Not-Run'])
+        self.assertEqual('shed', headers['Sill-Reason'])
+        self.assertEqual(4, self.app.workload.max_in_flight)
+
+    def test_connections_are_limited(self):
+        """Guards against a connection beyond the limit."""
+        self._start()
+        callers = [Caller(self.app) for _ in range(6)]
+        closed = [caller.conn.closed for caller in callers]
+        self.assertEqual([False] * 5 + [True], closed)
+
+    def test_authority_is_checked_when_the_effect_is_due(self):
+        """Guards against an effect after the end of the grant."""
+        self._start(checked=True)
+        until = self.app.clock_ms() + 1
+        grant = _grant([1, 1], {'3': 1}, until, self.app.epoch)
+        body = json.dumps(grant).encode()
+        self.assertEqual(200, self._send('/.sill/grants', body)[0])
+        fields = {'Sill_Unit': '3', 'Sill_Fence': '1'}
+        self.assertIsNone(self._send('/ledger/K', **fields))
+        self.loop.advance(0.003)
+        status, headers, _ = self.caller.answer()
+        self.assertEqual((409, 'expired'), (status, headers['Sill-Reason']))
+        self.assertEqual([], self._ran())
+
+    def test_release_waits_for_the_unit_to_rest(self):
+        """Guards against a release that is confirmed too early."""
+        self._start(checked=True)
+        grant = _grant([1, 1], {'3': 1}, 9e9, self.app.epoch)
+        self._send('/.sill/grants', json.dumps(grant).encode())
+        self._send('/ledger/K', Sill_Unit='3', Sill_Fence='1')
+        other = Caller(self.app)
+        release = b'{"unit": "3", "fence": 1}'
+        self.assertIsNone(self._send('/.sill/release', release, other))
+        self.loop.advance(0.003)
+        self.assertEqual(200, other.answer()[0])
+        self.assertEqual(409, self.caller.answer()[0])
+
+    def test_upload_is_stored_whole_or_not_at_all(self):
+        """Guards against a cut upload that counts as stored."""
+        self._start()
+        body = b'x' * 1000
+        self._send('/intake/a', body)
+        self.loop.advance(0.003)
+        digest = hashlib.sha256(body).hexdigest()
+        found = json.loads(self.caller.answer()[2])
+        self.assertEqual((digest, 1000), (found['sha256'], found['bytes']))
+        head = (
+            b'PUT /intake/b HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n'
+        )
+        self.caller.server.on_data(head + b'abc')
+        self.caller.conn.abort()
+        self.loop.advance(1)
+        self.assertEqual(['/intake/a'], list(self.app.ledger.uploads))
+        self.assertEqual(
+            (1, 0), (self.app.ledger.cut_off, self.app.workload.in_flight)
+        )
+
+    def test_download_waits_for_the_caller(self):
+        """Guards against a download that is buffered as a whole."""
+        self._start()
+        conn = self.caller.conn
+        write = conn.write
+
+        def buffering_write(data):
+            write(data)
+            conn.buffered += len(data)
+
+        conn.write = buffering_write
+        self._send('/intake/s?bytes=1000000')
+        self.loop.advance(0.003)
+        self.assertLess(conn.buffered, 400000)
+        while conn.buffered:
+            conn.buffered = 0
+            self.caller.server.on_drain()
+        expected = b''.join(iter_pattern('s', 1000000))
+        self.assertEqual(expected, self.caller.answer()[2])
+        self.assertEqual(0, self.app.workload.in_flight)
+
+    def test_cancelled_request_does_not_run(self):
+        """Guards against a cancellation that is only reported."""
+        self._start()
+        self._send('/ledger/K', Sill_Request_Id='r')
+        control = Caller(self.app)
+
+        def cancel(request_id):
+            body = json.dumps({'request_id': request_id}).encode()
+            answer = self._send('/.sill/cancel', body, control)
+            return json.loads(answer[2])['state']
+
+        self.assertEqual('cancelled', cancel('r'))
+        self.loop.advance(1)
+        self.assertEqual([], self._ran())
+        self._send('/ledger/K', caller=Caller(self.app), Sill_Request_Id='s')
+        self.loop.advance(1)
+        self.assertEqual(('done', 'unknown'), (cancel('s'), cancel('t')))
+
+    def test_deadline_is_kept(self):
+        """Guards against a request that runs after its deadline."""
+        self._start()
+        self._send('/.sill/faults?mode=slow&factor=10', b'{}')
+        self._send('/ledger/K', Sill_Timeout_Ms='5')
+        self.loop.advance(0.03)
+        status, headers, _ = self.caller.answer()
+        self.assertEqual((409, 'expired'), (status, headers['Sill-Reason']))
+        self.assertEqual([], self._ran())
+
+    def test_idempotency_key_runs_once(self):
+        """Guards against a repeated opening that runs again."""
+        self._start(remember=True)
+        bodies = []
+        for _ in range(2):
+            path = '/ledger/K/openings'
+            self._send(path, b'x', Idempotency_Key='i')
+            self.loop.advance(0.003)
+            bodies.append(self.caller.answer()[2])
+        self.assertEqual(bodies[0], bodies[1])
+        self.assertEqual(1, len(self.app.ledger.entries))
+
+    def test_freeze_holds_everything_but_the_clock(self):
+        """Guards against a freeze that runs work or stops the clock."""
+        self._start()
+        self._send('/ledger/K', Sill_Request_Id='r')
+        control = Caller(self.app)
+        self._send('/.sill/faults?mode=freeze&ms=500', b'{}', control)
+        self.assertFalse(self.caller.conn.reading)
+        before = self.app.clock_ms()
+        self.loop.advance(0.499)
+        self.assertEqual([], self._ran())
+        self.assertGreater(self.app.clock_ms(), before + 498)
+        self.loop.advance(0.002)
+        self.assertEqual(['r'], self._ran())
+        self.assertTrue(self.caller.conn.reading)
+
+    def test_other_faults(self):
+        """Guards against faults that have no effect."""
+        self._start()
+        epoch = self.app.epoch
+        self._send('/.sill/faults?mode=cold', b'{}')
+        self.assertNotEqual(epoch, self.app.epoch)
+        self._send('/.sill/faults?mode=mislead&load=0.25', b'{}')
+        self._send('/.sill/faults?mode=leaving', b'{}')
+        status, headers, _ = self._send('/ledger/K')
+        self.assertEqual((503, 'leaving'), (status, headers['Sill-Reason']))
+        self.assertEqual('0.250', headers['Sill-Load'])
+        self._send('/.sill/faults?mode=none', b'{}')
+        self._send('/.sill/faults?mode=lose_answer', b'{}')
+        self._send('/ledger/K', Sill_Request_Id='r')
+        self.loop.advance(0.003)
+        self.assertEqual((True, ['r']), (self.caller.conn.closed, self._ran()))
