--- a/packages/router/src/bramleysill_router/control.py
+++ b/packages/router/src/bramleysill_router/control.py
@@ -38,7 +38,9 @@
     releases, suspensions and warm-ups.
     """
 
-    def __init__(self, loop, cfg, rng, store, links, election, agent, state):
+    def __init__(
+        self, loop, cfg, rng, ops, store, links, election, agent, state
+    ):
         self._loop = loop
         self._cfg = cfg
         self._rng = rng
@@ -47,7 +49,7 @@
         self._election = election
         self._agent = agent
         self._state = state
-        self._ops = election.ops
+        self._ops = ops
         self._coordinator = None
         self._watches = []
         self._asked_at = 0.0
@@ -147,12 +149,15 @@
     def _take_office(self):
         log_event('office_taken', term=self._election.term)
         self._coordinator = Coordinator(
+            self._cfg.name,
             self._cfg.cell,
-            self._election,
             self._loop,
             self._rng,
+            self._ops,
+            self._election,
             self._state,
         )
+        self._run(self._coordinator, self._coordinator.announce())
         self._watches = [
             StoreWatch(self._loop, self._store, MANIFEST_KEY, self._manifest),
             StoreWatch(self._loop, self._store, DRAINS_KEY, self._drains),
@@ -177,14 +182,21 @@
         if coordinator is None:
             return
         try:
-            document = json.loads(value) if version else {}
-            domains = set(document.get('failure_domains', ()))
-            upstreams = set(document.get('upstreams', ()))
+            self._run(coordinator, coordinator.on_drains(value, version))
         except (ValueError, AttributeError, TypeError) as exc:
             log_warning('drains_refused', version=version, error=exc)
             return
         log_event('drains_read', version=version)
-        self._run(coordinator, coordinator.on_drains(domains, upstreams))
+
+    def stop(self):
+        """Give up the office, so that another router takes it at once."""
+        coordinator = self._coordinator
+        if coordinator is None:
+            return
+        self._election.step_down('leaving')
+        self._run(coordinator, coordinator.resign())
+        self._run(self._election, self._election.tick())
+        self._follow_office()
 
     # Effects.
 
--- a/packages/router/src/bramleysill_router/dispatcher.py
+++ b/packages/router/src/bramleysill_router/dispatcher.py
@@ -12,7 +12,6 @@
 from bramleysill_kernel.grants import GrantKeeper
 from bramleysill_kernel.health import UpstreamHealth
 from bramleysill_kernel.idempotency import IdempotencyMemory
-from bramleysill_kernel.messages import UPSTREAM_LEAVING
 from bramleysill_kernel.messages import UPSTREAM_SUSPECT
 from bramleysill_kernel.messages import UpstreamReport
 from bramleysill_router.authority import Authority
@@ -389,10 +388,8 @@
         self.apply_condition()
 
     def apply_condition(self):
-        """Bound the work of an upstream that may be lost or is leaving."""
+        """Bound the work of an upstream that may be lost."""
         condition = self.health.condition
-        bound = None
-        if condition == UPSTREAM_SUSPECT or condition == UPSTREAM_LEAVING and not self.service.authority:
-            bound = 1
+        bound = 1 if condition == UPSTREAM_SUSPECT else None
         self._start_all(self.admission.restrict(bound))
         self._answer_dropped()
--- a/packages/router/src/bramleysill_router/process.py
+++ b/packages/router/src/bramleysill_router/process.py
@@ -1,5 +1,6 @@
 """Builds a router process from its parts and shuts it down gracefully."""
 
+import itertools
 import os
 import random
 import time
@@ -76,6 +77,7 @@
             address,
         )
         self.links = PeerLinks(self.loop, hello, self.metrics)
+        ops = itertools.count(1)
         self.election = Election(
             cfg.name,
             self._incarnation,
@@ -83,6 +85,7 @@
             cfg.cell,
             self.loop,
             self._rng,
+            ops,
         )
         self.agent = RouterAgent(
             cfg.name,
@@ -98,6 +101,7 @@
             self.loop,
             cfg,
             self._rng,
+            ops,
             self._store,
             self.links,
             self.election,
--- a/packages/router/src/bramleysill_router/remote.py
+++ b/packages/router/src/bramleysill_router/remote.py
@@ -260,7 +260,7 @@
         """Send a piece of the answer, within the window."""
         head = self._head
         if head is not None and len(data) == head.length:
-            # The whole body is here: on_answer_end follows and sends one frame.
+            # The whole body is here and travels with the end in one frame.
             self._body = data
             return
         self._unacked += len(data)
