--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/candidates.py
@@ -0,0 +1,208 @@
+"""The coordinator's authority and the candidates on the leader record.
+
+The coordinator acts while its store lease is valid or every other candidate
+on the leader record has promised not to stand. The candidates are itself and
+one healthy router in each of two other failure domains, or in the same ones
+where there are fewer. A lost candidate is replaced by a compare-and-swap of
+the leader record; until its answer is known, the promises of the old and of
+the new candidates are required.
+"""
+
+from bramleysill_kernel import effects
+from bramleysill_kernel import election as election_module
+from bramleysill_kernel import lease
+from bramleysill_kernel.leader_record import LeaderRecord
+from bramleysill_kernel.leader_record import leader_key
+
+MAX_CANDIDATES = 3
+RETRY_SECONDS = 0.5
+# On promises, the coordinator leaves the office to a candidate that has
+# reached the store for this long while it cannot reach it itself. Candidates
+# call the store every 1.0 s and learn of an outage after 0.5 s more.
+STORE_REACHED_SECONDS = 2.0
+
+
+class Authority:
+    """Whether the coordinator may act, and the candidates it depends on."""
+
+    __slots__ = (
+        'record',
+        '_election',
+        '_members',
+        '_clock',
+        '_ops',
+        '_cell',
+        '_pending',
+        '_waiting',
+        '_retry_at',
+        '_promises_since',
+    )
+
+    def __init__(self, election, members, cell, clock, ops):
+        self.record = election.record
+        self._election = election
+        self._members = members
+        self._clock = clock
+        self._ops = ops
+        self._cell = cell
+        self._pending = None
+        self._waiting = {}
+        self._retry_at = lease.NEVER
+        self._promises_since = None
+
+    def holds(self):
+        """Tell whether the coordinator may act now.
+
+        A gap ends the office for good, because another router may have led
+        meanwhile.
+        """
+        election = self._election
+        if election.state != election_module.LEADING:
+            return False
+        if election.term != self.record.term:
+            return False
+        if self._clock.now() < self.until():
+            return True
+        election.step_down('authority_lost')
+        return False
+
+    def until(self):
+        """Return when authority ends unless it is renewed."""
+        return max(self._election.lease_deadline, self._promised_until())
+
+    def on_promises(self):
+        """Tell whether only promises give authority now."""
+        return self._clock.now() >= self._election.lease_deadline
+
+    def candidates(self):
+        """Return the names on the record, sorted."""
+        return sorted(self.record.candidates)
+
+    def _required(self):
+        names = set(self.record.candidates)
+        if self._pending is not None:
+            names.update(self._pending.candidates)
+        names.discard(self._election.name)
+        return names
+
+    def _promised_until(self):
+        ends = [self._members.promised_until(n) for n in self._required()]
+        return min(ends, default=lease.FOREVER)
+
+    def tick(self):
+        """Return the effects that are due."""
+        if self.on_promises():
+            self._yield_to_candidate()
+            return []
+        self._promises_since = None
+        now = self._clock.now()
+        if self._waiting or now < self._retry_at:
+            return []
+        if self._pending is not None:
+            return self._read()
+        chosen = self._choose()
+        if chosen == self.record.candidates:
+            return []
+        record = LeaderRecord(
+            self.record.term,
+            self.record.holder,
+            self.record.incarnation,
+            self.record.address,
+            chosen,
+        )
+        writer = f'{record.holder}/{record.incarnation}'
+        record.write_id = f'{writer}/{next(self._ops)}'
+        record.version = self.record.version
+        self._pending = record
+        return self._write()
+
+    def _yield_to_candidate(self):
+        now = self._clock.now()
+        if self._promises_since is None:
+            self._promises_since = now
+        for name in self._required():
+            member = self._members.get(name)
+            if member is None or member.store_ok_since is None:
+                continue
+            since = max(member.store_ok_since, self._promises_since)
+            if now - since >= STORE_REACHED_SECONDS:
+                self._election.step_down('candidate_reaches_store')
+                return
+
+    def _choose(self):
+        """Keep live candidates; fill up from other failure domains."""
+        me = self._election.name
+        chosen = {me: self._election.incarnation}
+        domains = set()
+        mine = self._members.get(me)
+        if mine is not None:
+            domains.add(mine.failure_domain)
+        kept = [n for n in self.record.candidates if n != me]
+        rest = [n for n in self._members.names() if n not in kept]
+        for spread in (True, False):
+            for name in kept + rest:
+                self._add(chosen, name, domains, spread)
+        return chosen
+
+    def _add(self, chosen, name, domains, spread):
+        if len(chosen) >= MAX_CANDIDATES or name in chosen:
+            return
+        if not self._members.alive(name):
+            return
+        member = self._members.get(name)
+        if spread and member.failure_domain in domains:
+            return
+        domains.add(member.failure_domain)
+        chosen[name] = member.incarnation
+
+    def _write(self):
+        op = next(self._ops)
+        self._waiting[op] = self._on_written
+        return [
+            effects.StoreWrite(
+                op,
+                leader_key(self._cell),
+                self._pending.encode(),
+                self._pending.version,
+            )
+        ]
+
+    def _read(self):
+        op = next(self._ops)
+        self._waiting[op] = self._on_read
+        key = leader_key(self._cell)
+        return [effects.StoreRead(op, key)]
+
+    def on_store_answer(self, op, answer):
+        """Take an answer; return effects, or None if it is not for this."""
+        step = self._waiting.pop(op, None)
+        if step is None:
+            return None
+        return step(answer)
+
+    def _on_written(self, answer):
+        if answer.result == effects.RESULT_OK:
+            self._accept(answer.version)
+            return []
+        self._retry_at = self._clock.now() + RETRY_SECONDS
+        return self._read()
+
+    def _on_read(self, answer):
+        if answer.result == effects.RESULT_UNKNOWN:
+            self._retry_at = self._clock.now() + RETRY_SECONDS
+            return []
+        if answer.result == effects.RESULT_OK:
+            found = LeaderRecord.decode(answer.value, answer.version)
+            if found.write_id == self._pending.write_id:
+                self._accept(answer.version)
+                return []
+            if answer.version == self._pending.version:
+                return self._write()
+        self._election.step_down('record_replaced')
+        return []
+
+    def _accept(self, version):
+        self._pending.version = version
+        self.record = self._pending
+        self._election.record = self._pending
+        self._pending = None
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/leader_lease.py
@@ -0,0 +1,112 @@
+"""How the elected router keeps its leader lease.
+
+While the store answers, the lease is renewed. When it has lapsed during an
+outage, the office goes on if promises cover the gap: the key is created again
+and the leader record must still be this term's.
+"""
+
+import json
+
+from bramleysill_kernel import effects
+from bramleysill_kernel import lease
+from bramleysill_kernel.leader_record import LeaderRecord
+from bramleysill_kernel.leader_record import leader_key
+
+
+def lease_key(cell):
+    """Return the store key that is bound to the leader lease."""
+    return f'cell/{cell}/lease'
+
+
+class LeaderLease:
+    """The part of an Election that renews and regains the leader lease."""
+
+    __slots__ = ()
+
+    def _tick_leading(self, now):
+        if now < self._next_renewal:
+            return []
+        self._next_renewal = now + lease.LEADER_RENEW_SECONDS
+        if self._lease_id:
+            return self._ask(
+                effects.StoreRenew,
+                lambda answer: self._on_renewed(answer, now),
+                self._lease_id,
+            )
+        if self._regaining:
+            return []
+        self._regaining = True
+        return self._ask(
+            effects.StoreLease,
+            lambda answer: self._on_new_lease(answer, now),
+            lease.LEADER_LEASE_SECONDS,
+        )
+
+    def _extend(self, sent_at):
+        deadline = lease.holder_deadline(sent_at, lease.LEADER_LEASE_SECONDS)
+        self.lease_deadline = max(self.lease_deadline, deadline)
+
+    def _on_renewed(self, answer, sent_at):
+        if answer.result == effects.RESULT_OK:
+            self._extend(sent_at)
+        elif answer.result == effects.RESULT_MISSING:
+            # The store has removed the key. On promises the office is kept
+            # if the key can be created again and the record is unchanged.
+            self._lease_id = ''
+            self._next_renewal = self._clock.now()
+
+    def _on_new_lease(self, answer, sent_at):
+        if answer.result != effects.RESULT_OK:
+            self._regaining = False
+            return []
+        lease_id = answer.value.decode()
+        return self._ask(
+            effects.StoreWrite,
+            lambda got: self._on_key_again(got, lease_id, sent_at),
+            lease_key(self._cell),
+            self._key_value(lease_id),
+            0,
+            lease_id,
+        )
+
+    def _on_key_again(self, answer, lease_id, sent_at):
+        if answer.result == effects.RESULT_OK:
+            return self._ask(
+                effects.StoreRead,
+                lambda got: self._on_record_checked(got, lease_id, sent_at),
+                leader_key(self._cell),
+            )
+        # After a lost answer the key expires with its lease, unrenewed.
+        self._regaining = False
+        if answer.result != effects.RESULT_CONFLICT:
+            return []
+        return self._ask(
+            effects.StoreRead, self._on_rival, lease_key(self._cell)
+        )
+
+    def _on_rival(self, answer):
+        """Step down if another router holds the leader lease."""
+        if answer.result != effects.RESULT_OK:
+            return
+        if json.loads(answer.value)['holder'] != self.name:
+            self._step_down('lease_taken')
+
+    def _on_record_checked(self, answer, lease_id, sent_at):
+        self._regaining = False
+        if answer.result == effects.RESULT_UNKNOWN:
+            return
+        self._lease_id = lease_id
+        if answer.result == effects.RESULT_OK:
+            found = LeaderRecord.decode(answer.value, answer.version)
+            if found.term == self.term:
+                self._extend(sent_at)
+                return
+        self._step_down('record_replaced')
+
+    def _key_value(self, lease_id):
+        value = {
+            'holder': self.name,
+            'address': self.address,
+            'lease': lease_id,
+        }
+        return json.dumps(value).encode()
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/members.py
@@ -0,0 +1,176 @@
+"""The coordinator's list of routers, their leases and promises."""
+
+from bramleysill_kernel import lease
+
+RESEND_SECONDS = 0.4
+
+
+class Member:
+    """One router as its heartbeats show it.
+
+    `must_have` is the serial of the state that last took a role from this
+    router: its lease is not extended while its own state is older.
+    """
+
+    __slots__ = (
+        'name',
+        'incarnation',
+        'address',
+        'failure_domain',
+        'deadline',
+        'seq',
+        'leaving',
+        'versions',
+        'held',
+        'store_ok_since',
+        'must_have',
+        'sent_at',
+    )
+
+    def __init__(self, heartbeat):
+        self.name = heartbeat.router
+        self.deadline = lease.NEVER
+        self.must_have = 0
+        self.sent_at = lease.NEVER
+        self.store_ok_since = None
+        self.seq = 0
+        self.versions = {}
+        self.held = {}
+        self.restart(heartbeat)
+
+    def restart(self, heartbeat):
+        """Take what a new process of the same name says of itself."""
+        self.incarnation = heartbeat.incarnation
+        self.address = heartbeat.address
+        self.failure_domain = heartbeat.failure_domain
+        self.leaving = heartbeat.leaving
+        self.seq = 0
+
+    def has_state(self, term, serial):
+        """Tell whether the router's state is at least this one."""
+        mine = (self.versions.get('term', 0), self.versions.get('serial', 0))
+        return mine >= (term, serial)
+
+
+class MemberList:
+    """All routers with a lease from this coordinator.
+
+    `restarted` maps names to the lease end of their former process.
+    """
+
+    __slots__ = (
+        'members',
+        'restarted',
+        '_promised',
+        '_clock',
+        '_joined',
+        '_deaths',
+    )
+
+    def __init__(self, clock):
+        self.members = {}
+        self._promised = {}
+        self.restarted = {}
+        self._clock = clock
+        self._joined = False
+        self._deaths = {}
+
+    def __iter__(self):
+        return iter(self.members.values())
+
+    def get(self, name):
+        """Return a member by name, or None."""
+        return self.members.get(name)
+
+    def alive(self, name):
+        """Tell whether a router is a member that is not leaving."""
+        member = self.members.get(name)
+        return member is not None and not member.leaving
+
+    def names(self):
+        """Return the names of members that are not leaving, in order."""
+        return sorted(m.name for m in self if not m.leaving)
+
+    def addresses(self):
+        """Return the addresses of all members."""
+        return {m.name: m.address for m in self}
+
+    def promised_until(self, name):
+        """Return the end of a router's promise, also if it has left."""
+        return self._promised.get(name, ('', lease.NEVER))[1]
+
+    def note(self, heartbeat):
+        """Take a heartbeat of this term; return the Member.
+
+        The lease is extended for the sender's sake even if the reply will
+        not extend it: the coordinator's end may only be too late.
+        """
+        now = self._clock.now()
+        member = self.members.get(heartbeat.router)
+        if member is None:
+            member = Member(heartbeat)
+            member.must_have = self._deaths.pop(heartbeat.router, 0)
+            self.members[heartbeat.router] = member
+            self._joined = True
+        elif member.incarnation != heartbeat.incarnation:
+            self.restarted[member.name] = member.deadline
+            member.restart(heartbeat)
+            self._joined = True
+        if self._promised.get(member.name, ('',))[0] != member.incarnation:
+            self._promised.pop(member.name, None)
+        if heartbeat.leaving != member.leaving:
+            member.leaving = heartbeat.leaving
+            self._joined = True
+        if heartbeat.seq < member.seq:
+            return member
+        member.seq = heartbeat.seq
+        member.versions = dict(heartbeat.versions)
+        member.held = dict(heartbeat.held)
+        member.deadline = max(
+            member.deadline,
+            lease.grantor_deadline(now, lease.ROUTER_LEASE_SECONDS),
+        )
+        self._note_promise(member, heartbeat, now)
+        return member
+
+    def _note_promise(self, member, heartbeat, now):
+        if not heartbeat.store_ok:
+            member.store_ok_since = None
+        elif member.store_ok_since is None:
+            member.store_ok_since = now
+        if not heartbeat.promise or heartbeat.echo < 0:
+            return
+        until = lease.FOREVER
+        if not heartbeat.leaving:
+            until = lease.holder_deadline(
+                heartbeat.echo, lease.PROMISE_SECONDS
+            )
+        maker, known = self._promised.get(member.name, ('', lease.NEVER))
+        if maker == heartbeat.incarnation:
+            until = max(known, until)
+        self._promised[member.name] = (heartbeat.incarnation, until)
+
+    def extend_all(self):
+        """Extend every lease by a full length after an own pause."""
+        now = self._clock.now()
+        until = lease.grantor_deadline(now, lease.ROUTER_LEASE_SECONDS)
+        for member in self:
+            member.deadline = max(member.deadline, until)
+
+    def expire(self):
+        """Remove members whose lease has run out; return their names."""
+        now = self._clock.now()
+        lost = [m.name for m in self if now >= m.deadline]
+        for name in lost:
+            del self.members[name]
+            self._joined = True
+        return lost
+
+    def note_death(self, name, serial):
+        """Extend no lease of this name while its state is older."""
+        self._deaths[name] = serial
+
+    def take_joined(self):
+        """Tell whether the list has changed since the last call."""
+        joined, self._joined = self._joined, False
+        return joined
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/membership.py
@@ -0,0 +1,280 @@
+"""A router's membership of its cell: heartbeats, lease and roles.
+
+The process drives the `RouterAgent` of a router as follows:
+
+* Every 0.4 s, and at once while `heartbeat_due` is set, it calls
+  `make_heartbeat()`, which returns (router, message), and sends the message
+  to that router. If `router` is its own name, it passes the message to its
+  own `Coordinator.on_heartbeat`, or to `refuse(heartbeat)` if it does not
+  lead. If `router` is empty, no peer is known and nothing is sent.
+* A Heartbeat from a peer goes to `Coordinator.on_heartbeat` on the leading
+  router and to `refuse(heartbeat)` on any other; the answer goes back.
+* A HeartbeatReply goes to `on_reply(reply)`, a StateUpdate to
+  `on_state(update)`. Both must be passed on in the order of arrival.
+* Directly before each request, grant or release is sent to an upstream it
+  asks `may_dispatch(upstream)`.
+
+The agent drops all roles when its lease lapses; a role comes back only when
+a coordinator names it under a newer generation.
+"""
+
+from bramleysill_kernel import lease
+from bramleysill_kernel import state as state_module
+from bramleysill_kernel.messages import UPSTREAM_OK
+from bramleysill_kernel.messages import Heartbeat
+from bramleysill_kernel.messages import HeartbeatReply
+
+# Without an answer for this long, other routers are tried in turn.
+SILENCE_SECONDS = 1.0
+KEPT_HEARTBEATS = 16
+NO_STAMP = -1.0
+
+
+class RouterAgent:
+    """The router's side of its lease and dispatcher roles.
+
+    `election` is this router's Election, which learns of promises, or None.
+    `busy(upstream)` tells whether requests are in flight to an upstream that
+    does not check authority; a role that is taken away is reported as held
+    until it returns false.
+    """
+
+    __slots__ = (
+        'name',
+        'incarnation',
+        'address',
+        'failure_domain',
+        'state',
+        'coordinator',
+        'term',
+        'lease_deadline',
+        'leaving',
+        'heartbeat_due',
+        'held',
+        '_election',
+        '_clock',
+        '_busy',
+        '_seq',
+        '_sent',
+        '_echo',
+        '_echo_at',
+        '_heard_at',
+        '_next_peer',
+        '_void',
+        '_giving_up',
+        '_reports',
+    )
+
+    def __init__(
+        self,
+        name,
+        incarnation,
+        address,
+        failure_domain,
+        clock,
+        state,
+        election=None,
+        busy=None,
+    ):
+        self.name = name
+        self.incarnation = incarnation
+        self.address = address
+        self.failure_domain = failure_domain
+        self.state = state
+        self.coordinator = ''
+        self.term = 0
+        self.lease_deadline = lease.NEVER
+        self.leaving = False
+        self.heartbeat_due = False
+        self.held = {}
+        self._election = election
+        self._clock = clock
+        self._busy = busy or (lambda upstream: False)
+        self._seq = 0
+        self._sent = {}
+        self._echo = NO_STAMP
+        self._echo_at = lease.NEVER
+        self._heard_at = lease.NEVER
+        self._next_peer = 0
+        self._void = {}
+        self._giving_up = {}
+        self._reports = {}
+
+    def report(self, upstream_report):
+        """Add an UpstreamReport to the next heartbeat; the newest counts."""
+        self._reports[upstream_report.upstream] = upstream_report
+        if upstream_report.condition != UPSTREAM_OK:
+            self.heartbeat_due = True
+
+    def make_heartbeat(self):
+        """Return the router to send to and the Heartbeat."""
+        now = self._clock.now()
+        self.heartbeat_due = False
+        self._drop_lapsed(now)
+        self._finish_giving_up()
+        target = self._target(now)
+        promise = self._promise(now)
+        self._seq += 1
+        self._sent[self._seq] = (now, target)
+        self._sent.pop(self._seq - KEPT_HEARTBEATS, None)
+        reports = list(self._reports.values())
+        self._reports = {}
+        return target, Heartbeat(
+            router=self.name,
+            incarnation=self.incarnation,
+            seq=self._seq,
+            term=self.term,
+            echo=self._echo if promise else NO_STAMP,
+            address=self.address,
+            failure_domain=self.failure_domain,
+            promise=promise,
+            store_ok=bool(self._election and self._election.store_ok),
+            leaving=self.leaving,
+            held={**self._giving_up, **self.held},
+            versions=self.state.versions(),
+            reports=reports,
+        )
+
+    def on_reply(self, reply):
+        """Extend the lease, or follow the sender to another coordinator."""
+        sent_at, peer = self._sent.get(reply.seq, (None, ''))
+        if not reply.accepted:
+            self._follow(reply, peer)
+            return
+        self._note_term(reply.term, reply.coordinator)
+        if reply.term < self.term or sent_at is None:
+            return
+        now = self._clock.now()
+        self._drop_lapsed(now)
+        self.coordinator = reply.coordinator
+        self._heard_at = now
+        self._take_stamp(reply.stamp, now)
+        deadline = lease.holder_deadline(sent_at, lease.ROUTER_LEASE_SECONDS)
+        self.lease_deadline = max(self.lease_deadline, deadline)
+
+    def on_state(self, update):
+        """Apply a StateUpdate; return the set of the parts that changed."""
+        now = self._clock.now()
+        self._drop_lapsed(now)
+        changed = self.state.apply(update)
+        if state_module.PART_DISPATCHERS in changed:
+            if self._election is not None:
+                self._election.probing = self.name in update.candidates
+            self._note_term(update.term, update.coordinator)
+            if update.term == self.term:
+                self.coordinator = update.coordinator
+            self._take_roles()
+        return changed
+
+    def refuse(self, heartbeat):
+        """Return the answer of a router that does not lead."""
+        known = self.coordinator
+        if known in (self.name, heartbeat.router):
+            known = ''
+        return HeartbeatReply(
+            known, self.term, heartbeat.seq, NO_STAMP, accepted=False
+        )
+
+    def may_dispatch(self, upstream):
+        """Tell whether this router may send to the upstream now."""
+        self._drop_lapsed(self._clock.now())
+        return upstream in self.held
+
+    def generation(self, upstream):
+        """Return the generation of a held role, or None."""
+        return self.held.get(upstream)
+
+    def has_lease(self):
+        """Tell whether the router lease is valid now."""
+        return self._clock.now() < self.lease_deadline
+
+    def _drop_lapsed(self, now):
+        """Forget the roles if the lease has lapsed since they were named."""
+        if now < self.lease_deadline:
+            return
+        self.held = {}
+        self._giving_up = {}
+        for upstream, role in self.state.dispatchers.items():
+            self._void[upstream] = (role[1], role[2])
+
+    def _take_roles(self):
+        """Hold exactly the roles that the newest state names."""
+        before = self.held
+        self.held = {}
+        for upstream, role in self.state.dispatchers.items():
+            generation = (role[1], role[2])
+            if role[0] != self.name:
+                continue
+            if generation > self._void.get(upstream, (0, 0)):
+                self.held[upstream] = generation
+        for upstream, generation in before.items():
+            if upstream not in self.held:
+                self.heartbeat_due = True
+                self._giving_up[upstream] = generation
+        if not self.has_lease():
+            self.heartbeat_due = True
+        self._finish_giving_up()
+
+    def _finish_giving_up(self):
+        self._giving_up = {
+            u: g for u, g in self._giving_up.items() if self._busy(u)
+        }
+
+    def _note_term(self, term, coordinator):
+        """Follow a newer term; its stamps start anew."""
+        if term <= self.term:
+            return
+        self.term = term
+        self.coordinator = coordinator
+        self._echo = NO_STAMP
+        self._heard_at = self._clock.now()
+        self.heartbeat_due = True
+        self.state.raise_min_term(term)
+        if self._election is not None:
+            self._election.note_term(term)
+
+    def _follow(self, reply, peer):
+        """Go where a router that extends no lease points to."""
+        leads = peer and reply.coordinator == peer
+        if leads:
+            self._note_term(reply.term, reply.coordinator)
+            self._heard_at = self._clock.now()
+            return
+        if peer == self.coordinator:
+            self._heard_at = lease.NEVER
+        if peer and self._election is not None:
+            self._election.note_not_leading(peer, reply.term)
+        if reply.coordinator:
+            self._note_term(reply.term, reply.coordinator)
+        if reply.term >= self.term and reply.coordinator:
+            self.coordinator = reply.coordinator
+
+    def _take_stamp(self, stamp, now):
+        if stamp > self._echo:
+            self._echo = stamp
+            self._echo_at = now
+
+    def _promise(self, now):
+        """Promise not to stand, counted from the receipt of the stamp."""
+        if self._election is None or self._echo < 0:
+            return False
+        return self._election.promise(
+            self._echo_at, self.coordinator, self.leaving
+        )
+
+    def _target(self, now):
+        if self.coordinator and now - self._heard_at < SILENCE_SECONDS:
+            return self.coordinator
+        peers = self._peers()
+        if not peers:
+            return ''
+        self._next_peer += 1
+        return peers[self._next_peer % len(peers)]
+
+    def _peers(self):
+        """Return whom to ask: the likely coordinators first."""
+        hint = self._election.leader_hint if self._election else ''
+        likely = [self.coordinator, hint, *self.state.candidates]
+        return list(dict.fromkeys(p for p in likely if p)) or sorted(
+            self.state.members
+        )
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -46,7 +46,9 @@
 
     `echo` is the coordinator's last stamp that the router has received.
     `held` maps upstreams to the generation (term, n) of the dispatcher role
-    that the router holds; `versions` maps state parts to their versions.
+    that the router holds. `versions` maps `term`, `serial`, `manifest` and
+    `table/SERVICE` to integers. An `echo` below 0 means that no stamp of
+    this term has been received.
     """
 
     router: str
@@ -66,7 +68,11 @@
 
 @dataclasses.dataclass(slots=True)
 class HeartbeatReply:
-    """Extends a router lease; `stamp` is the coordinator's clock."""
+    """Extends a router lease; `stamp` is the coordinator's clock.
+
+    If `accepted` is false, the lease is not extended and `coordinator` names
+    the router that the sender believes to lead, or is empty.
+    """
 
     coordinator: str
     term: int
@@ -95,8 +101,12 @@
 class StateUpdate:
     """State that a coordinator distributes.
 
-    `dispatchers` maps upstreams to (router, term, n); `members` maps routers
-    to addresses. Both are complete and ordered by (term, serial).
+    `dispatchers` maps upstreams to (router, term, n); an empty router means
+    that the role is free. `members` maps routers to addresses, `candidates`
+    lists the routers that may stand for election, and `drained` the
+    upstreams that take no new work. All four are complete and ordered by
+    (term, serial). `table_versions` maps each service to the version that a
+    receiver must have before it may act on `dispatchers`.
     """
 
     coordinator: str
@@ -109,6 +119,7 @@
     members: dict = dataclasses.field(default_factory=dict)
     candidates: list = dataclasses.field(default_factory=list)
     drained: list = dataclasses.field(default_factory=list)
+    table_versions: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/moves.py
@@ -0,0 +1,188 @@
+"""Moves of units from one owner to another.
+
+A unit may be given to a new owner only when its old owner can no longer run
+it: the old owner's dispatcher has answered `Released`, or the old owner is
+lost and its grants have lapsed. Such a move is *ready* and is written with
+all other ready moves of its service in one compare-and-swap.
+"""
+
+from bramleysill_kernel import effects
+from bramleysill_kernel import lease
+from bramleysill_kernel import messages
+
+# Planned moves at a time per giving and per receiving upstream.
+MAX_MOVES = 8
+MAX_MOVES_COLD = 2
+# Time for the receiver to load a unit before the giver stops it.
+WARM_SECONDS = 0.2
+RELEASE_RESEND_SECONDS = 0.5
+# Planned moves of one service are written at most this often.
+PLANNED_WRITE_SECONDS = 0.3
+
+
+class PendingMove:
+    """One unit on its way; `fence` is the fence that is being given up.
+
+    Before `not_before`, requests that an unchecked upstream took from a lost
+    dispatcher may still run.
+    """
+
+    __slots__ = (
+        'service',
+        'unit',
+        'source',
+        'target',
+        'fence',
+        'urgent',
+        'ready',
+        'warm_until',
+        'sent_at',
+        'not_before',
+    )
+
+    def __init__(self, service, move, fence, urgent, ready):
+        self.service = service
+        self.unit = move.unit
+        self.source = move.source
+        self.target = move.target
+        self.fence = fence
+        self.urgent = urgent
+        self.ready = ready
+        self.warm_until = None
+        self.sent_at = lease.NEVER
+        self.not_before = lease.NEVER
+
+
+class MoveBoard:
+    """All moves that have not been written yet."""
+
+    __slots__ = ('pending', '_clock', '_term', '_written_at')
+
+    def __init__(self, clock, term):
+        self.pending = {}
+        self._clock = clock
+        self._term = term
+        self._written_at = {}
+
+    def has(self, service, unit):
+        """Tell whether a unit is being moved."""
+        return (service, unit) in self.pending
+
+    def add(self, service, move, fence, urgent=False, ready=False):
+        """Start a move; an existing one only becomes urgent or ready."""
+        found = self.pending.get((service, move.unit))
+        if found is None:
+            found = PendingMove(service, move, fence, urgent, ready)
+            self.pending[(service, move.unit)] = found
+        found.urgent = found.urgent or urgent
+        found.ready = found.ready or ready
+        return found
+
+    def planned_room(self, source, target, cold):
+        """Tell whether one more planned move between the two may start."""
+        giving = receiving = 0
+        for move in self.pending.values():
+            if not move.urgent:
+                giving += move.source == source
+                receiving += move.target == target
+        limit = MAX_MOVES_COLD if target in cold else MAX_MOVES
+        return giving < MAX_MOVES and receiving < limit
+
+    def on_released(self, message, assignment):
+        """Take a Released; return the move, which may be new, or None.
+
+        A dispatcher repeats Released for a unit that an earlier coordinator
+        asked it to stop.
+        """
+        if assignment is None or assignment.owner != message.upstream:
+            return None
+        if assignment.fence != message.fence:
+            return None
+        found = self.pending.get((message.service, message.unit))
+        if found is None:
+            found = PendingMove(
+                message.service, _Stopped(message), message.fence, True, True
+            )
+            self.pending[(message.service, message.unit)] = found
+        found.ready = True
+        return found
+
+    def owner_lapsed(self, upstream):
+        """Make all moves away from an upstream ready."""
+        for move in self.pending.values():
+            if move.source == upstream:
+                move.ready = True
+
+    def sources_ready(self):
+        """Return the upstreams that have given up units not yet written."""
+        return {m.source for m in self.pending.values() if m.ready}
+
+    def tick(self, router_of):
+        """Return the Warm and Release messages that are due."""
+        now = self._clock.now()
+        out = []
+        for move in self.pending.values():
+            if not move.ready:
+                out.extend(self._advance(move, now, router_of))
+        return out
+
+    def _advance(self, move, now, router_of):
+        out = []
+        if move.warm_until is None:
+            move.warm_until = now if move.urgent else now + WARM_SECONDS
+            receiver = router_of(move.target)
+            if receiver and move.target != move.source:
+                warm = messages.Warm(
+                    self._term, move.service, move.unit, move.target
+                )
+                out.append(effects.SendMessage(receiver, warm))
+        due = now >= move.sent_at + RELEASE_RESEND_SECONDS
+        giver = router_of(move.source)
+        if giver and due and now >= move.warm_until:
+            move.sent_at = now
+            release = messages.Release(
+                self._term, move.service, move.unit, move.fence, move.source
+            )
+            out.append(effects.SendMessage(giver, release))
+        return out
+
+    def take_ready(self, service):
+        """Return the moves to write now; they stay until `settle`."""
+        now = self._clock.now()
+        ready = [
+            m
+            for m in self.pending.values()
+            if m.service == service and m.ready and now >= m.not_before
+        ]
+        if not any(m.urgent for m in ready):
+            since = now - self._written_at.get(service, lease.NEVER)
+            if since < PLANNED_WRITE_SECONDS:
+                return []
+        if ready:
+            self._written_at[service] = now
+        return ready
+
+    def settle(self, table):
+        """Drop the moves of a service that an accepted table has done."""
+        for key, move in list(self.pending.items()):
+            if move.service != table.service:
+                continue
+            held = table.get(move.unit)
+            if held is None or held.fence > move.fence:
+                del self.pending[key]
+
+    def drop_service(self, service):
+        """Forget all moves of a service that the manifest removed."""
+        for key in [k for k in self.pending if k[0] == service]:
+            del self.pending[key]
+
+
+class _Stopped:
+    """A move without a target, for a unit found stopped."""
+
+    __slots__ = ('unit', 'source', 'target')
+
+    def __init__(self, message):
+        self.unit = message.unit
+        self.source = message.upstream
+        self.target = ''
--- a/packages/kernel/src/bramleysill_kernel/ownership.py
+++ b/packages/kernel/src/bramleysill_kernel/ownership.py
@@ -64,6 +64,23 @@
         )
         self._firsts = [p.first for p in self._ranges]
 
+    @classmethod
+    def from_layout(cls, service_name, layout):
+        """Return the space of a stored layout, see `layout`."""
+        space = cls.__new__(cls)
+        space.service = service_name
+        space.partitions = [Partition(*row) for row in layout]
+        space._ranges = space.partitions[:-1]
+        space._firsts = [p.first for p in space._ranges]
+        return space
+
+    def layout(self):
+        """Return rows of name, first, last, base and shards."""
+        return [
+            [p.name, p.first, p.last, p.base, p.shards]
+            for p in self.partitions
+        ]
+
     @property
     def shard_count(self):
         """Return the number of shards of all partitions."""
@@ -97,13 +114,24 @@
 
     `version` is the store's version of the value, `term` the term of the
     coordinator that wrote it and `write_id` identifies the write, so that a
-    write whose answer was lost can be recognized.
+    write whose answer was lost can be recognized. `layout` is the division
+    of keys into shards under which the owners were assigned; it is stored
+    with them because a key must never be looked up under another one.
     """
 
-    __slots__ = ('service', 'shards', 'singles', 'version', 'term', 'write_id')
+    __slots__ = (
+        'service',
+        'shards',
+        'singles',
+        'version',
+        'term',
+        'write_id',
+        'layout',
+    )
 
     def __init__(self, service, shard_count=0):
         self.service = service
+        self.layout = []
         self.shards = [Assignment() for _ in range(shard_count)]
         self.singles = {}
         self.version = 0
@@ -139,6 +167,14 @@
         else:
             self.shards[int(unit)] = assignment
 
+    def remove(self, unit):
+        """Remove the entry of a single key."""
+        self.singles.pop(unit[len(SINGLE_PREFIX) :], None)
+
+    def highest_fence(self):
+        """Return the highest fence of all units."""
+        return max((a.fence for _, a in self.units()), default=0)
+
     def units(self):
         """Return pairs of unit and assignment."""
         for number, assignment in enumerate(self.shards):
@@ -162,6 +198,7 @@
             'service': self.service,
             'term': self.term,
             'write_id': self.write_id,
+            'layout': self.layout,
             'upstreams': names,
             'owners': [index[a.owner] for a in self.shards],
             'fences': [a.fence for a in self.shards],
@@ -188,6 +225,7 @@
             }
             table.term = int(value['term'])
             table.write_id = value['write_id']
+            table.layout = value.get('layout', [])
         except (ValueError, KeyError, IndexError, TypeError) as exc:
             raise SillError(
                 f'malformed ownership table: {exc}', 'decode', 'store'
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/placement.py
@@ -0,0 +1,214 @@
+"""Placement methods: which upstream should own which unit.
+
+A placement method is a function in the registry `placements`::
+
+    moves = placements.get('bounded')(
+        units_by_owner={'a': ['0', '1'], '': ['2']},
+        eligible_by_unit={'0': ('a', 'b'), '1': ('a', 'b'), '2': ('b',)},
+        weights={'a': 1.0, 'b': 1.0},
+        loads={},
+        max_moves=8,
+        rng=random.Random(1),
+    )
+
+The owner '' holds units without an owner. `loads` maps upstreams to their
+observed work in progress per slot. A unit whose owner is not eligible is
+always moved; `max_moves` bounds the further moves. A unit without an eligible
+upstream stays where it is.
+"""
+
+import dataclasses
+import heapq
+import math
+
+from bramleysill_kernel.hashing import rendezvous_score
+from bramleysill_kernel.ownership import NO_OWNER
+from bramleysill_kernel.registry import Registry
+
+placements = Registry('placement')
+
+# Load within this ratio of the mean does not change an upstream's share.
+LOAD_DEAD_BAND = 0.25
+# Load changes an upstream's share by at most this factor.
+LOAD_MAX_FACTOR = 1.5
+# Share, in units, by which an owner must exceed another to give one away.
+MIN_EXCESS_UNITS = 1.0
+HASH_RANGE = float(1 << 64)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Move:
+    """One unit that changes its owner."""
+
+    unit: str
+    source: str
+    target: str
+
+
+def effective_weights(names, weights, loads):
+    """Return weights corrected by load outside the dead band."""
+    known = [loads[n] for n in names if n in loads]
+    mean = sum(known) / len(known) if known else 0.0
+    result = {}
+    for name in names:
+        weight = max(weights.get(name, 1.0), 0.001)
+        load = loads.get(name, mean)
+        if mean > 0 and abs(load - mean) > LOAD_DEAD_BAND * mean:
+            factor = mean / max(load, mean / LOAD_MAX_FACTOR)
+            weight *= max(factor, 1.0 / LOAD_MAX_FACTOR)
+        result[name] = weight
+    return result
+
+
+def initial(units, eligible_by_unit, weights, rng, method='bounded'):
+    """Return owners for units that have none, as a dict."""
+    moves = placements.get(method)(
+        {NO_OWNER: list(units)}, eligible_by_unit, weights, {}, 0, rng
+    )
+    return {m.unit: m.target for m in moves}
+
+
+class _Shares:
+    """Counts of units per owner, with the least loaded at hand."""
+
+    def __init__(self, units_by_owner, eligible_by_unit, weights, loads):
+        names = set()
+        for eligible in set(eligible_by_unit.values()):
+            names.update(eligible)
+        self.names = sorted(names)
+        self.weights = effective_weights(self.names, weights, loads)
+        self.counts = {n: len(units_by_owner.get(n, ())) for n in self.names}
+        self._heaps = {}
+        self._stamp = dict.fromkeys(self.names, 0)
+
+    def share(self, name, extra=0):
+        """Return units per weight, with `extra` units more."""
+        return (self.counts[name] + extra) / self.weights[name]
+
+    def least(self, eligible):
+        """Return the eligible name with the lowest share after one more."""
+        heap = self._heaps.get(eligible)
+        if heap is None:
+            heap = [self._entry(n) for n in eligible]
+            heapq.heapify(heap)
+            self._heaps[eligible] = heap
+        while heap[0][2] != self._stamp[heap[0][1]]:
+            heapq.heapreplace(heap, self._entry(heap[0][1]))
+        return heap[0][1]
+
+    def add(self, name, units):
+        """Change the count of a name that may be absent."""
+        if name in self.counts:
+            self.counts[name] += units
+            self._stamp[name] += 1
+            if units < 0:
+                # An entry that became lower must be seen before it is due.
+                for eligible, heap in self._heaps.items():
+                    if name in eligible:
+                        heapq.heappush(heap, self._entry(name))
+
+    def _entry(self, name):
+        return (self.share(name, 1), name, self._stamp[name])
+
+
+def _sorted_units(units_by_owner):
+    for owner in sorted(units_by_owner):
+        for unit in units_by_owner[owner]:
+            yield owner, unit
+
+
+@placements.register('bounded')
+def plan_bounded(
+    units_by_owner, eligible_by_unit, weights, loads, max_moves, rng
+):
+    """Move what must move, then even out shares by few moves."""
+    shares = _Shares(units_by_owner, eligible_by_unit, weights, loads)
+    moves = []
+    staying = {}
+    for owner, unit in _sorted_units(units_by_owner):
+        eligible = eligible_by_unit.get(unit, ())
+        if owner in eligible or not eligible:
+            staying.setdefault(owner, []).append(unit)
+            continue
+        target = shares.least(eligible)
+        moves.append(Move(unit, owner, target))
+        shares.add(owner, -1)
+        shares.add(target, 1)
+    moves.extend(_even_out(shares, staying, eligible_by_unit, max_moves, rng))
+    return moves
+
+
+def _even_out(shares, staying, eligible_by_unit, max_moves, rng):
+    givers = [(-shares.share(n), n) for n in shares.names if n in staying]
+    heapq.heapify(givers)
+    for units in staying.values():
+        rng.shuffle(units)
+    moves = []
+    while givers and len(moves) < max_moves:
+        share, giver = heapq.heappop(givers)
+        if -share != shares.share(giver):
+            heapq.heappush(givers, (-shares.share(giver), giver))
+            continue
+        move = _give_one(shares, giver, staying[giver], eligible_by_unit)
+        if move is None:
+            continue
+        moves.append(move)
+        heapq.heappush(givers, (-shares.share(giver), giver))
+    return moves
+
+
+def _give_one(shares, giver, units, eligible_by_unit):
+    """Return a move that lowers the giver's excess, or None."""
+    tried = set()
+    for index in range(len(units) - 1, -1, -1):
+        eligible = eligible_by_unit.get(units[index], ())
+        if not eligible or eligible in tried:
+            continue
+        target = shares.least(eligible)
+        excess = shares.counts[giver] - (
+            shares.share(target) * shares.weights[giver]
+        )
+        if target != giver and excess >= MIN_EXCESS_UNITS:
+            unit = units.pop(index)
+            shares.add(giver, -1)
+            shares.add(target, 1)
+            return Move(unit, giver, target)
+        tried.add(eligible)
+    return None
+
+
+def _weighted_choice(unit, eligible, weights):
+    """Return the name with the highest weighted rendezvous score."""
+    best = None
+    chosen = NO_OWNER
+    for name in eligible:
+        part = (rendezvous_score(name, unit) + 1) / (HASH_RANGE + 1)
+        score = -weights.get(name, 1.0) / math.log(part)
+        if best is None or score > best:
+            best = score
+            chosen = name
+    return chosen
+
+
+@placements.register('rendezvous')
+def plan_rendezvous(
+    units_by_owner, eligible_by_unit, weights, loads, max_moves, rng
+):
+    """Move units to the upstream with the highest rendezvous score.
+
+    Weights count, loads do not: the choice depends on names alone, so that
+    an upstream that returns gets back exactly the units it had.
+    """
+    moves = []
+    wanted = []
+    for owner, unit in _sorted_units(units_by_owner):
+        eligible = eligible_by_unit.get(unit, ())
+        if not eligible:
+            continue
+        target = _weighted_choice(unit, eligible, weights)
+        if owner not in eligible:
+            moves.append(Move(unit, owner, target))
+        elif target != owner:
+            wanted.append(Move(unit, owner, target))
+    rng.shuffle(wanted)
+    return moves + wanted[:max_moves]
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/planner.py
@@ -0,0 +1,139 @@
+"""Where the units of a service should be, given what is usable."""
+
+from bramleysill_kernel import losses as losses_module
+from bramleysill_kernel import ownership
+from bramleysill_kernel import placement
+
+# Moves that even out shares, planned at a time over all upstreams.
+MAX_PLANNED = 64
+
+
+class Planner:
+    """Plans moves for one manifest.
+
+    `drained` is the set of upstreams that take no new work.
+    """
+
+    __slots__ = ('manifest', 'drained', '_losses', '_rng', '_spaces')
+
+    def __init__(self, manifest, drained, losses, rng):
+        self.manifest = manifest
+        self.drained = drained
+        self._losses = losses
+        self._rng = rng
+        self._spaces = {}
+
+    def make_table(self, service_name):
+        """Return the initial table of a service."""
+        service = self.manifest.services[service_name]
+        space = ownership.KeySpace(service)
+        table = ownership.OwnershipTable(service_name, space.shard_count)
+        table.layout = space.layout()
+        for single in service.singles:
+            unit = ownership.SINGLE_PREFIX + single.key
+            table.put(unit, ownership.Assignment())
+        units = [unit for unit, _ in table.units()]
+        eligible = self.eligible(service, table)
+        owners = placement.initial(
+            units, eligible, self._weights(service), self._rng
+        )
+        for unit in units:
+            table.assign(unit, owners.get(unit, ownership.NO_OWNER))
+        return table
+
+    def layout(self, service_name):
+        """Return the layout that the manifest asks for."""
+        return ownership.KeySpace(
+            self.manifest.services[service_name]
+        ).layout()
+
+    def space(self, table):
+        """Return the key space of a table, by its stored layout."""
+        found = self._spaces.get(table.service)
+        if found is None or found[0] != table.layout:
+            space = ownership.KeySpace.from_layout(table.service, table.layout)
+            found = self._spaces[table.service] = (table.layout, space)
+        return found[1]
+
+    def usable(self, upstream):
+        """Tell whether an upstream may be given units."""
+        return upstream not in self.drained and self._losses.usable(upstream)
+
+    def eligible(self, service, table):
+        """Return the usable upstreams of each unit, as a dict of tuples."""
+        everyone = self._usable_of([u.name for u in service.upstreams])
+        ranges = {
+            r.name: self._usable_of(r.upstreams) if r.upstreams else everyone
+            for r in service.ranges
+        }
+        found = {}
+        for part in self.space(table).partitions:
+            names = ranges.get(part.name, everyone)
+            for shard in range(part.base, part.base + part.shards):
+                found[str(shard)] = names
+        singles = {
+            s.key: self._usable_of(s.upstreams) for s in service.singles
+        }
+        for key in table.singles:
+            unit = ownership.SINGLE_PREFIX + key
+            part = self.space(table).partition_of(key)
+            names = ranges.get(part.name, everyone)
+            found[unit] = singles.get(key, names)
+        return found
+
+    def _usable_of(self, names):
+        return tuple(n for n in names if self.usable(n))
+
+    def _weights(self, service):
+        return {u.name: u.weight for u in service.upstreams}
+
+    def plan(self, table, moving):
+        """Return moves for a table; `moving` maps units to their targets.
+
+        Units of an upstream that is being probed or suspended stay until the
+        outcome is known.
+        """
+        service = self.manifest.services[table.service]
+        eligible = self.eligible(service, table)
+        by_owner = {}
+        for unit, held in table.units():
+            owner = held.owner
+            if unit in moving:
+                owner = moving[unit]
+                eligible[unit] = ()
+            elif self._undecided(owner):
+                eligible[unit] = ()
+            by_owner.setdefault(owner, []).append(unit)
+        method = placement.placements.get(service.placement)
+        return method(
+            by_owner,
+            eligible,
+            self._weights(service),
+            self._losses.loads(),
+            MAX_PLANNED,
+            self._rng,
+        )
+
+    def _undecided(self, owner):
+        found = self._losses.conditions.get(owner)
+        return found is not None and found.step in (
+            losses_module.PROBING,
+            losses_module.SUSPENDED,
+        )
+
+    def retarget(self, table, units, moving):
+        """Return new targets for stopped units, as a dict."""
+        service = self.manifest.services[table.service]
+        eligible = self.eligible(service, table)
+        by_owner = {}
+        for unit, held in table.units():
+            if unit in units:
+                by_owner.setdefault(ownership.NO_OWNER, []).append(unit)
+                continue
+            eligible[unit] = ()
+            by_owner.setdefault(moving.get(unit, held.owner), []).append(unit)
+        method = placement.placements.get(service.placement)
+        moves = method(
+            by_owner, eligible, self._weights(service), {}, 0, self._rng
+        )
+        return {m.unit: m.target for m in moves}
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/publisher.py
@@ -0,0 +1,116 @@
+"""What a coordinator sends to its members, and to whom again."""
+
+from bramleysill_kernel import effects
+from bramleysill_kernel import members as members_module
+from bramleysill_kernel import messages
+from bramleysill_kernel import state
+
+
+class Publisher:
+    """Sends changes to all members and whole states to those that lag."""
+
+    __slots__ = (
+        '_name',
+        '_term',
+        '_clock',
+        '_members',
+        '_roles',
+        '_tables',
+        '_manifest_sent',
+    )
+
+    def __init__(self, name, term, clock, members, roles, tables):
+        self._name = name
+        self._term = term
+        self._clock = clock
+        self._members = members
+        self._roles = roles
+        self._tables = tables
+        self._manifest_sent = 0
+
+    def publish(self, manifest, drained, candidates):
+        """Return the messages for everything that has changed."""
+        news = self._tables.take_news()
+        version = manifest.version if manifest else 0
+        fresh = version > self._manifest_sent
+        new_members = [
+            m for m in self._members if m.sent_at < self._clock.now() - 1e9
+        ]
+        if not (news or fresh or self._roles.changed or new_members):
+            return []
+        self._roles.publish()
+        self._manifest_sent = version
+        update = self._update(manifest, drained, candidates)
+        update.manifest_text = manifest.text if fresh else ''
+        update.tables = [self._delta(n) for n in news]
+        whole = self._whole(update, manifest) if new_members else None
+        now = self._clock.now()
+        out = []
+        for member in self._members:
+            message = whole if member in new_members else update
+            member.sent_at = now
+            out.append(effects.SendMessage(member.name, message))
+        return out
+
+    def catch_up(self, member, manifest, drained, candidates):
+        """Return the whole state for a member that lags."""
+        now = self._clock.now()
+        due = now >= member.sent_at + members_module.RESEND_SECONDS
+        if self._roles.changed or not due:
+            return []
+        if not self._lags(member, manifest):
+            return []
+        member.sent_at = now
+        update = self._update(manifest, drained, candidates)
+        whole = self._whole(update, manifest)
+        return [effects.SendMessage(member.name, whole)]
+
+    def _lags(self, member, manifest):
+        have = member.versions
+        if not member.has_state(self._term, self._roles.serial):
+            return True
+        if manifest and have.get('manifest', 0) < manifest.version:
+            return True
+        return any(
+            have.get(state.PART_TABLE + service, 0) < version
+            for service, version in self._tables.versions().items()
+        )
+
+    def _update(self, manifest, drained, candidates):
+        return messages.StateUpdate(
+            coordinator=self._name,
+            term=self._term,
+            serial=self._roles.serial,
+            manifest_version=manifest.version if manifest else 0,
+            dispatchers=self._roles.export(),
+            members=self._members.addresses(),
+            candidates=candidates,
+            drained=sorted(drained),
+            table_versions=self._tables.versions(),
+        )
+
+    def _whole(self, update, manifest):
+        tables = [
+            state.full_table(self._tables.get(s))
+            for s in self._tables.services()
+        ]
+        return messages.StateUpdate(
+            coordinator=update.coordinator,
+            term=update.term,
+            serial=update.serial,
+            manifest_version=update.manifest_version,
+            manifest_text=manifest.text if manifest else '',
+            tables=tables,
+            dispatchers=update.dispatchers,
+            members=update.members,
+            candidates=update.candidates,
+            drained=update.drained,
+            table_versions=update.table_versions,
+        )
+
+    def _delta(self, news):
+        if news.units is None:
+            return state.full_table(self._tables.get(news.service))
+        return messages.TableUpdate(
+            news.service, 0, news.version, news.base, units=news.units
+        )
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/standing.py
@@ -0,0 +1,47 @@
+"""The rules by which a router may stand for election."""
+
+from bramleysill_kernel import lease
+
+
+class StandingRules:
+    """The part of an Election that decides whether to stand."""
+
+    __slots__ = ()
+
+    def _may_stand(self, now):
+        """Tell whether this router may stand now, by section 4."""
+        if now < self.promise_until:
+            return False
+        record = self.record
+        if record is None:
+            return True
+        if self._is_candidate():
+            if record.candidates[self.name] == self.incarnation:
+                return True
+            if self._may_replace_predecessor(now):
+                return True
+        return self._all_candidates_lost(now)
+
+    def _may_replace_predecessor(self, now):
+        waited = lease.grantor_deadline(
+            self._started_at, lease.PROMISE_SECONDS
+        )
+        if now < waited:
+            return False
+        record = self.record
+        if record.holder == self.name:
+            return True
+        return any(
+            peer == record.holder and term <= record.term
+            for peer, term in self._not_leading
+        )
+
+    def _all_candidates_lost(self, now):
+        if self.vm_names is None or self.vm_names & set(
+            self.record.candidates
+        ):
+            return False
+        return now - self._missing_since >= lease.TOTAL_LOSS_SECONDS
+
+    def _is_candidate(self):
+        return self.record is not None and self.name in self.record.candidates
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/state.py
@@ -0,0 +1,250 @@
+"""What a router knows of its cell, applied part by part.
+
+Every router has one `RouterState`. The process passes each `StateUpdate` to
+`RouterAgent.on_state`, which passes it on to `RouterState.apply`, and answers
+a `StateRequest` with `make_update()`.
+
+Each part has its own order and is ignored if it is older than what is known:
+the manifest by its version, each table by its version, and dispatchers,
+members, candidates and drained upstreams together by (term, serial). The
+last group is also held back until the tables have the versions that the
+update names, so that a router never acts as dispatcher on an old table.
+"""
+
+import dataclasses
+
+from bramleysill_kernel import ownership
+from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.messages import StateUpdate
+from bramleysill_kernel.messages import TableUpdate
+
+PART_MANIFEST = 'manifest'
+PART_DISPATCHERS = 'dispatchers'
+PART_TABLE = 'table/'
+
+
+@dataclasses.dataclass(slots=True)
+class Target:
+    """Where a key's requests go; `dispatcher` is empty if nobody is named."""
+
+    unit: str
+    owner: str
+    fence: int
+    dispatcher: str
+
+
+class RouterState:
+    """The newest manifest, tables, dispatchers and members.
+
+    `parse` is called as `parse(text, file, version)` and returns a Manifest;
+    the process passes `manifest_parser.parse_manifest`.
+    """
+
+    __slots__ = (
+        'manifest',
+        'tables',
+        'dispatchers',
+        'members',
+        'candidates',
+        'drained',
+        'term',
+        'serial',
+        'min_term',
+        'coordinator',
+        'manifest_problem',
+        '_parse',
+        '_spaces',
+        '_owned',
+    )
+
+    def __init__(self, parse=None):
+        self.manifest = None
+        self.tables = {}
+        self.dispatchers = {}
+        self.members = {}
+        self.candidates = []
+        self.drained = frozenset()
+        self.term = 0
+        self.serial = 0
+        self.min_term = 0
+        self.coordinator = ''
+        self.manifest_problem = None
+        self._parse = parse
+        self._spaces = {}
+        self._owned = {}
+
+    def apply(self, update):
+        """Apply what is newer; return the set of the parts that changed.
+
+        Parts are `manifest`, `dispatchers` and `table/SERVICE`.
+        """
+        changed = set()
+        if self._apply_manifest(update):
+            changed.add(PART_MANIFEST)
+        for table in update.tables:
+            if self._apply_table(table):
+                changed.add(PART_TABLE + table.service)
+        if self._apply_roles(update):
+            changed.add(PART_DISPATCHERS)
+        return changed
+
+    def raise_min_term(self, term):
+        """Refuse roles of terms older than this from now on."""
+        self.min_term = max(self.min_term, term)
+
+    def set_manifest(self, manifest):
+        """Take a parsed manifest if it is newer; tell whether it was."""
+        if self.manifest and manifest.version <= self.manifest.version:
+            return False
+        self.manifest = manifest
+        return True
+
+    def set_table(self, table):
+        """Take a table as accepted by the store if it is newer."""
+        known = self.tables.get(table.service)
+        if known is not None and table.version <= known.version:
+            return False
+        self.tables[table.service] = table
+        self._spaces.pop(table.service, None)
+        self._owned.pop(table.service, None)
+        return True
+
+    def _apply_manifest(self, update):
+        if not update.manifest_text or self._parse is None:
+            return False
+        version = update.manifest_version
+        if self.manifest and version <= self.manifest.version:
+            return False
+        try:
+            parsed = self._parse(update.manifest_text, 'manifest', version)
+        except SillError as exc:
+            self.manifest_problem = exc
+            return False
+        return self.set_manifest(parsed)
+
+    def _apply_table(self, update):
+        known = self.tables.get(update.service)
+        have = known.version if known else 0
+        if update.version <= have:
+            return False
+        if update.data:
+            table = ownership.OwnershipTable.decode(
+                update.data, update.version
+            )
+            return self.set_table(table)
+        if known is None or update.base != have:
+            return False
+        for unit, value in update.units.items():
+            if value is None:
+                known.remove(unit)
+            else:
+                known.put(unit, ownership.Assignment(*value))
+        known.version = update.version
+        self._owned.pop(update.service, None)
+        return True
+
+    def _apply_roles(self, update):
+        if update.term < self.min_term:
+            return False
+        if (update.term, update.serial) <= (self.term, self.serial):
+            return False
+        for service, version in update.table_versions.items():
+            if self.table_version(service) < version:
+                return False
+        self.term = update.term
+        self.serial = update.serial
+        self.raise_min_term(update.term)
+        self.coordinator = update.coordinator
+        self.dispatchers = {
+            u: tuple(role) for u, role in update.dispatchers.items()
+        }
+        self.members = dict(update.members)
+        self.candidates = list(update.candidates)
+        self.drained = frozenset(update.drained)
+        return True
+
+    def table_version(self, service):
+        """Return the version of a service's table, 0 if unknown."""
+        table = self.tables.get(service)
+        return table.version if table else 0
+
+    def versions(self):
+        """Return the versions of all parts, as a heartbeat carries them."""
+        found = {'term': self.term, 'serial': self.serial}
+        found['manifest'] = self.manifest.version if self.manifest else 0
+        for name, table in self.tables.items():
+            found[PART_TABLE + name] = table.version
+        return found
+
+    def dispatcher_of(self, upstream):
+        """Return the router that dispatches to an upstream, or ''."""
+        role = self.dispatchers.get(upstream)
+        return role[0] if role else ''
+
+    def generation_of(self, upstream):
+        """Return the generation (term, n) of an upstream's dispatcher."""
+        role = self.dispatchers.get(upstream)
+        return (role[1], role[2]) if role else (0, 0)
+
+    def unit_of(self, service, key):
+        """Return the unit of a key, or None without a table."""
+        table = self.tables.get(service)
+        if table is None or not table.layout:
+            return None
+        return table.unit_of(self._space(table), key)
+
+    def route(self, service, key):
+        """Return the Target of a key, or None without a table."""
+        unit = self.unit_of(service, key)
+        if unit is None:
+            return None
+        held = self.tables[service].get(unit)
+        return Target(
+            unit, held.owner, held.fence, self.dispatcher_of(held.owner)
+        )
+
+    def units_of(self, upstream):
+        """Return units and fences that an upstream owns, as a dict."""
+        manifest = self.manifest
+        known = manifest.upstreams.get(upstream) if manifest else None
+        if known is None or known.service not in self.tables:
+            return {}
+        return self._index(known.service).get(upstream, {})
+
+    def make_update(self):
+        """Return the whole state, as an answer to a StateRequest."""
+        tables = [full_table(t) for t in self.tables.values()]
+        return StateUpdate(
+            coordinator=self.coordinator,
+            term=self.term,
+            serial=self.serial,
+            manifest_version=self.manifest.version if self.manifest else 0,
+            manifest_text=self.manifest.text if self.manifest else '',
+            tables=tables,
+            dispatchers=dict(self.dispatchers),
+            members=dict(self.members),
+            candidates=list(self.candidates),
+            drained=sorted(self.drained),
+            table_versions={t.service: t.version for t in tables},
+        )
+
+    def _space(self, table):
+        space = self._spaces.get(table.service)
+        if space is None:
+            space = ownership.KeySpace.from_layout(table.service, table.layout)
+            self._spaces[table.service] = space
+        return space
+
+    def _index(self, service):
+        index = self._owned.get(service)
+        if index is None:
+            index = {}
+            for unit, held in self.tables[service].units():
+                index.setdefault(held.owner, {})[unit] = held.fence
+            self._owned[service] = index
+        return index
+
+
+def full_table(table):
+    """Return a TableUpdate that carries a whole table."""
+    return TableUpdate(table.service, 0, table.version, data=table.encode())
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,655 @@
+"""A cell on a manual clock: store, routers, upstreams and a network.
+
+Every fault of section 1.2 can be switched on. `Cell.step()` advances time by
+`STEP_SECONDS` and checks the invariants of the design.
+"""
+
+import itertools
+import json
+import random
+
+from bramleysill_kernel import clock as clock_module
+from bramleysill_kernel import coordinator
+from bramleysill_kernel import effects
+from bramleysill_kernel import election
+from bramleysill_kernel import grants
+from bramleysill_kernel import lease
+from bramleysill_kernel import manifest
+from bramleysill_kernel import membership
+from bramleysill_kernel import messages
+from bramleysill_kernel import ownership
+from bramleysill_kernel import state
+
+STEP_SECONDS = 0.05
+SILENCE_SECONDS = 0.35
+PROBE_LIMIT_SECONDS = 0.3
+CELL = 'north-1'
+
+
+def make_manifest(
+    version, domains=3, per_domain=2, shards=24, authority=True, ranges=()
+):
+    """Return a manifest of one keyed service."""
+    service = manifest.Service('ledger', manifest.KIND_KEYED, '/ledger/')
+    service.shards = shards
+    service.authority = authority
+    service.settle = 3.0
+    service.ranges = list(ranges)
+    made = manifest.Manifest('north', CELL)
+    made.services['ledger'] = service
+    for d in range(domains):
+        name = f'fd-{d}'
+        made.failure_domains[name] = manifest.FailureDomain(name)
+        for i in range(per_domain):
+            up = manifest.Upstream(f'u{d}{i}', 'ledger', name, 'h', 1)
+            made.upstreams[up.name] = up
+            service.upstreams.append(up)
+    made.version = version
+    made.text = f'manifest {version}'
+    return made
+
+
+class FakeStore:
+    """The platform's store, with outages and lost answers."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.values = {}
+        self.versions = {}
+        self.leases = {}
+        self.down = False
+        self.lose_answers = 0
+        self.cut_off = set()
+        self._ids = itertools.count(1)
+
+    def expire(self):
+        """Remove what is bound to leases that have run out."""
+        now = self._clock.now()
+        for lease_id, (end, _, keys) in list(self.leases.items()):
+            if now >= end:
+                del self.leases[lease_id]
+                for key in keys:
+                    self.values.pop(key, None)
+
+    def put(self, key, value):
+        """Write as an operator would."""
+        self.versions[key] = self.versions.get(key, 0) + 1
+        self.values[key] = value
+        return self.versions[key]
+
+    def call(self, router, effect):
+        """Carry out an effect; return its answer."""
+        self.expire()
+        unknown = effects.StoreAnswer(effect.op, effects.RESULT_UNKNOWN)
+        if self.down or router in self.cut_off:
+            return unknown
+        answer = getattr(self, '_' + type(effect).__name__)(effect)
+        if self.lose_answers and not isinstance(effect, effects.StoreRead):
+            self.lose_answers -= 1
+            return unknown
+        return answer
+
+    def _StoreRead(self, effect):
+        if effect.key not in self.values:
+            return effects.StoreAnswer(effect.op, effects.RESULT_MISSING)
+        return effects.StoreAnswer(
+            effect.op,
+            effects.RESULT_OK,
+            self.values[effect.key],
+            self.versions[effect.key],
+        )
+
+    def _StoreWrite(self, effect):
+        present = effect.key in self.values
+        have = self.versions.get(effect.key, 0) if present else 0
+        if effect.expected != have:
+            return effects.StoreAnswer(
+                effect.op, effects.RESULT_CONFLICT, version=have
+            )
+        if effect.lease:
+            if effect.lease not in self.leases:
+                return effects.StoreAnswer(effect.op, effects.RESULT_MISSING)
+            self.leases[effect.lease][2].add(effect.key)
+        version = self.put(effect.key, effect.value)
+        return effects.StoreAnswer(
+            effect.op, effects.RESULT_OK, version=version
+        )
+
+    def _StoreLease(self, effect):
+        name = f'lease-{next(self._ids)}'
+        end = self._clock.now() + effect.ttl
+        self.leases[name] = [end, effect.ttl, set()]
+        return effects.StoreAnswer(effect.op, effects.RESULT_OK, name.encode())
+
+    def _StoreRenew(self, effect):
+        if effect.lease not in self.leases:
+            return effects.StoreAnswer(effect.op, effects.RESULT_MISSING)
+        held = self.leases[effect.lease]
+        held[0] = self._clock.now() + held[1]
+        return effects.StoreAnswer(effect.op, effects.RESULT_OK)
+
+    def _StoreEndLease(self, effect):
+        held = self.leases.pop(effect.lease, None)
+        for key in held[2] if held else ():
+            self.values.pop(key, None)
+        return effects.StoreAnswer(effect.op, effects.RESULT_OK)
+
+
+class FakeUpstream:
+    """An upstream that checks grants, freezes, dies and restarts."""
+
+    def __init__(self, name, domain, clock, offset):
+        self.name = name
+        self.domain = domain
+        self._clock = clock
+        self._offset = offset
+        self._starts = itertools.count(1)
+        self.dead = False
+        self.frozen = False
+        self.buffer = []
+        self.start()
+
+    def start(self):
+        """Start anew without grants."""
+        self.dead = False
+        self.buffer = []
+        self.table = grants.GrantTable(f'{self.name}/{next(self._starts)}')
+
+    def clock_ms(self):
+        """Return the upstream's own monotonic clock."""
+        return int((self._clock.now() + self._offset) * 1000)
+
+    def handle(self, command, body):
+        """Run a control call; return (status, clock reading, epoch)."""
+        status = 200
+        if command == 'grants':
+            status = self.table.apply(body, self.clock_ms())
+        elif command == 'release':
+            self.table.release(body['unit'], body['fence'])
+        return status, self.clock_ms(), self.table.epoch
+
+    def runnable(self):
+        """Return the units of which it would run a request now."""
+        if self.dead:
+            return []
+        now_ms = self.clock_ms()
+        return [
+            unit
+            for unit, fence in self.table.units.items()
+            if self.table.check(unit, fence, now_ms) == ''
+        ]
+
+
+class FakeRouter:
+    """A router process without its data plane."""
+
+    def __init__(self, cell, name, domain, incarnation):
+        self.cell = cell
+        self.name = name
+        self.domain = domain
+        self.incarnation = incarnation
+        self.paused_until = lease.NEVER
+        self.dead = False
+        self.partitioned = False
+        self.inbox = []
+        clock, rng = cell.clock, cell.rng
+        self.state = state.RouterState(cell.parse)
+        self.ops = itertools.count(1)
+        self.election = election.Election(
+            name, incarnation, 'addr', CELL, clock, rng, self.ops
+        )
+        self.agent = membership.RouterAgent(
+            name,
+            incarnation,
+            'addr',
+            domain,
+            clock,
+            self.state,
+            self.election,
+        )
+        self.coordinator = None
+        self.keepers = {}
+        self.heard = {}
+        self.releases = {}
+        self.probes = {}
+        self.suspended = {}
+        self.asked = {}
+        self.next_heartbeat = clock.now()
+        self.next_tick = clock.now()
+        self.next_watch = clock.now()
+        self.next_grant = {}
+
+    @property
+    def running(self):
+        """Tell whether the process runs now."""
+        return not self.dead and self.cell.clock.now() >= self.paused_until
+
+    def step(self):
+        """Do what is due."""
+        now = self.cell.clock.now()
+        inbox, self.inbox = self.inbox, []
+        for call in inbox:
+            call()
+        if now >= self.next_tick:
+            self.next_tick = now + lease.TICK_SECONDS
+            self._tick()
+        if now >= self.next_heartbeat or self.agent.heartbeat_due:
+            self.next_heartbeat = now + lease.HEARTBEAT_SECONDS
+            self._heartbeat()
+        self._dispatch(now)
+
+    def _tick(self):
+        self.carry_out(self.election, self.election.tick())
+        self._follow_election()
+        if self.coordinator is not None:
+            self._watch()
+            self.carry_out(self.coordinator, self.coordinator.tick())
+
+    def _follow_election(self):
+        leads = self.election.state == election.LEADING
+        found = self.coordinator
+        if found is not None and not (
+            leads and found.term == self.election.term
+        ):
+            self.coordinator = found = None
+        if leads and found is None:
+            self.coordinator = coordinator.Coordinator(
+                self.name,
+                CELL,
+                self.cell.clock,
+                self.cell.rng,
+                self.ops,
+                self.election,
+                self.state,
+            )
+            self.next_watch = self.cell.clock.now()
+            self.carry_out(self.coordinator, self.coordinator.announce())
+
+    def _watch(self):
+        now = self.cell.clock.now()
+        store = self.cell.store
+        if now < self.next_watch or store.down or self.name in store.cut_off:
+            return
+        self.next_watch = now + 0.2
+        if 'manifest' in store.values:
+            text = store.values['manifest'].decode()
+            version = store.versions['manifest']
+            parsed = self.cell.parse(text, 'manifest', version)
+            self.coordinator.on_manifest(parsed)
+        if 'drains' in store.values:
+            self.coordinator.on_drains(
+                store.values['drains'], store.versions['drains']
+            )
+
+    def _heartbeat(self):
+        target, message = self.agent.make_heartbeat()
+        if target:
+            self.cell.send(self, target, message)
+
+    def carry_out(self, owner, todo):
+        """Carry out effects of an Election or Coordinator."""
+        for effect in todo:
+            if isinstance(effect, effects.SendMessage):
+                self.cell.send(self, effect.router, effect.message)
+            elif not isinstance(effect, effects.LogEvent):
+                answer = self.cell.store.call(self.name, effect)
+                self.cell.later(
+                    self, lambda a=answer: self._answer(owner, a), True
+                )
+
+    def _answer(self, owner, answer):
+        self.carry_out(owner, owner.on_store_answer(answer.op, answer))
+        self._follow_election()
+
+    def receive(self, sender, message):
+        """Take a message from a peer link."""
+        if isinstance(message, messages.Heartbeat):
+            if self.coordinator is not None:
+                out = self.coordinator.on_heartbeat(message)
+                self.carry_out(self.coordinator, out)
+            else:
+                self.cell.send(self, sender, self.agent.refuse(message))
+        elif isinstance(message, messages.HeartbeatReply):
+            self.agent.on_reply(message)
+        elif isinstance(message, messages.StateUpdate):
+            self.agent.on_state(message)
+        elif isinstance(message, messages.Release):
+            self._on_release(message)
+        elif isinstance(message, messages.Suspend):
+            keeper = self.keepers.get(message.upstream)
+            if keeper is not None:
+                keeper.suspend()
+        elif isinstance(message, messages.ProbeRequest):
+            self._on_probe(sender, message)
+        elif self.coordinator is not None:
+            out = self.coordinator.on_message(sender, message)
+            self.carry_out(self.coordinator, out)
+
+    def _on_release(self, message):
+        keeper = self.keepers.get(message.upstream)
+        units = self.state.units_of(message.upstream)
+        if keeper is None or units.get(message.unit) != message.fence:
+            return
+        keeper.stop(message.unit, message.fence)
+        key = (message.service, message.unit, message.fence, message.upstream)
+        self.releases.setdefault(key, lease.NEVER)
+        body = {'unit': message.unit, 'fence': message.fence}
+        self.cell.command(
+            self,
+            message.upstream,
+            'release',
+            body,
+            lambda answer: self._on_release_answer(key, keeper),
+        )
+
+    def _on_release_answer(self, key, keeper):
+        if keeper.may_confirm(key[1], key[2]):
+            self._released(key)
+
+    def _released(self, key):
+        self.releases[key] = self.cell.clock.now()
+        self.cell.send(self, self.agent.coordinator, messages.Released(*key))
+
+    def _on_probe(self, sender, message):
+        self.probes[message.upstream] = (
+            sender,
+            self.cell.clock.now() + PROBE_LIMIT_SECONDS,
+        )
+
+        def answered(answer):
+            if self.probes.pop(message.upstream, None):
+                result = messages.ProbeResult(message.upstream, True)
+                self.cell.send(self, sender, result)
+
+        self.cell.command(self, message.upstream, 'health', None, answered)
+
+    def _dispatch(self, now):
+        for upstream, (sender, limit) in list(self.probes.items()):
+            if now >= limit:
+                del self.probes[upstream]
+                result = messages.ProbeResult(upstream, False)
+                self.cell.send(self, sender, result)
+        for upstream in list(self.keepers):
+            if not self.agent.may_dispatch(upstream):
+                del self.keepers[upstream]
+        for upstream, generation in self.agent.held.items():
+            self._drive(upstream, generation, now)
+        self._confirm(now)
+
+    def _drive(self, upstream, generation, now):
+        keeper = self.keepers.get(upstream)
+        if keeper is None:
+            keeper = grants.GrantKeeper(
+                upstream, self.agent, self.cell.clock, self.cell.authority
+            )
+            self.keepers[upstream] = keeper
+            self.heard[upstream] = self.asked[upstream] = now
+            self.next_grant[upstream] = now
+        if generation > keeper.generation:
+            self.suspended.pop(upstream, None)
+            keeper.set_role(generation)
+        if keeper.suspended and now >= keeper.lapse_bound:
+            self._lapsed(upstream, keeper, now)
+        if now < self.next_grant[upstream]:
+            return
+        self.next_grant[upstream] = now + lease.GRANT_RENEW_SECONDS
+        self._report(upstream, now)
+        body = keeper.make_grant(self.state.units_of(upstream))
+        self.cell.command(
+            self,
+            upstream,
+            'grants' if body else 'health',
+            body,
+            lambda answer: self._on_answer(keeper, body, answer),
+        )
+
+    def _lapsed(self, upstream, keeper, now):
+        if now >= self.suspended.get(upstream, lease.NEVER) + 0.5:
+            self.suspended[upstream] = now
+            lapsed = messages.Lapsed(upstream, keeper.generation)
+            self.cell.send(self, self.agent.coordinator, lapsed)
+
+    def _report(self, upstream, now):
+        condition = messages.UPSTREAM_OK
+        if now - self.heard[upstream] > SILENCE_SECONDS:
+            condition = messages.UPSTREAM_SUSPECT
+        self.agent.report(
+            messages.UpstreamReport(upstream, condition, 0.5, 10.0)
+        )
+
+    def _on_answer(self, keeper, body, answer):
+        status, clock_ms, epoch = answer
+        self.heard[keeper.upstream] = self.cell.clock.now()
+        fresh = keeper.on_answer(clock_ms, epoch)
+        if body and status == 200:
+            keeper.on_granted(body)
+        elif fresh is None and body is None:
+            self.next_grant[keeper.upstream] = self.cell.clock.now()
+
+    def _confirm(self, now):
+        """Confirm stops by the lapse bound, and repeat confirmations."""
+        for key, sent_at in list(self.releases.items()):
+            unit, fence, upstream = key[1:]
+            keeper = self.keepers.get(upstream)
+            units = self.state.units_of(upstream)
+            if keeper is None or units.get(unit) != fence:
+                del self.releases[key]
+            elif sent_at == lease.NEVER:
+                if now >= keeper.unit_lapse_bound(unit):
+                    self._released(key)
+            elif now >= sent_at + 1.0:
+                self._released(key)
+
+
+class Cell:
+    """Routers, upstreams and the store on one manual clock."""
+
+    def __init__(
+        self, seed, domains=3, per_domain=2, routers=2, **manifest_args
+    ):
+        self.clock = clock_module.ManualClock(100.0)
+        self.rng = random.Random(seed)
+        self.store = FakeStore(self.clock)
+        self.manifests = {}
+        self.authority = manifest_args.get('authority', True)
+        self.domains = domains
+        self.per_domain = per_domain
+        self.manifest_args = manifest_args
+        self.upstreams = {}
+        self.routers = {}
+        self.cuts = set()
+        self._queue = []
+        self._links = {}
+        self._incarnations = itertools.count(1)
+        self._history = {}
+        self._seen = {}
+        self.put_manifest()
+        for d in range(domains):
+            for i in range(per_domain):
+                up = FakeUpstream(
+                    f'u{d}{i}',
+                    f'fd-{d}',
+                    self.clock,
+                    self.rng.uniform(0, 1000),
+                )
+                self.upstreams[up.name] = up
+            for i in range(routers):
+                self.start_router(f'r{d}{i}', f'fd-{d}')
+
+    def put_manifest(self, **changes):
+        """Write the next manifest version to the store."""
+        args = {**self.manifest_args, **changes}
+        version = self.store.versions.get('manifest', 0) + 1
+        made = make_manifest(version, self.domains, self.per_domain, **args)
+        self.manifests[version] = made
+        self.store.put('manifest', made.text.encode())
+
+    def put_drains(self, **drains):
+        """Write the operators' drains to the store."""
+        self.store.put('drains', json.dumps(drains).encode())
+
+    def parse(self, text, file, version):
+        """Return the manifest of a text, as the parser would."""
+        return self.manifests[version]
+
+    def start_router(self, name, domain):
+        """Start a router process, in place of a former one."""
+        incarnation = f'i{next(self._incarnations)}'
+        self.routers[name] = FakeRouter(self, name, domain, incarnation)
+
+    def leader(self):
+        """Return the running router that has authority, or None."""
+        for router in self.routers.values():
+            found = router.coordinator
+            alive = router.running and found is not None
+            if alive and found.authority.until() > self.clock.now():
+                return router
+        return None
+
+    def send(self, sender, target, message):
+        """Send a message over the link of two routers."""
+        receiver = self.routers.get(target)
+        if receiver is None or self._cut(sender.name, target):
+            return
+        self.later(
+            receiver, lambda: receiver.receive(sender.name, message), False
+        )
+
+    def _cut(self, one, other):
+        return one != other and (one in self.cuts) != (other in self.cuts)
+
+    def later(self, router, call, soon):
+        """Queue a call for a router after the network's delay, in order."""
+        delay = 0 if soon else self.rng.choice((0, 0, 1, 2)) * STEP_SECONDS
+        due = max(self.clock.now() + delay, self._links.get(id(router), 0))
+        self._links[id(router)] = due
+        self._queue.append((due, router, call))
+
+    def command(self, router, upstream, command, body, answered):
+        """Send a control call to an upstream; frozen ones buffer it."""
+        up = self.upstreams[upstream]
+        if up.dead or self._cut(router.name, upstream):
+            return
+
+        def run():
+            answer = up.handle(command, body)
+            if not self._cut(router.name, upstream):
+                self.later(router, lambda: answered(answer), False)
+
+        up.buffer.append(run)
+
+    def step(self):
+        """Advance by one step and check the invariants."""
+        self.clock.advance(STEP_SECONDS)
+        now = self.clock.now()
+        self.store.expire()
+        for up in self.upstreams.values():
+            if not (up.frozen or up.dead):
+                calls, up.buffer = up.buffer, []
+                for call in calls:
+                    call()
+        queue, self._queue = self._queue, []
+        for due, router, call in queue:
+            if now >= due:
+                router.inbox.append(call)
+            else:
+                self._queue.append((due, router, call))
+        for router in list(self.routers.values()):
+            if router.running:
+                router.step()
+        self.check()
+
+    def run(self, seconds, until=None):
+        """Step for a time; return the seconds until `until()` was true."""
+        start = self.clock.now()
+        while self.clock.now() - start < seconds - 1e-9:
+            self.step()
+            if until is not None and until():
+                return self.clock.now() - start
+        if until is not None:
+            raise AssertionError(f'not reached within {seconds} s')
+        return seconds
+
+    def check(self):
+        """Raise AssertionError if an invariant is violated."""
+        running = {}
+        for up in self.upstreams.values():
+            for unit in up.runnable():
+                if unit in running:
+                    raise AssertionError(
+                        f'{unit} runs on {running[unit]} and {up.name}'
+                        f' at {self.clock.now():.2f}'
+                    )
+                running[unit] = up.name
+        self._check_unchecked()
+        self._check_store()
+        self._check_routers()
+
+    def _check_unchecked(self):
+        """Without grants, dispatchers alone keep a unit to one upstream."""
+        if self.authority:
+            return
+        sending = {}
+        for router in self.routers.values():
+            for name, keeper in router.keepers.items():
+                if router.dead:
+                    continue
+                for unit, fence in router.state.units_of(name).items():
+                    if not keeper.may_run(unit, fence):
+                        continue
+                    if sending.setdefault(unit, name) != name:
+                        raise AssertionError(f'{unit} is sent to two owners')
+
+    def _check_store(self):
+        for key, value in self.store.values.items():
+            if '/table/' not in key:
+                continue
+            version = self.store.versions[key]
+            known = self._history.get(key)
+            if known is not None and known.version == version:
+                continue
+            table = ownership.OwnershipTable.decode(value, version)
+            if known is not None and known.layout == table.layout:
+                self._check_survival(known, table)
+            self._history[key] = table
+
+    def _check_survival(self, before, after):
+        for unit, held in before.units():
+            now = after.get(unit)
+            if now is None:
+                continue
+            if now.fence < held.fence or (
+                now.owner != held.owner and now.fence == held.fence
+            ):
+                raise AssertionError(f'{unit} lost an accepted assignment')
+
+    def _check_routers(self):
+        for router in self.routers.values():
+            seen = self._seen.setdefault((router.name, router.incarnation), {})
+            for part, version in router.state.versions().items():
+                if part != 'serial' and version < seen.get(part, 0):
+                    raise AssertionError(f'{part} went back on {router.name}')
+                seen[part] = version
+
+    def served(self):
+        """Tell whether every unit can run on its live owner."""
+        key = f'cell/{CELL}/table/ledger/0'
+        if key not in self.store.values:
+            return False
+        table = ownership.OwnershipTable.decode(self.store.values[key], 1)
+        running = {
+            (unit, up.name)
+            for up in self.upstreams.values()
+            if not up.frozen
+            for unit in up.runnable()
+        }
+        return all((u, a.owner) in running for u, a in table.units())
+
+    def owners(self):
+        """Return the number of units of each owner."""
+        key = f'cell/{CELL}/table/ledger/0'
+        table = ownership.OwnershipTable.decode(self.store.values[key], 1)
+        count = {}
+        for _, held in table.units():
+            count[held.owner] = count.get(held.owner, 0) + 1
+        return count
