Serve the whole path: caller, entry, dispatcher, upstream

Change: table versions in StateUpdate, control and process adapted to the kernel; waiting requests look again when the table changes; the planner moves a unit only if the giver does not end up below the receiver.

--- a/packages/kernel/src/bramleysill_kernel/placement.py
+++ b/packages/kernel/src/bramleysill_kernel/placement.py
@@ -31,8 +31,6 @@
 LOAD_DEAD_BAND = 0.25
 # Load changes an upstream's share by at most this factor.
 LOAD_MAX_FACTOR = 1.5
-# Share, in units, by which an owner must exceed another to give one away.
-MIN_EXCESS_UNITS = 1.0
 HASH_RANGE = float(1 << 64)
 
 
@@ -165,10 +163,11 @@
         if not eligible or eligible in tried:
             continue
         target = shares.least(eligible)
-        excess = shares.counts[giver] - (
-            shares.share(target) * shares.weights[giver]
-        )
-        if target != giver and excess >= MIN_EXCESS_UNITS:
+        # The giver must not end up below what the target then has, or the
+        # unit would be planned back at once.
+        if target != giver and shares.share(giver, -1) >= shares.share(
+            target, 1
+        ):
             unit = units.pop(index)
             shares.add(giver, -1)
             shares.add(target, 1)
--- a/packages/router/src/bramleysill_router/authority.py
+++ b/packages/router/src/bramleysill_router/authority.py
@@ -180,7 +180,11 @@
             owner.on_granted()
         elif status == 409:
             # The upstream restarted or knows a newer dispatcher.
-            log_event('grant_refused', upstream=self.keeper.upstream)
+            log_event(
+                'grant_refused',
+                upstream=self.keeper.upstream,
+                generation=self.keeper.generation,
+            )
             self._read_clock()
 
     def _take_clock(self, document):
--- a/packages/router/src/bramleysill_router/control.py
+++ b/packages/router/src/bramleysill_router/control.py
@@ -94,7 +94,6 @@
 
     def _heartbeat(self):
         self.dispatchers.report_all()
-        self._agent.store_ok = self._store.reachable
         router, heartbeat = self._agent.make_heartbeat()
         if router:
             self._deliver(router, heartbeat)
--- a/packages/router/src/bramleysill_router/dispatcher.py
+++ b/packages/router/src/bramleysill_router/dispatcher.py
@@ -16,6 +16,7 @@
 from bramleysill_kernel.messages import UpstreamReport
 from bramleysill_router.authority import Authority
 from bramleysill_router.job import Job
+from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_request
 from bramleysill_router.recording import NO_RECORDING
 from bramleysill_router.recording import Recording
@@ -68,6 +69,7 @@
         '_host',
         '_unit_counts',
         '_counted_since',
+        '_condition',
     )
 
     def __init__(self, context, upstream, service):
@@ -103,6 +105,7 @@
         self._waiting = collections.defaultdict(list)
         self._unit_counts = collections.Counter()
         self._counted_since = loop.now()
+        self._condition = self.health.condition
 
     def now(self):
         """Return the monotonic clock in seconds."""
@@ -286,6 +289,16 @@
         self._pool.sweep()
         self.memory.tick()
         self.authority.tick()
+        self.apply_condition()
+
+    def on_state_changed(self):
+        """Follow a new table: renew the grant, look at what waits for it."""
+        self.authority.renew()
+        for unit, jobs in list(self._waiting.items()):
+            moved = [j for j in jobs if self._check(j.head) is not None]
+            for job in moved:
+                jobs.remove(job)
+                job.refuse(self._moving(unit))
 
     def on_granted(self):
         """A grant was confirmed: go on with requests that waited for it."""
@@ -390,6 +403,13 @@
     def apply_condition(self):
         """Bound the work of an upstream that may be lost."""
         condition = self.health.condition
+        if condition != self._condition:
+            self._condition = condition
+            log_event(
+                'upstream_condition',
+                upstream=self.upstream.name,
+                condition=condition,
+            )
         bound = 1 if condition == UPSTREAM_SUSPECT else None
         self._start_all(self.admission.restrict(bound))
         self._answer_dropped()
--- a/packages/router/src/bramleysill_router/dispatchers.py
+++ b/packages/router/src/bramleysill_router/dispatchers.py
@@ -50,7 +50,7 @@
         agent = self._context.agent
         for upstream in list(agent.held):
             if self.get(upstream) is not None:
-                self._all[upstream].authority.renew()
+                self._all[upstream].on_state_changed()
 
     def tick(self):
         """Drive all dispatchers; drop those without role and requests."""
--- a/packages/router/src/bramleysill_router/headers.py
+++ b/packages/router/src/bramleysill_router/headers.py
@@ -39,6 +39,7 @@
     'sill-load',
     'sill-state',
     NOT_RUN,
+    REQUEST_ID,
     'sill-reason',
 }
 
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -77,6 +77,10 @@
     lambda k, v: {'name': k, 'value': v},
     lambda i: (i.name, i.value),
 )
+_VERSIONS = (
+    lambda k, v: {'name': k, 'value': v},
+    lambda i: (i.name, i.value),
+)
 _HELD = (
     lambda k, v: {'upstream': k, 'term': v[0], 'number': v[1]},
     lambda i: (i.upstream, (i.term, i.number)),
@@ -118,7 +122,7 @@
     )
     + [
         _map_field('held', *_HELD),
-        _map_field('versions', *_COUNTS),
+        _map_field('versions', *_VERSIONS),
         _list_field(
             'reports',
             lambda r: _to_dict(r, _REPORT),
@@ -141,6 +145,7 @@
         _map_field('members', *_MEMBERS),
         _Field('candidates', 'candidates', list, list),
         _Field('drained', 'drained', list, list),
+        _map_field('table_versions', *_VERSIONS),
     ],
     messages.StateRequest: _plain('router'),
     messages.Release: _plain('term', 'service', 'unit', 'fence', 'upstream'),
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -80,6 +80,7 @@
   members @7 :List(Address);
   candidates @8 :List(Text);
   drained @9 :List(Text);
+  tableVersions @10 :List(Version);
 }
 
 struct StateRequest { router @0 :Text; }
--- /dev/null
+++ b/tests/test_placement_stability.py
@@ -0,0 +1,47 @@
+"""Tests that placement comes to rest."""
+
+import random
+
+import testtools
+
+from bramleysill_kernel.placement import placements
+
+
+class PlacementStabilityTest(testtools.TestCase):
+    def test_even_shares_are_left_alone(self):
+        """Guards against units that are planned to and fro for ever.
+
+        With 256 units on 6 upstreams the shares differ by one unit; moving
+        one more only exchanges the roles of giver and receiver.
+        """
+        names = tuple(f'u{i}' for i in range(6))
+        owners = {n: [] for n in names}
+        for unit in range(256):
+            owners[names[unit % 6]].append(str(unit))
+        eligible = {str(u): names for u in range(256)}
+        weights = dict.fromkeys(names, 1.0)
+        moves = placements.get('bounded')(
+            owners, eligible, weights, {}, 64, random.Random(1)
+        )
+        self.assertEqual([], moves)
+
+    def test_unequal_weights_come_to_rest(self):
+        """Guards against endless moves between upstreams of two sizes."""
+        names = ('small', 'large')
+        weights = {'small': 1.0, 'large': 3.0}
+        owners = {'small': [str(u) for u in range(50)], 'large': []}
+        eligible = {str(u): names for u in range(50)}
+        rng = random.Random(2)
+        rounds = 0
+        while rounds < 20:
+            moves = placements.get('bounded')(
+                owners, eligible, weights, {}, 64, rng
+            )
+            if not moves:
+                break
+            for move in moves:
+                owners[move.source].remove(move.unit)
+                owners[move.target].append(move.unit)
+            rounds += 1
+        self.assertLess(rounds, 3)
+        self.assertIn(len(owners['small']), (12, 13))
