Add the demo

Cause: make demo has to show what becomes of requests while a failure domain leaves and returns and a router is lost. It ends its processes by their ids and exits with 1 on a broken outcome.

--- a/demo/__init__.py
+++ b/demo/__init__.py
@@ -1,1 +1,1 @@
-"""See __main__."""
+"""Runs a reduced Hsinchu cell on loopback and proves its outcomes."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,119 @@
+"""`python -m demo` or `make demo`: a cell that loses parts under load.
+
+Starts the store, 15 upstreams in three failure domains and six routers on
+loopback, takes a failure domain out and back, kills a router, and prints
+what became of the callers' requests. Exits with 1 if an outcome is broken.
+"""
+
+import json
+import signal
+import sys
+import tempfile
+import time
+
+import fire
+
+from demo.account import Drain
+from demo.account import find_outcomes
+from demo.account import print_account
+from demo.cell import FAILURE_DOMAINS
+from demo.cell import Cell
+from demo.processes import ProcessFailed
+from demo.processes import ProcessGroup
+
+DRAINED = FAILURE_DOMAINS[0]
+# Seconds after the start of the load.
+DRAIN_AT = 4.0
+RESTORE_AT = 13.0
+KILL_AT = 21.0
+END_AT = 30.0
+KINDS = 'lookup=16,handover=2,opening=2,upload=0.2,download=0.1'
+KEYS = 60
+RETRIES = 8
+TIMEOUT_MS = 5000
+# The last requests may use up their retries before the account is printed.
+FINISH_SECONDS = 60.0
+
+
+def _say(started, text):
+    print(f'{time.monotonic() - started:6.1f} s  {text}', flush=True)
+
+
+def _wait_until(at):
+    time.sleep(max(0.0, at - time.monotonic()))
+
+
+def _start_load(cell, rate, seed):
+    options = {
+        '--routers': ','.join(router.address for router in cell.routers),
+        '--rate': rate,
+        '--seconds': END_AT,
+        '--kinds': KINDS,
+        '--keys': KEYS,
+        '--seed': seed,
+        '--retries': RETRIES,
+        '--timeout-ms': TIMEOUT_MS,
+    }
+    words = [word for pair in options.items() for word in pair]
+    load = cell.start_standin('load', 'load', *words)
+    load.wait_for(load.lines, 'sending')
+    return load
+
+
+def _run_timeline(cell, start, begun):
+    names = [
+        upstream.name
+        for upstream in cell.upstreams
+        if upstream.failure_domain == DRAINED
+    ]
+    _wait_until(start + DRAIN_AT)
+    cell.sillctl('drain', 'failure_domain', DRAINED)
+    drained_at = time.monotonic()
+    _say(begun, f'drained {DRAINED}')
+    _wait_until(start + RESTORE_AT)
+    restored_at = time.monotonic()
+    cell.sillctl('restore', 'failure_domain', DRAINED)
+    _say(begun, f'restored {DRAINED}')
+    _wait_until(start + KILL_AT)
+    victim = cell.routers[-1]
+    victim.process.kill()
+    _say(begun, f'killed {victim.name}, process {victim.process.pid}')
+    _wait_until(start + END_AT)
+    return Drain(names, drained_at, restored_at)
+
+
+def _run(group, bin_dir, rate, seed):
+    begun = time.monotonic()
+    cell = Cell(group, bin_dir)
+    cell.start()
+    _say(begun, f'{len(cell.routers)} routers ready')
+    load = _start_load(cell, rate, seed)
+    drain = _run_timeline(cell, time.monotonic(), begun)
+    load.finish(FINISH_SECONDS)
+    _say(begun, 'all requests ended')
+    account = json.loads(load.lines()[-1])
+    ledgers = {u.name: u.read_ledger() for u in cell.upstreams}
+    outcomes = find_outcomes(account, ledgers, drain)
+    print_account(account, ledgers, outcomes)
+    return any(outcome.is_broken for outcome in outcomes)
+
+
+def main(rate=150.0, seed=1, bin_dir=''):
+    """Run the demo; `rate` is in requests per second."""
+    # SIGTERM must also end the processes that were started.
+    signal.signal(signal.SIGTERM, lambda signo, frame: sys.exit(1))
+    bin_dir = bin_dir or sys.exec_prefix + '/bin'
+    with (
+        tempfile.TemporaryDirectory(prefix='bramleysill-demo-') as directory,
+        ProcessGroup(directory) as group,
+    ):
+        try:
+            is_broken = _run(group, bin_dir, rate, seed)
+        except ProcessFailed as exc:
+            print(f'demo failed: {exc}', file=sys.stderr)
+            sys.exit(1)
+    sys.exit(1 if is_broken else 0)
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- /dev/null
+++ b/demo/account.py
@@ -0,0 +1,154 @@
+"""The outcomes of a run, read off the callers' account and the ledgers."""
+
+from bramleysill_standins.ledger import keys_with_two_owners
+from bramleysill_standins.ledger import repeated_effects
+
+# Section 1.5 of the design: a key is served again within 3 s of a loss.
+MAX_UNAVAILABLE_SECONDS = 3.0
+# "A few seconds after a failure domain is taken out, it receives no new
+# work"; requests may be held for 2 s and run for the rest of their deadline.
+DRAIN_SECONDS = 5.0
+SLOTS = 4
+RECORDS = {'opening': 'openings', 'handover': 'handovers'}
+
+
+class Outcome:
+    """One line of the account; broken if the value exceeds the limit."""
+
+    __slots__ = ('name', 'value', 'limit')
+
+    def __init__(self, name, value, limit=0):
+        self.name = name
+        self.value = value
+        self.limit = limit
+
+    @property
+    def is_broken(self):
+        """Tell whether the outcome is outside its limit."""
+        return self.value > self.limit
+
+    def __str__(self):
+        mark = 'BROKEN' if self.is_broken else 'ok'
+        value = self.value
+        text = f'{value:.3f}' if isinstance(value, float) else str(value)
+        return f'{self.name:<48}{text:>10}  {mark} (at most {self.limit})'
+
+
+class Drain:
+    """When a failure domain was out, in seconds of the monotonic clock."""
+
+    __slots__ = ('upstreams', 'start', 'end')
+
+    def __init__(self, upstreams, start, end):
+        self.upstreams = upstreams
+        self.start = start
+        self.end = end
+
+
+def find_outcomes(load, ledgers, drain):
+    """Return the outcomes that must hold.
+
+    `load` is the account of the load generator, `ledgers` maps names of
+    upstreams to their ledgers, both as dicts.
+    """
+    entries = {name: found['entries'] for name, found in ledgers.items()}
+    late, after = _work_around_drain(entries, drain)
+    return [
+        Outcome(
+            'openings recorded twice',
+            len(repeated_effects(entries, 'openings')),
+        ),
+        Outcome(
+            'handovers recorded twice',
+            len(repeated_effects(entries, 'handovers')),
+        ),
+        Outcome('acknowledged records lost', _lost_records(load, entries)),
+        Outcome('uploads lost', _lost_uploads(load, ledgers)),
+        Outcome(
+            'answers mixed up',
+            len(load['mixed_up']) + load['unsolicited'],
+        ),
+        Outcome('keys with two owners', len(keys_with_two_owners(entries))),
+        Outcome('refused as not run, but ran', _ran_refused(load, entries)),
+        Outcome('requests without an outcome', load['open']),
+        Outcome(
+            'most work in flight at an upstream',
+            max(found['max_in_flight'] for found in ledgers.values()),
+            SLOTS,
+        ),
+        Outcome(
+            'collapses of cold upstreams',
+            sum(found['collapses'] for found in ledgers.values()),
+        ),
+        Outcome('requests run in the drained failure domain', late),
+        Outcome('restored failure domain without work', 0 if after else 1),
+        Outcome('kinds of requests without a good answer', _unserved(load)),
+        Outcome(
+            'longest time that a key was unavailable (s)',
+            float(load['unavailable_s']),
+            MAX_UNAVAILABLE_SECONDS,
+        ),
+    ]
+
+
+def _work_around_drain(entries, drain):
+    late = after = 0
+    for name in drain.upstreams:
+        for entry in entries[name]:
+            at = entry['host_ms'] / 1000.0
+            late += drain.start + DRAIN_SECONDS < at < drain.end
+            after += at >= drain.end
+    return late, after
+
+
+def _lost_records(load, entries):
+    ran = {
+        (entry['effect'], entry['call_id'])
+        for found in entries.values()
+        for entry in found
+    }
+    return sum(
+        (effect, call_id) not in ran
+        for kind, effect in RECORDS.items()
+        for call_id in load['acknowledged'].get(kind, {})
+    )
+
+
+def _lost_uploads(load, ledgers):
+    kept = set()
+    for ledger in ledgers.values():
+        for path, item in ledger['uploads'].items():
+            kept.add((path, item['sha256']))
+    uploads = load['acknowledged'].get('upload', {})
+    return sum(
+        (f'/intake/up-{call_id}', digest) not in kept
+        for call_id, digest in uploads.items()
+    )
+
+
+def _ran_refused(load, entries):
+    ran = {e['call_id'] for found in entries.values() for e in found}
+    return len(ran.intersection(load['not_run']))
+
+
+def _unserved(load):
+    return sum(
+        not load['outcomes'].get(f'{kind} ok')
+        for kind in ('lookup', 'handover', 'opening', 'upload')
+    )
+
+
+def print_account(load, ledgers, outcomes):
+    """Print the counters and the outcomes."""
+    ran = sum(len(ledger['entries']) for ledger in ledgers.values())
+    print(f'requests sent {load["sent"]}, retries {load["retries"]}')
+    print(f'requests that ran, by the ledgers {ran}')
+    for name, count in load['outcomes'].items():
+        print(f'  {name:<46}{count:>10}')
+    for kind, found in sorted(load['latency_ms'].items()):
+        print(
+            f'  {kind} latency in ms: p50 {found["p50"]:.1f},'
+            f' p99 {found["p99"]:.1f}, max {found["max"]:.1f}'
+        )
+    for outcome in outcomes:
+        print(outcome)
--- /dev/null
+++ b/demo/cell.py
@@ -0,0 +1,182 @@
+"""The cell of the demo: stand-ins, routers and the manifest over them."""
+
+import json
+import pathlib
+import socket
+import sys
+import urllib.error
+import urllib.request
+
+from demo.sheet import make_sheet
+
+HOST = '127.0.0.1'
+CELL = 'tw-north-1'
+FAILURE_DOMAINS = ('tw-a', 'tw-b', 'tw-c')
+LEDGERS_PER_DOMAIN = 4
+ROUTERS_PER_DOMAIN = 2
+# Shorter than in production, so that the demo sees the end of slow start.
+WARMUP_SECONDS = 2
+HTTP_SECONDS = 5.0
+READY_SECONDS = 30.0
+
+
+class Upstream:
+    """One upstream stand-in, as the sheet declares it."""
+
+    __slots__ = ('name', 'service', 'failure_domain', 'port')
+
+    def __init__(self, name, service, failure_domain, port):
+        self.name = name
+        self.service = service
+        self.failure_domain = failure_domain
+        self.port = port
+
+    def read_ledger(self):
+        """Return what the upstream recorded."""
+        return get_json(self.port, '/.sill/ledger')
+
+
+class Router:
+    """One router process and its ports."""
+
+    __slots__ = ('name', 'failure_domain', 'ports', 'process')
+
+    def __init__(self, name, failure_domain):
+        self.name = name
+        self.failure_domain = failure_domain
+        self.ports = free_ports(3)
+        self.process = None
+
+    @property
+    def address(self):
+        """Return the address for callers."""
+        return f'{HOST}:{self.ports[0]}'
+
+    def settings(self, store, seeds):
+        """Return the text of the settings file."""
+        listen, peer, admin = (f'{HOST}:{port}' for port in self.ports)
+        options = {
+            'name': self.name,
+            'cell': CELL,
+            'failure_domain': self.failure_domain,
+            'listen': listen,
+            'peer_listen': peer,
+            'admin_listen': admin,
+            'store': store,
+            'seeds': ','.join(seeds),
+        }
+        lines = [f'{name} = {value}' for name, value in options.items()]
+        return '\n'.join(['[router]', *lines, ''])
+
+    def is_ready(self):
+        """Tell whether the router says that it can serve."""
+        try:
+            get(self.ports[2], '/readyz')
+        except OSError:
+            return False
+        return True
+
+
+class Cell:
+    """Starts everything; `bin_dir` holds the commands of the product."""
+
+    def __init__(self, group, bin_dir):
+        self.group = group
+        self.bin_dir = pathlib.Path(bin_dir)
+        self.store = ''
+        self.upstreams = []
+        self.routers = []
+
+    def start(self):
+        """Start all processes, apply the sheet and wait for readiness."""
+        self._start_store()
+        for domain in FAILURE_DOMAINS:
+            self._start_ledgers(domain)
+            self._start_intake(domain)
+        self._start_routers()
+        sheet = pathlib.Path(self.group.directory) / 'hsinchu.ini'
+        sheet.write_text(make_sheet(CELL, FAILURE_DOMAINS, self.upstreams))
+        self.sillctl('apply', sheet)
+        for router in self.routers:
+            router.process.wait_for(router.is_ready, 'ready', READY_SECONDS)
+
+    def sillctl(self, *words):
+        """Run one command of the operators' tool."""
+        command = [self.bin_dir / 'sillctl', *words, '--store', self.store]
+        process = self.group.start(f'sillctl-{words[0]}', command)
+        process.finish(HTTP_SECONDS * 2)
+
+    def start_standin(self, name, module, *options):
+        """Start a module of the stand-ins."""
+        words = ['-m', f'bramleysill_standins.{module}', *options]
+        return self.group.start(name, [sys.executable, *words])
+
+    def _listening(self, process, count):
+        def is_ready():
+            return len(process.lines()) >= count
+
+        process.wait_for(is_ready, 'listening')
+        return [int(line.split()[2]) for line in process.lines()]
+
+    def _start_store(self):
+        process = self.start_standin('store', 'store', '--port', 0)
+        self.store = f'{HOST}:{self._listening(process, 1)[0]}'
+
+    def _start_ledgers(self, domain):
+        name = f'ledger-{domain}'
+        options = ('--name', name, '--count', LEDGERS_PER_DOMAIN)
+        warmup = ('--warmup-s', WARMUP_SECONDS)
+        process = self.start_standin(
+            name, 'upstream', *options, *warmup, '--remember'
+        )
+        ports = self._listening(process, LEDGERS_PER_DOMAIN)
+        for number, port in enumerate(ports, 1):
+            own_name = f'{name}-{number:02d}'
+            self._add_upstream(own_name, 'ledger', domain, port)
+
+    def _start_intake(self, domain):
+        name = f'intake-{domain}'
+        options = ('--name', name, '--warmup-s', WARMUP_SECONDS)
+        process = self.start_standin(
+            name, 'upstream', *options, '--authority', 'unchecked'
+        )
+        port = self._listening(process, 1)[0]
+        self._add_upstream(name, 'intake', domain, port)
+
+    def _add_upstream(self, *fields):
+        self.upstreams.append(Upstream(*fields))
+
+    def _start_routers(self):
+        for domain in FAILURE_DOMAINS:
+            for number in range(1, ROUTERS_PER_DOMAIN + 1):
+                router = Router(f'router-{domain}-{number}', domain)
+                self.routers.append(router)
+        seeds = [f'{HOST}:{router.ports[1]}' for router in self.routers]
+        for router in self.routers:
+            path = pathlib.Path(self.group.directory) / f'{router.name}.ini'
+            path.write_text(router.settings(self.store, seeds))
+            command = [self.bin_dir / 'bramleysill', '--config', path]
+            router.process = self.group.start(router.name, command)
+
+
+def free_ports(count):
+    """Return ports that were free a moment ago."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind((HOST, 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+def get(port, path):
+    """Return the body at a loopback port; raises OSError."""
+    url = f'http://{HOST}:{port}{path}'
+    with urllib.request.urlopen(url, timeout=HTTP_SECONDS) as answer:
+        return answer.read()
+
+
+def get_json(port, path):
+    """Return the JSON document at a loopback port; raises OSError."""
+    return json.loads(get(port, path))
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,106 @@
+"""Starts the processes of the demo and ends them by their ids."""
+
+import pathlib
+import subprocess
+import time
+
+START_SECONDS = 20.0
+END_SECONDS = 5.0
+LOG_TAIL_BYTES = 2000
+_POLL_SECONDS = 0.05
+
+
+class ProcessFailed(Exception):
+    """A process did not start, did not end or returned an error."""
+
+
+class Process:
+    """One child process; its output goes to files in `directory`."""
+
+    def __init__(self, name, command, directory):
+        self.name = name
+        self.out = pathlib.Path(directory) / f'{name}.out'
+        self.err = pathlib.Path(directory) / f'{name}.err'
+        with self.out.open('wb') as out, self.err.open('wb') as err:
+            self._popen = subprocess.Popen(
+                [str(word) for word in command],
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=err,
+            )
+
+    @property
+    def pid(self):
+        """Return the process id."""
+        return self._popen.pid
+
+    def lines(self):
+        """Return the lines printed so far."""
+        return self.out.read_text().splitlines()
+
+    def is_running(self):
+        """Tell whether the process has not ended."""
+        return self._popen.poll() is None
+
+    def wait_for(self, is_ready, what, seconds=START_SECONDS):
+        """Wait until `is_ready()`; raises ProcessFailed with the log."""
+        deadline = time.monotonic() + seconds
+        while not is_ready():
+            if not self.is_running():
+                raise self._failed(f'ended before {what}')
+            if time.monotonic() > deadline:
+                raise self._failed(f'not {what} after {seconds:.0f} s')
+            time.sleep(_POLL_SECONDS)
+
+    def finish(self, seconds):
+        """Wait for a successful end; raises ProcessFailed."""
+        try:
+            code = self._popen.wait(seconds)
+        except subprocess.TimeoutExpired:
+            raise self._failed(f'no end after {seconds:.0f} s') from None
+        if code:
+            raise self._failed(f'exit code {code}')
+
+    def kill(self):
+        """End the process at once, as the loss of a VM does."""
+        if self.is_running():
+            self._popen.kill()
+        self._popen.wait()
+
+    def end(self):
+        """Ask the process to end, and kill it if it does not."""
+        if self.is_running():
+            self._popen.terminate()
+        try:
+            self._popen.wait(END_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.kill()
+
+    def _failed(self, what):
+        log = self.err.read_bytes()[-LOG_TAIL_BYTES:].decode(errors='replace')
+        return ProcessFailed(f'{self.name}: {what}\n{log}')
+
+
+class ProcessGroup:
+    """All processes of one demo; as a context manager, ends them all."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self._processes = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.end_all()
+
+    def start(self, name, command):
+        """Start a process and return it."""
+        process = Process(name, command, self.directory)
+        self._processes.append(process)
+        return process
+
+    def end_all(self):
+        """End the processes, the last started first."""
+        while self._processes:
+            self._processes.pop().end()
