Drop poll events of descriptors that were reused

Cause: when a callback closes a connection and another one accepts a socket with the same number, an event of the same poll for the closed connection reached the new one; a hangup closed it. Change: the poller ignores events for descriptors first watched since the poll; epoll is level-triggered and reports a real event again. Conclusion: a new connection hears only of its own events.

--- a/packages/net/src/bramleysill_net/loop.py
+++ b/packages/net/src/bramleysill_net/loop.py
@@ -29,6 +29,10 @@
     def __init__(self):
         super().__init__(channel='poller')
         self._direct = {}
+        # Descriptors first watched since the last poll. An event of that
+        # poll for one of them belongs to a closed connection whose number
+        # was given out again, and must not reach the new connection.
+        self._fresh = set()
 
     def watch(self, conn, readable, writable):
         """Set what a connection waits for; replaces earlier interest."""
@@ -42,6 +46,7 @@
             self._poller.modify(fileno, mask)
         else:
             self._poller.register(fileno, mask)
+            self._fresh.add(fileno)
         self._direct[fileno] = conn
 
     def forget(self, conn):
@@ -50,7 +55,13 @@
         if self._direct.pop(fileno, None) is not None:
             self._poller.unregister(fileno)
 
+    def _generate_events(self, event):
+        self._fresh.clear()
+        super()._generate_events(event)
+
     def _process(self, fileno, event):
+        if fileno in self._fresh:
+            return
         conn = self._direct.get(fileno)
         if conn is None:
             super()._process(fileno, event)
--- a/packages/standins/src/bramleysill_standins/store.py
+++ b/packages/standins/src/bramleysill_standins/store.py
@@ -23,6 +23,8 @@
 from bramleysill_standins.store_faults import StoreFaults
 
 MAX_VALUE_BYTES = 1 << 20
+# The platform's store takes milliseconds per call.
+CALL_MS = 2.0
 WRITES = ('kv_put', 'kv_delete', 'lease_create', 'lease_renew', 'lease_end')
 _KV = '/v1/kv/'
 _WATCH = '/v1/watch/'
@@ -45,8 +47,9 @@
 class StoreApp(ConnTracker):
     """Answers the store's calls."""
 
-    def __init__(self, loop):
+    def __init__(self, loop, call_ms=0.0):
         super().__init__(loop)
+        self.call_ms = call_ms
         self.state = KvState(self._on_change)
         self.faults = StoreFaults()
         self.counters = collections.Counter()
@@ -258,7 +261,7 @@
             self.app.counters['lost_answers'] += 1
             self.stream.abort()
             return
-        delay = self.app.faults.delay_ms / 1000.0
+        delay = (self.app.call_ms + self.app.faults.delay_ms) / 1000.0
         if not delay:
             self._send(reply)
             return
@@ -272,10 +275,15 @@
         self.stream.send(reply.status, reply.headers, reply.body)
 
 
-def main(port=0):
-    """Serve the store on loopback until terminated."""
+def main(port=0, call_ms=CALL_MS):
+    """Serve the store on loopback until terminated.
+
+    Args:
+      port: Port to listen on; 0 picks one.
+      call_ms: Time that each call takes, in milliseconds.
+    """
     loop = Loop()
-    app = StoreApp(loop)
+    app = StoreApp(loop, call_ms)
     announce(listen(loop, app, port))
     loop.run()
 
--- a/tests/test_conn.py
+++ b/tests/test_conn.py
@@ -1,5 +1,6 @@
 """Tests of TCP connections on the loop, over loopback."""
 
+import select
 import socket
 
 import testtools
@@ -152,3 +153,22 @@
         self._run(lambda: len(kept) == 2)
         kept[1].write(b'ok')
         self._run(lambda: self.near.data == b'ok')
+
+
+class PollerTest(testtools.TestCase):
+    def test_event_of_a_closed_connection_is_dropped(self):
+        """Guards against a hangup that reaches a reused descriptor."""
+        loop = Loop()
+        near, far = socket.socketpair()
+        self.addCleanup(far.close)
+        peer = Peer()
+        conn = Conn(loop, near, 'near', peer)
+        self.addCleanup(conn.abort)
+        conn.start()
+        loop.poller._process(conn.fileno(), select.EPOLLHUP)
+        self.assertEqual([], peer.closes)
+        polled = []
+        loop.scheduler.call_at(0, lambda: polled.append(True))
+        loop.run_until(lambda: polled, TIMEOUT_SECONDS)
+        loop.poller._process(conn.fileno(), select.EPOLLHUP)
+        self.assertEqual(1, len(peer.closes))
