Let the poll return at once after a timer ran

Cause: a timer's callback runs in the same event as the poll after it, so run_until noticed a condition that a timer had made true only at the next deadline, up to its own timeout later. Change: the poll does not wait in a pass in which a callback ran. Conclusion: command line tools and tests end when they are done.

--- a/packages/net/src/bramleysill_net/loop.py
+++ b/packages/net/src/bramleysill_net/loop.py
@@ -131,14 +131,18 @@
 
     @handler('generate_events', priority=10)
     def _on_generate_events(self, event):
-        self.run_due()
+        if self.run_due():
+            # A callback may have ended the loop or what run_until waits
+            # for; the poll must not wait for the next deadline.
+            event.reduce_time_left(0)
         if self._heap:
             left = self._heap[0][0] - self._now()
             event.reduce_time_left(max(0.0, left))
 
     def run_due(self):
-        """Run all callbacks whose deadline has passed."""
+        """Run all callbacks whose deadline has passed; tell if any ran."""
         now = self._now()
+        ran = False
         while self._heap and self._heap[0][0] <= now:
             _, _, timer = heapq.heappop(self._heap)
             if timer.callback is None:
@@ -147,6 +151,8 @@
                 timer.deadline = now + timer.interval
                 self._push(timer)
             self._run(timer.callback)
+            ran = True
+        return ran
 
     def _run(self, callback):
         try:
--- a/tests/test_conn.py
+++ b/tests/test_conn.py
@@ -169,6 +169,16 @@
         self.assertEqual([], peer.closes)
         polled = []
         loop.scheduler.call_at(0, lambda: polled.append(True))
-        loop.run_until(lambda: polled, TIMEOUT_SECONDS)
+        self.assertTrue(loop.run_until(lambda: polled, TIMEOUT_SECONDS))
         loop.poller._process(conn.fileno(), select.EPOLLHUP)
         self.assertEqual(1, len(peer.closes))
+
+    def test_poll_does_not_wait_after_a_timer(self):
+        """Guards against a condition that is noticed one timer late."""
+        loop = Loop()
+        waits = []
+        loop.poller._generate_events = lambda e: waits.append(e.time_left)
+        loop.scheduler.call_at(0, lambda: None)
+        loop.scheduler.call_at(loop.now() + 60, lambda: None)
+        loop.run_until(lambda: waits, TIMEOUT_SECONDS)
+        self.assertEqual([0], waits)
