Compare sheets by written options; refuse another cell

Cause: diff showed the names and units of the data classes (timeout 2.5) instead of those of the sheet (timeout_ms 2500). Applying the sheet of another cell would leave the tables and fences of the old one behind. A fuzz run found a lone surrogate in a section name that reached the message of a problem and could not be encoded.

Conclusion: what sillctl shows can be written into a sheet as it stands.

--- a/packages/ctl/src/sillctl/commands.py
+++ b/packages/ctl/src/sillctl/commands.py
@@ -14,6 +14,7 @@
 from sillctl import ownership_view
 from sillctl import router_client
 from sillctl import sheets
+from sillctl.exceptions import CellChanged
 from sillctl.exceptions import NotFound
 from sillctl.exceptions import RaceLost
 from sillctl.output import Document
@@ -56,7 +57,7 @@
         store = self._open_store()
         stored = sheets.load_stored(store)
         manifest = parse_manifest(sheets.load_file(file), file)
-        found = differences.difference(stored.manifest, manifest)
+        found = differences.difference(stored.text, manifest.text)
         return self._document(
             'diff',
             file=file,
@@ -69,27 +70,30 @@
         )
 
     @decorators.SetParseFns(file=str)
-    def apply(self, file, expected_version=None):
+    def apply(self, file, expected_version=None, force=False):
         """Puts a file in force, if nobody else has written since.
 
         Args:
           file: The manifest file.
           expected_version: The store's version that the file was made for,
             as `sillctl diff` shows it; by default the current one.
+          force: Write a sheet of another region or cell.
         """
         _check_version(expected_version)
         store = self._open_store()
         text = sheets.load_file(file)
         manifest = parse_manifest(text, file)
         stored = sheets.load_stored(store)
-        found = differences.difference(stored.manifest, manifest)
+        found = differences.difference(stored.text, text)
         fields = {
             'file': file,
             'difference': found,
             'moves': _moves(store, stored.manifest, manifest),
         }
         if expected_version not in (None, stored.version):
-            raise _race_lost(stored, expected_version, manifest)
+            raise _race_lost(stored, expected_version, text)
+        if not force:
+            _check_cell(stored.manifest, manifest)
         if sheets.strip_stamp(stored.text) == sheets.strip_stamp(text):
             fields.update(is_written=False, version=stored.version)
             return self._document('apply', write_id='', **fields)
@@ -97,7 +101,7 @@
             write_id, version = sheets.write_sheet(store, text, stored.version)
         except exceptions.StoreConflict as exc:
             current = sheets.load_stored(store)
-            raise _race_lost(current, stored.version, manifest) from exc
+            raise _race_lost(current, stored.version, text) from exc
         fields.update(is_written=True, version=version)
         return self._document('apply', write_id=write_id, **fields)
 
@@ -257,13 +261,25 @@
     )
 
 
-def _race_lost(stored, expected, manifest):
+def _check_cell(old, new):
+    """Raise CellChanged if a sheet is of another region or cell."""
+    if old is None or (old.region, old.cell) == (new.region, new.cell):
+        return
+    raise CellChanged(
+        f'the store holds cell {old.cell} of region {old.region}, the file '
+        f'declares cell {new.cell} of region {new.region}',
+        'apply',
+        new.cell,
+    )
+
+
+def _race_lost(stored, expected, text):
     return RaceLost(
         sheets.MANIFEST_KEY,
         stored.version,
         expected,
         stored.author,
-        differences.difference(stored.manifest, manifest),
+        differences.difference(stored.text, text),
     )
 
 
--- a/packages/ctl/src/sillctl/differences.py
+++ b/packages/ctl/src/sillctl/differences.py
@@ -1,74 +1,36 @@
-"""What changes between two manifests."""
+"""What changes between two manifest sheets."""
 
-import dataclasses
+from bramleysill_kernel.exceptions import ManifestError
+from bramleysill_kernel.manifest_parser import written_options
 
-# Lists of a service that are sections of their own in the sheet.
-_PARTS = ('routes', 'ranges', 'singles', 'upstreams', 'objective')
 
-
-def _fields(item, without=()):
-    return {
-        f.name: getattr(item, f.name)
-        for f in dataclasses.fields(item)
-        if f.name not in without
-    }
-
-
-def _sections(manifest):
-    """Return the options of each section by its header."""
-    if manifest is None:
+def _sections(text):
+    """Return the options of each section; empty if the sheet is invalid."""
+    try:
+        return written_options(text)
+    except ManifestError:
         return {}
-    found = {'manifest': {'region': manifest.region, 'cell': manifest.cell}}
-    for domain in manifest.failure_domains.values():
-        found[f'failure_domain {domain.name}'] = _fields(domain)
-    for upstream in manifest.upstreams.values():
-        found[f'upstream {upstream.name}'] = _fields(upstream)
-    for service in manifest.services.values():
-        found[f'service {service.name}'] = _fields(service, _PARTS)
-        found.update(_service_parts(service))
-    return found
-
-
-def _service_parts(service):
-    found = {}
-    for route in service.routes:
-        found[f'route {service.name} {route.name}'] = _fields(route)
-    for rng in service.ranges:
-        found[f'range {service.name} {rng.name}'] = _fields(rng)
-    for single in service.singles:
-        found[f'key {service.name} {single.key}'] = _fields(single)
-    if service.objective is not None:
-        found[f'objective {service.name}'] = _fields(service.objective)
-    return found
 
 
-def _written(value):
-    if isinstance(value, tuple):
-        return ', '.join(value)
-    if isinstance(value, bool):
-        return 'yes' if value else 'no'
-    return str(value)
+def _changed_options(title, before, after):
+    return [
+        {'section': title, 'option': name, 'old': before[name], 'new': value}
+        for name, value in after.items()
+        if value != before[name]
+    ]
 
 
 def difference(old, new):
-    """Return what changes from one manifest to another.
+    """Return what changes from one sheet's text to another's.
 
-    Either may be None. The result has the lists `added` and `removed` of
-    section headers and `changed`, with `section`, `option`, `old`, `new`.
+    The result has the lists `added` and `removed` of section headers and
+    `changed`, with `section`, `option`, `old`, `new`. Comments, order and
+    options written with their default value make no difference.
     """
     before, after = _sections(old), _sections(new)
     changed = []
     for title in sorted(before.keys() & after.keys()):
-        for option, value in after[title].items():
-            if value != before[title][option]:
-                changed.append(
-                    {
-                        'section': title,
-                        'option': option,
-                        'old': _written(before[title][option]),
-                        'new': _written(value),
-                    }
-                )
+        changed += _changed_options(title, before[title], after[title])
     return {
         'added': sorted(after.keys() - before.keys()),
         'removed': sorted(before.keys() - after.keys()),
--- a/packages/ctl/src/sillctl/exceptions.py
+++ b/packages/ctl/src/sillctl/exceptions.py
@@ -14,6 +14,7 @@
 EXIT_NOT_FOUND = 8
 EXIT_NO_UPSTREAM_LEFT = 9
 EXIT_ROUTER = 10
+EXIT_CELL_CHANGED = 11
 
 
 class StoreNotReached(exceptions.StoreUnavailable):
@@ -50,10 +51,11 @@
         self.expected = expected
         self.winner = winner
         self.difference = difference
+        ahead = version - expected
         self.message = (
-            f'{winner} wrote {key} version {version}, which is '
-            f'{version - expected} after the expected version {expected}; '
-            'nothing was written'
+            f'{winner} wrote {key} version {version}, which is {abs(ahead)} '
+            f'{"after" if ahead > 0 else "before"} the expected version '
+            f'{expected}; nothing was written'
         )
 
 
@@ -64,6 +66,20 @@
     hint = 'Run `sillctl status` to see what is declared.'
 
 
+class CellChanged(exceptions.SillError):
+    """A sheet is of another region or cell than the store's.
+
+    The ownership tables and their fences are kept by cell, so the new cell
+    would start without knowing the owners of the old one.
+    """
+
+    code = 'cell_changed'
+    hint = (
+        'Check that the file and the store are of the same cell; add --force '
+        'only when no router of the old cell runs.'
+    )
+
+
 class NoUpstreamLeft(exceptions.SillError):
     """A drain would leave a service without any upstream."""
 
@@ -88,6 +104,7 @@
     NotFound: EXIT_NOT_FOUND,
     NoUpstreamLeft: EXIT_NO_UPSTREAM_LEFT,
     RouterUnavailable: EXIT_ROUTER,
+    CellChanged: EXIT_CELL_CHANGED,
 }
 
 
--- a/packages/ctl/src/sillctl/sheets.py
+++ b/packages/ctl/src/sillctl/sheets.py
@@ -33,7 +33,8 @@
     @property
     def author(self):
         """Return who wrote the sheet, as far as it says."""
-        return read_stamp(self.text).get('by', 'a writer without a name')
+        name = read_stamp(self.text).get('by', 'a writer without a name')
+        return name if name.isprintable() else ascii(name)
 
 
 def load_file(path):
--- a/packages/kernel/src/bramleysill_kernel/ini_reader.py
+++ b/packages/kernel/src/bramleysill_kernel/ini_reader.py
@@ -10,10 +10,17 @@
 
 COMMENT_SIGNS = (';', '#')
 BYTE_ORDER_MARK = '\ufeff'
-# Bounds the length of a message that quotes a long malformed line.
+# Bounds a message that quotes a long malformed line.
 MAX_QUOTED_CHARS = 60
 
 
+def _printable(text):
+    """Return text with escapes for what a terminal must not get."""
+    if text.isprintable():
+        return text
+    return ''.join(c if c.isprintable() else ascii(c)[1:-1] for c in text)
+
+
 @dataclasses.dataclass(slots=True)
 class Problem:
     """One problem of a sheet: where, what is wrong, what to write instead."""
@@ -23,6 +30,11 @@
     what: str
     write: str
 
+    def __post_init__(self):
+        self.file = _printable(self.file)
+        self.what = _printable(self.what)
+        self.write = _printable(self.write)
+
     def __str__(self):
         return f'{self.file}:{self.line}: {self.what}; {self.write}'
 
@@ -53,10 +65,10 @@
 
 
 def quote(text):
-    """Return text for use in a message, shortened and printable."""
+    """Return text in quotes for use in a message, shortened."""
     if len(text) > MAX_QUOTED_CHARS:
         text = text[:MAX_QUOTED_CHARS] + '...'
-    return ascii(text) if not text.isprintable() else f"'{text}'"
+    return f"'{_printable(text)}'"
 
 
 def nearest(name, known):
--- a/packages/kernel/src/bramleysill_kernel/manifest_parser.py
+++ b/packages/kernel/src/bramleysill_kernel/manifest_parser.py
@@ -27,7 +27,7 @@
 from bramleysill_kernel.manifest_values import convert
 from bramleysill_kernel.registry import Registry
 
-__all__ = ('Problem', 'parse_manifest')
+__all__ = ('Problem', 'options_table', 'parse_manifest', 'written_options')
 
 PERCENT = 100.0
 
@@ -209,12 +209,8 @@
     return result
 
 
-def parse_manifest(text, file='manifest.ini', version=0):
-    """Return the Manifest of a sheet.
-
-    `file` stands in the messages, `version` is the store's version of the
-    text. Raises ManifestError with all problems, ordered by line.
-    """
+def _read(text, file):
+    """Return the Draft of a sheet without problems, or raise."""
     sections, problems = read_ini(text, file)
     draft = Draft(file, problems)
     _check_size(draft, text)
@@ -225,7 +221,30 @@
     if draft.problems:
         draft.problems.sort(key=lambda p: p.line)
         raise ManifestError(draft.problems, file)
-    return _build(draft, version, text)
+    return draft
+
+
+def parse_manifest(text, file='manifest.ini', version=0):
+    """Return the Manifest of a sheet.
+
+    `file` stands in the messages, `version` is the store's version of the
+    text. Raises ManifestError with all problems, ordered by line.
+    """
+    return _build(_read(text, file), version, text)
+
+
+def written_options(text, file='manifest.ini'):
+    """Return each section's options as a sheet writes them, by header.
+
+    Options that are not written have their default. Raises ManifestError.
+    """
+    return {
+        entry.title: {
+            option.name: as_written(entry.values[option.name], option)
+            for option in section_kinds.get(entry.kind).options
+        }
+        for entry in _read(text, file).entries
+    }
 
 
 def options_table():
@@ -244,7 +263,9 @@
     limits = ' or '.join(option.choices)
     if option.high:
         limits = f'{option.low:,} to {option.high:,}'
-    default = 'required' if option.required else as_written(option.default)
+    default = (
+        'required' if option.required else as_written(option.default, option)
+    )
     if option.default is None:
         default = 'by method'
     cells = (
--- a/packages/kernel/src/bramleysill_kernel/manifest_values.py
+++ b/packages/kernel/src/bramleysill_kernel/manifest_values.py
@@ -38,13 +38,21 @@
         self.write = write
 
 
-def as_written(value):
-    """Return a value in the form in which the manifest writes it."""
+def as_written(value, option):
+    """Return an option's value in the form in which the manifest writes it.
+
+    A default that follows from other options is an empty string.
+    """
+    if value is None:
+        return ''
+    if option.type == 'address':
+        host, port = value
+        return f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+    if isinstance(value, tuple):
+        return ', '.join(value)
     if isinstance(value, bool):
         return 'yes' if value else 'no'
-    if isinstance(value, float):
-        return f'{value:g}'
-    return str(value)
+    return f'{value:.15g}' if isinstance(value, float) else str(value)
 
 
 def convert(text, option):
@@ -134,7 +142,8 @@
     if not WHOLE_FORM.fullmatch(text):
         raise BadValue(
             f'{option.name} {quote(text)} is not a whole number',
-            f'write digits only, for example `{as_written(option.default)}`',
+            'write digits only, for example '
+            f'`{as_written(option.default, option)}`',
         )
     return _in_limits(int(text), text, option)
 
@@ -145,7 +154,7 @@
         raise BadValue(
             f'{option.name} {quote(text)} is not a number',
             'write digits with a decimal point, for example '
-            f'`{as_written(option.default)}`',
+            f'`{as_written(option.default, option)}`',
         )
     return _in_limits(float(text), text, option)
 
--- a/tests/test_ctl_commands.py
+++ b/tests/test_ctl_commands.py
@@ -182,6 +182,16 @@
         )
         self.assertEqual(2, self.store.writes)
 
+    def test_a_sheet_of_another_cell_is_refused(self):
+        """Guards against tables and fences that are left behind."""
+        self._put_example()
+        path = ROOT / 'examples' / 'niederbayern.ini'
+        self.assertEqual(
+            ctl_exceptions.EXIT_CELL_CHANGED, self._run('apply', path)[0]
+        )
+        self.assertEqual(0, self.store.writes)
+        self.assertEqual(0, self._run('apply', path, '--force')[0])
+
     def test_an_unreadable_stored_sheet_can_be_replaced(self):
         """Guards against a damaged manifest that blocks its repair."""
         self.store.put('manifest', b'\xff')
@@ -199,7 +209,7 @@
         self.assertEqual(0, code)
         self.assertIn('\n+ [key ledger CAP-2]', out)
         self.assertIn('\n- [key ledger CAP-000001]', out)
-        self.assertIn('\n~ [service ledger] timeout: 5.0 -> 2.5', out)
+        self.assertIn('\n~ [service ledger] timeout_ms: 5000 -> 2500', out)
         self.assertIn('about 0.0% of the keys would move', out)
 
     def test_one_upstream_less_moves_only_its_share(self):
--- a/tests/test_manifest_parser.py
+++ b/tests/test_manifest_parser.py
@@ -152,6 +152,18 @@
         self.assertEqual([], _problems(text))
 
 
+class WrittenOptionsTest(testtools.TestCase):
+    def test_written_options_parse_to_the_same_values(self):
+        """Guards against a difference that shows what no sheet can say."""
+        written = manifest_parser.written_options(GOOD)
+        text = ''
+        for title, options in written.items():
+            text += f'[{title}]\n'
+            text += ''.join(f'{n} = {v}\n' for n, v in options.items() if v)
+        self.assertEqual(written, manifest_parser.written_options(text))
+        self.assertEqual('[::1]:7002', written['upstream l2']['address'])
+
+
 class ReportedTest(testtools.TestCase):
     def test_each_bad_line_is_reported_with_its_correction(self):
         """Guards against a mistake that passes or is explained wrongly."""
@@ -172,6 +184,18 @@
         self.assertEqual([6, 22, 35], [p.line for p in found])
         self.assertEqual({'x.ini'}, {p.file for p in found})
 
+    def test_problems_hold_only_printable_text(self):
+        """Guards against a name that breaks or controls a terminal.
+
+        Found by fuzzing: a lone surrogate in a section's name reached the
+        message and could not be encoded.
+        """
+        for noise in ('\ud800', '\x1b[2J'):
+            text = GOOD.replace('[upstream l1]', f'[upstream l1{noise}]')
+            for problem in _problems(text):
+                self.assertTrue(str(problem).isprintable())
+                str(problem).encode()
+
     def test_one_mistake_gives_one_problem(self):
         """Guards against consequences that hide the cause."""
         for line, replacement in (
@@ -195,18 +219,20 @@
         except ManifestError as exc:
             self.assertTrue(exc.problems)
             for problem in exc.problems:
-                str(problem).encode()
+                self.assertTrue(str(problem).isprintable())
         else:
             self.assertIsInstance(result, Manifest)
 
     @settings(max_examples=300, deadline=None, derandomize=True)
-    @given(st.text())
+    @given(st.text(st.characters(codec=None)))
     def test_any_text_gives_a_manifest_or_problems(self, text):
         """Guards against input that crashes the parser."""
         self._parse(text)
 
     @settings(max_examples=300, deadline=None, derandomize=True)
-    @given(st.integers(0, 1 << 32), st.text(max_size=8))
+    @given(
+        st.integers(0, 1 << 32), st.text(st.characters(codec=None), max_size=8)
+    )
     def test_a_damaged_sheet_gives_a_manifest_or_problems(self, seed, noise):
         """Guards against a crash behind the first checks."""
         rng = random.Random(seed)
