--- a/packages/ctl/src/sillctl/key_moves.py
+++ b/packages/ctl/src/sillctl/key_moves.py
@@ -14,6 +14,7 @@
 from bramleysill_kernel.manifest import KIND_KEYED
 from bramleysill_kernel.ownership import NO_OWNER
 from bramleysill_kernel.ownership import KeySpace
+from sillctl.ownership_view import is_current
 
 SAMPLES = 4096
 SEED = 1
@@ -131,7 +132,7 @@
     space = KeySpace(service)
     is_renumbered = _is_renumbered(old, new, name)
     plan = find_placement(service.placement)
-    has_table = table is not None and len(table.shards) == space.shard_count
+    has_table = table is not None and is_current(table, service)
     if plan and has_table and not is_renumbered:
         method = service.placement
         shares = _planned_shares(plan, new, name, table)
--- a/packages/ctl/src/sillctl/ownership_view.py
+++ b/packages/ctl/src/sillctl/ownership_view.py
@@ -25,6 +25,28 @@
     return OwnershipTable.decode(value.data, value.version)
 
 
+def space_of(table, service):
+    """Return the division of keys under which the owners were assigned.
+
+    A table that stores its layout may be older than the manifest; a key is
+    then looked up under the table's own layout.
+    """
+    layout = getattr(table, 'layout', None)
+    if layout:
+        return KeySpace.from_layout(service.name, layout)
+    return KeySpace(service)
+
+
+def is_current(table, service):
+    """Tell whether a table has the shards that the manifest declares."""
+    numbers = [
+        [(p.first, p.last, p.base, p.shards) for p in space.partitions]
+        for space in (space_of(table, service), KeySpace(service))
+    ]
+    count = KeySpace(service).shard_count
+    return numbers[0] == numbers[1] and len(table.shards) == count
+
+
 def keyed_service(manifest, name):
     """Return a keyed service by name; raises NotFound."""
     service = manifest.services.get(name)
@@ -73,7 +95,7 @@
 
 def owner_of(manifest, drains, table, service, key):
     """Return the owner of a key and the reason, as a dict."""
-    space = KeySpace(service)
+    space = space_of(table, service)
     unit = table.unit_of(space, key)
     assignment = table.get(unit)
     if assignment is None:
@@ -97,7 +119,7 @@
         ),
         'table_version': table.version,
         'term': table.term,
-        'is_current': len(table.shards) == space.shard_count,
+        'is_current': is_current(table, service),
     }
 
 
--- a/tests/test_ctl_commands.py
+++ b/tests/test_ctl_commands.py
@@ -13,6 +13,7 @@
 from bramleysill_kernel import exceptions
 from bramleysill_kernel import refusals
 from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.ownership import KeySpace
 from bramleysill_kernel.ownership import OwnershipTable
 from sillctl import exceptions as ctl_exceptions
 from sillctl import key_moves
@@ -351,6 +352,22 @@
         self.assertIn('manifest declares', reasons[0])
         self.assertIn('hot key', reasons[1])
 
+    @testtools.skipUnless(
+        hasattr(KeySpace, 'from_layout'), 'tables store no layout yet'
+    )
+    def test_a_key_is_looked_up_under_the_layout_of_its_table(self):
+        """Guards against an owner from a division that is not in force."""
+        table = self._put_table()
+        old = KeySpace(self.manifest.services['ledger'])
+        table.layout = old.layout()
+        self.store.put(TABLE_KEY, table.encode())
+        rng = '[range ledger a]\nlast = L\nupstreams = ledger-01\n'
+        self.text += rng
+        self._put_example()
+        _, found = self._json('owner', 'ledger', 'K')
+        self.assertEqual(str(old.shard_of('K')), found['unit'])
+        self.assertFalse(found['is_current'])
+
     def test_a_drained_owner_is_shown_with_the_cause(self):
         """Guards against a move that looks like a fault."""
         self._put_example()
