Apply a sheet despite damaged tables or drains

Cause: diff and apply read the tables and the drains only to tell what share of keys would move, but a damaged value stopped them, and a damaged table was reported as a fault of the program.

Change: the share is left out when it cannot be told; a damaged table is a StoreError.

Conclusion: a damaged value no longer keeps a sheet from being applied.

--- a/packages/ctl/src/sillctl/commands.py
+++ b/packages/ctl/src/sillctl/commands.py
@@ -252,10 +252,18 @@
 
 
 def _moves(store, old, new):
+    """Return the shares of keys that move; empty if they can't be told.
+
+    A damaged table or list of drains must not keep a sheet from being
+    applied.
+    """
     if old is None:
         return {}
-    drains = drain_list.load(store)
-    tables = ownership_view.load_tables(store, old)
+    try:
+        drains = drain_list.load(store)
+        tables = ownership_view.load_tables(store, old)
+    except exceptions.StoreError:
+        return {}
     return key_moves.moved_shares(
         _marked(old, drains), _marked(new, drains), tables
     )
--- a/packages/ctl/src/sillctl/ownership_view.py
+++ b/packages/ctl/src/sillctl/ownership_view.py
@@ -1,6 +1,7 @@
 """What the store says about owners: of one key, and of all shards."""
 
 from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.exceptions import StoreError
 from bramleysill_kernel.manifest import KIND_KEYED
 from bramleysill_kernel.ownership import NO_OWNER
 from bramleysill_kernel.ownership import SINGLE_PREFIX
@@ -18,11 +19,18 @@
 
 
 def load_table(store, cell, service):
-    """Return a service's table, or None if the store has none."""
-    value = store.read(table_key(cell, service))
+    """Return a service's table, or None if the store has none.
+
+    Raises StoreError if the value is malformed.
+    """
+    key = table_key(cell, service)
+    value = store.read(key)
     if not value.version:
         return None
-    return OwnershipTable.decode(value.data, value.version)
+    try:
+        return OwnershipTable.decode(value.data, value.version)
+    except SillError as exc:
+        raise StoreError(exc.message, 'decode', key) from exc
 
 
 def space_of(table, service):
@@ -182,7 +190,7 @@
     for service in _keyed_services(manifest):
         try:
             table = load_table(store, manifest.cell, service.name)
-        except SillError as exc:
+        except StoreError as exc:
             found[service.name] = {'error': str(exc)}
             continue
         found[service.name] = (
--- a/tests/test_ctl_commands.py
+++ b/tests/test_ctl_commands.py
@@ -193,6 +193,15 @@
         self.assertEqual(0, self.store.writes)
         self.assertEqual(0, self._run('apply', path, '--force')[0])
 
+    def test_damaged_values_do_not_keep_a_sheet_from_being_applied(self):
+        """Guards against an estimate that blocks a repair."""
+        path = self._file(self.text + '\n; new comment\n')
+        for key in (TABLE_KEY, 'drains'):
+            self.store = CURRENT['store'] = FakeStore()
+            self._put_example()
+            self.store.put(key, b'[]')
+            self.assertEqual(0, self._run('apply', path)[0])
+
     def test_an_unreadable_stored_sheet_can_be_replaced(self):
         """Guards against a damaged manifest that blocks its repair."""
         self.store.put('manifest', b'\xff')
@@ -422,6 +431,10 @@
             self.store.put(key, b'[]')
             self.assertEqual(ctl_exceptions.EXIT_STORE, self._run('status')[0])
             del self.store.values[key]
+        self.store.put(TABLE_KEY, b'[]')
+        self.assertIn('malformed ownership table', self._run('status')[1])
+        code, _, _ = self._run('owner', 'ledger', 'k')
+        self.assertEqual(ctl_exceptions.EXIT_STORE, code)
 
 
 class PagesTest(_CommandTest):
