Find changing outliers sooner and try ejected ones early

Cause: with two other upstreams slowed every 3 s, the third that may be out was taken by upstreams that had recovered, and each return made the next ejection longer; work piled up at the slow ones.

Change: evaluation every 20 ms; an early trial of the longest ejected upstream when another turns bad; a short ejection again after a good stay.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -190,7 +190,7 @@
         self.oldest = {name: {} for name in upstreams}
         if outliers:
             self.outliers = OutlierDetector(sim.clock, sim.rng, upstreams)
-            sim.every(0.1, self._evaluate)
+            sim.every(TICK_SECONDS, self._evaluate)
 
     def _evaluate(self):
         now = self.sim.clock.now()
--- a/packages/kernel/src/bramleysill_kernel/outliers.py
+++ b/packages/kernel/src/bramleysill_kernel/outliers.py
@@ -8,7 +8,7 @@
 - `note_waiting(name, seconds)` from time to time with the age of the oldest
   attempt that is still open, so that a frozen upstream is seen before any
   answer is late enough to be given up;
-- `tick()` every 100 ms or so; it returns the names whose state changed;
+- `tick()` every 20 ms or so; it returns the names whose state changed;
 - while `trial_names()` is not empty, before an attempt is sent:
   `take_trial(name)`. When it is true, the attempt may go there, and its end is
   reported with `trial=True`; it decides on the re-admission.
@@ -17,6 +17,9 @@
 upstreams is ejected at a time. Ejection takes two bad evaluations in a row,
 re-admission several good trials in a row under a stricter bound, and an
 upstream ejected again soon stays out twice as long, which prevents flapping.
+
+When a further upstream turns bad while a third is out, the one that has been
+out for longest is tried early: it may have recovered and make room.
 """
 
 import statistics
@@ -38,9 +41,12 @@
 WEIGHT = 0.2
 FIRST_EJECTION_SECONDS = 1.0
 LONGEST_EJECTION_SECONDS = 60.0
-# After this long without an ejection the next one is short again.
-FORGIVE_SECONDS = 120.0
-EVALUATE_SECONDS = 0.1
+# An upstream that stays in for this many times its last ejection starts with
+# a short one again; a brief slowdown by a neighbour is not held against it.
+FORGIVE_FACTOR = 2.0
+EVALUATE_SECONDS = 0.02
+# Part of its ejection after which an upstream may be tried to make room.
+EARLY_TRIAL_SHARE = 0.2
 # A trial without a result is given up, so that another can follow.
 TRIAL_SECONDS = 2.0
 
@@ -57,7 +63,9 @@
         'bad',
         'until',
         'ejections',
+        'length',
         'ejected_at',
+        'back_at',
         'trials',
         'trial_at',
     )
@@ -65,7 +73,9 @@
     def __init__(self):
         self.state = STATE_IN
         self.ejections = 0
+        self.length = 0.0
         self.ejected_at = 0.0
+        self.back_at = 0.0
         self.until = 0.0
         self.trial_at = None
         self.trials = 0
@@ -165,6 +175,7 @@
                 seen.bad = 0
         for _, name in sorted(bad, reverse=True):
             if not self._has_room():
+                changed += self._make_room(now)
                 break
             self._eject(self._seen[name], now)
             changed.append(name)
@@ -189,27 +200,45 @@
         out = sum(s.state != STATE_IN for s in self._seen.values())
         return out + 1 <= len(self._seen) * MAX_EJECTED_SHARE
 
+    def _make_room(self, now):
+        """Begin an early trial of the upstream that is out for longest."""
+        out = [
+            (seen.ejected_at, name)
+            for name, seen in self._seen.items()
+            if seen.state == STATE_OUT
+            and now - seen.ejected_at > seen.length * EARLY_TRIAL_SHARE
+        ]
+        if not out:
+            return []
+        name = min(out)[1]
+        self._begin_trial(self._seen[name])
+        return [name]
+
     def _eject(self, seen, now):
-        if now - seen.ejected_at > FORGIVE_SECONDS:
+        stayed = now - seen.back_at
+        if seen.state == STATE_IN and stayed > FORGIVE_FACTOR * seen.length:
             seen.ejections = 0
         seen.state = STATE_OUT
         length = min(
             LONGEST_EJECTION_SECONDS,
             FIRST_EJECTION_SECONDS * 2**seen.ejections,
         )
-        seen.until = now + length * self._rng.uniform(1.0, 1.2)
+        seen.length = length * self._rng.uniform(1.0, 1.2)
+        seen.until = now + seen.length
         seen.ejections += 1
         seen.ejected_at = now
-        seen.trial_at = None
         seen.restart()
 
+    def _begin_trial(self, seen):
+        seen.state = STATE_TRIAL
+        seen.trials = 0
+        seen.trial_at = None
+
     def _end_ejections(self, now):
         changed = []
         for name, seen in self._seen.items():
             if seen.state == STATE_OUT and now >= seen.until:
-                seen.state = STATE_TRIAL
-                seen.trials = 0
-                seen.trial_at = None
+                self._begin_trial(seen)
                 changed.append(name)
         return changed
 
@@ -238,4 +267,5 @@
         seen.trials += 1
         if seen.trials >= GOOD_TRIALS:
             seen.state = STATE_IN
+            seen.back_at = self._clock.now()
             seen.restart()
