Shorten ejections

Cause: recovered upstreams stayed out for seconds while others slowed.

Change: the first ejection is 0.25 s (1 s before), the longest 4 s (60 s).

Conclusion: kept; a lasting outlier costs one request every 4 s.

--- a/packages/kernel/src/bramleysill_kernel/outliers.py
+++ b/packages/kernel/src/bramleysill_kernel/outliers.py
@@ -39,8 +39,10 @@
 GOOD_TRIALS = 3
 # Weight of one answer in the averages.
 WEIGHT = 0.2
-FIRST_EJECTION_SECONDS = 1.0
-LONGEST_EJECTION_SECONDS = 60.0
+# A trial costs one request, so that even a lasting outlier may be tried
+# every few seconds; long ejections starve the rest after a recovery.
+FIRST_EJECTION_SECONDS = 0.25
+LONGEST_EJECTION_SECONDS = 4.0
 # An upstream that stays in for this many times its last ejection starts with
 # a short one again; a brief slowdown by a neighbour is not held against it.
 FORGIVE_FACTOR = 2.0
