Try ejected upstreams when the others are crowded

Cause: when upstreams that are in slow down together, none of them is an outlier, and recovered ones stayed out while they were needed.

Change: a rise of the usual latency by half against its long-term average begins an early trial.

--- a/packages/kernel/src/bramleysill_kernel/outliers.py
+++ b/packages/kernel/src/bramleysill_kernel/outliers.py
@@ -18,8 +18,9 @@
 re-admission several good trials in a row under a stricter bound, and an
 upstream ejected again soon stays out twice as long, which prevents flapping.
 
-When a further upstream turns bad while a third is out, the one that has been
-out for longest is tried early: it may have recovered and make room.
+When a further upstream turns bad while a third is out, or all that are in
+slow down together, the one that has been out for longest is tried early: it
+may have recovered and take its share again.
 """
 
 import statistics
@@ -47,6 +48,11 @@
 # a short one again; a brief slowdown by a neighbour is not held against it.
 FORGIVE_FACTOR = 2.0
 EVALUATE_SECONDS = 0.02
+# The latency of the upstreams that are in has risen by this factor against
+# its long-term average: they are overloaded without the ejected ones.
+CROWDED_FACTOR = 1.5
+# Weight of one evaluation in the long-term average, about 10 s.
+NORMAL_WEIGHT = 0.002
 # Part of its ejection after which an upstream may be tried to make room.
 EARLY_TRIAL_SHARE = 0.2
 # A trial without a result is given up, so that another can follow.
@@ -99,13 +105,14 @@
     upstream together don't try it together.
     """
 
-    __slots__ = ('_clock', '_rng', '_seen', '_evaluate_at')
+    __slots__ = ('_clock', '_rng', '_seen', '_evaluate_at', '_normal')
 
     def __init__(self, clock, rng, names=()):
         self._clock = clock
         self._rng = rng
         self._seen = {name: _Observed() for name in names}
         self._evaluate_at = clock.now()
+        self._normal = 0.0
 
     def set_upstreams(self, names):
         """Set the service's upstreams; keeps what is known of them."""
@@ -157,6 +164,12 @@
         ]
         return statistics.median_low(known) if known else 0.0
 
+    def _is_crowded(self, usual):
+        if not self._normal:
+            self._normal = usual
+        self._normal += NORMAL_WEIGHT * (usual - self._normal)
+        return usual > CROWDED_FACTOR * self._normal
+
     def tick(self):
         """Evaluate all upstreams; return the names that changed state."""
         now = self._clock.now()
@@ -165,6 +178,8 @@
         self._evaluate_at = now + EVALUATE_SECONDS
         changed = self._end_ejections(now)
         usual = self._usual()
+        if self._is_crowded(usual):
+            changed += self._make_room(now)
         bad = []
         for name, seen in self._seen.items():
             if seen.state != STATE_IN:
