Let latencies of unused candidates go stale

Cause: power_of_two hardly picks a candidate that looks slow, so it never learned that the candidate had recovered.

Change: Candidate.note_answer averages latencies, Candidate.relax shrinks the average after 0.5 s without an answer.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -188,10 +188,15 @@
         self.hedged = 0
         self.latencies = []
         self.oldest = {name: {} for name in upstreams}
+        sim.every(0.1, self._relax)
         if outliers:
             self.outliers = OutlierDetector(sim.clock, sim.rng, upstreams)
             sim.every(TICK_SECONDS, self._evaluate)
 
+    def _relax(self):
+        for candidate in self.candidates.values():
+            candidate.relax(self.sim.clock.now())
+
     def _evaluate(self):
         now = self.sim.clock.now()
         for name, works in self.oldest.items():
@@ -268,8 +273,7 @@
         self.oldest[name].pop(work, None)
         candidate = self.candidates[name]
         candidate.in_flight -= 1
-        old = candidate.latency or latency
-        candidate.latency = old + 0.1 * (latency - old)
+        candidate.note_answer(latency, self.sim.clock.now())
         if self.outliers:
             self.outliers.note_answer(name, latency, ok, trial)
 
--- a/packages/kernel/src/bramleysill_kernel/balancer.py
+++ b/packages/kernel/src/bramleysill_kernel/balancer.py
@@ -2,8 +2,8 @@
 
 The entry router keeps one balancer per shared service, by the name in
 `Service.balancer`, and one `Candidate` per eligible upstream. It adds one to
-`in_flight` when it sends work, takes one off when the attempt ends, keeps
-`latency` as a moving average of its own observations in seconds, and sets
+`in_flight` when it sends work, takes one off when the attempt ends, reports
+each latency with `note_answer` and calls `relax` every 100 ms or so. It sets
 `ejected` from `outliers.OutlierDetector` and `cold` from the upstream's
 answers. `pick` is called for each attempt; a retry or a hedge passes the
 names already tried as `exclude`.
@@ -19,6 +19,12 @@
 
 balancers = Registry('balancer')
 
+# Weight of one answer in a candidate's latency.
+WEIGHT = 0.1
+# A candidate that looks slow gets little work and so no newer latencies.
+# After this time without an answer its latency shrinks until it is tried.
+STALE_SECONDS = 0.5
+RELAX_FACTOR = 0.8
 # A cold upstream is taken for one that offers this part of its slots.
 COLD_SHARE = 0.25
 
@@ -26,7 +32,15 @@
 class Candidate:
     """One upstream of a shared service as the entry router observes it."""
 
-    __slots__ = ('name', 'in_flight', 'slots', 'latency', 'ejected', 'cold')
+    __slots__ = (
+        'name',
+        'in_flight',
+        'slots',
+        'latency',
+        'ejected',
+        'cold',
+        'answered_at',
+    )
 
     def __init__(
         self,
@@ -43,6 +57,20 @@
         self.latency = latency
         self.ejected = ejected
         self.cold = cold
+        self.answered_at = 0.0
+
+    def note_answer(self, latency, now):
+        """Record an attempt's latency in seconds and the clock's reading."""
+        if self.latency:
+            self.latency += WEIGHT * (latency - self.latency)
+        else:
+            self.latency = latency
+        self.answered_at = now
+
+    def relax(self, now):
+        """Let the latency shrink if it is no longer known to be true."""
+        if now - self.answered_at > STALE_SECONDS:
+            self.latency *= RELAX_FACTOR
 
 
 def eligible(candidates, exclude=()):
