Restart slow start after a lost connection

Cause: a restarted upstream got work for all slots until its new epoch was known.

Change: a result 'lost' puts the upstream at its cold bound. bench/policy also counts sends above the bound after the first sign of cold.

Three slow answers in a row are a weak test for a cold upstream that says it is warm; next.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -106,6 +106,7 @@
         self.name = name
         self.factor = 1.0
         self.state = ''
+        self.told_cold = False
         self.on_end = on_end
         self.on_send = None
         self.admission = admission or Admission(
@@ -132,6 +133,7 @@
     def _answer(self, work, state):
         if work.state != 'running':
             return
+        self.told_cold |= state == 'cold'
         self._send(self.admission.finished(work, RESULT_OK, state))
         self._report_dropped()
         self.on_end(work, True)
@@ -147,6 +149,7 @@
 
     def restart(self):
         """Lose all work in flight, as when the upstream starts anew."""
+        self.told_cold = True
         for work in list(self.admission._running):
             self._send(self.admission.finished(work, RESULT_LOST))
             self.on_end(work, False)
@@ -452,7 +455,8 @@
     `announced`: answers say cold; `restart`: work in flight is lost and
     answers say cold; `unnoticed`: answers are slow and say warm. `most` is
     the highest count of work in flight right after a send while cold;
-    `over_seconds` is how long sends above the bound went on.
+    `over` counts sends above the bound and `over_known` those after the
+    first sign of it, an answer that says cold or a lost connection.
     """
     sim = Simulation(SEED)
     bound = 1 if slow_start else SLOTS
@@ -460,7 +464,7 @@
         'u', sim.clock, SLOTS, SlowStart(sim.clock, SLOTS, bound)
     )
     upstream = SimulatedUpstream(sim, 'u', lambda w, ok: None, admission)
-    seen = {'most': 0, 'over': 0, 'over_seconds': 0.0}
+    seen = {'most': 0, 'over': 0, 'over_known': 0, 'over_seconds': 0.0}
 
     def on_send():
         now = sim.clock.now()
@@ -468,6 +472,7 @@
             seen['most'] = max(seen['most'], admission.in_flight)
             if admission.in_flight > 1:
                 seen['over'] += 1
+                seen['over_known'] += upstream.told_cold
                 seen['over_seconds'] = now - COLD_AT
 
     def set_cold(factor, state):
@@ -579,7 +584,8 @@
         for kind, seen in row.items():
             print(
                 f'{name:12}{kind:12}most {seen["most"]}, '
-                f'{seen["over"]} sends above the bound, the last '
+                f'{seen["over"]} sends above the bound, '
+                f'{seen["over_known"]} after the first sign, the last '
                 f'{seen["over_seconds"] * 1000:.0f} ms after the onset, '
                 f'warm again: {seen["warm_again"]}'
             )
--- a/packages/kernel/src/bramleysill_kernel/admission.py
+++ b/packages/kernel/src/bramleysill_kernel/admission.py
@@ -238,6 +238,8 @@
             self._note_latency(work.route, now - work.started_at, state, now)
         elif result == RESULT_SHED:
             self.slow_start.note_shed(now)
+        elif result == RESULT_LOST:
+            self.slow_start.note_lost(now)
         if epoch:
             self.slow_start.note_epoch(epoch)
         self._refresh()
--- a/packages/kernel/src/bramleysill_kernel/slow_start.py
+++ b/packages/kernel/src/bramleysill_kernel/slow_start.py
@@ -6,7 +6,8 @@
 and grant answer. `bound` is the number of works that may run at once.
 
 An upstream counts as cold when it is new to this dispatcher, its epoch
-changes, an answer says `Sill-State: cold`, or several answers in a row take
+changes, a connection is lost during a request (the epoch is only known after
+the next grant or probe), an answer says `Sill-State: cold`, or several answers in a row take
 far longer than is usual for their routes. The last sign finds an upstream
 that went cold unnoticed or whose reports mislead. While an upstream is cold
 the bound starts at `cold_bound` and doubles only after a number of answers
@@ -139,6 +140,10 @@
         self._good = 0
         self._last_at = now
 
+    def note_lost(self, now):
+        """Record a lost connection, which may mean that it starts anew."""
+        self._become_cold(now)
+
     def note_answer(self, latency, state='', now=None, route=''):
         """Record a complete answer: seconds it took and its Sill-State."""
         if now is None:
