Detect a cold upstream by a sum of logarithms

Change: a cumulative sum of log2(latency / usual) with an allowance of a factor of two; the usual latency learns slower and from bounded answers; slow answers while cold take back good ones.

--- a/packages/kernel/src/bramleysill_kernel/slow_start.py
+++ b/packages/kernel/src/bramleysill_kernel/slow_start.py
@@ -7,9 +7,10 @@
 
 An upstream counts as cold when it is new to this dispatcher, its epoch
 changes, a connection is lost during a request (the epoch is only known after
-the next grant or probe), an answer says `Sill-State: cold`, or several answers in a row take
-far longer than is usual for their routes. The last sign finds an upstream
-that went cold unnoticed or whose reports mislead. While an upstream is cold
+the next grant or probe), an answer says `Sill-State: cold`, or answers take
+far longer than is usual for their routes: a cumulative sum of the logarithms
+of latency against the usual one passes a limit. The last sign finds an
+upstream that went cold unnoticed or whose reports mislead. While it is cold
 the bound starts at `cold_bound` and doubles only after a number of answers
 that are nearly as fast as usual, with no sign of cold among them. A latency
 that stays high for `relearn` seconds without any other sign becomes the usual
@@ -20,25 +21,33 @@
 is the safe error.
 """
 
+import math
+
 STATE_COLD = 'cold'
 STATE_WARM = 'warm'
 STATE_LEAVING = 'leaving'
 
 DEFAULT_COLD_BOUND = 1
-# An answer this many times slower than usual is a sign of a cold upstream.
-JUMP_FACTOR = 4.0
 # While cold, only answers up to this many times the usual latency count as
 # good: a cold upstream at its bound is often just two or three times slower.
 GROW_FACTOR = 2.0
-# One slow answer is common (a large body, a collection pause); three in a
-# row at a known upstream are not.
-JUMP_ANSWERS = 3
+# The sum grows by the binary logarithm of latency against the usual one, less
+# the allowance (a factor of two); one answer adds at most the step. Counting
+# slow answers in a row failed: with a service time five times as long and a
+# spread of 0.5, three of five seeds never had three answers above four times.
+JUMP_ALLOWANCE = 1.0
+JUMP_STEP = 1.0
+JUMP_LIMIT = 5.0
+# Shorter latencies are not told apart; also keeps the logarithm defined.
+MIN_LATENCY = 1e-4
+# A slow answer while cold takes back this many good ones.
+SLOW_PENALTY = 4
 # Good answers needed per unit of the present bound before it doubles.
 GROW_ANSWERS = 4
 # Answers after which the usual latency is known.
 LEARN_ANSWERS = 16
 # Weight of one answer in the usual latency.
-LATENCY_WEIGHT = 0.05
+LATENCY_WEIGHT = 0.01
 # An upstream that was not asked for this long may have gone cold since.
 IDLE_SECONDS = 30.0
 RELEARN_SECONDS = 20.0
@@ -77,7 +86,7 @@
         'epoch',
         '_usual',
         '_good',
-        '_slow',
+        '_sum',
         '_cold_at',
         '_last_at',
     )
@@ -101,7 +110,7 @@
         self.cold = True
         self.bound = self.cold_bound
         self._good = 0
-        self._slow = 0
+        self._sum = 0.0
         self._cold_at = now
         self._last_at = now
 
@@ -155,40 +164,40 @@
         usual = self._usual.get(route)
         if usual is None:
             self._usual[route] = _Usual(latency)
-            return
-        if latency > usual.latency * JUMP_FACTOR:
-            self._note_slow(usual, latency, now)
-        else:
-            self._note_usual(usual, latency, now)
-
-    def _note_slow(self, usual, latency, now):
-        self._good = 0
-        self._slow += 1
-        if self._slow < JUMP_ANSWERS:
-            return
-        if not self.cold:
-            self._become_cold(now)
-        elif now - self._cold_at > self.relearn:
+        elif usual.answers < LEARN_ANSWERS:
             usual.learn(latency)
+            if now - self._cold_at >= NEW_SECONDS:
+                self._note_good()
+        else:
+            self._compare(usual, latency, now)
 
-    def _note_usual(self, usual, latency, now):
-        self._slow = 0
-        cold_for = now - self._cold_at
-        if (
-            not self.cold
-            or usual.answers < LEARN_ANSWERS
-            or cold_for > self.relearn
-        ):
-            usual.learn(latency)
-        if self.bound == self.slots:
-            self.cold = False
-            return
-        if usual.answers < LEARN_ANSWERS and cold_for < NEW_SECONDS:
-            return
+    def _compare(self, usual, latency, now):
+        """Judge an answer by the known usual latency of its route."""
+        if self.cold:
+            if now - self._cold_at > self.relearn:
+                usual.learn(latency)
+        else:
+            shortest = max(MIN_LATENCY, usual.latency)
+            self._add(math.log2(max(MIN_LATENCY, latency) / shortest))
+            if self._sum >= JUMP_LIMIT:
+                self._become_cold(now)
+                return
+            # Bounded, since the slow answers that lead to a detection would
+            # raise what they are compared with.
+            usual.learn(min(latency, GROW_FACTOR * usual.latency))
         if latency <= usual.latency * GROW_FACTOR:
             self._note_good()
+        else:
+            self._good = max(0, self._good - SLOW_PENALTY)
+
+    def _add(self, excess):
+        step = min(JUMP_STEP, excess - JUMP_ALLOWANCE)
+        self._sum = max(0.0, self._sum + step)
 
     def _note_good(self):
+        if self.bound == self.slots:
+            self.cold = False
+            return
         self._good += 1
         if self._good < GROW_ANSWERS * self.bound:
             return
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -1,11 +1,15 @@
 """Tests of slow start."""
 
+import random
+
 import testtools
 
 from bramleysill_kernel import slow_start
 from bramleysill_kernel.clock import ManualClock
 from bramleysill_kernel.slow_start import SlowStart
 
+SEED = 19
+
 
 class SlowStartTest(testtools.TestCase):
     def setUp(self):
@@ -46,10 +50,31 @@
         self.assertEqual(1, self.start.bound)
 
     def test_latency_jump_finds_a_cold_upstream_that_says_warm(self):
-        """Guards against misleading reports of a cold upstream."""
+        """Guards against misleading reports, with scattered latencies."""
+        for seed in range(20):
+            rng = random.Random(seed)
+            self.start = SlowStart(self.clock, 4)
+            for _ in range(1000):
+                self._answers(1, latency=rng.lognormvariate(-5, 0.5))
+            self.assertEqual(4, self.start.bound)
+            for _ in range(20):
+                self._answers(1, 5 * rng.lognormvariate(-5, 0.5), 'warm')
+            self.assertEqual(1, self.start.bound)
+
+    def test_scattered_latencies_are_no_sign_of_cold(self):
+        """Guards against a bound that is cut for ordinary variation."""
+        rng = random.Random(SEED)
         self._warm_up()
-        self._answers(slow_start.JUMP_ANSWERS, latency=0.08, state='warm')
-        self.assertEqual(1, self.start.bound)
+        cut = 0
+        for _ in range(20000):
+            self._answers(1, latency=rng.expovariate(100))
+            cut += self.start.bound < 4
+        self.assertLess(cut, 20000 * 0.01)
+
+    def test_zero_latency_is_no_error(self):
+        """Guards against a logarithm of zero with a coarse clock."""
+        self._answers(200, latency=0.0)
+        self.assertEqual(4, self.start.bound)
 
     def test_moderately_slow_answers_do_not_end_the_cold_state(self):
         """Guards against growth on latencies of a still cold upstream."""
