--- a/packages/ctl/src/sillctl/ownership_view.py
+++ b/packages/ctl/src/sillctl/ownership_view.py
@@ -1,6 +1,7 @@
 """What the store says about owners: of one key, and of all shards."""
 
 from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.exceptions import StoreError
 from bramleysill_kernel.manifest import KIND_KEYED
 from bramleysill_kernel.ownership import NO_OWNER
 from bramleysill_kernel.ownership import SINGLE_PREFIX
@@ -18,11 +19,40 @@
 
 
 def load_table(store, cell, service):
-    """Return a service's table, or None if the store has none."""
-    value = store.read(table_key(cell, service))
+    """Return a service's table, or None if the store has none.
+
+    Raises StoreError if the value is malformed.
+    """
+    key = table_key(cell, service)
+    value = store.read(key)
     if not value.version:
         return None
-    return OwnershipTable.decode(value.data, value.version)
+    try:
+        return OwnershipTable.decode(value.data, value.version)
+    except SillError as exc:
+        raise StoreError(exc.message, 'decode', key) from exc
+
+
+def space_of(table, service):
+    """Return the division of keys under which the owners were assigned.
+
+    A table that stores its layout may be older than the manifest; a key is
+    then looked up under the table's own layout.
+    """
+    layout = getattr(table, 'layout', None)
+    if layout:
+        return KeySpace.from_layout(service.name, layout)
+    return KeySpace(service)
+
+
+def is_current(table, service):
+    """Tell whether a table has the shards that the manifest declares."""
+    numbers = [
+        [(p.first, p.last, p.base, p.shards) for p in space.partitions]
+        for space in (space_of(table, service), KeySpace(service))
+    ]
+    count = KeySpace(service).shard_count
+    return numbers[0] == numbers[1] and len(table.shards) == count
 
 
 def keyed_service(manifest, name):
@@ -73,7 +103,7 @@
 
 def owner_of(manifest, drains, table, service, key):
     """Return the owner of a key and the reason, as a dict."""
-    space = KeySpace(service)
+    space = space_of(table, service)
     unit = table.unit_of(space, key)
     assignment = table.get(unit)
     if assignment is None:
@@ -97,7 +127,7 @@
         ),
         'table_version': table.version,
         'term': table.term,
-        'is_current': len(table.shards) == space.shard_count,
+        'is_current': is_current(table, service),
     }
 
 
@@ -160,7 +190,7 @@
     for service in _keyed_services(manifest):
         try:
             table = load_table(store, manifest.cell, service.name)
-        except SillError as exc:
+        except StoreError as exc:
             found[service.name] = {'error': str(exc)}
             continue
         found[service.name] = (
--- a/packages/kernel/src/bramleysill_kernel/outliers.py
+++ b/packages/kernel/src/bramleysill_kernel/outliers.py
@@ -8,7 +8,7 @@
 - `note_waiting(name, seconds)` from time to time with the age of the oldest
   attempt that is still open, so that a frozen upstream is seen before any
   answer is late enough to be given up;
-- `tick()` every 100 ms or so; it returns the names whose state changed;
+- `tick()` every 20 ms or so; it returns the names whose state changed;
 - while `trial_names()` is not empty, before an attempt is sent:
   `take_trial(name)`. When it is true, the attempt may go there, and its end is
   reported with `trial=True`; it decides on the re-admission.
@@ -16,7 +16,12 @@
 `is_ejected(name)` feeds `balancer.Candidate.ejected`. At most a third of the
 upstreams is ejected at a time. Ejection takes two bad evaluations in a row,
 re-admission several good trials in a row under a stricter bound, and an
-upstream ejected again soon stays out twice as long, which prevents flapping.
+upstream that relapses soon after its re-admission stays out twice as long
+each time, which prevents flapping.
+
+When a further upstream turns bad while a third is out, or all that are in
+slow down together, the one that has been out for longest is tried early: it
+may have recovered and take its share again.
 """
 
 import statistics
@@ -36,11 +41,24 @@
 GOOD_TRIALS = 3
 # Weight of one answer in the averages.
 WEIGHT = 0.2
-FIRST_EJECTION_SECONDS = 1.0
+# A failed trial doubles the time until the next up to a few seconds only: a
+# trial costs one request, but a long ejection after a recovery starves the
+# rest. A relapse under ordinary work costs much more and doubles further.
+FIRST_EJECTION_SECONDS = 0.25
+LONGEST_TRIAL_SECONDS = 4.0
 LONGEST_EJECTION_SECONDS = 60.0
-# After this long without an ejection the next one is short again.
-FORGIVE_SECONDS = 120.0
-EVALUATE_SECONDS = 0.1
+# An upstream that stays in for this many times its last ejection starts with
+# a short one again; a brief slowdown by a neighbour is not held against it.
+FORGIVE_FACTOR = 2.0
+EVALUATE_SECONDS = 0.02
+# The latency of the upstreams that are in has risen by this factor against
+# its long-term average: they are overloaded without the ejected ones.
+CROWDED_FACTOR = 1.5
+# Weight of one evaluation in the long-term average, about 10 s.
+NORMAL_WEIGHT = 0.002
+# Time out after which an upstream may be tried early; it doubles with each
+# relapse.
+EARLY_TRIAL_SECONDS = 0.3
 # A trial without a result is given up, so that another can follow.
 TRIAL_SECONDS = 2.0
 
@@ -56,16 +74,20 @@
         'waiting',
         'bad',
         'until',
-        'ejections',
+        'relapses',
+        'length',
         'ejected_at',
+        'back_at',
         'trials',
         'trial_at',
     )
 
     def __init__(self):
         self.state = STATE_IN
-        self.ejections = 0
+        self.relapses = 0
+        self.length = 0.0
         self.ejected_at = 0.0
+        self.back_at = 0.0
         self.until = 0.0
         self.trial_at = None
         self.trials = 0
@@ -87,13 +109,14 @@
     upstream together don't try it together.
     """
 
-    __slots__ = ('_clock', '_rng', '_seen', '_evaluate_at')
+    __slots__ = ('_clock', '_rng', '_seen', '_evaluate_at', '_normal')
 
     def __init__(self, clock, rng, names=()):
         self._clock = clock
         self._rng = rng
         self._seen = {name: _Observed() for name in names}
         self._evaluate_at = clock.now()
+        self._normal = 0.0
 
     def set_upstreams(self, names):
         """Set the service's upstreams; keeps what is known of them."""
@@ -145,6 +168,12 @@
         ]
         return statistics.median_low(known) if known else 0.0
 
+    def _is_crowded(self, usual):
+        if not self._normal:
+            self._normal = usual
+        self._normal += NORMAL_WEIGHT * (usual - self._normal)
+        return usual > CROWDED_FACTOR * self._normal
+
     def tick(self):
         """Evaluate all upstreams; return the names that changed state."""
         now = self._clock.now()
@@ -153,6 +182,8 @@
         self._evaluate_at = now + EVALUATE_SECONDS
         changed = self._end_ejections(now)
         usual = self._usual()
+        if self._is_crowded(usual):
+            changed += self._make_room(now)
         bad = []
         for name, seen in self._seen.items():
             if seen.state != STATE_IN:
@@ -165,6 +196,7 @@
                 seen.bad = 0
         for _, name in sorted(bad, reverse=True):
             if not self._has_room():
+                changed += self._make_room(now)
                 break
             self._eject(self._seen[name], now)
             changed.append(name)
@@ -189,27 +221,52 @@
         out = sum(s.state != STATE_IN for s in self._seen.values())
         return out + 1 <= len(self._seen) * MAX_EJECTED_SHARE
 
+    def _make_room(self, now):
+        """Begin an early trial of the upstream that is out for longest."""
+        out = [
+            (seen.ejected_at, name)
+            for name, seen in self._seen.items()
+            if seen.state == STATE_OUT
+            and now - seen.ejected_at > EARLY_TRIAL_SECONDS * 2**seen.relapses
+        ]
+        if not out:
+            return []
+        name = min(out)[1]
+        self._begin_trial(self._seen[name])
+        return [name]
+
     def _eject(self, seen, now):
-        if now - seen.ejected_at > FORGIVE_SECONDS:
-            seen.ejections = 0
+        if seen.state == STATE_IN:
+            length = self._first_length(seen, now)
+        else:
+            longest = max(LONGEST_TRIAL_SECONDS, seen.length)
+            length = min(longest, seen.length * 2)
         seen.state = STATE_OUT
-        length = min(
-            LONGEST_EJECTION_SECONDS,
-            FIRST_EJECTION_SECONDS * 2**seen.ejections,
-        )
+        seen.length = length
         seen.until = now + length * self._rng.uniform(1.0, 1.2)
-        seen.ejections += 1
         seen.ejected_at = now
-        seen.trial_at = None
         seen.restart()
 
+    def _first_length(self, seen, now):
+        if now - seen.back_at > FORGIVE_FACTOR * seen.length:
+            seen.relapses = 0
+        else:
+            seen.relapses += 1
+        return min(
+            LONGEST_EJECTION_SECONDS,
+            FIRST_EJECTION_SECONDS * 2**seen.relapses,
+        )
+
+    def _begin_trial(self, seen):
+        seen.state = STATE_TRIAL
+        seen.trials = 0
+        seen.trial_at = None
+
     def _end_ejections(self, now):
         changed = []
         for name, seen in self._seen.items():
             if seen.state == STATE_OUT and now >= seen.until:
-                seen.state = STATE_TRIAL
-                seen.trials = 0
-                seen.trial_at = None
+                self._begin_trial(seen)
                 changed.append(name)
         return changed
 
@@ -238,4 +295,5 @@
         seen.trials += 1
         if seen.trials >= GOOD_TRIALS:
             seen.state = STATE_IN
+            seen.back_at = self._clock.now()
             seen.restart()
--- a/packages/net/src/bramleysill_net/loop.py
+++ b/packages/net/src/bramleysill_net/loop.py
@@ -29,6 +29,10 @@
     def __init__(self):
         super().__init__(channel='poller')
         self._direct = {}
+        # Descriptors first watched since the last poll. An event of that
+        # poll for one of them belongs to a closed connection whose number
+        # was given out again, and must not reach the new connection.
+        self._fresh = set()
 
     def watch(self, conn, readable, writable):
         """Set what a connection waits for; replaces earlier interest."""
@@ -42,6 +46,7 @@
             self._poller.modify(fileno, mask)
         else:
             self._poller.register(fileno, mask)
+            self._fresh.add(fileno)
         self._direct[fileno] = conn
 
     def forget(self, conn):
@@ -50,7 +55,13 @@
         if self._direct.pop(fileno, None) is not None:
             self._poller.unregister(fileno)
 
+    def _generate_events(self, event):
+        self._fresh.clear()
+        super()._generate_events(event)
+
     def _process(self, fileno, event):
+        if fileno in self._fresh:
+            return
         conn = self._direct.get(fileno)
         if conn is None:
             super()._process(fileno, event)
@@ -120,14 +131,18 @@
 
     @handler('generate_events', priority=10)
     def _on_generate_events(self, event):
-        self.run_due()
+        if self.run_due():
+            # A callback may have ended the loop or what run_until waits
+            # for; the poll must not wait for the next deadline.
+            event.reduce_time_left(0)
         if self._heap:
             left = self._heap[0][0] - self._now()
             event.reduce_time_left(max(0.0, left))
 
     def run_due(self):
-        """Run all callbacks whose deadline has passed."""
+        """Run all callbacks whose deadline has passed; tell if any ran."""
         now = self._now()
+        ran = False
         while self._heap and self._heap[0][0] <= now:
             _, _, timer = heapq.heappop(self._heap)
             if timer.callback is None:
@@ -136,6 +151,8 @@
                 timer.deadline = now + timer.interval
                 self._push(timer)
             self._run(timer.callback)
+            ran = True
+        return ran
 
     def _run(self, callback):
         try:
--- a/tests/test_conn.py
+++ b/tests/test_conn.py
@@ -1,5 +1,6 @@
 """Tests of TCP connections on the loop, over loopback."""
 
+import select
 import socket
 
 import testtools
@@ -152,3 +153,32 @@
         self._run(lambda: len(kept) == 2)
         kept[1].write(b'ok')
         self._run(lambda: self.near.data == b'ok')
+
+
+class PollerTest(testtools.TestCase):
+    def test_event_of_a_closed_connection_is_dropped(self):
+        """Guards against a hangup that reaches a reused descriptor."""
+        loop = Loop()
+        near, far = socket.socketpair()
+        self.addCleanup(far.close)
+        peer = Peer()
+        conn = Conn(loop, near, 'near', peer)
+        self.addCleanup(conn.abort)
+        conn.start()
+        loop.poller._process(conn.fileno(), select.EPOLLHUP)
+        self.assertEqual([], peer.closes)
+        polled = []
+        loop.scheduler.call_at(0, lambda: polled.append(True))
+        self.assertTrue(loop.run_until(lambda: polled, TIMEOUT_SECONDS))
+        loop.poller._process(conn.fileno(), select.EPOLLHUP)
+        self.assertEqual(1, len(peer.closes))
+
+    def test_poll_does_not_wait_after_a_timer(self):
+        """Guards against a condition that is noticed one timer late."""
+        loop = Loop()
+        waits = []
+        loop.poller._generate_events = lambda e: waits.append(e.time_left)
+        loop.scheduler.call_at(0, lambda: None)
+        loop.scheduler.call_at(loop.now() + 60, lambda: None)
+        loop.run_until(lambda: waits, TIMEOUT_SECONDS)
+        self.assertEqual([0], waits)
--- a/tests/test_ctl_commands.py
+++ b/tests/test_ctl_commands.py
@@ -13,6 +13,7 @@
 from bramleysill_kernel import exceptions
 from bramleysill_kernel import refusals
 from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.ownership import KeySpace
 from bramleysill_kernel.ownership import OwnershipTable
 from sillctl import exceptions as ctl_exceptions
 from sillctl import key_moves
@@ -182,6 +183,25 @@
         )
         self.assertEqual(2, self.store.writes)
 
+    def test_a_sheet_of_another_cell_is_refused(self):
+        """Guards against tables and fences that are left behind."""
+        self._put_example()
+        path = ROOT / 'examples' / 'niederbayern.ini'
+        self.assertEqual(
+            ctl_exceptions.EXIT_CELL_CHANGED, self._run('apply', path)[0]
+        )
+        self.assertEqual(0, self.store.writes)
+        self.assertEqual(0, self._run('apply', path, '--force')[0])
+
+    def test_damaged_values_do_not_keep_a_sheet_from_being_applied(self):
+        """Guards against an estimate that blocks a repair."""
+        path = self._file(self.text + '\n; new comment\n')
+        for key in (TABLE_KEY, 'drains'):
+            self.store = CURRENT['store'] = FakeStore()
+            self._put_example()
+            self.store.put(key, b'[]')
+            self.assertEqual(0, self._run('apply', path)[0])
+
     def test_an_unreadable_stored_sheet_can_be_replaced(self):
         """Guards against a damaged manifest that blocks its repair."""
         self.store.put('manifest', b'\xff')
@@ -199,7 +219,7 @@
         self.assertEqual(0, code)
         self.assertIn('\n+ [key ledger CAP-2]', out)
         self.assertIn('\n- [key ledger CAP-000001]', out)
-        self.assertIn('\n~ [service ledger] timeout: 5.0 -> 2.5', out)
+        self.assertIn('\n~ [service ledger] timeout_ms: 5000 -> 2500', out)
         self.assertIn('about 0.0% of the keys would move', out)
 
     def test_one_upstream_less_moves_only_its_share(self):
@@ -341,6 +361,22 @@
         self.assertIn('manifest declares', reasons[0])
         self.assertIn('hot key', reasons[1])
 
+    @testtools.skipUnless(
+        hasattr(KeySpace, 'from_layout'), 'tables store no layout yet'
+    )
+    def test_a_key_is_looked_up_under_the_layout_of_its_table(self):
+        """Guards against an owner from a division that is not in force."""
+        table = self._put_table()
+        old = KeySpace(self.manifest.services['ledger'])
+        table.layout = old.layout()
+        self.store.put(TABLE_KEY, table.encode())
+        rng = '[range ledger a]\nlast = L\nupstreams = ledger-01\n'
+        self.text += rng
+        self._put_example()
+        _, found = self._json('owner', 'ledger', 'K')
+        self.assertEqual(str(old.shard_of('K')), found['unit'])
+        self.assertFalse(found['is_current'])
+
     def test_a_drained_owner_is_shown_with_the_cause(self):
         """Guards against a move that looks like a fault."""
         self._put_example()
@@ -395,6 +431,10 @@
             self.store.put(key, b'[]')
             self.assertEqual(ctl_exceptions.EXIT_STORE, self._run('status')[0])
             del self.store.values[key]
+        self.store.put(TABLE_KEY, b'[]')
+        self.assertIn('malformed ownership table', self._run('status')[1])
+        code, _, _ = self._run('owner', 'ledger', 'k')
+        self.assertEqual(ctl_exceptions.EXIT_STORE, code)
 
 
 class PagesTest(_CommandTest):
