--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -5,7 +5,9 @@
 what became of the callers' requests. Exits with 1 if an outcome is broken.
 """
 
+import contextlib
 import json
+import pathlib
 import signal
 import sys
 import tempfile
@@ -82,9 +84,15 @@
     return Drain(names, drained_at, restored_at)
 
 
-def _run(group, bin_dir, rate, seed):
+def _log_directory(logs):
+    if not logs:
+        return tempfile.TemporaryDirectory(prefix='bramleysill-demo-')
+    pathlib.Path(logs).mkdir(parents=True, exist_ok=True)
+    return contextlib.nullcontext(logs)
+
+
+def _run(cell, rate, seed):
     begun = time.monotonic()
-    cell = Cell(group, bin_dir)
     cell.start()
     _say(begun, f'{len(cell.routers)} routers ready')
     load = _start_load(cell, rate, seed)
@@ -98,17 +106,22 @@
     return any(outcome.is_broken for outcome in outcomes)
 
 
-def main(rate=150.0, seed=1, bin_dir=''):
-    """Run the demo; `rate` is in requests per second."""
+def main(rate=150.0, seed=1, bin_dir='', logs=''):
+    """Run the demo; `rate` is in requests per second.
+
+    With `logs`, the processes write to that directory, routers with one line
+    for each request, and it is kept.
+    """
     # SIGTERM must also end the processes that were started.
     signal.signal(signal.SIGTERM, lambda signo, frame: sys.exit(1))
     bin_dir = bin_dir or sys.exec_prefix + '/bin'
     with (
-        tempfile.TemporaryDirectory(prefix='bramleysill-demo-') as directory,
+        _log_directory(logs) as directory,
         ProcessGroup(directory) as group,
     ):
+        cell = Cell(group, bin_dir, verbose=bool(logs))
         try:
-            is_broken = _run(group, bin_dir, rate, seed)
+            is_broken = _run(cell, rate, seed)
         except ProcessFailed as exc:
             print(f'demo failed: {exc}', file=sys.stderr)
             sys.exit(1)
--- a/demo/cell.py
+++ b/demo/cell.py
@@ -80,8 +80,9 @@
 class Cell:
     """Starts everything; `bin_dir` holds the commands of the product."""
 
-    def __init__(self, group, bin_dir):
+    def __init__(self, group, bin_dir, verbose=False):
         self.group = group
+        self.verbose = verbose
         self.bin_dir = pathlib.Path(bin_dir)
         self.store = ''
         self.upstreams = []
@@ -156,6 +157,8 @@
             path = pathlib.Path(self.group.directory) / f'{router.name}.ini'
             path.write_text(router.settings(self.store, seeds))
             command = [self.bin_dir / 'bramleysill', '--config', path]
+            if self.verbose:
+                command.append('--verbose')
             router.process = self.group.start(router.name, command)
 
 
