--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -94,7 +94,7 @@
     account = json.loads(load.lines()[-1])
     ledgers = {u.name: u.read_ledger() for u in cell.upstreams}
     outcomes = find_outcomes(account, ledgers, drain)
-    print_account(account, ledgers, outcomes)
+    print_account(account, ledgers, cell.store_counters(), outcomes)
     return any(outcome.is_broken for outcome in outcomes)
 
 
--- a/demo/account.py
+++ b/demo/account.py
@@ -9,6 +9,13 @@
 # work"; requests may be held for 2 s and run for the rest of their deadline.
 DRAIN_SECONDS = 5.0
 SLOTS = 4
+TWICE = 'openings recorded twice'
+UNAVAILABLE = 'longest time that a key was unavailable (s)'
+LOST_RECORDS = 'acknowledged records lost'
+DRAINED_WORK = 'requests run in the drained failure domain'
+NOT_RESTORED = 'restored failure domain without work'
+IN_FLIGHT = 'most work in flight at an upstream'
+COLLAPSES = 'collapses of cold upstreams'
 RECORDS = {'opening': 'openings', 'handover': 'handovers'}
 
 
@@ -55,14 +62,14 @@
     late, after = _work_around_drain(entries, drain)
     return [
         Outcome(
-            'openings recorded twice',
+            TWICE,
             len(repeated_effects(entries, 'openings')),
         ),
         Outcome(
             'handovers recorded twice',
             len(repeated_effects(entries, 'handovers')),
         ),
-        Outcome('acknowledged records lost', _lost_records(load, entries)),
+        Outcome(LOST_RECORDS, _lost_records(load, entries)),
         Outcome('uploads lost', _lost_uploads(load, ledgers)),
         Outcome(
             'answers mixed up',
@@ -72,19 +79,19 @@
         Outcome('refused as not run, but ran', _ran_refused(load, entries)),
         Outcome('requests without an outcome', load['open']),
         Outcome(
-            'most work in flight at an upstream',
+            IN_FLIGHT,
             max(found['max_in_flight'] for found in ledgers.values()),
             SLOTS,
         ),
         Outcome(
-            'collapses of cold upstreams',
+            COLLAPSES,
             sum(found['collapses'] for found in ledgers.values()),
         ),
-        Outcome('requests run in the drained failure domain', late),
-        Outcome('restored failure domain without work', 0 if after else 1),
+        Outcome(DRAINED_WORK, late),
+        Outcome(NOT_RESTORED, 0 if after else 1),
         Outcome('kinds of requests without a good answer', _unserved(load)),
         Outcome(
-            'longest time that a key was unavailable (s)',
+            UNAVAILABLE,
             float(load['unavailable_s']),
             MAX_UNAVAILABLE_SECONDS,
         ),
@@ -138,8 +145,11 @@
     )
 
 
-def print_account(load, ledgers, outcomes):
-    """Print the counters and the outcomes."""
+def print_account(load, ledgers, store, outcomes):
+    """Print the counters and the outcomes.
+
+    `store` holds the counters of the store.
+    """
     ran = sum(len(ledger['entries']) for ledger in ledgers.values())
     print(f'requests sent {load["sent"]}, retries {load["retries"]}')
     print(f'requests that ran, by the ledgers {ran}')
@@ -150,5 +160,7 @@
             f'  {kind} latency in ms: p50 {found["p50"]:.1f},'
             f' p99 {found["p99"]:.1f}, max {found["max"]:.1f}'
         )
+    calls = ', '.join(f'{name} {n}' for name, n in sorted(store.items()))
+    print(f'store calls: {calls}')
     for outcome in outcomes:
         print(outcome)
--- a/demo/cell.py
+++ b/demo/cell.py
@@ -106,6 +106,11 @@
         process = self.group.start(f'sillctl-{words[0]}', command)
         process.finish(HTTP_SECONDS * 2)
 
+    def store_counters(self):
+        """Return how often the store was called."""
+        port = int(self.store.rpartition(':')[2])
+        return get_json(port, '/v1/counters')
+
     def start_standin(self, name, module, *options):
         """Start a module of the stand-ins."""
         words = ['-m', f'bramleysill_standins.{module}', *options]
--- /dev/null
+++ b/packages/standins/src/bramleysill_standins/call_rates.py
@@ -0,0 +1,37 @@
+"""Counts calls and the most calls within one second."""
+
+import collections
+
+WINDOW_MS = 1000.0
+
+
+class CallRates:
+    """Totals by kind and peaks by class, `reads` and `writes`.
+
+    The platform limits both rates, and a waiting watch counts as a read.
+    Times are in milliseconds on a clock that the caller passes in.
+    """
+
+    __slots__ = ('totals', 'peaks', '_recent')
+
+    def __init__(self):
+        self.totals = collections.Counter()
+        self.peaks = {'reads': 0, 'writes': 0}
+        self._recent = {name: collections.deque() for name in self.peaks}
+
+    def note(self, kind, is_write, now_ms):
+        """Count one call."""
+        self.totals[kind] += 1
+        name = 'writes' if is_write else 'reads'
+        recent = self._recent[name]
+        recent.append(now_ms)
+        while recent[0] <= now_ms - WINDOW_MS:
+            recent.popleft()
+        self.peaks[name] = max(self.peaks[name], len(recent))
+
+    def as_dict(self):
+        """Return totals and peaks for JSON."""
+        found = dict(self.totals)
+        for name, peak in self.peaks.items():
+            found[f'peak_{name}_per_second'] = peak
+        return found
--- a/packages/standins/src/bramleysill_standins/load.py
+++ b/packages/standins/src/bramleysill_standins/load.py
@@ -16,6 +16,7 @@
 from bramleysill_net.loop import Loop
 from bramleysill_standins.arrivals import arrivals
 from bramleysill_standins.caller_pool import CallerPool
+from bramleysill_standins.key_pickers import key_pickers
 from bramleysill_standins.kinds import Plan
 from bramleysill_standins.kinds import kinds
 from bramleysill_standins.tally import Tally
@@ -40,6 +41,7 @@
         'timeout_ms',
         'max_conns',
         'retries',
+        'key_picker',
     )
 
     def __init__(
@@ -53,6 +55,7 @@
         timeout_ms=5000,
         max_conns=64,
         retries=0,
+        key_picker='uniform',
     ):
         self.rate = rate
         self.seconds = seconds
@@ -63,6 +66,7 @@
         self.timeout_ms = timeout_ms
         self.max_conns = max_conns
         self.retries = retries
+        self.key_picker = key_picker
 
 
 class LoadGenerator:
@@ -77,6 +81,7 @@
         self.sending = True
         self._rng = random.Random(cfg.seed)
         self._offsets = arrivals.get(cfg.arrivals)(cfg.rate, self._rng)
+        self._keys = key_pickers.get(cfg.key_picker)(cfg.keys)
         self._names = sorted(cfg.weights)
         self._shares = [cfg.weights[name] for name in self._names]
         self._start = 0.0
@@ -116,7 +121,7 @@
         """Return the next request, which should start at `due`."""
         kind = self._rng.choices(self._names, self._shares)[0]
         self._number += 1
-        key = f'CAP-{self._rng.randrange(self.cfg.keys):06d}'
+        key = f'CAP-{self._keys.pick(self._rng, due - self._start):06d}'
         call_id = f'{self.cfg.seed}-{self._number}'
         plan = Plan(kind, self._number, key, call_id, due)
         kinds.get(kind)(plan)
@@ -217,7 +222,9 @@
     return account
 
 
-@fire.decorators.SetParseFns(routers=str, kinds=str, arrivals=str)
+@fire.decorators.SetParseFns(
+    routers=str, kinds=str, arrivals=str, key_picker=str
+)
 def main(
     routers,
     rate=100.0,
@@ -229,6 +236,7 @@
     timeout_ms=5000,
     max_conns=64,
     retries=0,
+    key_picker='uniform',
 ):
     """Send load for some seconds, or until SIGTERM; print the account."""
     cfg = Settings(
@@ -241,6 +249,7 @@
         timeout_ms,
         max_conns,
         retries,
+        key_picker,
     )
     loop = Loop()
     generator = LoadGenerator(loop, parse_routers(routers), cfg)
--- a/packages/standins/src/bramleysill_standins/store.py
+++ b/packages/standins/src/bramleysill_standins/store.py
@@ -5,12 +5,12 @@
 the VM list, which the protocol leaves to the platform.
 """
 
-import collections
 import json
 
 import fire
 
 from bramleysill_net.loop import Loop
+from bramleysill_standins.call_rates import CallRates
 from bramleysill_standins.kv_state import Conflict
 from bramleysill_standins.kv_state import KvState
 from bramleysill_standins.kv_state import LeaseGone
@@ -52,7 +52,7 @@
         self.call_ms = call_ms
         self.state = KvState(self._on_change)
         self.faults = StoreFaults()
-        self.counters = collections.Counter()
+        self.counters = CallRates()
         self.vms = []
         self._watchers = {}
 
@@ -114,17 +114,18 @@
         if self._run_control(body):
             return
         if self.app.faults.down:
-            self.app.counters['dropped'] += 1
+            self.app.counters.totals['dropped'] += 1
             self.stream.abort()
             return
         kind, step = self._find()
-        self.app.counters[kind] += 1
+        now_ms = self.app.now_ms()
+        self.app.counters.note(kind, kind in WRITES, now_ms)
         try:
             reply = step(body)
         except ValueError as exc:
             reply = Reply(400, str(exc).encode())
         except Conflict as exc:
-            self.app.counters['conflicts'] += 1
+            self.app.counters.totals['conflicts'] += 1
             reply = Reply(409, version=exc.version)
         except LeaseGone:
             reply = Reply(410)
@@ -134,7 +135,7 @@
     def _run_control(self, body):
         path = self.target.path
         if path == '/v1/counters':
-            send_json(self.stream, 200, dict(self.app.counters))
+            send_json(self.stream, 200, self.app.counters.as_dict())
         elif path == '/v1/faults':
             self._set_faults()
         elif path == '/v1/vms' and self.method == 'PUT':
@@ -258,7 +259,7 @@
             return
         self._sent = True
         if kind in WRITES and self.app.faults.take_lost_answer():
-            self.app.counters['lost_answers'] += 1
+            self.app.counters.totals['lost_answers'] += 1
             self.stream.abort()
             return
         delay = (self.app.call_ms + self.app.faults.delay_ms) / 1000.0
