Move the stepped drivers into the stand-ins

Cause: the in-memory connection, the manual loop and the stepped caller are of use to other tests and to benchmarks, and the design places callers for tests in the stand-ins package. Change: they are bramleysill_standins.stepped. Conclusion: tests/http_helpers.py keeps only what the net tests need.

--- a/tests/http_fakes.py
+++ b/tests/http_helpers.py
@@ -1,42 +1,7 @@
-"""Fakes for tests of the HTTP server side without sockets."""
+"""Helpers for tests of the HTTP server side and the ledgers."""
 
 from bramleysill_net.http_server import HttpServerConn
-
-
-class FakeConn:
-    """Records what a server connection writes and does."""
-
-    def __init__(self):
-        self.sent = b''
-        self.peer = 'fake'
-        self.buffered = 0
-        self.closed = False
-        self.reading = True
-        self.ending = ''
-        self.protocol = None
-
-    def write(self, data):
-        if not self.closed:
-            self.sent += bytes(data)
-
-    def pause(self):
-        self.reading = False
-
-    def resume(self):
-        self.reading = True
-
-    def close_lingering(self):
-        self.ending = self.ending or 'linger'
-
-    def abort(self, how='abort'):
-        if not self.closed:
-            self.closed = True
-            self.ending = how
-            if self.protocol is not None:
-                self.protocol.on_close(None)
-
-    def close(self):
-        self.abort('close')
+from bramleysill_standins.stepped import MemoryConn
 
 
 class Sink:
@@ -73,7 +38,7 @@
         self.sinks = []
         self.bad = []
         self.disconnects = 0
-        self.conn = FakeConn()
+        self.conn = MemoryConn()
         self.server = HttpServerConn(self.conn, self)
         self.conn.protocol = self.server
 
--- a/tests/test_conn.py
+++ b/tests/test_conn.py
@@ -19,22 +19,14 @@
 
     def __init__(self):
         self.conn = None
-        self.connected = False
+        self.connects = []
         self.data = bytearray()
-        self.drains = 0
+        self.drains = []
         self.closes = []
-
-    def on_connect(self):
-        self.connected = True
-
-    def on_data(self, data):
-        self.data += data
-
-    def on_drain(self):
-        self.drains += 1
-
-    def on_close(self, exc):
-        self.closes.append(exc)
+        self.on_connect = lambda: self.connects.append(True)
+        self.on_data = self.data.extend
+        self.on_drain = lambda: self.drains.append(True)
+        self.on_close = self.closes.append
 
 
 class ConnTest(testtools.TestCase):
@@ -57,9 +49,9 @@
         host, port = listener.address
         self.near.conn = Conn.connect(self.loop, host, port, self.near)
         self.addCleanup(self.near.conn.close)
-        self._run(lambda: self.near.connected and self.far.conn)
+        self._run(lambda: self.near.connects and self.far.conn)
         # The end of a connect also reports an empty send buffer.
-        self.near.drains = 0
+        self.near.drains.clear()
 
     def test_paused_reader_holds_the_writer_back(self):
         """Guards against unbounded buffers and lost or mixed up bytes."""
@@ -72,11 +64,12 @@
         for _ in range(50):
             self.loop.tick(0.001)
         self.assertEqual(0, len(self.far.data))
-        self.assertEqual(0, self.near.drains)
+        self.assertEqual([], self.near.drains)
         self.far.conn.resume()
         self._run(lambda: len(self.far.data) == BIG_BYTES)
         self.assertEqual(sent, bytes(self.far.data))
-        self._run(lambda: self.near.drains == 1)
+        self._run(lambda: self.near.drains)
+        self.assertEqual(1, len(self.near.drains))
         self.assertEqual(0, self.near.conn.buffered)
 
     def test_many_small_pieces_keep_their_order(self):
@@ -131,7 +124,7 @@
         Conn.connect(self.loop, '127.0.0.1', port, self.near)
         self._run(lambda: self.near.closes)
         self.assertIsInstance(self.near.closes[0], OSError)
-        self.assertFalse(self.near.connected)
+        self.assertEqual([], self.near.connects)
 
     def test_connection_aborted_on_accept_leaves_the_listener(self):
         """Guards against a listener that fails on a refused connection."""
--- a/tests/test_demo_account.py
+++ b/tests/test_demo_account.py
@@ -3,7 +3,7 @@
 import testtools
 
 from demo import account
-from tests.http_fakes import ledger_entry
+from tests.http_helpers import ledger_entry
 
 _LOAD = {
     'mixed_up': [],
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -6,8 +6,8 @@
 import testtools
 
 from bramleysill_net import request_parser
-from tests.http_fakes import Recorder
-from tests.http_fakes import statuses
+from tests.http_helpers import Recorder
+from tests.http_helpers import statuses
 
 GET = b'GET /%s HTTP/1.1\r\nHost: x\r\n\r\n'
 POST = (
@@ -17,6 +17,17 @@
 PUT = b'PUT /q HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcd'
 
 
+def _held(data):
+    """Return a caller whose requests wait, and the first one's answer."""
+    caller = Recorder(hold=True)
+    caller.feed(data)
+    return caller, caller.sinks[0].stream
+
+
+def _bodies(caller):
+    return [body for _, body in statuses(caller.conn.sent)]
+
+
 def _head(*lines):
     text = '\r\n'.join(('POST /h HTTP/1.1',) + lines) + '\r\n\r\n'
     return text.encode('latin-1')
@@ -25,14 +36,12 @@
 class PipelineTest(testtools.TestCase):
     def test_answers_follow_the_order_of_requests(self):
         """Guards against a pipelined request that starts too early."""
-        caller = Recorder(hold=True)
-        caller.feed(b''.join(GET % name for name in (b'a', b'b', b'c')))
+        caller, _ = _held(b''.join(GET % c for c in (b'a', b'b', b'c')))
         self.assertEqual(1, len(caller.sinks))
         self.assertFalse(caller.conn.reading)
         for number in range(3):
             caller.sinks[number].answer()
-        bodies = [body for _, body in statuses(caller.conn.sent)]
-        self.assertEqual([b'/a', b'/b', b'/c'], bodies)
+        self.assertEqual([b'/a', b'/b', b'/c'], _bodies(caller))
         self.assertTrue(caller.conn.reading)
 
     def test_thousands_of_pipelined_requests_do_not_recurse(self):
@@ -43,8 +52,7 @@
 
     def test_error_after_a_request_waits_for_its_answer(self):
         """Guards against a 400 that is taken for an earlier answer."""
-        caller = Recorder(hold=True)
-        caller.feed(GET % b'a' + b'\x00bad\r\n\r\n')
+        caller, _ = _held(GET % b'a' + b'\x00bad\r\n\r\n')
         self.assertEqual([], caller.bad)
         caller.sinks[0].answer()
         codes = [status for status, _ in statuses(caller.conn.sent)]
@@ -79,7 +87,7 @@
 
 class SlowCallerTest(testtools.TestCase):
     def test_byte_by_byte(self):
-        """Guards against state that depends on how bytes are cut."""
+        """Guards against state or trailers that depend on the cuts."""
         for step in (1, 2, 7, 1000):
             caller = Recorder()
             caller.feed(POST + PUT + GET % b'z', step)
@@ -87,6 +95,7 @@
             expected = [('/p', b'abcde'), ('/q', b'abcd'), ('/z', b'')]
             self.assertEqual(expected, found)
             self.assertEqual(3, len(statuses(caller.conn.sent)))
+            self.assertEqual('', caller.sinks[0].req.header('x-trailer'))
 
     def test_disconnect_at_any_byte(self):
         """Guards against a cut request that ends as a whole one."""
@@ -99,12 +108,6 @@
                 for sink in caller.sinks:
                     self.assertEqual((False, True), (sink.ended, sink.aborted))
 
-    def test_trailers_do_not_become_headers(self):
-        """Guards against a header that arrives after the checks."""
-        caller = Recorder()
-        caller.feed(POST)
-        self.assertEqual('', caller.sinks[0].req.header('x-trailer'))
-
 
 class FramingTest(testtools.TestCase):
     def _refusal(self, data, step=None):
@@ -168,9 +171,8 @@
 
     def test_broken_body_aborts_its_request(self):
         """Guards against a started answer that a 400 runs into."""
-        caller = Recorder(hold=True)
-        caller.feed(POST[:70])
-        caller.sinks[0].stream.start(200, [])
+        caller, stream = _held(POST[:70])
+        stream.start(200, [])
         caller.feed(b'nonsense\r\n')
         self.assertTrue(caller.sinks[0].aborted)
         self.assertEqual('abort', caller.conn.ending)
@@ -180,9 +182,7 @@
 class LateAnswerTest(testtools.TestCase):
     def test_late_answer_reaches_no_other_request(self):
         """Guards against an answer that reaches the next request."""
-        caller = Recorder(hold=True)
-        caller.feed(GET % b'a' + GET % b'b')
-        first = caller.sinks[0].stream
+        caller, first = _held(GET % b'a' + GET % b'b')
         caller.sinks[0].answer()
         before = caller.conn.sent
         first.send(200, [], b'late')
@@ -194,23 +194,19 @@
         self.assertEqual(before, caller.conn.sent)
         self.assertFalse(caller.conn.closed)
         caller.sinks[1].answer()
-        bodies = [body for _, body in statuses(caller.conn.sent)]
-        self.assertEqual([b'/a', b'/b'], bodies)
+        self.assertEqual([b'/a', b'/b'], _bodies(caller))
 
     def test_answer_after_a_disconnect_is_dropped(self):
         """Guards against a write to a connection that has gone."""
-        caller = Recorder(hold=True)
-        caller.feed(GET % b'a')
+        caller, stream = _held(GET % b'a')
         caller.conn.abort()
-        caller.sinks[0].answer()
+        stream.send(200, [])
         self.assertEqual(b'', caller.conn.sent)
 
     def test_wrong_length_cuts_the_connection(self):
         """Guards against a body that runs into the next answer."""
         for body in (b'ab', b'abcd'):
-            caller = Recorder(hold=True)
-            caller.feed(GET % b'a')
-            stream = caller.sinks[0].stream
+            caller, stream = _held(GET % b'a')
             stream.start(200, [], 3)
             stream.write(body)
             stream.end()
@@ -219,9 +215,8 @@
     def test_no_content_has_no_length(self):
         """Guards against a 204 or 304 with a Content-Length."""
         for status in (204, 304):
-            caller = Recorder(hold=True)
-            caller.feed(GET % b'a')
-            caller.sinks[0].stream.send(status, [], b'x')
+            caller, stream = _held(GET % b'a')
+            stream.send(status, [], b'x')
             self.assertNotIn(b'Content-Length', caller.conn.sent)
             self.assertTrue(caller.conn.sent.endswith(b'\r\n\r\n'))
 
@@ -234,9 +229,8 @@
 
     def test_http_1_0_gets_no_chunks(self):
         """Guards against chunks that an HTTP/1.0 caller can't read."""
-        caller = Recorder(hold=True)
-        caller.feed(b'GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n')
-        stream = caller.sinks[0].stream
+        head = b'GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n'
+        caller, stream = _held(head)
         stream.start(200, [])
         stream.write(b'abc')
         stream.end()
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -7,16 +7,10 @@
 import testtools
 
 from bramleysill_net.loop import Loop
+from bramleysill_standins import load
+from bramleysill_standins import serving
 from bramleysill_standins.arrivals import arrivals
 from bramleysill_standins.key_pickers import key_pickers
-from bramleysill_standins.load import LoadGenerator
-from bramleysill_standins.load import Settings
-from bramleysill_standins.load import parse_weights
-from bramleysill_standins.load import report
-from bramleysill_standins.serving import BodySink
-from bramleysill_standins.serving import ConnTracker
-from bramleysill_standins.serving import listen
-from bramleysill_standins.serving import send_json
 from bramleysill_standins.tally import Unavailability
 from bramleysill_standins.upstream import Limits
 from bramleysill_standins.upstream import UpstreamApp
@@ -24,7 +18,7 @@
 TIMEOUT_SECONDS = 30
 
 
-class Scripted(ConnTracker):
+class Scripted(serving.ConnTracker):
     """Answers every request as a function says."""
 
     def __init__(self, loop, answer):
@@ -32,22 +26,26 @@
         self._answer = answer
 
     def on_request(self, stream, req):
-        return BodySink(stream, lambda body: self._answer(stream, req), 9999)
+        return serving.BodySink(
+            stream, lambda body: self._answer(stream, req), 9999
+        )
 
 
 def _refuse(stream, req):
     problem = {'code': 'owner_lost', 'outcome': 'not_run'}
-    send_json(stream, 503, problem, [('Retry-After', '0')])
+    serving.send_json(stream, 503, problem, [('Retry-After', '0')])
 
 
 def _answer_of_another(stream, req):
-    send_json(stream, 200, {'key': req.target[8:], 'call_id': 'another'})
+    serving.send_json(
+        stream, 200, {'key': req.target[8:], 'call_id': 'another'}
+    )
 
 
 def _answer_twice(stream, req):
     key, call_id = req.target[8:], req.header('x-call-id')
     conn = stream._server.conn
-    send_json(stream, 200, {'key': key, 'call_id': call_id})
+    serving.send_json(stream, 200, {'key': key, 'call_id': call_id})
     conn.write(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
 
 
@@ -61,19 +59,21 @@
         return UpstreamApp(self.loop, 'u', limits, checked=False)
 
     def _run(self, apps, kinds, closed=None, **options):
-        routers = [('127.0.0.1', listen(self.loop, a, 0)) for a in apps]
+        routers = [
+            ('127.0.0.1', serving.listen(self.loop, a, 0)) for a in apps
+        ]
         for app in apps:
             self.addCleanup(app.listener.close)
         if closed is not None:
             closed.listener.close()
-        weights = parse_weights(kinds)
-        cfg = Settings(1000, 0.05, weights, 5, 7, 'constant', **options)
-        generator = LoadGenerator(self.loop, routers, cfg)
+        weights = load.parse_weights(kinds)
+        cfg = load.Settings(1000, 0.05, weights, 5, 7, 'constant', **options)
+        generator = load.LoadGenerator(self.loop, routers, cfg)
         self.addCleanup(generator.pool.close)
         generator.start()
         done = self.loop.run_until(generator.is_done, TIMEOUT_SECONDS)
         self.assertTrue(done)
-        return report(generator)
+        return load.report(generator)
 
     def test_answers_are_checked_and_counted(self):
         """Guards against good answers that are counted as wrong."""
@@ -144,3 +144,9 @@
         counts = collections.Counter(keys.pick(rng, 0) for _ in range(5000))
         self.assertGreater(counts[0], 500)
         self.assertNotIn(0, {keys.pick(rng, 61) for _ in range(9)})
+
+    def test_addresses_and_weights(self):
+        """Guards against settings that are read wrongly."""
+        self.assertEqual([('::1', 2)], load.parse_routers('::1:2'))
+        weights = load.parse_weights('lookup=8,upload')
+        self.assertEqual({'lookup': 8.0, 'upload': 1.0}, weights)
--- a/tests/test_store_standin.py
+++ b/tests/test_store_standin.py
@@ -4,55 +4,10 @@
 
 import testtools
 
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_net.loop import Scheduler
 from bramleysill_standins import kv_state
+from bramleysill_standins.stepped import ManualLoop
+from bramleysill_standins.stepped import SteppedCaller
 from bramleysill_standins.store import StoreApp
-from tests.http_fakes import FakeConn
-
-
-class ManualLoop:
-    """A loop whose clock a test advances."""
-
-    def __init__(self):
-        self.clock = ManualClock(100.0)
-        self.now = self.clock.now
-        self.scheduler = Scheduler(self.now)
-
-    def advance(self, seconds):
-        """Move the clock and run what has fallen due, in small steps."""
-        end = self.now() + seconds
-        while self.now() < end - 1e-9:
-            self.clock.advance(min(0.001, end - self.now()))
-            self.scheduler.run_due()
-
-
-class Caller:
-    """Sends requests to an app over a fake connection."""
-
-    def __init__(self, app):
-        self.conn = FakeConn()
-        self.server = app.accept(self.conn)
-        self.conn.protocol = self.server
-
-    def send(self, method, path, body=b'', headers=()):
-        """Send a request and return what was answered by now."""
-        self.conn.sent = b''
-        lines = [f'{method} {path} HTTP/1.1', 'Host: x']
-        lines += [f'{name}: {value}' for name, value in headers]
-        lines.append(f'Content-Length: {len(body)}')
-        head = '\r\n'.join(lines) + '\r\n\r\n'
-        self.server.on_data(head.encode() + body)
-        return self.answer()
-
-    def answer(self):
-        """Return `(status, headers, body)`, or None without an answer."""
-        if not self.conn.sent:
-            return None
-        head, _, body = self.conn.sent.partition(b'\r\n\r\n')
-        lines = head.decode().split('\r\n')
-        headers = dict(line.split(': ', 1) for line in lines[1:])
-        return int(lines[0].split()[1]), headers, body
 
 
 class KvStateTest(testtools.TestCase):
@@ -106,7 +61,7 @@
         super().setUp()
         self.loop = ManualLoop()
         self.app = StoreApp(self.loop)
-        self.caller = Caller(self.app)
+        self.caller = SteppedCaller(self.app)
 
     def _put(self, expected, key='a/b', query=''):
         path = f'/v1/kv/{key}?expected={expected}{query}'
@@ -144,7 +99,7 @@
 
     def test_watch_ends_with_a_change_or_the_wait(self):
         """Guards against a watch that misses a change or never ends."""
-        watcher = Caller(self.app)
+        watcher = SteppedCaller(self.app)
         path = '/v1/watch/a/b?wait_ms=500&after='
         self.assertIsNone(watcher.send('GET', path + '0'))
         self._put(0)
@@ -160,7 +115,7 @@
         """Guards against an expired leader that nobody hears of."""
         self.caller.send('POST', '/v1/leases?ttl_ms=100')
         self._put(0, 'k', '&lease=lease-1')
-        watcher = Caller(self.app)
+        watcher = SteppedCaller(self.app)
         watcher.send('GET', '/v1/watch/k?wait_ms=9000&after=1')
         self.loop.advance(0.101)
         status, headers, _ = watcher.answer()
@@ -168,7 +123,7 @@
 
     def test_watch_of_a_gone_caller_is_dropped(self):
         """Guards against watches that pile up."""
-        watcher = Caller(self.app)
+        watcher = SteppedCaller(self.app)
         watcher.send('GET', '/v1/watch/k?after=0')
         watcher.conn.abort()
         self.assertEqual({}, self.app._watchers)
@@ -179,17 +134,17 @@
         self.caller.send('POST', '/v1/faults?mode=lose_answer&count=1')
         self.assertIsNone(self._put(0))
         self.assertTrue(self.caller.conn.closed)
-        self.caller = Caller(self.app)
+        self.caller = SteppedCaller(self.app)
         self.assertEqual(409, self._put(0)[0])
 
     def test_down_and_slow(self):
         """Guards against an outage that answers, or can't be ended."""
-        caller = Caller(self.app)
+        caller = SteppedCaller(self.app)
         caller.send('POST', '/v1/faults?mode=down')
         self.assertIsNone(self._put(0))
         self.assertTrue(self.caller.conn.closed)
         caller.send('POST', '/v1/faults?mode=slow&delay_ms=200')
-        self.caller = Caller(self.app)
+        self.caller = SteppedCaller(self.app)
         self.assertIsNone(self._put(0))
         self.loop.advance(0.201)
         self.assertEqual(200, self.caller.answer()[0])
--- a/tests/test_upstream_standin.py
+++ b/tests/test_upstream_standin.py
@@ -5,16 +5,15 @@
 
 import testtools
 
+from bramleysill_standins import ledger
 from bramleysill_standins.fences import FenceTable
-from bramleysill_standins.ledger import keys_with_two_owners
-from bramleysill_standins.ledger import repeated_effects
 from bramleysill_standins.pattern import iter_pattern
+from bramleysill_standins.stepped import ManualLoop
+from bramleysill_standins.stepped import SteppedCaller
 from bramleysill_standins.upstream import Limits
 from bramleysill_standins.upstream import UpstreamApp
 from bramleysill_standins.workload import Workload
-from tests.http_fakes import ledger_entry
-from tests.test_store_standin import Caller
-from tests.test_store_standin import ManualLoop
+from tests.http_helpers import ledger_entry
 
 
 def _grant(generation, units, until=900, epoch='e'):
@@ -70,13 +69,13 @@
             'a': [ledger_entry(1, 1), ledger_entry(9, 3)],
             'b': [ledger_entry(5, 2)],
         }
-        self.assertEqual([], keys_with_two_owners(good))
+        self.assertEqual([], ledger.keys_with_two_owners(good))
         for bad in (
             {'a': [ledger_entry(1, 1)], 'b': [ledger_entry(2, 1)]},
             {'a': [ledger_entry(2, 1)], 'b': [ledger_entry(1, 2)]},
             {'a': [ledger_entry(1, 2), ledger_entry(2, 1)]},
         ):
-            self.assertEqual(1, len(keys_with_two_owners(bad)))
+            self.assertEqual(1, len(ledger.keys_with_two_owners(bad)))
 
     def test_repeated_effects_are_found(self):
         """Guards against an opening that two upstreams recorded."""
@@ -84,8 +83,8 @@
             'a': [ledger_entry(1, 1, 'x')],
             'b': [ledger_entry(2, 2, 'x')],
         }
-        self.assertEqual(['x'], repeated_effects(twice, 'openings'))
-        self.assertEqual([], repeated_effects(twice, 'handovers'))
+        self.assertEqual(['x'], ledger.repeated_effects(twice, 'openings'))
+        self.assertEqual([], ledger.repeated_effects(twice, 'handovers'))
 
 
 class WorkloadTest(testtools.TestCase):
@@ -114,7 +113,7 @@
         limits = Limits(warmup_ms=0, connections=6)
         self.loop = ManualLoop()
         self.app = UpstreamApp(self.loop, 'u', limits, checked, **options)
-        self.caller = Caller(self.app)
+        self.caller = SteppedCaller(self.app)
         self.loop.advance(0.01)
 
     def _send(self, path, body=b'', caller=None, **fields):
@@ -136,6 +135,10 @@
         self.assertEqual('1', headers['Sill-Not-Run'])
         return status, headers['Sill-Reason']
 
+    def _check_expired(self):
+        reason = self._reason(self.caller.answer())
+        self.assertEqual(((409, 'expired'), []), (reason, self._ran()))
+
     def _ran(self):
         return [entry.request_id for entry in self.app.ledger.entries]
 
@@ -158,7 +161,7 @@
     def test_more_than_slots_are_shed(self):
         """Guards against work beyond the slots."""
         self._start()
-        callers = [Caller(self.app) for _ in range(5)]
+        callers = [SteppedCaller(self.app) for _ in range(5)]
         self.loop.advance(0.01)
         answers = [self._send('/a/K', caller=c) for c in callers]
         self.assertEqual([None] * 4, answers[:4])
@@ -168,7 +171,7 @@
     def test_connections_are_limited(self):
         """Guards against a connection beyond the limit."""
         self._start()
-        callers = [Caller(self.app) for _ in range(6)]
+        callers = [SteppedCaller(self.app) for _ in range(6)]
         closed = [caller.conn.closed for caller in callers]
         self.assertEqual([False] * 5 + [True], closed)
 
@@ -179,16 +182,14 @@
         fields = {'Sill_Unit': '3', 'Sill_Fence': '1'}
         self.assertIsNone(self._send('/ledger/K', **fields))
         self.loop.advance(0.003)
-        reason = self._reason(self.caller.answer())
-        self.assertEqual((409, 'expired'), reason)
-        self.assertEqual([], self._ran())
+        self._check_expired()
 
     def test_release_waits_for_the_unit_to_rest(self):
         """Guards against a release that is confirmed too early."""
         self._start(checked=True)
         self._grant(9000)
         self._send('/ledger/K', Sill_Unit='3', Sill_Fence='1')
-        other = Caller(self.app)
+        other = SteppedCaller(self.app)
         release = b'{"unit": "3", "fence": 1}'
         self.assertIsNone(self._send('/.sill/release', release, other))
         self.loop.advance(0.003)
@@ -240,7 +241,7 @@
         """Guards against a cancellation that is only reported."""
         self._start()
         self._send('/ledger/K', Sill_Request_Id='r')
-        control = Caller(self.app)
+        control = SteppedCaller(self.app)
 
         def cancel(request_id):
             body = json.dumps({'request_id': request_id}).encode()
@@ -250,7 +251,9 @@
         self.assertEqual('cancelled', cancel('r'))
         self.loop.advance(1)
         self.assertEqual([], self._ran())
-        self._send('/ledger/K', caller=Caller(self.app), Sill_Request_Id='s')
+        self._send(
+            '/ledger/K', caller=SteppedCaller(self.app), Sill_Request_Id='s'
+        )
         self.loop.advance(1)
         self.assertEqual(('done', 'unknown'), (cancel('s'), cancel('t')))
 
@@ -260,9 +263,7 @@
         self._fault('slow&factor=10')
         self._send('/ledger/K', Sill_Timeout_Ms='5')
         self.loop.advance(0.03)
-        reason = self._reason(self.caller.answer())
-        self.assertEqual((409, 'expired'), reason)
-        self.assertEqual([], self._ran())
+        self._check_expired()
 
     def test_idempotency_key_runs_once(self):
         """Guards against a repeated opening that runs again."""
@@ -280,7 +281,7 @@
         """Guards against a freeze that runs work or stops the clock."""
         self._start()
         self._send('/ledger/K', Sill_Request_Id='r')
-        control = Caller(self.app)
+        control = SteppedCaller(self.app)
         self._fault('freeze&ms=500', control)
         self.assertFalse(self.caller.conn.reading)
         before = self.app.clock_ms()
