Fix uploads that stalled between admission and streaming

Cause: three faults. A local dispatcher admits a request before submit has returned, so the entry missed the admission and never sent the rest of the body. A body that ended between submit and admission was never ended. A connection that took the buffered body at once after connecting reported no drain, so that no credit went back to the entry. Besides, a link that failed before its handshake gave outcome unknown although nothing was sent, and metrics shared one registry per process.

Ruled out: slow start (the stalled uploads held the one slot of a cold upstream, which delayed the others; it was an effect).

Change: the exchange notes admission and end during submit, sends the end that was missed, the client side reports a drain after connecting, and a link without handshake refuses with not_dispatcher, not run.

--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -117,6 +117,9 @@
         waiting, self._waiting = self._waiting, []
         for data in waiting:
             self.write(data)
+        if waiting and not self.conn.buffered:
+            # The kernel took everything at once, so no drain will follow.
+            self.on_drain()
         if not self.busy and self._on_idle is not None:
             self._on_idle(self)
 
--- a/packages/router/src/bramleysill_router/exchange.py
+++ b/packages/router/src/bramleysill_router/exchange.py
@@ -24,6 +24,10 @@
     ('owner_moving', 'not_dispatcher', 'no_authority', 'owner_lost')
 )
 
+_SUBMITTING = 'submitting'
+_ADMITTED = 'admitted'
+_ENDED = 'ended'
+
 
 class Exchange:
     """A caller's request: its body sink and the sink of its attempts.
@@ -56,6 +60,8 @@
         '_excluded',
         '_headers',
         '_attempted_at',
+        '_phase',
+        '_sent_whole',
     )
 
     def __init__(self, entry, stream, req, request_id):
@@ -81,6 +87,8 @@
         self._excluded = ()
         self._headers = None
         self._attempted_at = None
+        self._phase = _ENDED
+        self._sent_whole = False
         stream.on_drained = self._on_caller_drained
 
     # The caller's body.
@@ -157,12 +165,18 @@
         self._attempted_at = self._entry.loop.now()
         self._entry.locator.begin(self._target.service.name, self._upstream)
         self._written = len(self._kept)
+        self._sent_whole = self._body_done
         head = self._make_head(unit, fence)
+        # A local dispatcher may admit or refuse before it returns.
+        self._phase = _SUBMITTING
         attempt = self._entry.submit(
             router, head, self, bytes(self._kept), self._body_done
         )
-        if attempt is not None:
-            self._attempt = attempt
+        if self._phase == _ENDED:
+            return
+        self._attempt = attempt
+        if self._phase == _ADMITTED:
+            self._stream_rest()
 
     def _make_head(self, unit, fence):
         req = self._req
@@ -207,10 +221,15 @@
 
     def on_admitted(self):
         """The request has a slot: stream what is left of the body."""
+        self._phase = _ADMITTED
+        if self._attempt is not None:
+            self._stream_rest()
+
+    def _stream_rest(self):
         attempt = self._attempt
-        if self._streaming or self.over or attempt is None:
+        if self._streaming or self.over:
             return
-        if self._written == self._body_size and self._body_done:
+        if self._sent_whole:
             return
         self._streaming = True
         rest = bytes(self._kept[self._written :])
@@ -250,6 +269,7 @@
 
     def on_answer_end(self):
         """The answer is complete."""
+        self._phase = _ENDED
         if self.over:
             return
         self._attempt = None
@@ -259,6 +279,7 @@
 
     def on_refused(self, refusal):
         """Hold, retry or refuse."""
+        self._phase = _ENDED
         self._attempt = None
         self._note_end(False)
         if self.over:
--- a/packages/router/src/bramleysill_router/metrics.py
+++ b/packages/router/src/bramleysill_router/metrics.py
@@ -54,8 +54,7 @@
         self._gauges = []
         self._published = collections.Counter()
         self._registry = Registry()
-        for collector in _make_collectors():
-            self._registry.register(collector)
+        _register_collectors(self._registry)
 
     def observe(self, service, code, seconds):
         """Count one request with its outcome and latency."""
@@ -112,18 +111,23 @@
             self._registry.get(name).add(labels, increase)
 
 
-def _make_collectors():
-    return (
-        Counter('bramleysill_requests_total', 'Requests by outcome code.'),
-        Counter('bramleysill_latency_seconds_bucket', 'Requests by latency.'),
-        Counter('bramleysill_latency_seconds_sum', 'Sum of latencies.'),
-        Counter('bramleysill_control_bytes_total', 'Bytes of control.'),
-        Counter('bramleysill_events_total', 'Events by kind.'),
-        Gauge('bramleysill_in_flight', 'Requests running at an upstream.'),
-        Gauge('bramleysill_most_in_flight', 'Most that ever ran at once.'),
-        Gauge('bramleysill_queued', 'Requests queued for an upstream.'),
-        Gauge('bramleysill_limit', 'Concurrency limit of an upstream.'),
-        Gauge('bramleysill_lease_seconds', 'What remains of the lease.'),
-        Gauge('bramleysill_manifest_version', 'Manifest in force.'),
-        Gauge('bramleysill_units', 'Units by condition.'),
-    )
+def _register_collectors(registry):
+    # A collector registers itself, by default in one for the process.
+    for kind, name, text in _COLLECTORS:
+        kind(name, text, registry=registry)
+
+
+_COLLECTORS = (
+    (Counter, 'bramleysill_requests_total', 'Requests by outcome code.'),
+    (Counter, 'bramleysill_latency_seconds_bucket', 'Requests by latency.'),
+    (Counter, 'bramleysill_latency_seconds_sum', 'Sum of latencies.'),
+    (Counter, 'bramleysill_control_bytes_total', 'Bytes of control.'),
+    (Counter, 'bramleysill_events_total', 'Events by kind.'),
+    (Gauge, 'bramleysill_in_flight', 'Requests running at an upstream.'),
+    (Gauge, 'bramleysill_most_in_flight', 'Most that ever ran at once.'),
+    (Gauge, 'bramleysill_queued', 'Requests queued for an upstream.'),
+    (Gauge, 'bramleysill_limit', 'Concurrency limit of an upstream.'),
+    (Gauge, 'bramleysill_lease_seconds', 'What remains of the lease.'),
+    (Gauge, 'bramleysill_manifest_version', 'Manifest in force.'),
+    (Gauge, 'bramleysill_units', 'Units by condition.'),
+)
--- a/packages/router/src/bramleysill_router/remote.py
+++ b/packages/router/src/bramleysill_router/remote.py
@@ -94,14 +94,19 @@
     def on_link_lost(self):
         """The link is gone; what ran is not known."""
         sink = self._detach()
-        if sink is not None:
-            sink.on_refused(
-                refusals.ConnectionLost(
-                    'the link to the dispatcher was lost',
-                    'forward',
-                    self._link.router,
-                )
+        if sink is None:
+            return
+        # Nothing is sent on a link before its handshake.
+        cls = refusals.NotDispatcher
+        if self._link.ready:
+            cls = refusals.ConnectionLost
+        sink.on_refused(
+            cls(
+                'the link to the dispatcher was lost',
+                'forward',
+                self._link.router,
             )
+        )
 
     def _on_admitted(self, sink, message):
         sink.on_admitted()
@@ -218,6 +223,8 @@
             self._attempt.write(message.body)
         if message.last:
             self._attempt.end()
+        else:
+            self._give_credit()
 
     def on_message(self, message):
         """Handle a message of this stream from the entry."""
