--- a/bench/policy.py
+++ b/bench/policy.py
@@ -1,6 +1,6 @@
 """Compares the kernel's policies with simpler ones, in stepped time.
 
-`python -m bench.policy` prints ratios and marks where a target is missed.
+`python -m bench.policy [SEED]` prints ratios and marks missed targets.
 Everything runs in one process under a manual clock with one seed per
 scenario: a few upstreams with slots, each behind the kernel's `Admission`,
 and a few entry routers that see only their own work. It measures decisions,
@@ -10,6 +10,7 @@
 from collections import deque
 import heapq
 import random
+import sys
 
 from bramleysill_kernel.admission import ADMITTED
 from bramleysill_kernel.admission import QUEUED
@@ -302,9 +303,9 @@
         sim.after(TAIL_ONSET, sim.every, 3.0, shift)
 
 
-def tail(balancer, outliers, hedging, mode):
+def tail(balancer, outliers, hedging, mode, seed=SEED):
     """Return p50 and p99 in ms after the onset, and the share of hedges."""
-    sim = Simulation(SEED)
+    sim = Simulation(seed)
     upstreams = {}
     for number in range(TAIL_UPSTREAMS):
         name = f'u{number}'
@@ -335,6 +336,7 @@
     }
 
 
+TAIL_MODES = ('none', 'two', 'turns')
 TAIL_POLICIES = {
     'round_robin': ('round_robin', False, False),
     'random': ('random', False, False),
@@ -347,11 +349,13 @@
 }
 
 
-def run_tail():
+def run_tail(seed):
     """Compare the balancers' p99 with two slowed upstreams."""
     rows = {}
     for name, policy in TAIL_POLICIES.items():
-        rows[name] = {m: tail(*policy, m) for m in ('none', 'two', 'turns')}
+        rows[name] = {
+            m: tail(*policy, m, seed) for m in ('none', 'two', 'turns')
+        }
     base = rows['power_of_two+outliers+hedging']['none']['p99_ms']
     for row in rows.values():
         for mode in ('two', 'turns'):
@@ -398,13 +402,13 @@
         return ()
 
 
-def goodput(load, fifo):
+def goodput(load, fifo, seed=SEED):
     """Return good answers a second and the share of a modest caller.
 
     One of ten callers sends half of the requests; the modest share is the
     part of the other callers' requests that was answered in time.
     """
-    sim = Simulation(SEED)
+    sim = Simulation(seed)
     good = {'greedy': 0, 'modest': 0}
     offered = {'greedy': 0, 'modest': 0}
 
@@ -433,10 +437,10 @@
     }
 
 
-def run_goodput():
+def run_goodput(seed):
     """Compare goodput under overload with an unbounded FIFO queue."""
     rows = {
-        name: {load: goodput(load, name == 'fifo') for load in LOADS}
+        name: {load: goodput(load, name == 'fifo', seed) for load in LOADS}
         for name in ('admission', 'fifo')
     }
     best = max(r['goodput'] for row in rows.values() for r in row.values())
@@ -446,12 +450,13 @@
     return rows
 
 
+COLD_KINDS = ('announced', 'restart', 'unnoticed')
 COLD_AT = 5.0
 COLD_SECONDS = 5.0
 COLD_FACTOR = 5.0
 
 
-def cold(kind, slow_start):
+def cold(kind, slow_start, seed=SEED):
     """Return the most work sent to an upstream that goes cold.
 
     `announced`: answers say cold; `restart`: work in flight is lost and
@@ -460,7 +465,7 @@
     `over` counts sends above the bound and `over_known` those after the
     first sign of it, an answer that says cold or a lost connection.
     """
-    sim = Simulation(SEED)
+    sim = Simulation(seed)
     bound = 1 if slow_start else SLOTS
     admission = Admission(
         'u', sim.clock, SLOTS, SlowStart(sim.clock, SLOTS, bound)
@@ -499,10 +504,12 @@
     return seen
 
 
-def run_cold():
+def run_cold(seed):
     """Compare the most work at a cold upstream with and without bound."""
     return {
-        name: {k: cold(k, on) for k in ('announced', 'restart', 'unnoticed')}
+        name: {
+            k: cold(k, on, seed) for k in ('announced', 'restart', 'unnoticed')
+        }
         for name, on in (('slow_start', True), ('none', False))
     }
 
@@ -511,9 +518,9 @@
 OUTAGE_RATE = 200.0
 
 
-def amplification(policy):
+def amplification(policy, seed=SEED):
     """Return attempts per fresh request while all attempts fail."""
-    sim = Simulation(SEED)
+    sim = Simulation(seed)
     counts = {'fresh': 0, 'attempts': 0}
     budget = RetryPolicy(sim.clock, sim.rng)
 
@@ -536,13 +543,15 @@
     return counts['attempts'] / counts['fresh']
 
 
-def run():
+def run(seed=SEED):
     """Run all comparisons; return their figures."""
     return {
-        'tail': run_tail(),
-        'goodput': run_goodput(),
-        'cold': run_cold(),
-        'amplification': {p: amplification(p) for p in ('budget', 'fixed')},
+        'tail': run_tail(seed),
+        'goodput': run_goodput(seed),
+        'cold': run_cold(seed),
+        'amplification': {
+            p: amplification(p, seed) for p in ('budget', 'fixed')
+        },
     }
 
 
@@ -593,9 +602,11 @@
             )
 
 
-def main():
-    """Print all comparisons."""
-    results = run()
+def main(args=()):
+    """Print all comparisons; the only argument is the seed."""
+    seed = int(args[0]) if args else SEED
+    print(f'seed {seed}')
+    results = run(seed)
     _print_tail(results['tail'])
     _print_goodput(results['goodput'])
     _print_cold(results['cold'])
@@ -605,4 +616,4 @@
 
 
 if __name__ == '__main__':
-    main()
+    main(sys.argv[1:])
