Compare with frozen upstreams and shorten the tests

Cause: frozen upstreams are a fault to survive and were not compared.

Change: bench.policy freezes two of six upstreams for 1 s of every 5. Tests say the same in fewer lines: the second finish of a work is checked in the property test, cases with one setup share a test.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -42,6 +42,8 @@
 TAIL_ONSET = 5.0
 TAIL_TIMEOUT = 1.0
 TAIL_TARGET = 1.5
+FREEZE_SECONDS = 1.0
+FREEZE_EVERY = 5.0
 
 GOODPUT_SECONDS = 20.0
 GOODPUT_TARGET = 0.95
@@ -98,7 +100,8 @@
 class SimulatedUpstream:
     """An upstream behind its dispatcher's admission.
 
-    `factor` multiplies service times. `on_end(work, ok)` is called when a
+    `factor` multiplies service times; nothing ends before `frozen_until`.
+    `on_end(work, ok)` is called when a
     work ends in any way but its cancellation.
     """
 
@@ -108,6 +111,7 @@
         self.factor = 1.0
         self.state = ''
         self.told_cold = False
+        self.frozen_until = 0.0
         self.on_end = on_end
         self.on_send = None
         self.admission = admission or Admission(
@@ -131,7 +135,15 @@
             seconds = self.sim.service_time() * self.factor
             self.sim.after(seconds, self._answer, work, self.state)
 
+    def freeze(self, seconds):
+        """Stop for a time and go on as if nothing had happened."""
+        self.frozen_until = self.sim.clock.now() + seconds
+
     def _answer(self, work, state):
+        frozen_for = self.frozen_until - self.sim.clock.now()
+        if frozen_for > 0:
+            self.sim.after(frozen_for, self._answer, work, state)
+            return
         if work.state != 'running':
             return
         self.told_cold |= state == 'cold'
@@ -288,7 +300,10 @@
 
 
 def _slow_down(sim, upstreams, mode):
-    """Slow two upstreams tenfold, for good or in turns of three seconds."""
+    """Slow two upstreams tenfold, for good or in turns, or freeze two.
+
+    Turns last three seconds; a freeze lasts one second of every five.
+    """
     names = list(upstreams)
     if mode == 'none':
         return
@@ -298,6 +313,14 @@
         for name in names:
             upstreams[name].factor = 10.0 if name in slowed else 1.0
 
+    def freeze():
+        for name in sim.rng.sample(names, 2):
+            upstreams[name].freeze(FREEZE_SECONDS)
+
+    if mode == 'freeze':
+        sim.after(TAIL_ONSET, freeze)
+        sim.after(TAIL_ONSET, sim.every, FREEZE_EVERY, freeze)
+        return
     sim.after(TAIL_ONSET, shift)
     if mode == 'turns':
         sim.after(TAIL_ONSET, sim.every, 3.0, shift)
@@ -336,7 +359,7 @@
     }
 
 
-TAIL_MODES = ('none', 'two', 'turns')
+TAIL_MODES = ('none', 'two', 'turns', 'freeze')
 TAIL_POLICIES = {
     'round_robin': ('round_robin', False, False),
     'random': ('random', False, False),
@@ -353,12 +376,10 @@
     """Compare the balancers' p99 with two slowed upstreams."""
     rows = {}
     for name, policy in TAIL_POLICIES.items():
-        rows[name] = {
-            m: tail(*policy, m, seed) for m in ('none', 'two', 'turns')
-        }
+        rows[name] = {m: tail(*policy, m, seed) for m in TAIL_MODES}
     base = rows['power_of_two+outliers+hedging']['none']['p99_ms']
     for row in rows.values():
-        for mode in ('two', 'turns'):
+        for mode in TAIL_MODES[1:]:
             slowed = row[mode]['p99_ms']
             row[f'{mode}_ratio'] = slowed / row['none']['p99_ms']
             row[f'{mode}_to_best'] = slowed / base
@@ -507,9 +528,7 @@
 def run_cold(seed):
     """Compare the most work at a cold upstream with and without bound."""
     return {
-        name: {
-            k: cold(k, on, seed) for k in ('announced', 'restart', 'unnoticed')
-        }
+        name: {k: cold(k, on, seed) for k in COLD_KINDS}
         for name, on in (('slow_start', True), ('none', False))
     }
 
@@ -564,15 +583,19 @@
 
 def _print_tail(rows):
     print('p99 with 2 of 6 upstreams slowed tenfold against none slowed')
-    print(f'{"policy":32}{"none ms":>9}{"two":>8}{"turns":>8}{"hedged":>8}')
+    print(
+        f'{"policy":32}{"none ms":>9}{"two":>8}{"turns":>8}'
+        f'{"freeze":>8}{"hedged":>8}'
+    )
     for name, row in rows.items():
         print(
             f'{name:32}{row["none"]["p99_ms"]:9.1f}'
             f'{row["two_ratio"]:7.2f}x{row["turns_ratio"]:7.2f}x'
+            f'{row["freeze_ratio"]:7.2f}x'
             f'{row["two"]["hedged"]:8.1%}'
         )
     chosen = rows['power_of_two+outliers+hedging']
-    for mode in ('two', 'turns'):
+    for mode in TAIL_MODES[1:]:
         verdict = _verdict(chosen[f'{mode}_ratio'], TAIL_TARGET, True)
         print(f'target {TAIL_TARGET}x, {mode}: {verdict}')
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,18 +6,14 @@
 import testtools
 
 from bramleysill_kernel import admission
+from bramleysill_kernel import refusals
 from bramleysill_kernel.admission import ADMITTED
 from bramleysill_kernel.admission import QUEUED
-from bramleysill_kernel.admission import RESULT_LOST
 from bramleysill_kernel.admission import RESULT_OK
 from bramleysill_kernel.admission import Admission
 from bramleysill_kernel.clock import ManualClock
 from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
-from bramleysill_kernel.exceptions import Refusal
 from bramleysill_kernel.queueing import Work
-from bramleysill_kernel.refusals import DeadlineNotRun
-from bramleysill_kernel.refusals import Overloaded
-from bramleysill_kernel.refusals import OwnerMoving
 from bramleysill_kernel.slow_start import SlowStart
 
 
@@ -57,26 +53,19 @@
         self.assertEqual([works[2]], started)
         self.assertEqual(2, self.admission.most_in_flight)
 
-    def test_second_finish_returns_no_slot(self):
-        """Guards against a slot returned twice for one work."""
-        works, _ = self._offer(4)
-        self.admission.finished(works[0], RESULT_OK)
-        self.assertEqual([], self.admission.finished(works[0], RESULT_OK))
-        self.assertEqual(2, self.admission.in_flight)
-
     def test_hopeless_work_is_refused_at_once(self):
         """Guards against a queue of work that can't meet its deadline."""
         self._serve(1.0)
         self._offer(4)
         refusal = self.admission.offer(_work('x', self.clock, timeout=1.5))
-        self.assertIsInstance(refusal, Overloaded)
+        self.assertIsInstance(refusal, refusals.Overloaded)
         self.assertEqual(OUTCOME_NOT_RUN, refusal.outcome)
         self.assertEqual(1.5, refusal.retry_after)
 
     def test_passed_deadline_is_told_apart_from_overload(self):
         """Guards against work that is sent after its deadline."""
         refusal = self.admission.offer(_work('x', self.clock, timeout=0.0))
-        self.assertIsInstance(refusal, DeadlineNotRun)
+        self.assertIsInstance(refusal, refusals.DeadlineNotRun)
 
     def test_wait_counts_a_stalled_upstream(self):
         """Guards against an estimate that trusts answers of the past only."""
@@ -94,7 +83,7 @@
         self.assertEqual([], self.admission.tick())
         dropped = self.admission.take_dropped()
         self.assertEqual([works[2]], [w for w, _ in dropped])
-        self.assertIsInstance(dropped[0][1], DeadlineNotRun)
+        self.assertIsInstance(dropped[0][1], refusals.DeadlineNotRun)
         self.assertEqual([], self.admission.take_dropped())
 
     def test_full_queue_sheds_the_least_valuable(self):
@@ -106,32 +95,21 @@
         dropped = self.admission.take_dropped()
         self.assertEqual([works[3]], [w for w, _ in dropped])
         worse = _work('worse', self.clock, priority=0)
-        self.assertIsInstance(self.admission.offer(worse), Overloaded)
-
-    def test_cancelled_running_work_keeps_its_slot(self):
-        """Guards against a slot given out while the upstream still works."""
-        works, _ = self._offer(3, timeout=5.0)
-        self.admission.cancel(works[0])
-        self.clock.advance(4.0)
-        self.assertEqual([], self.admission.tick())
-        self.assertEqual(2, self.admission.in_flight)
+        self.assertIsInstance(self.admission.offer(worse), refusals.Overloaded)
 
-    def test_abandoned_slot_returns_after_a_sign_of_life(self):
+    def test_abandoned_slot_returns_only_after_a_sign_of_life(self):
         """Guards against new work for an upstream that may be frozen."""
         works, _ = self._offer(2, timeout=5.0)
         self.admission.cancel(works[0])
-        self.clock.advance(5.0 + 2 * admission.LAPSE_MARGIN)
-        self.admission.tick()
-        self.assertEqual(2, self.admission.in_flight)
+        for seconds in (4.0, 1.0 + 2 * admission.LAPSE_MARGIN):
+            self.clock.advance(seconds)
+            self.assertEqual([], self.admission.tick())
+            self.assertEqual(2, self.admission.in_flight)
         self.admission.note_alive()
         self.admission.tick()
         self.assertEqual(1, self.admission.in_flight)
-
-    def test_abandoned_slot_returns_after_settle(self):
-        """Guards against a slot that a silent upstream holds for ever."""
-        works, _ = self._offer(1, timeout=5.0)
-        self.admission.cancel(works[0])
-        self.clock.advance(5.0 + admission.DEFAULT_SETTLE_SECONDS + 1.0)
+        self.admission.cancel(works[1])
+        self.clock.advance(admission.DEFAULT_SETTLE_SECONDS + 1.0)
         self.admission.tick()
         self.assertEqual(0, self.admission.in_flight)
 
@@ -149,20 +127,17 @@
         self.assertEqual([queued, late], self.admission.withdraw('1'))
         self.assertEqual(0, self.admission.queued)
 
-    def test_unhold_starts_held_work(self):
-        """Guards against held work that is lost when a move is given up."""
+    def test_hold_ends_with_a_start_or_a_refusal(self):
+        """Guards against callers that wait for a move without end."""
         self.admission.hold('1')
         works, _ = self._offer(3)
         self.assertEqual(works[:2], self.admission.unhold('1'))
-
-    def test_hold_is_bounded(self):
-        """Guards against callers that wait for a move without end."""
         self.admission.hold('1')
-        self._offer(1)
         self.clock.advance(admission.HOLD_SECONDS + 0.1)
         self.admission.tick()
-        ((_, refusal),) = self.admission.take_dropped()
-        self.assertIsInstance(refusal, OwnerMoving)
+        ((work, refusal),) = self.admission.take_dropped()
+        self.assertIs(works[2], work)
+        self.assertIsInstance(refusal, refusals.OwnerMoving)
 
     def test_restriction_bounds_and_lifts(self):
         """Guards against a suspect upstream that is sent full load."""
@@ -173,26 +148,16 @@
 
     def test_shedding_upstream_gets_less(self):
         """Guards against full load for an upstream that refuses it."""
-        self.admission = Admission(
-            'u1', self.clock, 4, slow_start=SlowStart(self.clock, 4, 4)
-        )
         self.admission.slow_start.cold_bound = 1
-        works, _ = self._offer(4)
+        works, _ = self._offer(2)
         self.admission.finished(works[0], admission.RESULT_SHED)
-        self.assertEqual(2, self.admission.limit)
-
-
-_STEPS = st.lists(
-    st.tuples(
-        st.sampled_from(
-            ['offer'] * 6
-            + ['finish'] * 4
-            + ['cancel', 'tick', 'hold', 'unhold', 'withdraw', 'restrict']
-        ),
-        st.integers(0, 7),
-        st.floats(0.0, 0.5),
-    ),
-    max_size=120,
+        self.assertEqual(1, self.admission.limit)
+
+
+_NAMES = ['offer'] * 6 + ['finish'] * 4
+_NAMES += ['cancel', 'tick', 'hold', 'unhold', 'withdraw', 'restrict']
+_STEP = st.tuples(
+    st.sampled_from(_NAMES), st.integers(0, 7), st.floats(0.0, 0.5)
 )
 
 
@@ -205,11 +170,9 @@
         self.admission = Admission(
             'u1', self.clock, 4, slow_start, queue_length=6
         )
-        self.waiting = set()
-        self.running = []
-        self.ended = []
+        self.waiting, self.held = set(), set()
+        self.running, self.ended = [], []
         self.offered = 0
-        self.held = set()
 
     def start(self, works):
         for work in works:
@@ -219,24 +182,24 @@
         if works:
             assert self.admission.in_flight <= self.admission.limit
 
+    def end(self, work):
+        self.waiting.remove(work)
+        self.ended.append(work)
+
     def collect(self):
         for work, refusal in self.admission.take_dropped():
             assert refusal.outcome == OUTCOME_NOT_RUN
-            self.waiting.remove(work)
-            self.ended.append(work)
+            self.end(work)
 
     def offer(self, n):
+        unit, caller = str(n % 3), f'c{n % 4}'
+        deadline = self.clock.now() + n
         work = Work(
-            self.offered,
-            f's{n % 2}',
-            str(n % 3),
-            deadline=self.clock.now() + n,
-            caller=f'c{n % 4}',
-            priority=n % 3,
+            self.offered, f's{n % 2}', unit, 1, deadline, caller, n % 3
         )
         self.offered += 1
         result = self.admission.offer(work)
-        if isinstance(result, Refusal):
+        if isinstance(result, refusals.Refusal):
             self.ended.append(work)
             return
         self.waiting.add(work)
@@ -247,16 +210,16 @@
         if self.running:
             work = self.running.pop(n % len(self.running))
             self.ended.append(work)
-            result = RESULT_LOST if n == 7 else RESULT_OK
+            result = admission.RESULT_LOST if n == 7 else RESULT_OK
             self.start(self.admission.finished(work, result))
+            assert self.admission.finished(work, result) == []
 
     def cancel(self, n):
         waiting = sorted(self.waiting, key=lambda w: w.id)
         if waiting:
             work = waiting[n % len(waiting)]
             self.admission.cancel(work)
-            self.waiting.remove(work)
-            self.ended.append(work)
+            self.end(work)
 
     def tick(self, n):
         self.start(self.admission.tick())
@@ -271,8 +234,7 @@
 
     def withdraw(self, n):
         for work in self.admission.withdraw(str(n % 3)):
-            self.waiting.remove(work)
-            self.ended.append(work)
+            self.end(work)
 
     def restrict(self, n):
         bound = None if n > 4 else n
@@ -281,7 +243,7 @@
 
 class AdmissionPropertyTest(testtools.TestCase):
     @settings(derandomize=True, max_examples=300, deadline=None, database=None)
-    @given(_STEPS)
+    @given(st.lists(_STEP, max_size=120))
     def test_each_work_ends_exactly_once_within_the_bound(self, steps):
         """Guards against lost or doubled work and more than the bound.
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -37,15 +37,11 @@
         self.assertEqual(idem.DONE, self.memory.ask('1', 'k')[0])
 
     def test_key_that_did_not_run_may_be_used_again(self):
-        """Guards against a key that a refusal spoils."""
-        self._begin()
-        self.memory.not_run('1', 'k')
-        self.assertEqual(idem.NEW, self._begin())
-
-    def test_key_of_another_request_is_a_mismatch(self):
-        """Guards against an answer to a different request."""
+        """Guards against a key that a refusal spoils, or another request."""
         self._begin(fingerprint='a')
         self.assertEqual(idem.MISMATCH, self._begin(fingerprint='b'))
+        self.memory.not_run('1', 'k')
+        self.assertEqual(idem.NEW, self._begin(fingerprint='b'))
 
     def test_full_memory_refuses_and_forgets_nothing(self):
         """Guards against a forgotten key that would run a second time."""
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -19,8 +19,11 @@
             self.clock, random.Random(SEED), NAMES
         )
 
-    def _run(self, seconds, slow=(), failing=(), factor=10.0):
-        """Send trials and ordinary work; return the changes of state."""
+    def _run(self, seconds, slow=(), failing=(), factor=10.0, light=1.0):
+        """Send trials and ordinary work; return the changes of state.
+
+        Trials at a slow upstream take `light` times its latency.
+        """
         changes = []
         for _ in range(int(seconds * 10)):
             self.clock.advance(0.1)
@@ -29,6 +32,7 @@
                 trial = self.detector.take_trial(name)
                 if trial or not self.detector.is_ejected(name):
                     latency = 0.01 * (factor if name in slow else 1.0)
+                    latency *= light if trial else 1.0
                     ok = name not in failing
                     for _ in range(1 if trial else 5):
                         self.detector.note_answer(name, latency, ok, trial)
@@ -69,18 +73,9 @@
 
     def test_upstream_that_fails_only_under_load_does_not_flap(self):
         """Guards against frequent returns on the word of light trials."""
-        returns = 0
-        was_out = False
+        returns, was_out = 0, False
         for _ in range(2400):
-            self.clock.advance(0.1)
-            self.detector.tick()
-            for name in NAMES:
-                trial = self.detector.take_trial(name)
-                if trial or not self.detector.is_ejected(name):
-                    slow = name == 'a' and not trial
-                    for _ in range(1 if trial else 5):
-                        latency = 0.1 if slow else 0.01
-                        self.detector.note_answer(name, latency, True, trial)
+            self._run(0.1, slow='a', light=0.1)
             is_out = self.detector.is_ejected('a')
             returns += was_out and not is_out
             was_out = is_out
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -84,14 +84,9 @@
             elif expected and rng.random() < 0.3:
                 expected.pop(queue.pop().id)
             else:
-                expected[number] = _push(
-                    queue,
-                    number,
-                    rng.choice('st'),
-                    str(rng.randrange(300)),
-                    rng.random(),
-                    rng.randrange(3),
-                )
+                caller = str(rng.randrange(300))
+                fields = rng.choice('st'), caller, rng.random(), number % 3
+                expected[number] = _push(queue, number, *fields)
             self.assertEqual(len(expected), len(queue))
         left = {w.id for w in _pop_all(queue)}
         self.assertEqual(set(expected), left)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -31,14 +31,9 @@
         self.assertFalse(self.start.cold)
 
     def test_new_upstream_starts_at_the_cold_bound_and_grows(self):
-        """Guards against full load for an upstream that just started."""
-        self.assertEqual(1, self.start.bound)
-        self._answers(200)
-        self.assertEqual(4, self.start.bound)
-
-    def test_cold_answers_keep_the_bound(self):
-        """Guards against growth while the upstream says it is cold."""
+        """Guards against full load for an upstream that is cold."""
         self.assertEqual({1}, self._answers(500, state='cold'))
+        self._warm_up()
 
     def test_epoch_change_means_cold(self):
         """Guards against a restart between two answers."""
@@ -82,17 +77,12 @@
         self.start.note_answer(0.01, 'cold')
         self.assertEqual({1}, self._answers(100, latency=0.03))
 
-    def test_one_slow_answer_is_no_jump(self):
-        """Guards against a bound that one large body cuts."""
-        self._warm_up()
-        for _ in range(20):
-            self._answers(1, latency=1.0)
-            self._answers(2)
-        self.assertEqual(4, self.start.bound)
-
     def test_routes_have_latencies_of_their_own(self):
         """Guards against uploads that look like a cold upstream."""
         self._warm_up()
+        for _ in range(20):  # a single large body is no sign either
+            self.assertEqual({4}, self._answers(1, latency=1.0))
+            self._answers(2)
         self._answers(20, latency=2.0, route='upload')
         self.assertEqual(4, self.start.bound)
 
