--- a/bench/policy.py
+++ b/bench/policy.py
@@ -1,6 +1,6 @@
 """Compares the kernel's policies with simpler ones, in stepped time.
 
-`python -m bench.policy` prints ratios and marks where a target is missed.
+`python -m bench.policy [SEED]` prints ratios and marks missed targets.
 Everything runs in one process under a manual clock with one seed per
 scenario: a few upstreams with slots, each behind the kernel's `Admission`,
 and a few entry routers that see only their own work. It measures decisions,
@@ -10,6 +10,7 @@
 from collections import deque
 import heapq
 import random
+import sys
 
 from bramleysill_kernel.admission import ADMITTED
 from bramleysill_kernel.admission import QUEUED
@@ -41,6 +42,8 @@
 TAIL_ONSET = 5.0
 TAIL_TIMEOUT = 1.0
 TAIL_TARGET = 1.5
+FREEZE_SECONDS = 1.0
+FREEZE_EVERY = 5.0
 
 GOODPUT_SECONDS = 20.0
 GOODPUT_TARGET = 0.95
@@ -97,7 +100,8 @@
 class SimulatedUpstream:
     """An upstream behind its dispatcher's admission.
 
-    `factor` multiplies service times. `on_end(work, ok)` is called when a
+    `factor` multiplies service times; nothing ends before `frozen_until`.
+    `on_end(work, ok)` is called when a
     work ends in any way but its cancellation.
     """
 
@@ -107,6 +111,7 @@
         self.factor = 1.0
         self.state = ''
         self.told_cold = False
+        self.frozen_until = 0.0
         self.on_end = on_end
         self.on_send = None
         self.admission = admission or Admission(
@@ -130,7 +135,15 @@
             seconds = self.sim.service_time() * self.factor
             self.sim.after(seconds, self._answer, work, self.state)
 
+    def freeze(self, seconds):
+        """Stop for a time and go on as if nothing had happened."""
+        self.frozen_until = self.sim.clock.now() + seconds
+
     def _answer(self, work, state):
+        frozen_for = self.frozen_until - self.sim.clock.now()
+        if frozen_for > 0:
+            self.sim.after(frozen_for, self._answer, work, state)
+            return
         if work.state != 'running':
             return
         self.told_cold |= state == 'cold'
@@ -287,7 +300,10 @@
 
 
 def _slow_down(sim, upstreams, mode):
-    """Slow two upstreams tenfold, for good or in turns of three seconds."""
+    """Slow two upstreams tenfold, for good or in turns, or freeze two.
+
+    Turns last three seconds; a freeze lasts one second of every five.
+    """
     names = list(upstreams)
     if mode == 'none':
         return
@@ -297,14 +313,22 @@
         for name in names:
             upstreams[name].factor = 10.0 if name in slowed else 1.0
 
+    def freeze():
+        for name in sim.rng.sample(names, 2):
+            upstreams[name].freeze(FREEZE_SECONDS)
+
+    if mode == 'freeze':
+        sim.after(TAIL_ONSET, freeze)
+        sim.after(TAIL_ONSET, sim.every, FREEZE_EVERY, freeze)
+        return
     sim.after(TAIL_ONSET, shift)
     if mode == 'turns':
         sim.after(TAIL_ONSET, sim.every, 3.0, shift)
 
 
-def tail(balancer, outliers, hedging, mode):
+def tail(balancer, outliers, hedging, mode, seed=SEED):
     """Return p50 and p99 in ms after the onset, and the share of hedges."""
-    sim = Simulation(SEED)
+    sim = Simulation(seed)
     upstreams = {}
     for number in range(TAIL_UPSTREAMS):
         name = f'u{number}'
@@ -335,24 +359,27 @@
     }
 
 
+TAIL_MODES = ('none', 'two', 'turns', 'freeze')
 TAIL_POLICIES = {
     'round_robin': ('round_robin', False, False),
     'random': ('random', False, False),
     'least_in_flight': ('least_in_flight', False, False),
+    'least_time': ('least_time', False, False),
+    'least_time+outliers+hedging': ('least_time', True, True),
     'power_of_two': ('power_of_two', False, False),
     'power_of_two+outliers': ('power_of_two', True, False),
     'power_of_two+outliers+hedging': ('power_of_two', True, True),
 }
 
 
-def run_tail():
+def run_tail(seed):
     """Compare the balancers' p99 with two slowed upstreams."""
     rows = {}
     for name, policy in TAIL_POLICIES.items():
-        rows[name] = {m: tail(*policy, m) for m in ('none', 'two', 'turns')}
+        rows[name] = {m: tail(*policy, m, seed) for m in TAIL_MODES}
     base = rows['power_of_two+outliers+hedging']['none']['p99_ms']
     for row in rows.values():
-        for mode in ('two', 'turns'):
+        for mode in TAIL_MODES[1:]:
             slowed = row[mode]['p99_ms']
             row[f'{mode}_ratio'] = slowed / row['none']['p99_ms']
             row[f'{mode}_to_best'] = slowed / base
@@ -396,13 +423,13 @@
         return ()
 
 
-def goodput(load, fifo):
+def goodput(load, fifo, seed=SEED):
     """Return good answers a second and the share of a modest caller.
 
     One of ten callers sends half of the requests; the modest share is the
     part of the other callers' requests that was answered in time.
     """
-    sim = Simulation(SEED)
+    sim = Simulation(seed)
     good = {'greedy': 0, 'modest': 0}
     offered = {'greedy': 0, 'modest': 0}
 
@@ -431,10 +458,10 @@
     }
 
 
-def run_goodput():
+def run_goodput(seed):
     """Compare goodput under overload with an unbounded FIFO queue."""
     rows = {
-        name: {load: goodput(load, name == 'fifo') for load in LOADS}
+        name: {load: goodput(load, name == 'fifo', seed) for load in LOADS}
         for name in ('admission', 'fifo')
     }
     best = max(r['goodput'] for row in rows.values() for r in row.values())
@@ -444,12 +471,13 @@
     return rows
 
 
+COLD_KINDS = ('announced', 'restart', 'unnoticed')
 COLD_AT = 5.0
 COLD_SECONDS = 5.0
 COLD_FACTOR = 5.0
 
 
-def cold(kind, slow_start):
+def cold(kind, slow_start, seed=SEED):
     """Return the most work sent to an upstream that goes cold.
 
     `announced`: answers say cold; `restart`: work in flight is lost and
@@ -458,7 +486,7 @@
     `over` counts sends above the bound and `over_known` those after the
     first sign of it, an answer that says cold or a lost connection.
     """
-    sim = Simulation(SEED)
+    sim = Simulation(seed)
     bound = 1 if slow_start else SLOTS
     admission = Admission(
         'u', sim.clock, SLOTS, SlowStart(sim.clock, SLOTS, bound)
@@ -497,10 +525,10 @@
     return seen
 
 
-def run_cold():
+def run_cold(seed):
     """Compare the most work at a cold upstream with and without bound."""
     return {
-        name: {k: cold(k, on) for k in ('announced', 'restart', 'unnoticed')}
+        name: {k: cold(k, on, seed) for k in COLD_KINDS}
         for name, on in (('slow_start', True), ('none', False))
     }
 
@@ -509,9 +537,9 @@
 OUTAGE_RATE = 200.0
 
 
-def amplification(policy):
+def amplification(policy, seed=SEED):
     """Return attempts per fresh request while all attempts fail."""
-    sim = Simulation(SEED)
+    sim = Simulation(seed)
     counts = {'fresh': 0, 'attempts': 0}
     budget = RetryPolicy(sim.clock, sim.rng)
 
@@ -534,13 +562,15 @@
     return counts['attempts'] / counts['fresh']
 
 
-def run():
+def run(seed=SEED):
     """Run all comparisons; return their figures."""
     return {
-        'tail': run_tail(),
-        'goodput': run_goodput(),
-        'cold': run_cold(),
-        'amplification': {p: amplification(p) for p in ('budget', 'fixed')},
+        'tail': run_tail(seed),
+        'goodput': run_goodput(seed),
+        'cold': run_cold(seed),
+        'amplification': {
+            p: amplification(p, seed) for p in ('budget', 'fixed')
+        },
     }
 
 
@@ -553,15 +583,19 @@
 
 def _print_tail(rows):
     print('p99 with 2 of 6 upstreams slowed tenfold against none slowed')
-    print(f'{"policy":32}{"none ms":>9}{"two":>8}{"turns":>8}{"hedged":>8}')
+    print(
+        f'{"policy":32}{"none ms":>9}{"two":>8}{"turns":>8}'
+        f'{"freeze":>8}{"hedged":>8}'
+    )
     for name, row in rows.items():
         print(
             f'{name:32}{row["none"]["p99_ms"]:9.1f}'
             f'{row["two_ratio"]:7.2f}x{row["turns_ratio"]:7.2f}x'
+            f'{row["freeze_ratio"]:7.2f}x'
             f'{row["two"]["hedged"]:8.1%}'
         )
     chosen = rows['power_of_two+outliers+hedging']
-    for mode in ('two', 'turns'):
+    for mode in TAIL_MODES[1:]:
         verdict = _verdict(chosen[f'{mode}_ratio'], TAIL_TARGET, True)
         print(f'target {TAIL_TARGET}x, {mode}: {verdict}')
 
@@ -591,9 +625,11 @@
             )
 
 
-def main():
-    """Print all comparisons."""
-    results = run()
+def main(args=()):
+    """Print all comparisons; the only argument is the seed."""
+    seed = int(args[0]) if args else SEED
+    print(f'seed {seed}')
+    results = run(seed)
     _print_tail(results['tail'])
     _print_goodput(results['goodput'])
     _print_cold(results['cold'])
@@ -603,4 +639,4 @@
 
 
 if __name__ == '__main__':
-    main()
+    main(sys.argv[1:])
