--- a/packages/kernel/src/bramleysill_kernel/coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/coordinator.py
@@ -216,6 +216,8 @@
         """Take the answer to a store effect of this coordinator."""
         out = self.authority.on_store_answer(op, answer)
         if out is not None:
+            # Routers learn of new candidates with the next state.
+            self.roles.touch()
             return out
         out = self.tables.on_store_answer(op, answer) or []
         if self.manifest is None or not self.has_authority():
@@ -307,7 +309,9 @@
 
     def _return_lost(self, upstream):
         """Let a lost upstream return once its units are given away."""
-        if upstream not in self.board.sources_ready():
+        if upstream not in self.roles.roles:
+            del self.losses.conditions[upstream]
+        elif upstream not in self.board.sources_ready():
             self.losses.start_return(upstream)
 
     # Helpers.
--- a/packages/kernel/src/bramleysill_kernel/election.py
+++ b/packages/kernel/src/bramleysill_kernel/election.py
@@ -62,8 +62,9 @@
         'elected_at',
         'promise_until',
         'leader_hint',
+        '_hint_fresh',
         'leader_address',
-        'store_ok',
+        '_store_ok_at',
         'vm_names',
         'probing',
         'first',
@@ -96,8 +97,9 @@
         self.elected_at = lease.NEVER
         self.promise_until = lease.NEVER
         self.leader_hint = ''
+        self._hint_fresh = False
         self.leader_address = ''
-        self.store_ok = False
+        self._store_ok_at = lease.NEVER
         self.vm_names = None
         self.probing = False
         self.first = False
@@ -154,6 +156,16 @@
             self.promise_until = lease.NEVER
             self._next_poll = min(self._next_poll, self._clock.now())
 
+    @property
+    def store_ok(self):
+        """Tell whether the newest call was answered, and not long ago."""
+        return self._clock.now() < self._store_ok_at + 2 * PROBE_SECONDS
+
+    def take_hint(self):
+        """Tell once whether the holder of the lease key was just read."""
+        fresh, self._hint_fresh = self._hint_fresh, False
+        return fresh
+
     def on_vm_list(self, names):
         """Take the names of VMs that the platform lists now."""
         self.vm_names = frozenset(names)
@@ -184,7 +196,10 @@
         handler = self._waiting.pop(op, None)
         if handler is None:
             return []
-        self.store_ok = answer.result != effects.RESULT_UNKNOWN
+        if answer.result == effects.RESULT_UNKNOWN:
+            self._store_ok_at = lease.NEVER
+        else:
+            self._store_ok_at = self._clock.now()
         step, asked_in = handler
         if asked_in != self._round:
             return []
@@ -215,6 +230,7 @@
             self._missing_since = None
             holder = json.loads(answer.value)
             self.leader_hint = holder['holder']
+            self._hint_fresh = True
             self.leader_address = holder['address']
             if self.record is not None:
                 return []
--- a/packages/kernel/src/bramleysill_kernel/losses.py
+++ b/packages/kernel/src/bramleysill_kernel/losses.py
@@ -150,7 +150,8 @@
             out = self._suspect(report.upstream, found, member)
         else:
             found.leaving = report.condition == messages.UPSTREAM_LEAVING
-            if found.step == PROBING or self._returned(report, found, member):
+            retracted = found.step == PROBING and found.reporter == member.name
+            if retracted or self._returned(report, found, member):
                 found.step = OK
         return before != (found.step, found.leaving, found.cold), out
 
--- a/packages/kernel/src/bramleysill_kernel/membership.py
+++ b/packages/kernel/src/bramleysill_kernel/membership.py
@@ -265,6 +265,8 @@
     def _target(self, now):
         if self.coordinator and now - self._heard_at < SILENCE_SECONDS:
             return self.coordinator
+        if self._election is not None and self._election.take_hint():
+            return self._election.leader_hint
         peers = self._peers()
         if not peers:
             return ''
--- /dev/null
+++ b/tests/test_coordinator.py
@@ -0,0 +1,227 @@
+"""Tests of the coordinator on a stepped cell: losses, drains, outages."""
+
+import json
+
+import testtools
+
+from bramleysill_kernel import lease
+from bramleysill_kernel import manifest
+from bramleysill_kernel import messages
+from bramleysill_kernel import ownership
+from tests import fakes
+
+RECOVERY_SECONDS = 3.0
+SEEDS = range(10)
+
+
+def _cell(seed, **args):
+    cell = fakes.Cell(seed, **args)
+    cell.run(5.0, cell.served)
+    cell.run(2.0)
+    return cell
+
+
+def _lose_domain(cell, domain):
+    for part in [*cell.routers.values(), *cell.upstreams.values()]:
+        part.dead = part.dead or part.domain == domain
+
+
+class LossTest(testtools.TestCase):
+    def _served_again(self, lose):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                cell = _cell(seed)
+                lose(cell)
+                cell.run(RECOVERY_SECONDS)
+                self.assertTrue(cell.served(), f'seed {seed}')
+
+    def test_loss_of_the_coordinator(self):
+        """Guards against keys that stay unserved after an election."""
+
+        def lose(cell):
+            cell.leader().dead = True
+
+        self._served_again(lose)
+
+    def test_loss_of_an_upstream(self):
+        """Guards against units that stay with a lost owner."""
+
+        def lose(cell):
+            cell.upstreams['u10'].dead = True
+
+        self._served_again(lose)
+
+    def test_loss_of_a_domain(self):
+        """Guards against a domain's loss that takes longer than its parts."""
+
+        def lose(cell):
+            leader = cell.leader().domain
+            other = next(d for d in ('fd-0', 'fd-1') if d != leader)
+            _lose_domain(cell, other)
+
+        self._served_again(lose)
+
+    def test_loss_of_the_domain_of_the_coordinator(self):
+        """Guards against detection that starts only after the election."""
+
+        def lose(cell):
+            _lose_domain(cell, cell.leader().domain)
+
+        self._served_again(lose)
+
+
+class OutageTest(testtools.TestCase):
+    def test_service_and_term_survive_an_outage(self):
+        """Guards against leases that end with the store."""
+        cell = _cell(1)
+        term = cell.leader().coordinator.term
+        cell.store.down = True
+        for _ in range(20):
+            cell.run(1.0)
+            self.assertTrue(cell.served())
+        cell.store.down = False
+        cell.run(3.0)
+        self.assertEqual(term, cell.leader().coordinator.term)
+
+    def test_authority_ends_with_a_candidate(self):
+        """Guards against a coordinator that acts without all promises."""
+        cell = _cell(2)
+        leader = cell.leader()
+        other = next(
+            n for n in leader.election.record.candidates if n != leader.name
+        )
+        cell.store.down = True
+        cell.run(2.0)
+        cell.routers[other].dead = True
+        cell.run(lease.PROMISE_SECONDS + 0.3)
+        self.assertIsNone(cell.leader())
+
+    def test_graceful_leave_keeps_authority(self):
+        """Guards against an outage that ends service at a restart."""
+        cell = _cell(3)
+        leader = cell.leader()
+        other = next(
+            n for n in leader.election.record.candidates if n != leader.name
+        )
+        cell.store.down = True
+        cell.run(2.0)
+        cell.routers[other].agent.leaving = True
+        cell.run(2.0)
+        cell.routers[other].dead = True
+        cell.run(5.0)
+        self.assertTrue(cell.served())
+
+
+class PlanTest(testtools.TestCase):
+    def test_drain_and_return_of_a_domain(self):
+        """Guards against work on a drained domain and a lost return."""
+        cell = _cell(4)
+        cell.put_drains(failure_domains=['fd-1'])
+
+        def drained():
+            return not {'u10', 'u11'} & set(cell.owners())
+
+        cell.run(RECOVERY_SECONDS, drained)
+        cell.run(RECOVERY_SECONDS, cell.served)
+        cell.put_drains()
+        cell.run(10.0, lambda: len(set(cell.owners().values())) == 1)
+
+    def test_balanced_cell_stays_as_it_is(self):
+        """Guards against moves that gain nothing."""
+        cell = _cell(5)
+        cell.run(5.0)
+        before = cell.store.versions[f'cell/{fakes.CELL}/table/ledger/0']
+        cell.run(20.0)
+        after = cell.store.versions[f'cell/{fakes.CELL}/table/ledger/0']
+        self.assertEqual(before, after)
+
+    def test_change_of_layout_raises_every_fence(self):
+        """Guards against a key that two layouts give to two owners."""
+        cell = _cell(6)
+        key = f'cell/{fakes.CELL}/table/ledger/0'
+        before = ownership.OwnershipTable.decode(cell.store.values[key], 1)
+        ranges = [manifest.KeyRange('x', 'ledger', 'a', 'c', ('u20',), 8)]
+        cell.put_manifest(ranges=ranges)
+        cell.run(RECOVERY_SECONDS)
+        self.assertTrue(cell.served())
+        after = ownership.OwnershipTable.decode(cell.store.values[key], 1)
+        lowest = min(a.fence for _, a in after.units())
+        self.assertGreater(lowest, before.highest_fence())
+        owners = {after.shards[n].owner for n in range(8)}
+        self.assertEqual({'u20'}, owners)
+
+    def test_hot_key_gets_an_entry_and_is_folded_back(self):
+        """Guards against a hot key that can't be moved on its own."""
+        cell = _cell(7)
+        leader = cell.leader()
+        state = leader.state
+        owner = state.route('ledger', 'CAP-7').owner
+        router = cell.routers[state.dispatcher_of(owner)]
+        report = messages.UpstreamReport(
+            owner, load=0.9, rate=100.0, hot_units={'key:CAP-7': 60.0}
+        )
+        # The report must come after the regular one of the same upstream.
+        router.agent.report(report)
+        router.agent.heartbeat_due = True
+        cell.run(RECOVERY_SECONDS)
+        self.assertEqual('key:CAP-7', state.route('ledger', 'CAP-7').unit)
+        self.assertTrue(cell.served())
+        cell.run(70.0)
+        unit = state.route('ledger', 'CAP-7').unit
+        self.assertNotEqual('key:CAP-7', unit)
+        self.assertTrue(cell.served())
+
+    def test_removed_upstream_gives_up_its_units(self):
+        """Guards against units of an upstream that nobody dispatches to."""
+        cell = _cell(8)
+        made = fakes.make_manifest(2, 3, 2)
+        service = made.services['ledger']
+        gone = made.upstreams.pop('u00')
+        service.upstreams.remove(gone)
+        cell.manifests[2] = made
+        cell.store.put('manifest', made.text.encode())
+        cell.run(RECOVERY_SECONDS, lambda: 'u00' not in cell.owners())
+        cell.run(RECOVERY_SECONDS, cell.served)
+
+
+class DistributionTest(testtools.TestCase):
+    def test_older_parts_are_ignored(self):
+        """Guards against a late update that takes a router back."""
+        cell = _cell(9)
+        router = next(iter(cell.routers.values()))
+        late = router.state.make_update()
+        cell.put_drains(upstreams=['u20'])
+        cell.run(RECOVERY_SECONDS)
+        before = router.state.versions()
+        self.assertEqual(set(), router.agent.on_state(late))
+        self.assertEqual(before, router.state.versions())
+
+    def test_role_waits_for_its_tables(self):
+        """Guards against a dispatcher that grants from an old table."""
+        cell = _cell(10)
+        router = next(iter(cell.routers.values()))
+        update = router.state.make_update()
+        update.serial += 1
+        update.tables = []
+        update.table_versions['ledger'] += 1
+        self.assertEqual(set(), router.state.apply(update))
+
+    def test_late_tick_extends_leases_instead_of_evicting(self):
+        """Guards against a paused coordinator that evicts everybody."""
+        cell = _cell(11)
+        leader = cell.leader()
+        leader.paused_until = cell.clock.now() + 0.6
+        cell.run(2.0)
+        self.assertEqual(6, len(leader.coordinator.members.members))
+        self.assertTrue(cell.served())
+
+    def test_new_router_learns_everything(self):
+        """Guards against a router that joins and lags for ever."""
+        cell = _cell(12)
+        cell.start_router('r09', 'fd-0')
+        cell.run(2.0)
+        state = cell.routers['r09'].state
+        self.assertEqual(1, state.manifest.version)
+        self.assertIsNotNone(state.route('ledger', 'CAP-1').dispatcher)
+        record = json.loads(cell.store.values[f'cell/{fakes.CELL}/leader'])
+        self.assertEqual(3, len(record['candidates']))
--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,172 @@
+"""Tests of the election: promises, lost answers, pauses, restarts."""
+
+import itertools
+import random
+
+import testtools
+
+from bramleysill_kernel import clock as clock_module
+from bramleysill_kernel import effects
+from bramleysill_kernel import election
+from bramleysill_kernel import leader_record
+from bramleysill_kernel import lease
+from tests import fakes
+
+STEP = 0.1
+
+
+class _Bench(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock_module.ManualClock(50.0)
+        self.store = fakes.FakeStore(self.clock)
+        self.ops = itertools.count(1)
+
+    def make(self, name, incarnation='i1'):
+        return election.Election(
+            name,
+            incarnation,
+            'addr',
+            'c',
+            self.clock,
+            random.Random(1),
+            self.ops,
+        )
+
+    def step(self, *elections, times=1):
+        for _ in range(times):
+            self.clock.advance(STEP)
+            for one in elections:
+                self.carry_out(one, one.tick())
+
+    def carry_out(self, one, todo):
+        for effect in todo:
+            if not isinstance(effect, effects.LogEvent):
+                answer = self.store.call(one.name, effect)
+                self.carry_out(one, one.on_store_answer(effect.op, answer))
+
+    def record(self):
+        value = self.store.values['cell/c/leader']
+        return leader_record.LeaderRecord.decode(value, 1)
+
+    def elect(self, name, others=()):
+        one = self.make(name)
+        self.step(one, times=3)
+        self.assertEqual(election.LEADING, one.state)
+        if others:
+            record = self.record()
+            record.candidates.update(dict.fromkeys(others, 'i1'))
+            self.store.put('cell/c/leader', record.encode())
+        return one
+
+
+class ElectionTest(_Bench):
+    def test_first_start_elects_one(self):
+        """Guards against two routers that lead a new cell."""
+        some = [self.make(f'r{n}') for n in range(5)]
+        self.step(*some, times=30)
+        states = [one.state for one in some]
+        self.assertEqual(1, states.count(election.LEADING))
+        self.assertEqual(1, self.record().term)
+
+    def test_candidate_waits_for_its_promise(self):
+        """Guards against a second leader while promises give authority."""
+        self.elect('a', ['b'])
+        other = self.make('b')
+        other.promise(self.clock.now(), 'a')
+        until = self.clock.now() + lease.PROMISE_SECONDS
+        while self.clock.now() + STEP < until:
+            self.step(other)
+            self.assertEqual(election.FOLLOWER, other.state)
+        self.step(other, times=5)
+        self.assertEqual(election.LEADING, other.state)
+        self.assertEqual(2, self.record().term)
+
+    def test_no_promise_while_standing(self):
+        """Guards against a promise that an election breaks."""
+        one = self.make('a')
+        self.clock.advance(STEP)
+        todo = one.tick()
+        while one.state == election.FOLLOWER:
+            answer = self.store.call('a', todo[0])
+            todo = one.on_store_answer(todo[0].op, answer)
+        self.assertEqual(election.STANDING, one.state)
+        self.assertFalse(one.promise(self.clock.now(), 'b'))
+
+    def test_router_that_is_no_candidate_does_not_stand(self):
+        """Guards against a leader whose promise nobody asked for."""
+        self.elect('a', ['b'])
+        other = self.make('x')
+        self.step(other, times=50)
+        self.assertEqual(election.FOLLOWER, other.state)
+
+    def test_total_loss_lets_any_router_stand_after_30_s(self):
+        """Guards against a cell without candidates that never recovers."""
+        self.elect('a', ['b'])
+        other = self.make('x')
+        other.on_vm_list(['x', 'y'])
+        self.step(other, times=300)
+        self.assertEqual(election.FOLLOWER, other.state)
+        self.step(other, times=30)
+        self.assertEqual(election.LEADING, other.state)
+        self.assertEqual({'x': 'i1'}, self.record().candidates)
+
+    def test_lost_answer_of_each_write_is_resolved(self):
+        """Guards against an election that is won and not known."""
+        for lost in (1, 2, 3):
+            one = self.make(f'n{lost}')
+            self.store.values.clear()
+            self.store.lose_answers = lost
+            self.step(one, times=40)
+            self.assertEqual(election.LEADING, one.state)
+
+    def test_pause_before_office_gives_up(self):
+        """Guards against office under a lease that lapsed in a pause."""
+        one = self.make('a')
+        self.clock.advance(STEP)
+        todo = one.tick()
+        while not (
+            isinstance(todo[0], effects.StoreWrite)
+            and todo[0].key == 'cell/c/leader'
+        ):
+            answer = self.store.call('a', todo[0])
+            todo = one.on_store_answer(todo[0].op, answer)
+        answer = self.store.call('a', todo[0])
+        self.clock.advance(lease.LEADER_LEASE_SECONDS)
+        one.on_store_answer(todo[0].op, answer)
+        self.assertEqual(election.FOLLOWER, one.state)
+
+    def test_restart_waits_and_asks_the_last_coordinator(self):
+        """Guards against breaking a predecessor's promise without an end."""
+        self.elect('a', ['b'])
+        again = self.make('b', 'i2')
+        self.step(again, times=40)
+        self.assertEqual(election.FOLLOWER, again.state)
+        again.note_not_leading('a', 1)
+        self.step(again, times=5)
+        self.assertEqual(election.LEADING, again.state)
+
+    def test_restarted_coordinator_takes_its_own_place(self):
+        """Guards against a restart of all routers that elects nobody."""
+        self.elect('a', ['b'])
+        again = self.make('a', 'i2')
+        self.step(again, times=11)
+        self.assertEqual(election.FOLLOWER, again.state)
+        self.step(again, times=8)
+        self.assertEqual(election.LEADING, again.state)
+
+    def test_lapsed_lease_is_regained_only_under_the_same_record(self):
+        """Guards against a leader that overlooks its successor's term."""
+        one = self.elect('a')
+        self.store.leases.clear()
+        del self.store.values['cell/c/lease']
+        self.step(one, times=5)
+        self.assertEqual(election.LEADING, one.state)
+        record = self.record()
+        record.term += 1
+        self.store.put('cell/c/leader', record.encode())
+        self.store.leases.clear()
+        del self.store.values['cell/c/lease']
+        self.step(one, times=10)
+        # The old office was given up; the new one has a term of its own.
+        self.assertEqual((election.LEADING, 3), (one.state, one.term))
--- /dev/null
+++ b/tests/test_grants.py
@@ -0,0 +1,132 @@
+"""Tests of grants, on both sides, and of lease arithmetic."""
+
+import testtools
+
+from bramleysill_kernel import clock as clock_module
+from bramleysill_kernel import grants
+from bramleysill_kernel import lease
+
+
+class _Agent:
+    name = 'r1'
+    lease_deadline = 11.2
+    holds = True
+
+    def may_dispatch(self, upstream):
+        return self.holds
+
+
+class LeaseTest(testtools.TestCase):
+    def test_grantor_outlasts_holder_at_the_largest_rate_error(self):
+        """Guards against a holder whose clock is slow by the limit."""
+        length = lease.ROUTER_LEASE_SECONDS
+        slow_holder = lease.holder_deadline(0.0, length) / (
+            1 - lease.CLOCK_RATE_ERROR
+        )
+        self.assertLess(slow_holder, lease.grantor_deadline(0.0, length))
+
+
+class GrantKeeperTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = clock_module.ManualClock(10.0)
+        self.agent = _Agent()
+        self.keeper = grants.GrantKeeper('u', self.agent, self.clock)
+        self.keeper.set_role((1, 1))
+
+    def test_grant_nests_in_the_router_lease(self):
+        """Guards against a grant that outlives its dispatcher's lease."""
+        self.assertIsNone(self.keeper.make_grant({'1': 1}))
+        self.keeper.on_answer(5000, 'e')
+        body = self.keeper.make_grant({'1': 1})
+        self.assertEqual(5900, body['until_clock_ms'])
+        self.clock.advance(0.7)
+        self.keeper.on_answer(5700, 'e')
+        body = self.keeper.make_grant({'1': 1})
+        self.assertLessEqual(body['until_clock_ms'], 6200)
+        self.assertLessEqual(
+            self.keeper.lapse_bound, self.agent.lease_deadline + 1e-9
+        )
+
+    def test_old_reading_grants_nothing(self):
+        """Guards against a grant from a reading of before a pause."""
+        self.keeper.on_answer(5000, 'e')
+        self.clock.advance(2.0)
+        self.agent.lease_deadline = 20.0
+        self.assertIsNone(self.keeper.make_grant({'1': 1}))
+
+    def test_stopped_unit_is_left_out_until_its_fence_grows(self):
+        """Guards against a unit that is granted again after Released."""
+        self.keeper.on_answer(5000, 'e')
+        self.keeper.stop('1', 1)
+        self.assertEqual({}, self.keeper.make_grant({'1': 1})['units'])
+        self.assertEqual({'1': 1}, self.keeper.stopped({'1': 1}))
+        self.assertEqual({'1': 2}, self.keeper.make_grant({'1': 2})['units'])
+        self.assertEqual({}, self.keeper.stopped({'1': 2}))
+
+    def test_only_a_newer_generation_ends_a_suspension(self):
+        """Guards against a late grant of an upstream reported as lapsed."""
+        self.keeper.on_answer(5000, 'e')
+        self.keeper.suspend()
+        self.keeper.set_role((1, 1))
+        self.assertIsNone(self.keeper.make_grant({'1': 1}))
+        self.keeper.set_role((1, 2))
+        self.assertIsNotNone(self.keeper.make_grant({'1': 1}))
+
+    def test_unchecked_upstream_lapses_after_settle(self):
+        """Guards against a frozen process that runs its socket buffer."""
+        keeper = grants.GrantKeeper('u', self.agent, self.clock, False, 30.0)
+        self.assertEqual(lease.NEVER, keeper.lapse_bound)
+        keeper.note_sent()
+        self.assertGreaterEqual(keeper.lapse_bound, 40.0)
+        keeper.note_finished()
+        self.assertEqual(lease.NEVER, keeper.lapse_bound)
+
+    def test_single_key_waits_for_the_grants_of_its_shard(self):
+        """Guards against a key that still runs under its shard's fence."""
+        self.keeper.on_answer(5000, 'e')
+        self.keeper.make_grant({'1': 1})
+        self.keeper.stop('key:K', 2)
+        self.assertFalse(self.keeper.may_confirm('key:K', 2))
+        self.assertGreater(self.keeper.unit_lapse_bound('key:K'), 10.8)
+
+
+def _command(units, until=1000, generation=(1, 1), epoch='e'):
+    return {
+        'generation': list(generation),
+        'until_clock_ms': until,
+        'epoch': epoch,
+        'units': units,
+    }
+
+
+class GrantTableTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = grants.GrantTable('e')
+        self.table.apply(_command({'1': 3}), 0)
+
+    def test_reasons(self):
+        """Guards against a request that runs without its grant."""
+        self.assertEqual('', self.table.check('1', 3, 999))
+        self.assertEqual('expired', self.table.check('1', 3, 1000))
+        self.assertEqual('stale_fence', self.table.check('1', 2, 0))
+        self.assertEqual('no_grant', self.table.check('2', 1, 0))
+
+    def test_older_generation_and_other_epoch_are_refused(self):
+        """Guards against a former dispatcher and a grant of before a start."""
+        self.assertEqual(200, self.table.apply(_command({}, 1, (2, 0)), 0))
+        self.assertEqual(409, self.table.apply(_command({'1': 4}), 0))
+        late = _command({'1': 4}, epoch='d', generation=(3, 0))
+        self.assertEqual(409, self.table.apply(late, 0))
+        self.assertEqual('no_grant', self.table.check('1', 3, 0))
+
+    def test_delayed_grant_does_not_revive_a_released_unit(self):
+        """Guards against a grant that a release overtook on its way."""
+        self.table.release('1', 3)
+        delayed = _command({'1': 3}, until=1100)
+        self.table.apply(delayed, 0)
+        self.assertEqual('no_grant', self.table.check('1', 3, 0))
+        self.assertEqual({'1': 3}, self.table.barred(delayed['units']))
+        self.table.apply(_command({'1': 4}, until=1200), 0)
+        self.assertEqual('', self.table.check('1', 4, 0))
