--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -101,8 +101,8 @@
     def test_drain_is_told_after_connecting(self):
         """Guards against an upload that waits for a drain for ever.
 
-        All bytes written while connecting went out at once, so that the
-        send buffer never filled and no drain followed.
+        Bytes written while connecting go out at once, so that the send
+        buffer never fills; the end of connecting must count as a drain.
         """
         sink = _DrainSink(None)
         self._exchange(self._conn(), sink)
