--- a/packages/kernel/src/bramleysill_kernel/coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/coordinator.py
@@ -143,6 +143,10 @@
             if m.name != self.name
         ]
 
+    def units_moving(self, service):
+        """Return the targets of units on their way, as a dict."""
+        return self._writer.moving(service)
+
     # Input.
 
     def on_manifest(self, manifest):
--- a/packages/router/src/bramleysill_router/process.py
+++ b/packages/router/src/bramleysill_router/process.py
@@ -22,6 +22,7 @@
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 from bramleysill_router.metrics import Metrics
+from bramleysill_router.metrics import unit_gauges
 from bramleysill_router.peer_links import PeerLinks
 from bramleysill_router.remote import RemoteAttempt
 from bramleysill_router.remote import StreamRouter
@@ -139,6 +140,7 @@
         self._control.on_changed = self._on_changed
         self.metrics.add_gauge(self.dispatchers.gauges)
         self.metrics.add_gauge(self._gauges)
+        self.metrics.add_gauge(self._unit_gauges)
 
     def _listen(self):
         cfg = self.cfg
@@ -156,6 +158,8 @@
         self.dispatchers.on_state_changed()
         self.locator.on_state_changed()
         self.entry.on_state_changed()
+        if self.state.manifest is not None:
+            self.metrics.note_drained(self.state.manifest, self.state.drained)
 
     def _is_busy(self, upstream):
         return self.dispatchers.is_busy(upstream)
@@ -255,6 +259,12 @@
             'events': dict(self.metrics.events),
         }
 
+    def _unit_gauges(self):
+        coordinator = self._control.coordinator
+        if coordinator is None:
+            return ()
+        return unit_gauges(self.state.tables, coordinator.units_moving)
+
     def _gauges(self):
         left = 0.0
         if self.agent.has_lease():
--- a/packages/router/src/bramleysill_router/settings.py
+++ b/packages/router/src/bramleysill_router/settings.py
@@ -14,6 +14,8 @@
 """
 
 import configparser
+import ipaddress
+import math
 
 from bramleysill_kernel.exceptions import SettingsError
 
@@ -41,7 +43,7 @@
 def parse_address(text, option='address'):
     """Return (host, port) of `host:port`; raises SettingsError."""
     host, colon, port = text.strip().rpartition(':')
-    if not colon or not host or not port.isdecimal():
+    if not colon or not _is_ip(host) or not port.isdecimal():
         raise SettingsError(
             f'{option} is {text!r}', 'settings', hint='Write IP:PORT.'
         )
@@ -55,6 +57,14 @@
     return host, number
 
 
+def _is_ip(host):
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
 class Settings:
     """Checked settings; addresses are (host, port) pairs."""
 
@@ -91,7 +101,7 @@
         value = float(text)
     except ValueError:
         value = -1.0
-    if value <= 0:
+    if value <= 0 or not math.isfinite(value):
         raise SettingsError(
             f'{option} is {text!r}',
             'settings',
