Keep the latency of candidates that do not answer

Cause: relax shrank the latency of a frozen candidate with work in flight, which made it look faster.

Change: relax applies to candidates without work in flight only.

--- a/packages/kernel/src/bramleysill_kernel/balancer.py
+++ b/packages/kernel/src/bramleysill_kernel/balancer.py
@@ -68,8 +68,12 @@
         self.answered_at = now
 
     def relax(self, now):
-        """Let the latency shrink if it is no longer known to be true."""
-        if now - self.answered_at > STALE_SECONDS:
+        """Let the latency shrink if it is no longer known to be true.
+
+        A candidate with work in flight that does not answer may be frozen;
+        its latency stays.
+        """
+        if not self.in_flight and now - self.answered_at > STALE_SECONDS:
             self.latency *= RELAX_FACTOR
 
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -61,6 +61,13 @@
         self.assertEqual(0.01, fast.latency)
         self.assertEqual('s', balancer.pick([slow, fast]).name)
 
+    def test_latency_of_a_silent_candidate_with_work_stays(self):
+        """Guards against more and more work for a frozen upstream."""
+        frozen = Candidate('f', in_flight=1)
+        frozen.note_answer(0.5, 0.0)
+        frozen.relax(9.0)
+        self.assertEqual(0.5, frozen.latency)
+
     def test_equal_candidates_share_evenly(self):
         """Guards against a bias of the random choice."""
         for balancer in self._each():
