Keep reused connections readable and unknown outcomes unknown

Cause: a connection that was paused when its last bytes had been read went back to the pool paused, and the next exchange on it never read its answer (found with uploads and downloads mixed, since connections are reused). A lookup whose link was lost after it ran was retried and then refused with outcome not_run. A fault in one control message cut the link to the peer with all its requests; it was seen because the wiring of a metric was wrong.

Ruled out: credit on peer links (the stuck requests were local too), slow start.

Change: an exchange starts reading; an exchange that may have run refuses with outcome unknown; messages are handled one by one; a test builds the whole process.

--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -78,6 +78,8 @@
         self._in_body = False
         self.sent_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
+        # The exchange before may have ended while it was held back.
+        self.conn.resume()
         self.write(data)
 
     def write(self, data):
--- a/packages/router/src/bramleysill_router/dispatcher.py
+++ b/packages/router/src/bramleysill_router/dispatcher.py
@@ -237,6 +237,16 @@
             waiting.remove(job)
             job.abort()
             return
+        log_request(
+            role='dispatcher',
+            request_id=job.head.request_id,
+            upstream=self.upstream.name,
+            unit=job.head.unit,
+            result='cancelled',
+            state=job.work.state,
+            buffered=job.buffered,
+            in_flight=self.admission.in_flight,
+        )
         self.admission.cancel(job.work)
         if job not in self._jobs:
             job.abort()
--- a/packages/router/src/bramleysill_router/exchange.py
+++ b/packages/router/src/bramleysill_router/exchange.py
@@ -62,6 +62,7 @@
         '_attempted_at',
         '_phase',
         '_sent_whole',
+        '_may_have_run',
     )
 
     def __init__(self, entry, stream, req, request_id):
@@ -89,6 +90,7 @@
         self._attempted_at = None
         self._phase = _ENDED
         self._sent_whole = False
+        self._may_have_run = False
         stream.on_drained = self._on_caller_drained
 
     # The caller's body.
@@ -282,6 +284,8 @@
         self._phase = _ENDED
         self._attempt = None
         self._note_end(False)
+        if refusal.outcome != OUTCOME_NOT_RUN:
+            self._may_have_run = True
         if self.over:
             return
         if self._stream.started:
@@ -304,6 +308,9 @@
         """Answer with a problem document."""
         if self.over:
             return
+        if self._may_have_run:
+            # An earlier attempt may have run, whatever the last one says.
+            refusal.outcome = OUTCOME_UNKNOWN
         self._finish(refusal.code, refusal)
         status, fields, body = to_problem(refusal, self._id)
         fields.append(('Sill-Request-Id', self._id))
--- a/packages/router/src/bramleysill_router/peer_links.py
+++ b/packages/router/src/bramleysill_router/peer_links.py
@@ -4,6 +4,8 @@
 versions are compared in the first frame and a mismatch closes the link.
 """
 
+from absl import logging
+
 from bramleysill_kernel import messages
 from bramleysill_kernel.exceptions import FrameError
 from bramleysill_net.conn import Conn
@@ -237,12 +239,16 @@
         """Pass on messages of a link."""
         control = False
         for message in found:
-            kind = type(message)
-            if kind.__module__ == _STREAMS_MODULE:
-                self.on_stream(link, message)
-            else:
-                control = True
-                self.on_control(link, message)
+            is_stream = type(message).__module__ == _STREAMS_MODULE
+            control = control or not is_stream
+            handle = self.on_stream if is_stream else self.on_control
+            try:
+                handle(link, message)
+            except Exception:
+                # A fault in the handling of one message must not end the
+                # link, and with it all requests of other callers.
+                logging.exception('event=message_error peer=%s', link.router)
+                self._metrics.events['message_error'] += 1
         if control:
             self._metrics.control_bytes['received'] += size
 
--- a/packages/router/src/bramleysill_router/process.py
+++ b/packages/router/src/bramleysill_router/process.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+from circuits.net import events
+
 from bramleysill_kernel import messages
 from bramleysill_kernel import refusals
 from bramleysill_kernel.election import Election
@@ -65,6 +67,17 @@
         self.loop.run()
         log_event('stopped', router=self.cfg.name)
 
+    def apply_state(self, router, update):
+        """Take a StateUpdate that a router has sent."""
+        self._control.on_message(router, update)
+
+    def close(self):
+        """Release the sockets of a process that does not run."""
+        self._listener.close()
+        self.links.close()
+        self.loop.fire(events.close(), self._admin.channel)
+        self.loop.flush()
+
     # Building.
 
     def _build_control(self):
@@ -146,7 +159,7 @@
         cfg = self.cfg
         self.links.listen(*cfg.peer_listen)
         self._listener = Listener(self.loop, *cfg.listen, self.entry.accept)
-        serve_admin(self.loop, cfg.admin_listen, self)
+        self._admin = serve_admin(self.loop, cfg.admin_listen, self)
 
     # Running.
 
@@ -158,8 +171,9 @@
         self.dispatchers.on_state_changed()
         self.locator.on_state_changed()
         self.entry.on_state_changed()
-        if self.state.manifest is not None:
-            self.metrics.note_drained(self.state.manifest, self.state.drained)
+        self.metrics.note_failure_domains(
+            self.state.manifest, self.state.drained
+        )
 
     def _is_busy(self, upstream):
         return self.dispatchers.is_busy(upstream)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -219,6 +219,19 @@
         self.assertEqual(502, status)
         self.assertIn(b'"outcome":"unknown"', body)
 
+    def test_retry_does_not_hide_an_unknown_outcome(self):
+        """Guards against not_run after an earlier attempt may have run.
+
+        Seen in the demo: a lookup lost its link after it had run, and the
+        retry was refused with not_dispatcher and outcome not_run.
+        """
+        exchange = self._start()
+        exchange.on_refused(refusals.ConnectionLost('lost', 's', 'u'))
+        self.entry.loop.advance(0.02)
+        exchange.on_refused(refusals.UpstreamShed('shed', 's', 'u'))
+        _, _, body = self.stream.sent
+        self.assertIn(b'"outcome":"unknown"', body)
+
     def test_cut_answer_cuts_the_connection(self):
         """Guards against a partial answer that looks whole."""
         exchange = self._start()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -107,3 +107,14 @@
         sink = _DrainSink(None)
         self._exchange(self._conn(), sink)
         self.assertEqual(1, sink.drains)
+
+    def test_connection_that_ended_paused_reads_again(self):
+        """Guards against a reused connection that never reads its answer.
+
+        The caller of a download was slow, so that the connection was paused
+        when the last bytes had already been read.
+        """
+        conn = self._conn()
+        self._exchange(conn)
+        conn.pause()
+        self.assertEqual((200, b'0'), self._exchange(conn))
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,112 @@
+"""Tests of the router process as it is wired together."""
+
+import configparser
+import random
+
+import testtools
+
+from bramleysill_kernel import messages
+from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.planner import Planner
+from bramleysill_kernel.state import full_table
+from bramleysill_router.process import RouterProcess
+from bramleysill_router.settings import check_options
+
+MANIFEST = """
+[manifest]
+region = r
+cell = c
+[failure_domain a]
+[service ledger]
+kind = keyed
+path = /ledger/
+shards = 8
+[service intake]
+kind = shared
+path = /intake/
+[upstream u1]
+service = ledger
+failure_domain = a
+address = 127.0.0.1:1
+[upstream u2]
+service = intake
+failure_domain = a
+address = 127.0.0.1:2
+"""
+
+SETTINGS = {
+    'name': 'r1',
+    'cell': 'c',
+    'failure_domain': 'a',
+    'listen': '127.0.0.1:0',
+    'peer_listen': '127.0.0.1:0',
+    'admin_listen': '127.0.0.1:0',
+    'store': '127.0.0.1:1',
+}
+
+
+class _Losses:
+    conditions = {}
+
+    def usable(self, upstream):
+        return True
+
+
+def make_update(term=1, serial=1):
+    """Return a whole state with one keyed and one shared upstream."""
+    manifest = parse_manifest(MANIFEST, 'm', 1)
+    planner = Planner(manifest, frozenset(), _Losses(), random.Random(1))
+    table = planner.make_table('ledger')
+    table.version = 1
+    return messages.StateUpdate(
+        'r1',
+        term,
+        serial,
+        1,
+        MANIFEST,
+        [full_table(table)],
+        {'u1': ('r1', 1, 1), 'u2': ('r2', 1, 2)},
+        {'r1': '127.0.0.1:1', 'r2': '127.0.0.1:2'},
+        ['r1'],
+        [],
+        {'ledger': 1},
+    )
+
+
+class RouterProcessTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        parser = configparser.ConfigParser()
+        parser.read_dict({'router': SETTINGS})
+        self.process = RouterProcess(check_options(parser, 'test'))
+        self.addCleanup(self.process.close)
+
+    def test_state_reaches_all_parts(self):
+        """Guards against a part that is not wired to changes of state."""
+        self.process.apply_state('r1', make_update())
+        self.assertEqual({'ledger'}, set(self.process.state.tables))
+        self.assertIsNotNone(self.process.locator.choice('intake'))
+        body, _ = self.process.metrics.render()
+        self.assertIn(b'bramleysill_manifest_version 1', body)
+        self.assertIn(b'bramleysill_failure_domain_out', body)
+
+    def test_not_ready_without_a_lease(self):
+        """Guards against a readiness that is claimed without authority."""
+        self.assertEqual('no manifest', self.process.not_ready_reason())
+        self.process.apply_state('r1', make_update())
+        self.assertEqual('no router lease', self.process.not_ready_reason())
+        self.assertFalse(self.process.status()['ready'])
+
+    def test_faulty_message_does_not_end_the_link(self):
+        """Guards against one failing handler that cuts all requests."""
+
+        class Link:
+            router = 'r2'
+
+        def fail(link, message):
+            raise ValueError('fault')
+
+        links = self.process.links
+        links.on_control = fail
+        links.received(Link(), [messages.StateRequest('r2')], 10)
+        self.assertEqual(1, self.process.metrics.events['message_error'])
