Keep stopped units with their owner when there is no other upstream

Change: a stopped unit without another upstream goes back to its owner under the next fence, which lets the owner return.

--- a/packages/kernel/src/bramleysill_kernel/writer.py
+++ b/packages/kernel/src/bramleysill_kernel/writer.py
@@ -86,8 +86,11 @@
             return
         moving = self.moving(table.service)
         targets = planner.retarget(table, again, moving)
-        for unit, target in targets.items():
-            table.assign(unit, target)
+        for unit in again:
+            # Without another upstream the owner keeps the stopped unit,
+            # under a fence that it can be granted again.
+            owner = targets.get(unit, table.get(unit).owner)
+            table.assign(unit, owner)
 
     def _edits(self, table, planner):
         """Return splits and folds of keys whose units are not moving."""
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -196,6 +196,13 @@
             with self.subTest(faults=names, seed=seed):
                 run_faults(names, seed)
 
+    def test_coordinator_cut_off_from_all_upstreams(self):
+        """Guards against units that wait for an upstream that is not there.
+
+        All upstreams but a drained one are taken for lost at once.
+        """
+        run_faults(('partition', 'drains'), 3)
+
     def test_dispatchers_alone_keep_one_owner(self):
         """Guards upstreams without grants against two sending routers."""
         for name, seed in itertools.product(FAULTS, SEEDS_PAIRS):
