Record whole sessions as golden files

Cause: no test showed what routers, store, upstreams and callers say to each other over a whole session.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := packages tests bench model demo
 
-.PHONY: setup demo test lint format check-model bench capacity mutate
+.PHONY: setup demo test lint format check-model bench capacity mutate golden-update
 
 setup: $(STAMP)
 
@@ -42,3 +42,6 @@
 
 mutate: setup
 	$(BIN)/python -m bench.mutate
+
+golden-update: setup
+	GOLDEN_UPDATE=1 $(BIN)/python -m tests tests.test_sessions.GoldenTest
--- /dev/null
+++ b/tests/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions of a whole cell, recorded as text; see README.md."""
--- /dev/null
+++ b/tests/sessions/cell.py
@@ -0,0 +1,319 @@
+"""A cell of real routers on a manual clock, and everything around it."""
+
+import collections
+import json
+import random
+from unittest import mock
+
+from bramleysill_kernel import effects
+from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.state import RouterState
+from bramleysill_net import http_client
+from bramleysill_net.http_client import HttpClientConn
+from bramleysill_net.http_client import WholeAnswer
+from bramleysill_net.http_client import encode_request
+from bramleysill_router import peer_links
+from bramleysill_router import process
+from bramleysill_router.settings import Settings
+from tests.sessions import lines
+from tests.sessions import network
+from tests.sessions import store as store_module
+from tests.sessions import timeline
+from tests.sessions import upstream as upstream_module
+
+CELL = 'north'
+DOMAINS = ('fd-1', 'fd-2', 'fd-3')
+ROUTERS = {'r1': 'fd-1', 'r2': 'fd-2', 'r3': 'fd-3'}
+UPSTREAMS = {'u1': 'fd-1', 'u2': 'fd-2', 'u3': 'fd-3'}
+FIRST_LISTEN_PORT = 8000
+FIRST_PEER_PORT = 9000
+FIRST_UPSTREAM_PORT = 7000
+# Routers start apart, so that they do not act in the same millisecond.
+START_GAP_SECONDS = 0.013
+
+_HEAD = """\
+[manifest]
+region = north
+
+[service ledger]
+kind = keyed
+path = /ledger/
+shards = 8
+timeout_ms = 2000
+max_body_bytes = 10000000
+
+[route ledger lookups]
+methods = GET
+repeatable = yes
+
+[route ledger openings]
+methods = POST
+suffix = openings
+repeatable = no
+"""
+
+
+def make_sheet(upstreams, extra=''):
+    """Return a manifest of these upstreams and their failure domains."""
+    text = _HEAD + extra
+    for name in sorted(set(upstreams.values())):
+        text += f'\n[failure_domain {name}]\n'
+    for name, domain in upstreams.items():
+        text += (
+            f'\n[upstream {name}]\nservice = ledger\n'
+            f'failure_domain = {domain}\n'
+            f'address = 127.0.0.1:{FIRST_UPSTREAM_PORT + int(name[1:])}\n'
+        )
+    return text.encode()
+
+
+class SessionMetrics:
+    """Counts like Metrics, whose registry takes one router per process."""
+
+    def __init__(self):
+        self.requests = collections.Counter()
+        self.control_bytes = collections.Counter()
+        self.events = collections.Counter()
+
+    def observe(self, service, code, seconds):
+        """Count a request."""
+        self.requests[service, code] += 1
+
+    def add_gauge(self, callback):
+        """Gauges are not read in sessions."""
+
+
+class SessionRouter(process.RouterProcess):
+    """A router process on the session's loop, network and store."""
+
+    def __init__(self, cell, name, domain):
+        number = int(name[1:])
+        self.cfg = Settings(
+            {
+                'name': name,
+                'cell': CELL,
+                'failure_domain': domain,
+                'listen': f'127.0.0.1:{FIRST_LISTEN_PORT + number}',
+                'peer_listen': f'127.0.0.1:{FIRST_PEER_PORT + number}',
+                'admin_listen': '127.0.0.1:0',
+                'store': '127.0.0.1:0',
+                'seeds': '',
+                'store_client': 'http',
+                'grace_s': '30',
+            }
+        )
+        self.loop = cell.process(name)
+        self.metrics = SessionMetrics()
+        self._rng = random.Random(f'{cell.seed} {name}')
+        self._incarnation = f'{name}-{cell.next_number()}'
+        self._shutdown_deadline = None
+        self.state = RouterState(parse_manifest)
+        self._store = store_module.StoreLink(cell.store, self.loop)
+        self._build_control()
+        self._build_request_path()
+        self._connect_parts()
+        self.links.listen(*self.cfg.peer_listen)
+        accept = self.entry.accept
+        self._listener = cell.network.listener(
+            self.loop, *self.cfg.listen, accept
+        )
+        self._control.start()
+        self.loop.call_every(process.DISPATCH_TICK_SECONDS, self._tick)
+
+    @property
+    def coordinator(self):
+        """Return the coordinator object while this router leads."""
+        return self._control.coordinator
+
+
+class Cell:
+    """The parts of a session; used as a context manager."""
+
+    def __init__(self, seed=1, upstreams=UPSTREAMS, extra=''):
+        self.seed = seed
+        self.timeline = timeline.Timeline()
+        self.timeline.on_error = self._on_error
+        self.recorder = timeline.Recorder(self.timeline)
+        self.errors = set()
+        self.network = network.Network(self.recorder)
+        self.network.routers = set(ROUTERS)
+        store_loop = self.process('store')
+        self.store = store_module.SessionStore(store_loop, self.recorder)
+        # What a script leaves for its test.
+        self.marked = ''
+        self.tables_seen = {}
+        self.answers = {}
+        self.outcomes = {}
+        self.upstreams = {}
+        self.routers = {}
+        self._callers = {}
+        self._numbers = 0
+        self._upstreams = upstreams
+        self._extra = extra
+        self._patches = [
+            mock.patch.object(http_client, 'Conn', self.network),
+            mock.patch.object(peer_links, 'Conn', self.network),
+            mock.patch.object(peer_links, 'Listener', self.network.listener),
+        ]
+
+    def __enter__(self):
+        for patch in self._patches:
+            patch.start()
+        for number, name in enumerate(self._upstreams, 1):
+            self.add_upstream(name, number * 1000.0)
+        self.put('operator', 'manifest', self.sheet())
+        self.run(0.1)
+        for name, domain in ROUTERS.items():
+            self.routers[name] = SessionRouter(self, name, domain)
+            self.store.vms.append(name)
+            self.run(self.now + START_GAP_SECONDS)
+        return self
+
+    def __exit__(self, *exc_info):
+        for patch in self._patches:
+            patch.stop()
+
+    @property
+    def now(self):
+        """Return the seconds since the session began."""
+        return self.timeline.time - timeline.START_SECONDS
+
+    def run(self, seconds):
+        """Let the session reach a time."""
+        self.timeline.run(seconds)
+
+    def note(self, text):
+        """Record what the script does."""
+        self.recorder.note(text)
+
+    def process(self, name):
+        """Return a process on the session's clock."""
+        return timeline.Process(self.timeline, name)
+
+    def next_number(self):
+        """Return a number for each incarnation."""
+        self._numbers += 1
+        return self._numbers
+
+    def sheet(self, upstreams=None):
+        """Return a manifest's bytes."""
+        return make_sheet(upstreams or self._upstreams, self._extra)
+
+    def add_upstream(self, name, offset):
+        """Start an upstream whose clock differs by `offset` seconds."""
+        loop = self.process(name)
+        made = upstream_module.SessionUpstream(loop, self.recorder, offset)
+        port = FIRST_UPSTREAM_PORT + int(name[1:])
+        self.network.listener(loop, '127.0.0.1', port, made.accept)
+        self.upstreams[name] = made
+
+    def leader(self):
+        """Return the router that leads; the newest term counts."""
+        found = [
+            r
+            for r in self.routers.values()
+            if r.coordinator is not None and not r.loop.stopped
+        ]
+        return max(found, key=lambda r: r.coordinator.term, default=None)
+
+    def table(self):
+        """Return unit -> (owner, fence) as the store has it."""
+        value = self.store.values[f'cell/{CELL}/table/ledger/0']
+        return lines.table_fields(value, 0)
+
+    def owner_of(self, key):
+        """Return upstream and dispatcher of a key."""
+        for router in self.routers.values():
+            place = router.state.route('ledger', key)
+            if not router.loop.stopped and place is not None:
+                return place.owner, place.dispatcher
+        return None
+
+    # Operators.
+
+    def put(self, operator, key, value, expected=0, after=0.0):
+        """Write a key by compare-and-swap; the result goes to `outcomes`."""
+        loop = self.process(operator)
+        link = store_module.StoreLink(self.store, loop)
+        if not isinstance(value, bytes):
+            value = json.dumps(value).encode()
+        effect = effects.StoreWrite(0, key, value, expected)
+
+        def answered(answer):
+            self.outcomes[operator] = (answer.result, answer.version)
+
+        loop.call_later(after, lambda: link.execute(effect, answered))
+
+    # Callers.
+
+    def call(
+        self, name, router, method, path, headers=(), body=None, pieces=()
+    ):
+        """Send a request; its answer goes to `answers[name]`.
+
+        `pieces` holds (seconds, bytes): a body that is sent slowly.
+        """
+        loop = self._callers.get(name)
+        if loop is None:
+            loop = self._callers[name] = self.process(name)
+        port = FIRST_LISTEN_PORT + int(router[1:])
+        shown = {k.lower(): v for k, v in headers}
+        if body is not None:
+            shown['body'] = len(body)
+        if pieces:
+            length = sum(len(data) for _, data in pieces)
+            shown['body'] = f'{length} in {len(pieces)} pieces'
+            headers = [*headers, ('Content-Length', str(length))]
+        self.recorder.message(name, router, f'{method} {path}', **shown)
+
+        def answered(status, fields, data):
+            self._answered(name, router, status, fields, data)
+            conn.close()
+
+        conn = HttpClientConn(loop, '127.0.0.1', port)
+        request = encode_request(method, path, 'cell', headers, body)
+        conn.request(request, WholeAnswer(answered))
+        for after, data in pieces:
+            loop.call_later(after, lambda piece=data: conn.write(piece))
+
+    def _on_error(self, process, exc):
+        text = repr(exc).replace(' ', '')
+        self.errors.add(f'{process.name} failed: {text}')
+        self.recorder.message(
+            process.name, 'log', 'timer_error', True, error=text
+        )
+
+    def _answered(self, name, router, status, fields, data):
+        shown = {'status': status}
+        if 'problem' in fields.get('content-type', ''):
+            problem = json.loads(data)
+            shown['code'] = problem['code']
+            shown['outcome'] = problem['outcome']
+        elif data:
+            shown['body'] = data.decode().replace(' ', '_')
+        self.answers.setdefault(name, []).append(shown)
+        self.recorder.message(router, name, 'answer', **shown)
+
+    # Checks.
+
+    def runs(self, target):
+        """Return how often a request ran, over all upstreams."""
+        return sum(
+            ran[1] == target for u in self.upstreams.values() for ran in u.ran
+        )
+
+    def faults(self):
+        """Return the violations of section 1.1 that this session shows."""
+        found = sorted(self.errors)
+        ran = [r for u in self.upstreams.values() for r in u.ran]
+        for run in sorted(set(ran)):
+            if run[0] == 'POST' and ran.count(run) > 1:
+                found.append(f'{run[1]} ran {ran.count(run)} times')
+        for name, up in self.upstreams.items():
+            if up.overload:
+                found.append(f'{name} was overloaded while cold')
+        for name, answers in self.answers.items():
+            found += [
+                f'{name} got no answer' for a in answers if not a['status']
+            ]
+        return found
--- /dev/null
+++ b/tests/sessions/lines.py
@@ -0,0 +1,148 @@
+"""The fields by which a message is shown."""
+
+import collections
+import dataclasses
+import json
+
+from bramleysill_kernel import messages
+from bramleysill_kernel import ownership
+from bramleysill_wire import streams
+
+# A held request is tried again every 50 ms with the same refusal, and
+# confirmations are repeated every second until they have an effect.
+ROUTINE = (
+    messages.Heartbeat,
+    messages.HeartbeatReply,
+    messages.Lapsed,
+    messages.Released,
+    streams.StreamOpen,
+    streams.StreamReset,
+)
+
+
+def record_message(recorder, sender, receiver, message, requests):
+    """Record a message between two routers.
+
+    `requests` maps streams of links to request ids, which say more.
+    """
+    kind = type(message).__name__
+    show = _SHOWN.get(type(message), _all_fields)
+    fields = show(message)
+    if hasattr(message, 'stream'):
+        stream = (*sorted((sender, receiver)), message.stream)
+        if isinstance(message, streams.StreamOpen):
+            requests[stream] = message.request_id
+        fields = {'id': requests[stream], **fields}
+    routine = isinstance(message, ROUTINE)
+    recorder.message(sender, receiver, kind, routine, **fields)
+
+
+def names(found):
+    """Return names in order, or a dash for none."""
+    return ','.join(sorted(found)) or '-'
+
+
+def table_fields(value, version):
+    """Return the owners and fences of a table's units."""
+    table = ownership.OwnershipTable.decode(value, version)
+    owned = collections.defaultdict(list)
+    for unit, held in table.units():
+        owned[held.owner or 'nobody'].append(f'{unit}/{held.fence}')
+    return {o: ','.join(units) for o, units in sorted(owned.items())}
+
+
+def store_fields(key, value):
+    """Return what a store value says, by its key."""
+    if '/table/' in key:
+        return table_fields(value, 0)
+    if not value:
+        return {}
+    if key == 'manifest':
+        text = value.decode()
+        return {'upstreams': text.count('[upstream '), 'bytes': len(value)}
+    found = json.loads(value)
+    if key.endswith('/leader'):
+        return {
+            'term': found['term'],
+            'holder': found['holder'],
+            'candidates': names(found['candidates']),
+        }
+    if key.endswith('/lease'):
+        return {'holder': found['holder']}
+    return {k: names(v) for k, v in found.items()}
+
+
+def _heartbeat(message):
+    found = {'term': message.term, 'held': names(message.held)}
+    found['promise'] = int(message.promise)
+    found['store_ok'] = int(message.store_ok)
+    if message.leaving:
+        found['leaving'] = 1
+    state = {r.upstream: r.condition for r in message.reports}
+    odd = [f'{u}:{c}' for u, c in state.items() if c != messages.UPSTREAM_OK]
+    if odd:
+        found['reports'] = names(odd)
+    return found
+
+
+def _reply(message):
+    found = {'term': message.term, 'accepted': int(message.accepted)}
+    if not message.accepted:
+        found['coordinator'] = message.coordinator or '-'
+    return found
+
+
+def _state_update(message):
+    found = {'term': message.term, 'serial': message.serial}
+    if message.manifest_text:
+        found['manifest'] = message.manifest_version
+    for table in message.tables:
+        changed = 'whole' if table.data else names(table.units)
+        found[table.service] = f'{table.version}:{changed}'
+    roles = [f'{u}:{r[0] or "-"}' for u, r in message.dispatchers.items()]
+    found['roles'] = names(roles)
+    found['candidates'] = names(message.candidates)
+    if message.drained:
+        found['drained'] = names(message.drained)
+    return found
+
+
+def _open(message):
+    shown = ('upstream', 'unit', 'fence')
+    found = {name: getattr(message, name) for name in shown}
+    found['body'] = len(message.body)
+    found['last'] = int(message.last)
+    return found
+
+
+def _answer_head(message):
+    body = len(message.body)
+    last = int(message.last)
+    return {'status': message.status, 'body': body, 'last': last}
+
+
+def _data(message):
+    return {'bytes': len(message.data), 'last': int(message.last)}
+
+
+def _reset(message):
+    return {'code': message.code, 'outcome': message.outcome or '-'}
+
+
+def _all_fields(message):
+    found = dataclasses.asdict(message)
+    return {k: str(v).replace(' ', '') for k, v in found.items()}
+
+
+_SHOWN = {
+    messages.Hello: lambda m: {'router': m.router},
+    messages.Heartbeat: _heartbeat,
+    messages.HeartbeatReply: _reply,
+    messages.StateUpdate: _state_update,
+    streams.StreamOpen: _open,
+    streams.StreamHead: _answer_head,
+    streams.StreamData: _data,
+    streams.StreamReset: _reset,
+    streams.StreamAdmitted: lambda m: {},
+    streams.StreamWindow: lambda m: {'credit': m.credit},
+}
--- /dev/null
+++ b/tests/sessions/network.py
@@ -0,0 +1,142 @@
+"""Connections without sockets between the processes of a session."""
+
+from bramleysill_wire import codec
+from tests.sessions import lines
+
+DELAY_SECONDS = 0.001
+
+
+class SessionConn:
+    """One end of a connection, with the interface of bramleysill_net.Conn."""
+
+    def __init__(self, network, loop, peer):
+        self.loop = loop
+        self.peer = peer
+        self.protocol = None
+        self.other = None
+        self.buffered = 0
+        self.closed = False
+        self._network = network
+        self._reading = True
+        self._unread = []
+        loop.conns.append(self)
+
+    def write(self, data):
+        if self.closed or not data or self.other is None:
+            return
+        data = bytes(data)
+        self._network.record(self, data)
+        other = self.other
+        other.loop.call_later(DELAY_SECONDS, lambda: other.deliver(data))
+
+    def deliver(self, data):
+        if self.closed:
+            return
+        if self._reading:
+            self.protocol.on_data(data)
+        else:
+            self._unread.append(data)
+
+    def pause(self):
+        self._reading = False
+
+    def resume(self):
+        self._reading = True
+        while self._unread and self._reading and not self.closed:
+            self.protocol.on_data(self._unread.pop(0))
+
+    def close(self):
+        self._end(None)
+
+    def close_lingering(self):
+        self._end(None)
+
+    def abort(self):
+        self._end(ConnectionResetError('reset'))
+
+    def vanish(self):
+        """The process has ended: only the other end hears of it."""
+        self._end(ConnectionResetError('reset'), tell=False)
+
+    def fail(self, exc):
+        """The other end has closed."""
+        if not self.closed:
+            self.closed = True
+            self.loop.conns.remove(self)
+            self.protocol.on_close(exc)
+
+    def _end(self, exc, tell=True):
+        if self.closed:
+            return
+        self.closed = True
+        self.loop.conns.remove(self)
+        other = self.other
+        if other is not None:
+            other.loop.call_later(DELAY_SECONDS, lambda: other.fail(exc))
+        if tell and self.protocol is not None:
+            self.protocol.on_close(None)
+
+
+class Network:
+    """Takes the places of `Conn` and `Listener` in the router's modules."""
+
+    def __init__(self, recorder):
+        self._recorder = recorder
+        self._listeners = {}
+        self.routers = set()
+        self._requests = {}
+
+    def listener(self, loop, host, port, make_protocol):
+        """Accept connections for a process."""
+        return SessionListener(self._listeners, loop, port, make_protocol)
+
+    def connect(self, loop, host, port, protocol):
+        """Open a connection; the protocol hears of success or failure."""
+        conn = SessionConn(self, loop, f'{host}:{port}')
+        conn.protocol = protocol
+        found = self._listeners.get(port)
+        if found is None or found.loop.stopped:
+            exc = ConnectionRefusedError('connection refused')
+            loop.call_later(2 * DELAY_SECONDS, lambda: conn.fail(exc))
+            return conn
+        other = SessionConn(self, found.loop, loop.name)
+        other.other = conn
+
+        def accepted():
+            other.protocol = found.make_protocol(other)
+            loop.call_later(DELAY_SECONDS, connected)
+
+        def connected():
+            conn.other = other
+            if conn.closed:
+                other.loop.call_later(DELAY_SECONDS, lambda: other.fail(None))
+            else:
+                protocol.on_connect()
+
+        found.loop.call_later(DELAY_SECONDS, accepted)
+        return conn
+
+    def record(self, conn, data):
+        """Record a frame between routers; HTTP is recorded by its ends."""
+        names = (conn.loop.name, conn.other.loop.name)
+        if not self.routers.issuperset(names):
+            return
+        for message in codec.FrameReader().feed(data):
+            lines.record_message(
+                self._recorder, *names, message, self._requests
+            )
+
+
+class SessionListener:
+    """A listening port."""
+
+    def __init__(self, listeners, loop, port, make_protocol):
+        self.loop = loop
+        self.make_protocol = make_protocol
+        self.address = ('127.0.0.1', port)
+        self._listeners = listeners
+        listeners[port] = self
+
+    def close(self):
+        if self._listeners.get(self.address[1]) is self:
+            del self._listeners[self.address[1]]
--- /dev/null
+++ b/tests/sessions/timeline.py
@@ -0,0 +1,144 @@
+"""A manual clock, the processes that share it, and the recorded lines."""
+
+import collections
+import heapq
+import itertools
+
+from bramleysill_net.loop import TimerHandle
+
+# Zero stands for "never" in some deadlines, so a session begins later.
+START_SECONDS = 100.0
+
+
+class Timeline:
+    """Runs the timers of all processes in the order of their deadlines."""
+
+    def __init__(self):
+        self.time = START_SECONDS
+        # Called with a process and the exception of one of its timers,
+        # which the loop of a router logs and survives.
+        self.on_error = None
+        self._heap = []
+        self._order = itertools.count()
+
+    def push(self, deadline, process, timer):
+        """Schedule a timer of a process."""
+        entry = (deadline, next(self._order), process, timer)
+        heapq.heappush(self._heap, entry)
+
+    def run(self, seconds):
+        """Let the time of the session reach `seconds`."""
+        until = START_SECONDS + seconds
+        while self._heap and self._heap[0][0] <= until:
+            when, _, process, timer = heapq.heappop(self._heap)
+            self.time = max(self.time, when)
+            if timer.callback is None or process.stopped:
+                continue
+            if self.time < process.paused_until:
+                self.push(process.paused_until, process, timer)
+                continue
+            if timer.interval:
+                self.push(self.time + timer.interval, process, timer)
+            try:
+                timer.callback()
+            except Exception as exc:
+                self.on_error(process, exc)
+        self.time = until
+
+
+class Process:
+    """Stands for the loop of one process, its scheduler included."""
+
+    def __init__(self, timeline, name):
+        self.name = name
+        self.scheduler = self
+        self.stopped = False
+        self.paused_until = 0.0
+        self.conns = []
+        self._timeline = timeline
+
+    def now(self):
+        return self._timeline.time
+
+    def call_at(self, deadline, callback):
+        return self._push(TimerHandle(deadline, callback, 0.0))
+
+    def call_every(self, interval, callback):
+        deadline = self.now() + interval
+        return self._push(TimerHandle(deadline, callback, interval))
+
+    def call_later(self, delay, callback):
+        return self.call_at(self.now() + delay, callback)
+
+    def pause(self, seconds):
+        """Run nothing for a time, as a frozen VM does."""
+        self.paused_until = self.now() + seconds
+
+    def stop(self):
+        """End the process; its connections are reset."""
+        self.stopped = True
+        for conn in list(self.conns):
+            conn.vanish()
+
+    def _push(self, timer):
+        self._timeline.push(timer.deadline, self, timer)
+        return timer
+
+
+class Recorder:
+    """Collects lines and counts routine messages that say nothing new."""
+
+    def __init__(self, timeline):
+        self._timeline = timeline
+        self._lines = collections.defaultdict(list)
+        self._folded = collections.defaultdict(collections.Counter)
+        self._last = {}
+
+    def message(self, sender, receiver, kind, routine=False, **fields):
+        """Record a message; a routine one counts unless it has changed."""
+        text = ' '.join(f'{k}={v}' for k, v in fields.items())
+        known = self._last.get((sender, receiver, kind))
+        self._last[sender, receiver, kind] = text
+        if routine and known == text:
+            self._folded[self._now_ms() // 1000][kind] += 1
+            return
+        self._add(f'{sender} -> {receiver}  {kind}  {text}'.rstrip())
+
+    def note(self, text):
+        """Record what the script does or a fault that it starts."""
+        self._add(f'-- {text}')
+
+    def render(self):
+        """Return the session as text, sorted within a millisecond."""
+        seconds = sorted({*self._folded, *self._lines})
+        out = []
+        quiet = []
+        for second in seconds:
+            if second in self._lines:
+                out += self._flush(quiet)
+                quiet = []
+                found = sorted(self._lines[second])
+                out += [f'{ms / 1000:9.3f} {text}' for ms, text in found]
+            if self._folded[second]:
+                quiet.append(second)
+        return '\n'.join(out + self._flush(quiet)) + '\n'
+
+    def _flush(self, quiet):
+        if not quiet:
+            return []
+        kinds = sorted({k for s in quiet for k in self._folded[s]})
+        parts = []
+        for kind in kinds:
+            counts = [self._folded[s][kind] for s in quiet]
+            low, high = min(counts), max(counts)
+            value = f'{low}' if low == high else f'{low}..{high}'
+            parts.append(f'{kind} {value}')
+        span = f'{quiet[0]}..{quiet[-1] + 1} s'
+        return [f'          [{span}, per second: {", ".join(parts)}]']
+
+    def _add(self, text):
+        ms = self._now_ms()
+        self._lines[ms // 1000].append((ms, text))
+
+    def _now_ms(self):
+        return round((self._timeline.time - START_SECONDS) * 1000)
--- /dev/null
+++ b/tests/sessions/upstream.py
@@ -0,0 +1,186 @@
+"""A scripted upstream that checks authority by the kernel's GrantTable."""
+
+import json
+
+from bramleysill_kernel.grants import GrantTable
+from bramleysill_net.http_server import HttpServerConn
+from tests.sessions import lines
+
+SERVICE_SECONDS = 0.02
+# Requests that a cold upstream can run at the same time.
+COLD_SLOTS = 1
+
+
+class SessionUpstream:
+    """Runs requests after a fixed time and keeps a list of what ran."""
+
+    def __init__(self, loop, recorder, offset):
+        self.loop = loop
+        self.recorder = recorder
+        self.state = 'warm'
+        self.lose_next_answer = False
+        self.service_seconds = SERVICE_SECONDS
+        self.ran = []
+        # Requests that ran although the upstream was cold and full.
+        self.overload = 0
+        self.most_running = 0
+        self.running = {}
+        self._offset = offset
+        self._starts = 0
+        self.start()
+
+    def start(self):
+        """Begin a new epoch without grants."""
+        self._starts += 1
+        self.table = GrantTable(f'{self.loop.name}/{self._starts}')
+        self.running = {}
+
+    def clock_ms(self):
+        """Return this upstream's own clock."""
+        return round((self.loop.now() + self._offset) * 1000)
+
+    def accept(self, conn):
+        """Return the protocol of a new connection."""
+        return HttpServerConn(conn, self)
+
+    def on_disconnect(self, server):
+        """Nothing is kept for a connection."""
+
+    def on_request(self, stream, req):
+        """Return the sink of a request's body."""
+        if req.target.startswith('/.sill/'):
+            return _Control(self, stream, req)
+        return _Run(self, stream, req)
+
+    def record(self, way, peer, kind, routine=False, **fields):
+        """Record a message to or from a dispatcher."""
+        pair = (
+            (peer, self.loop.name) if way == 'in' else (self.loop.name, peer)
+        )
+        self.recorder.message(*pair, kind, routine, **fields)
+
+
+class _Sink:
+    """A request and its body."""
+
+    def __init__(self, upstream, stream, req):
+        self.up = upstream
+        self.stream = stream
+        self.req = req
+        self.peer = stream.peer
+        self.body = b''
+        self.start()
+
+    def start(self):
+        """Look at the head of the request."""
+
+    def on_body(self, data):
+        self.body += data
+
+    def on_abort(self, exc):
+        """A control call needs no answer any more."""
+
+
+class _Control(_Sink):
+    def on_end(self):
+        up = self.up
+        name = self.req.target.rpartition('/')[2]
+        body = json.loads(self.body) if self.body else {}
+        routine = name in ('health', 'grants')
+        shown = {'unit': body['unit']} if 'unit' in body else {}
+        if 'request_id' in body:
+            shown = {'id': body['request_id']}
+        if name == 'grants':
+            units = [f'{u}/{f}' for u, f in body['units'].items()]
+            generation = ':'.join(str(n) for n in body['generation'])
+            shown = {'generation': generation, 'units': lines.names(units)}
+        up.record('in', self.peer, name, routine, **shown)
+        status, answer = getattr(self, '_' + name)(body)
+        answer |= {'clock_ms': up.clock_ms(), 'epoch': up.table.epoch}
+        state = {'state': answer['state']} if 'state' in answer else {}
+        kind = f'{name}-answer'
+        up.record('out', self.peer, kind, routine, status=status, **state)
+        self.stream.send(status, [], json.dumps(answer).encode())
+
+    def _health(self, body):
+        return 200, {'state': self.up.state, 'load': 0.0}
+
+    def _grants(self, body):
+        return self.up.table.apply(body, self.up.clock_ms()), {}
+
+    def _release(self, body):
+        self.up.table.release(body['unit'], body['fence'])
+        return 200, {}
+
+    def _warm(self, body):
+        return 200, {}
+
+    def _cancel(self, body):
+        run = self.up.running.pop(body['request_id'], None)
+        return 200, {'state': 'cancelled' if run else 'unknown'}
+
+
+class _Run(_Sink):
+    def start(self):
+        req, up = self.req, self.up
+        self.id = req.header('sill-request-id')
+        self.unit = req.header('sill-unit')
+        self.fence = int(req.header('sill-fence') or 0)
+        self.key = req.header('idempotency-key')
+        shown = {'id': self.id}
+        if self.unit:
+            shown |= {'unit': self.unit, 'fence': self.fence}
+        if self.key:
+            shown['idempotency_key'] = self.key
+        up.record('in', self.peer, f'{req.method} {req.target}', **shown)
+
+    def on_end(self):
+        up = self.up
+        reason = self._refusal()
+        if reason:
+            self._send(409, [('Sill-Not-Run', '1'), ('Sill-Reason', reason)])
+            return
+        up.running[self.id] = self
+        up.most_running = max(up.most_running, len(up.running))
+        if up.state == 'cold' and len(up.running) > COLD_SLOTS:
+            up.overload += 1
+        up.loop.call_later(up.service_seconds, self._finish)
+
+    def on_abort(self, exc):
+        if self.up.running.pop(self.id, None):
+            self.up.recorder.note(f'{self.up.loop.name}: {self.id} cut off')
+
+    def _refusal(self):
+        if not self.unit:
+            return ''
+        up = self.up
+        return up.table.check(self.unit, self.fence, up.clock_ms())
+
+    def _finish(self):
+        up = self.up
+        if up.running.pop(self.id, None) is not self:
+            return
+        # The request takes effect now, so its authority is checked again.
+        reason = self._refusal()
+        if reason:
+            self._send(409, [('Sill-Not-Run', '1'), ('Sill-Reason', reason)])
+            return
+        up.ran.append((self.req.method, self.req.target, self.key))
+        if up.lose_next_answer and self.req.method == 'POST':
+            up.lose_next_answer = False
+            up.recorder.note(f'{up.loop.name}: {self.id} ran, answer lost')
+            self.stream.abort()
+            return
+        text = f'{up.loop.name} ran {self.req.method} {self.req.target}'
+        if self.body:
+            text += f' of {len(self.body)} bytes'
+        self._send(200, [('Sill-State', up.state)], text.encode())
+
+    def _send(self, status, headers, body=b''):
+        up = self.up
+        headers = [*headers, ('Sill-Clock-Ms', str(up.clock_ms()))]
+        shown = {k.lower(): v for k, v in headers if 'Clock' not in k}
+        up.record(
+            'out', self.peer, 'answer', id=self.id, status=status, **shown
+        )
+        self.stream.send(status, headers, body)
