--- /dev/null
+++ b/bench/mutate.py
@@ -0,0 +1,99 @@
+"""Takes one mechanism at a time out of the source and runs its test.
+
+`python -m bench.mutate` prints a table of mechanism, test and result. A
+mutation that its test does not notice survives, and the exit code is 1. The
+sources are changed in temporary copies that PYTHONPATH puts first; the tests
+are those of the work tree.
+"""
+
+import concurrent.futures
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+from bench.mutations import MUTATIONS
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PACKAGES = ROOT / 'packages'
+PROCESSES = 4
+TEST_TIMEOUT_SECONDS = 60.0
+
+KILLED = 'red'
+SURVIVED = 'SURVIVED'
+NOT_FOUND = 'TEXT NOT FOUND'
+
+
+def _run_tests(names, folder=None):
+    """Run tests, with the copy in `folder` if given; tell if they pass."""
+    env = dict(os.environ)
+    if folder is not None:
+        sources = sorted(folder.glob('*/src'))
+        env['PYTHONPATH'] = os.pathsep.join(str(path) for path in sources)
+        env['GOLDEN_RECEIVED_DIR'] = str(folder)
+    try:
+        done = subprocess.run(
+            [sys.executable, '-m', 'tests', *names],
+            cwd=ROOT,
+            env=env,
+            capture_output=True,
+            timeout=TEST_TIMEOUT_SECONDS,
+        )
+    except subprocess.TimeoutExpired:
+        return False
+    return done.returncode == 0
+
+
+def _copy_packages(folder):
+    skipped = shutil.ignore_patterns('__pycache__', '*.egg-info')
+    for path in PACKAGES.glob('*/src'):
+        target = folder / path.relative_to(PACKAGES)
+        shutil.copytree(path, target, ignore=skipped)
+
+
+def _apply(mutation):
+    """Return the changed text of the file, or None if it does not apply."""
+    text = (PACKAGES / mutation.file).read_text()
+    if mutation.old not in text:
+        return None
+    changed = text.replace(mutation.old, mutation.new)
+    compile(changed, mutation.file, 'exec')
+    return changed
+
+
+def run_mutation(mutation):
+    """Return what the test of a mutation showed."""
+    changed = _apply(mutation)
+    if changed is None:
+        return NOT_FOUND
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        _copy_packages(folder)
+        (folder / mutation.file).write_text(changed)
+        passed = _run_tests([mutation.test], folder)
+    return SURVIVED if passed else KILLED
+
+
+def main():
+    """Run all mutations; return the exit code."""
+    names = sorted({m.test for m in MUTATIONS})
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        _copy_packages(folder)
+        if not _run_tests(names, folder):
+            print('the tests fail without a mutation')
+            return 1
+    with concurrent.futures.ThreadPoolExecutor(PROCESSES) as pool:
+        results = list(pool.map(run_mutation, MUTATIONS))
+    wide = max(len(m.mechanism) for m in MUTATIONS)
+    for mutation, result in zip(MUTATIONS, results, strict=True):
+        print(f'{mutation.mechanism:{wide}}  {result:8}  {mutation.test}')
+    missed = sum(result != KILLED for result in results)
+    print(f'{len(results) - missed} of {len(results)} mutations noticed')
+    return 1 if missed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/bench/mutations.py
@@ -0,0 +1,139 @@
+"""The mutations of bench.mutate: one mechanism each, taken out of a copy."""
+
+import dataclasses
+
+KERNEL = 'kernel/src/bramleysill_kernel/'
+NET = 'net/src/bramleysill_net/'
+ROUTER = 'router/src/bramleysill_router/'
+
+_MECHANISMS = 'tests.sessions.test_mechanisms.'
+_GOLDEN = 'tests.test_sessions.GoldenTest.'
+_INVARIANT = 'tests.test_sessions.InvariantTest.'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mutation:
+    """A text replacement in one file below `packages`, and its test."""
+
+    mechanism: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+MUTATIONS = (
+    Mutation(
+        'an upstream checks the fence',
+        KERNEL + 'grants.py',
+        'if held != fence:',
+        'if False:',
+        _MECHANISMS + 'GrantTableTest',
+    ),
+    Mutation(
+        'a grant expires on the clock of the upstream',
+        KERNEL + 'grants.py',
+        'if now_ms >= self.until_ms:',
+        'if False:',
+        _MECHANISMS + 'GrantTableTest',
+    ),
+    Mutation(
+        'a dispatcher stops with its router lease',
+        KERNEL + 'membership.py',
+        '        if now < self.lease_deadline:\n            return\n',
+        '        return\n',
+        _MECHANISMS + 'AgentTest',
+    ),
+    Mutation(
+        'a new coordinator waits for older router leases',
+        KERNEL + 'coordinator.py',
+        'if not election.first:',
+        'if False:',
+        _GOLDEN + 'test_coordinator_paused',
+    ),
+    Mutation(
+        'a write is not repeated after a lost answer',
+        KERNEL + 'tables.py',
+        'slot.step = RESOLVING',
+        'slot.step = WRITING',
+        _GOLDEN + 'test_drain_at_noon',
+    ),
+    Mutation(
+        'an older manifest is ignored',
+        KERNEL + 'state.py',
+        'version <= self.manifest.version',
+        'version == 0',
+        _MECHANISMS + 'StateTest',
+    ),
+    Mutation(
+        'a promise keeps a candidate from standing',
+        KERNEL + 'election.py',
+        'self.promise_until = max(self.promise_until, until)',
+        'pass',
+        _MECHANISMS + 'ElectionTest',
+    ),
+    Mutation(
+        'admission keeps its limit',
+        KERNEL + 'admission.py',
+        'if self.in_flight < self.limit and not self._queue:\n'
+        '            self._start',
+        'if True:\n            self._start',
+        'tests.test_admission.AdmissionTest',
+    ),
+    Mutation(
+        'slow start bounds a cold upstream',
+        KERNEL + 'slow_start.py',
+        '        self.bound = self.cold_bound\n',
+        '        self.bound = self.slots\n',
+        _INVARIANT + 'test_slow_start_after_loss',
+    ),
+    Mutation(
+        'an unknown outcome is repeated only if repeatable',
+        KERNEL + 'retries.py',
+        'return outcome == OUTCOME_UNKNOWN and repeatable',
+        'return outcome == OUTCOME_UNKNOWN',
+        'tests.test_retries.RetryPolicyTest',
+    ),
+    Mutation(
+        'an idempotency key is remembered',
+        KERNEL + 'idempotency.py',
+        'if entry is not None:\n            if entry.fingerprint',
+        'if False:\n            if entry.fingerprint',
+        _INVARIANT + 'test_opening_repeated',
+    ),
+    Mutation(
+        'a late answer reaches no other request',
+        NET + 'http_server.py',
+        '        if self.closed or self.started:\n            return\n',
+        '',
+        'tests.test_http_server.LateAnswerTest',
+    ),
+    Mutation(
+        'a connection of an expired request is closed',
+        NET + 'http_client.py',
+        '        self._sink = None\n        self.conn.abort()\n',
+        '        self.busy = False\n        self._on_idle(self)\n',
+        _MECHANISMS + 'LateAnswerTest',
+    ),
+    Mutation(
+        'a drained failure domain gets no units',
+        KERNEL + 'planner.py',
+        'return upstream not in self.drained and ',
+        'return ',
+        _INVARIANT + 'test_drain_at_noon',
+    ),
+    Mutation(
+        'a leaving upstream gets no units',
+        KERNEL + 'losses.py',
+        'found.step == OK and not found.leaving',
+        'found.step == OK',
+        _MECHANISMS + 'DepartureTest',
+    ),
+    Mutation(
+        'a shutdown waits for running requests',
+        ROUTER + 'process.py',
+        'if late or not (running or busy or roles):',
+        'if True:',
+        _MECHANISMS + 'DepartureTest',
+    ),
+)
--- a/tests/sessions/scripts.py
+++ b/tests/sessions/scripts.py
@@ -1,5 +1,6 @@
 """The scripted sessions; each returns the Cell that it has run."""
 
+from tests.sessions.cell import CELL
 from tests.sessions.cell import UPSTREAMS
 from tests.sessions.cell import Cell
 
@@ -38,7 +39,8 @@
 def drain_at_noon(cell):
     """A failure domain is drained while callers go on, and returns."""
     cell.run(READY_SECONDS)
-    cell.note('operator: drain fd-2')
+    cell.note('operator: drain fd-2; the answer to the table write is lost')
+    cell.store.lose_answer_of = f'cell/{CELL}/table/ledger/0'
     cell.put('operator', 'drains', {'failure_domains': ['fd-2']})
     for number in range(8):
         cell.run(cell.now + 0.05)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -21,6 +21,8 @@
 GOLDEN = ROOT / 'tests' / 'sessions' / 'golden'
 # Set by `make golden-update`.
 UPDATE_VARIABLE = 'GOLDEN_UPDATE'
+# Where received files go; the mutation run keeps them off the work tree.
+RECEIVED_VARIABLE = 'GOLDEN_RECEIVED_DIR'
 HASH_SEEDS = ('1', '2')
 HASHED_SESSION = 'drain_at_noon'
 
@@ -33,7 +35,8 @@
         return str(GOLDEN / f'{self.name}.txt')
 
     def get_received_filename(self, base=None):
-        return str(GOLDEN / f'{self.name}.received.txt')
+        folder = os.environ.get(RECEIVED_VARIABLE, GOLDEN)
+        return str(pathlib.Path(folder) / f'{self.name}.received.txt')
 
 
 @functools.cache
