--- a/packages/kernel/src/bramleysill_kernel/placement.py
+++ b/packages/kernel/src/bramleysill_kernel/placement.py
@@ -31,7 +31,9 @@
 LOAD_DEAD_BAND = 0.25
 # Load changes an upstream's share by at most this factor.
 LOAD_MAX_FACTOR = 1.5
-HASH_RANGE = float(1 << 64)
+# Share, in units, by which an owner must exceed another to give one away.
+MIN_EXCESS_UNITS = 1.0
+HASH_RANGE = float(1 << 53)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -163,11 +165,10 @@
         if not eligible or eligible in tried:
             continue
         target = shares.least(eligible)
-        # The giver must not end up below what the target then has, or the
-        # unit would be planned back at once.
-        if target != giver and shares.share(giver, -1) >= shares.share(
-            target, 1
-        ):
+        excess = shares.counts[giver] - (
+            shares.share(target, 1) * shares.weights[giver]
+        )
+        if target != giver and excess >= MIN_EXCESS_UNITS:
             unit = units.pop(index)
             shares.add(giver, -1)
             shares.add(target, 1)
@@ -181,7 +182,8 @@
     best = None
     chosen = NO_OWNER
     for name in eligible:
-        part = (rendezvous_score(name, unit) + 1) / (HASH_RANGE + 1)
+        # 53 bits, so that no score is rounded to 1, whose logarithm is 0.
+        part = ((rendezvous_score(name, unit) >> 11) + 0.5) / HASH_RANGE
         score = -weights.get(name, 1.0) / math.log(part)
         if best is None or score > best:
             best = score
