--- a/tests/sessions/cell.py
+++ b/tests/sessions/cell.py
@@ -1,6 +1,5 @@
 """A cell of real routers on a manual clock, and everything around it."""
 
-import collections
 import json
 import random
 from unittest import mock
@@ -14,6 +13,7 @@
 from bramleysill_net.http_client import encode_request
 from bramleysill_router import peer_links
 from bramleysill_router import process
+from bramleysill_router.metrics import Metrics
 from bramleysill_router.settings import Settings
 from tests.sessions import lines
 from tests.sessions import network
@@ -67,43 +67,26 @@
     return text.encode()
 
 
-class SessionMetrics:
-    """Counts like Metrics, whose registry takes one router per process."""
-
-    def __init__(self):
-        self.requests = collections.Counter()
-        self.control_bytes = collections.Counter()
-        self.events = collections.Counter()
-
-    def observe(self, service, code, seconds):
-        """Count a request."""
-        self.requests[service, code] += 1
-
-    def add_gauge(self, callback):
-        """Gauges are not read in sessions."""
-
-
 class SessionRouter(process.RouterProcess):
     """A router process on the session's loop, network and store."""
 
     def __init__(self, cell, name, domain):
         number = int(name[1:])
-        self.cfg = Settings(
-            {
-                'name': name,
-                'cell': CELL,
-                'failure_domain': domain,
-                'listen': f'127.0.0.1:{FIRST_LISTEN_PORT + number}',
-                'peer_listen': f'127.0.0.1:{FIRST_PEER_PORT + number}',
-                'admin_listen': '127.0.0.1:0',
-                'store': '127.0.0.1:0',
-                'seeds': '',
-                'store_client': 'http',
-                'grace_s': '30',
-            }
-        )
+        host = '127.0.0.1'
+        options = {
+            'name': name,
+            'cell': CELL,
+            'failure_domain': domain,
+            'listen': f'{host}:{FIRST_LISTEN_PORT + number}',
+            'peer_listen': f'{host}:{FIRST_PEER_PORT + number}',
+            'seeds': '',
+            'store_client': 'http',
+            'grace_s': '30',
+        }
+        unused = dict.fromkeys(('admin_listen', 'store'), f'{host}:1')
+        self.cfg = Settings({**options, **unused})
         self.loop = cell.process(name)
-        self.metrics = SessionMetrics()
+        self.metrics = Metrics()
         self._rng = random.Random(f'{cell.seed} {name}')
         self._incarnation = f'{name}-{cell.next_number()}'
         self._shutdown_deadline = None
@@ -217,9 +200,9 @@
         return max(found, key=lambda r: r.coordinator.term, default=None)
 
     def table(self):
-        """Return unit -> (owner, fence) as the store has it."""
-        value = self.store.values[f'cell/{CELL}/table/ledger/0']
-        return lines.table_fields(value, 0)
+        """Return the units of each owner, as the store has them."""
+        entry = self.store.state.get(f'cell/{CELL}/table/ledger/0')
+        return lines.table_fields(entry.value, 0)
 
     def owner_of(self, key):
         """Return upstream and dispatcher of a key."""
--- a/tests/sessions/lines.py
+++ b/tests/sessions/lines.py
@@ -107,26 +107,16 @@
     return found
 
 
-def _open(message):
-    shown = ('upstream', 'unit', 'fence')
-    found = {name: getattr(message, name) for name in shown}
-    found['body'] = len(message.body)
-    found['last'] = int(message.last)
-    return found
-
-
-def _answer_head(message):
-    body = len(message.body)
-    last = int(message.last)
-    return {'status': message.status, 'body': body, 'last': last}
-
-
-def _data(message):
-    return {'bytes': len(message.data), 'last': int(message.last)}
+def _select(*shown):
+    """Return a function that shows some fields, and of bytes their number."""
 
+    def show(message):
+        found = {name: getattr(message, name) for name in shown}
+        return {
+            k: len(v) if isinstance(v, bytes) else v for k, v in found.items()
+        }
 
-def _reset(message):
-    return {'code': message.code, 'outcome': message.outcome or '-'}
+    return show
 
 
 def _all_fields(message):
@@ -135,14 +125,14 @@
 
 
 _SHOWN = {
-    messages.Hello: lambda m: {'router': m.router},
+    messages.Hello: _select('router'),
     messages.Heartbeat: _heartbeat,
     messages.HeartbeatReply: _reply,
     messages.StateUpdate: _state_update,
-    streams.StreamOpen: _open,
-    streams.StreamHead: _answer_head,
-    streams.StreamData: _data,
-    streams.StreamReset: _reset,
-    streams.StreamAdmitted: lambda m: {},
-    streams.StreamWindow: lambda m: {'credit': m.credit},
+    streams.StreamOpen: _select('upstream', 'unit', 'fence', 'body', 'last'),
+    streams.StreamHead: _select('status', 'body', 'last'),
+    streams.StreamData: _select('data', 'last'),
+    streams.StreamReset: _select('code', 'outcome'),
+    streams.StreamAdmitted: _select(),
+    streams.StreamWindow: _select('credit'),
 }
--- a/tests/sessions/scripts.py
+++ b/tests/sessions/scripts.py
@@ -135,7 +135,8 @@
     cell.store.lose_answer_of = 'manifest'
     cell.put('operator-3', 'manifest', cell.sheet(), expected=2)
     cell.run(9.5)
-    cell.note(f'the manifest has version {cell.store.versions["manifest"]}')
+    version = cell.store.state.version('manifest')
+    cell.note(f'the manifest has version {version}')
     cell.put('operator-3', 'manifest', cell.sheet(), expected=2)
     cell.run(14.0)
 
--- a/tests/sessions/store.py
+++ b/tests/sessions/store.py
@@ -1,9 +1,11 @@
 """The platform's store in a session, and a router's client of it."""
 
-import itertools
 import json
 
 from bramleysill_kernel import effects
+from bramleysill_standins.kv_state import Conflict
+from bramleysill_standins.kv_state import KvState
+from bramleysill_standins.kv_state import LeaseGone
 from tests.sessions import lines
 
 DELAY_SECONDS = 0.002
@@ -14,127 +16,110 @@
 
 
 class SessionStore:
-    """Compare-and-swap, leases and watches, with scripted faults."""
+    """The stand-in's keys and leases, with watches and scripted faults."""
 
     def __init__(self, loop, recorder):
         self.loop = loop
         self.recorder = recorder
-        self.values = {}
-        self.versions = {}
+        self.state = KvState(self._notify)
         self.vms = []
         self.down = False
-        # Writes to this key take effect without an answer.
+        # The next write to this key takes effect without an answer.
         self.lose_answer_of = ''
-        self._leases = {}
-        self._watches = {}
-        self._ids = itertools.count(1)
+        self._watches = []
+
+    def now_ms(self):
+        return round(self.loop.now() * 1000)
 
     def go_down(self):
         """Answer nothing from now on; waiting watches end."""
         self.down = True
-        watches, self._watches = self._watches, {}
-        for callback, loop, _, _ in watches.values():
+        watches, self._watches = self._watches, []
+        for _, _, loop, callback in watches:
             _later(loop, callback, _UNKNOWN, b'', 0)
 
     def run(self, effect):
         """Carry out a call; return its answer."""
-        lose = getattr(effect, 'key', None) == self.lose_answer_of
         if self.down:
             return effects.StoreAnswer(effect.op, _UNKNOWN)
-        answer = _CALLS[type(effect)](self, effect)
-        if lose and isinstance(effect, effects.StoreWrite):
+        self.state.expire(self.now_ms())
+        try:
+            found = _CALLS[type(effect)](self, effect)
+        except Conflict as exc:
+            found = (effects.RESULT_CONFLICT, b'', exc.version)
+        except LeaseGone:
+            found = (effects.RESULT_MISSING,)
+        is_write = isinstance(effect, effects.StoreWrite)
+        if is_write and effect.key == self.lose_answer_of:
             self.lose_answer_of = ''
-            return effects.StoreAnswer(effect.op, _UNKNOWN)
-        return answer
+            found = (_UNKNOWN,)
+        return effects.StoreAnswer(effect.op, *found)
 
     def watch(self, key, after, loop, callback):
         """Call back with the version that differs from `after`."""
         if self.down:
             _later(loop, callback, _UNKNOWN, b'', 0)
             return
-        number = next(self._ids)
-        self._watches[number] = (callback, loop, key, after)
-        if self._version(key) != after:
+        waiting = (key, after, loop, callback)
+        self._watches.append(waiting)
+        if self.state.version(key) != after:
             self._notify(key)
             return
 
         def expired():
-            if self._watches.pop(number, None):
+            if waiting in self._watches:
+                self._watches.remove(waiting)
                 _later(loop, callback, effects.RESULT_OK, None, after)
 
         self.loop.call_later(WATCH_SECONDS, expired)
 
-    def _version(self, key):
-        return self.versions[key] if key in self.values else 0
-
     def _notify(self, key):
-        version = self._version(key)
-        for number, found in list(self._watches.items()):
-            callback, loop, watched, after = found
+        entry = self.state.get(key)
+        version = entry.version if entry else 0
+        if not entry:
+            self.recorder.note(f'store: {key} is gone with its lease')
+        for waiting in list(self._watches):
+            watched, after, loop, callback = waiting
             if watched != key or after == version:
                 continue
-            del self._watches[number]
+            self._watches.remove(waiting)
             self.recorder.message(
                 'store', loop.name, 'watch', key=key, version=version
             )
-            value = self.values.get(key, b'')
+            value = entry.value if entry else b''
             _later(loop, callback, effects.RESULT_OK, value, version)
 
     def _read(self, effect):
-        if effect.key not in self.values:
-            return effects.StoreAnswer(effect.op, effects.RESULT_MISSING)
-        value, version = self.values[effect.key], self._version(effect.key)
-        result = effects.RESULT_OK
-        return effects.StoreAnswer(effect.op, result, value, version)
+        entry = self.state.get(effect.key)
+        if entry is None:
+            return (effects.RESULT_MISSING,)
+        return effects.RESULT_OK, entry.value, entry.version
 
     def _write(self, effect):
-        have = self._version(effect.key)
-        op = effect.op
-        if effect.expected != have:
-            result = effects.RESULT_CONFLICT
-            return effects.StoreAnswer(op, result, version=have)
-        if effect.lease:
-            if effect.lease not in self._leases:
-                return effects.StoreAnswer(op, effects.RESULT_MISSING)
-            self._leases[effect.lease][2].append(effect.key)
-        version = self.versions.get(effect.key, 0) + 1
-        self.versions[effect.key] = version
-        self.values[effect.key] = effect.value
-        self._notify(effect.key)
-        result = effects.RESULT_OK
-        return effects.StoreAnswer(op, result, version=version)
+        lease = effect.lease or None
+        args = (effect.key, effect.value, effect.expected, lease)
+        version = self.state.put(*args, self.now_ms())
+        return effects.RESULT_OK, b'', version
 
     def _lease(self, effect):
-        name = f'lease-{next(self._ids)}'
-        end = self.loop.now() + effect.ttl
-        self._leases[name] = [end, effect.ttl, []]
-        self.loop.call_at(end, lambda: self._expire(name))
-        result = effects.RESULT_OK
-        return effects.StoreAnswer(effect.op, result, name.encode())
+        ttl_ms = round(effect.ttl * 1000)
+        name = self.state.create_lease(ttl_ms, self.now_ms())
+        self._expire_later(ttl_ms)
+        return effects.RESULT_OK, name.encode()
 
     def _renew(self, effect):
-        held = self._leases.get(effect.lease)
-        if held is None:
-            return effects.StoreAnswer(effect.op, effects.RESULT_MISSING)
-        held[0] = self.loop.now() + held[1]
-        self.loop.call_at(held[0], lambda: self._expire(effect.lease))
-        return effects.StoreAnswer(effect.op, effects.RESULT_OK)
+        lease = self.state.renew_lease(effect.lease, self.now_ms())
+        self._expire_later(lease.ttl_ms)
+        return (effects.RESULT_OK,)
 
     def _end_lease(self, effect):
-        self._remove(effect.lease)
-        return effects.StoreAnswer(effect.op, effects.RESULT_OK)
-
-    def _expire(self, name):
-        held = self._leases.get(name)
-        if held is not None and held[0] <= self.loop.now():
-            for key in held[2]:
-                self.recorder.note(f'store: the lease of {key} has expired')
-            self._remove(name)
+        self.state.end_lease(effect.lease)
+        return (effects.RESULT_OK,)
 
-    def _remove(self, name):
-        held = self._leases.pop(name, None)
-        for key in held[2] if held else ():
-            self.values.pop(key, None)
+    def _expire_later(self, ttl_ms):
+        self.loop.call_later(
+            ttl_ms / 1000, lambda: self.state.expire(self.now_ms())
+        )
 
 
 _CALLS = {
@@ -181,33 +166,30 @@
         _later(self._loop, callback, data)
 
     def _record(self, effect):
-        kind = type(effect).__name__
-        fields = {}
+        kind, fields = self._kind(effect), {}
         if isinstance(effect, effects.StoreWrite):
-            fields = lines.store_fields(effect.key, effect.value)
-            fields = {'expected': effect.expected, **fields}
-        key = getattr(effect, 'key', '')
-        if key:
-            fields = {'key': key, **fields}
-            kind += ':' + key if isinstance(effect, effects.StoreRead) else ''
-        self._store.recorder.message(
-            self._loop.name, 'store', kind, self._routine(effect), **fields
-        )
+            shown = lines.store_fields(effect.key, effect.value)
+            fields = {'key': effect.key, 'expected': effect.expected, **shown}
+        self._message(effect, kind, self._loop.name, 'store', fields)
 
     def _record_answer(self, effect, answer):
-        kind = type(effect).__name__.replace('Store', 'Answer')
-        if isinstance(effect, effects.StoreRead):
-            kind += ':' + effect.key
+        kind = self._kind(effect).replace('Store', 'Answer')
         fields = {'result': answer.result}
         if answer.version:
             fields['version'] = answer.version
-        self._store.recorder.message(
-            'store', self._loop.name, kind, self._routine(effect), **fields
-        )
+        self._message(effect, kind, 'store', self._loop.name, fields)
+
+    def _kind(self, effect):
+        kind = type(effect).__name__
+        if isinstance(effect, effects.StoreRead):
+            kind += ':' + effect.key
+        return kind
 
-    def _routine(self, effect):
+    def _message(self, effect, kind, sender, receiver, fields):
         # During an outage every kind of call is repeated without effect.
-        return isinstance(effect, _ROUTINE) or self._store.down
+        routine = isinstance(effect, _ROUTINE) or self._store.down
+        recorder = self._store.recorder
+        recorder.message(sender, receiver, kind, routine, **fields)
 
 
 def _later(loop, callback, *args):
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -145,6 +145,11 @@
         self.assertEqual('not_run', lost['outcome'])
         self.assertEqual(200, after['status'])
 
+    def test_lost_owner_is_named(self):
+        # Guards against a refusal that hides the reason (section 4).
+        cell = run_once('store_down_for_an_hour')
+        self.assertEqual('owner_lost', cell.answers['caller'][1]['code'])
+
     def test_shutdown_during_upload(self):
         # Guards against a shutdown that interrupts a request (1.1, 9).
         cell = self.finish('shutdown_during_upload')
