--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -58,6 +58,14 @@
         'slot.step = WRITING',
         _GOLDEN + 'test_drain_at_noon',
     ),
+    Mutation(
+        'only an answer of ok makes an assignment accepted',
+        KERNEL + 'tables.py',
+        'if answer.result == effects.RESULT_OK:\n            self._accept',
+        'if answer.result != effects.RESULT_CONFLICT:\n'
+        '            self._accept',
+        'tests.test_faults.FaultTest.test_each_fault_alone',
+    ),
     Mutation(
         'an older manifest is ignored',
         KERNEL + 'state.py',
@@ -72,6 +80,13 @@
         'pass',
         _MECHANISMS + 'ElectionTest',
     ),
+    Mutation(
+        'other routers stand only after a total loss of 30 s',
+        KERNEL + 'standing.py',
+        'return now - self._missing_since >= lease.TOTAL_LOSS_SECONDS',
+        'return True',
+        'tests.test_election.ElectionTest',
+    ),
     Mutation(
         'admission keeps its limit',
         KERNEL + 'admission.py',
@@ -94,6 +109,13 @@
         'return outcome == OUTCOME_UNKNOWN',
         'tests.test_retries.RetryPolicyTest',
     ),
+    Mutation(
+        'a connection lost after a send is unknown',
+        ROUTER + 'job.py',
+        'if sent == 0:',
+        'if True:',
+        _INVARIANT + 'test_opening_repeated',
+    ),
     Mutation(
         'an idempotency key is remembered',
         KERNEL + 'idempotency.py',
