--- a/tests/sessions/cell.py
+++ b/tests/sessions/cell.py
@@ -105,7 +105,6 @@
 
     @property
     def coordinator(self):
-        """Return the coordinator object while this router leads."""
         return self._control.coordinator
 
 
@@ -158,28 +157,22 @@
 
     @property
     def now(self):
-        """Return the seconds since the session began."""
         return self.timeline.time - timeline.START_SECONDS
 
     def run(self, seconds):
-        """Let the session reach a time."""
         self.timeline.run(seconds)
 
     def note(self, text):
-        """Record what the script does."""
         self.recorder.note(text)
 
     def process(self, name):
-        """Return a process on the session's clock."""
         return timeline.Process(self.timeline, name)
 
     def next_number(self):
-        """Return a number for each incarnation."""
         self._numbers += 1
         return self._numbers
 
     def sheet(self, upstreams=None):
-        """Return a manifest's bytes."""
         return make_sheet(upstreams or self._upstreams, self._extra)
 
     def add_upstream(self, name, offset):
@@ -205,7 +198,6 @@
         return lines.table_fields(entry.value, 0)
 
     def owner_of(self, key):
-        """Return upstream and dispatcher of a key."""
         for router in self.routers.values():
             place = router.state.route('ledger', key)
             if not router.loop.stopped and place is not None:
--- a/tests/sessions/network.py
+++ b/tests/sessions/network.py
@@ -59,7 +59,6 @@
         self._end(ConnectionResetError('reset'), tell=False)
 
     def fail(self, exc):
-        """The other end has closed."""
         if not self.closed:
             self.closed = True
             self.loop.conns.remove(self)
@@ -87,7 +86,6 @@
         self._requests = {}
 
     def listener(self, loop, host, port, make_protocol):
-        """Accept connections for a process."""
         return SessionListener(self._listeners, loop, port, make_protocol)
 
     def connect(self, loop, host, port, protocol):
--- a/tests/sessions/store.py
+++ b/tests/sessions/store.py
@@ -32,14 +32,12 @@
         return round(self.loop.now() * 1000)
 
     def go_down(self):
-        """Answer nothing from now on; waiting watches end."""
         self.down = True
         watches, self._watches = self._watches, []
         for _, _, loop, callback in watches:
             _later(loop, callback, _UNKNOWN, b'', 0)
 
     def run(self, effect):
-        """Carry out a call; return its answer."""
         if self.down:
             return effects.StoreAnswer(effect.op, _UNKNOWN)
         self.state.expire(self.now_ms())
@@ -141,7 +139,6 @@
         self._loop = loop
 
     def execute(self, effect, callback):
-        """Carry out a store effect; `callback(StoreAnswer)` runs once."""
         self._record(effect)
         store = self._store
 
@@ -153,14 +150,12 @@
         store.loop.call_later(DELAY_SECONDS, arrived)
 
     def watch(self, key, after, callback):
-        """Wait for a version other than `after`."""
         self._store.loop.call_later(
             DELAY_SECONDS,
             lambda: self._store.watch(key, after, self._loop, callback),
         )
 
     def list_vms(self, callback):
-        """Fetch the list of VMs."""
         vms = [{'name': name, 'state': 'live'} for name in self._store.vms]
         data = None if self._store.down else json.dumps(vms).encode()
         _later(self._loop, callback, data)
--- a/tests/sessions/test_mechanisms.py
+++ b/tests/sessions/test_mechanisms.py
@@ -3,36 +3,14 @@
 import testtools
 
 from bramleysill_kernel import clock
-from bramleysill_kernel import grants
 from bramleysill_kernel import membership
-from bramleysill_kernel import messages
 from bramleysill_kernel import state
-from bramleysill_kernel.manifest_parser import parse_manifest
 from tests.sessions.cell import Cell
-from tests.sessions.cell import make_sheet
 
 LEASE_SECONDS = 1.0
 FEW_SECONDS = 5.0
 
 
-class GrantTableTest(testtools.TestCase):
-    """Guards against two upstreams that run one unit."""
-
-    def test_fence_and_end_are_checked(self):
-        table = grants.GrantTable('e1')
-        command = {
-            'generation': [1, 1],
-            'epoch': 'e1',
-            'until_clock_ms': 900,
-            'units': {'3': 5},
-        }
-        self.assertEqual(200, table.apply(command, 0))
-        self.assertEqual('', table.check('3', 5, 899))
-        self.assertEqual('stale_fence', table.check('3', 4, 899))
-        self.assertEqual('stale_fence', table.check('3', 6, 899))
-        self.assertEqual('expired', table.check('3', 5, 900))
-
-
 class AgentTest(testtools.TestCase):
     """Guards against a dispatcher that sends after its lease."""
 
@@ -48,36 +26,6 @@
         self.assertFalse(agent.may_dispatch('u1'))
 
 
-class StateTest(testtools.TestCase):
-    """Guards against a late update that reverts the manifest."""
-
-    def test_older_manifest_is_ignored(self):
-        known = state.RouterState(parse_manifest)
-        for version, names in ((2, ('u1', 'u2')), (1, ('u1',))):
-            text = make_sheet(dict.fromkeys(names, 'fd-1')).decode()
-            update = messages.StateUpdate('r1', 1, 1, version, text)
-            known.apply(update)
-        self.assertEqual(2, known.manifest.version)
-        self.assertEqual({'u1', 'u2'}, set(known.manifest.upstreams))
-
-
-class ElectionTest(testtools.TestCase):
-    """Guards against two coordinators while a promise holds."""
-
-    def test_promise_holds_while_the_lease_is_gone(self):
-        with Cell() as cell:
-            cell.run(4.0)
-            leader = cell.leader()
-            others = [r for r in cell.routers.values() if r is not leader]
-            for router in others:
-                # Received 3.8 s from now, so that it ends 5 s from now.
-                router.election.promise(cell.timeline.time + 3.8)
-                router.election.probing = True
-            leader.loop.pause(5.0)
-            cell.run(8.5)
-            self.assertEqual([], [r.cfg.name for r in others if r.coordinator])
-
-
 class LateAnswerTest(testtools.TestCase):
     """Guards against a late answer that reaches the next request."""
 
--- a/tests/sessions/timeline.py
+++ b/tests/sessions/timeline.py
@@ -22,12 +22,10 @@
         self._order = itertools.count()
 
     def push(self, deadline, process, timer):
-        """Schedule a timer of a process."""
         entry = (deadline, next(self._order), process, timer)
         heapq.heappush(self._heap, entry)
 
     def run(self, seconds):
-        """Let the time of the session reach `seconds`."""
         until = START_SECONDS + seconds
         while self._heap and self._heap[0][0] <= until:
             when, _, process, timer = heapq.heappop(self._heap)
@@ -75,7 +73,6 @@
         self.paused_until = self.now() + seconds
 
     def stop(self):
-        """End the process; its connections are reset."""
         self.stopped = True
         for conn in list(self.conns):
             conn.vanish()
--- a/tests/sessions/upstream.py
+++ b/tests/sessions/upstream.py
@@ -30,30 +30,25 @@
         self.start()
 
     def start(self):
-        """Begin a new epoch without grants."""
         self._starts += 1
         self.table = GrantTable(f'{self.loop.name}/{self._starts}')
         self.running = {}
 
     def clock_ms(self):
-        """Return this upstream's own clock."""
         return round((self.loop.now() + self._offset) * 1000)
 
     def accept(self, conn):
-        """Return the protocol of a new connection."""
         return HttpServerConn(conn, self)
 
     def on_disconnect(self, server):
         """Nothing is kept for a connection."""
 
     def on_request(self, stream, req):
-        """Return the sink of a request's body."""
         if req.target.startswith('/.sill/'):
             return _Control(self, stream, req)
         return _Run(self, stream, req)
 
     def record(self, way, peer, kind, routine=False, **fields):
-        """Record a message to or from a dispatcher."""
         pair = (
             (peer, self.loop.name) if way == 'in' else (self.loop.name, peer)
         )
