Compare refusals and fences with what upstreams ran

Cause: the sessions compared ledgers with answers for openings only.

Change: every session is checked for requests that ran under a replaced fence, for not_run answers of requests that ran, and for callers without an answer.

--- a/tests/sessions/cell.py
+++ b/tests/sessions/cell.py
@@ -88,7 +88,7 @@
         self.loop = cell.process(name)
         self.metrics = Metrics()
         self._rng = random.Random(f'{cell.seed} {name}')
-        self._incarnation = f'{name}-{cell.next_number()}'
+        self._incarnation = f'{name}-1'
         self._shutdown_deadline = None
         self.state = RouterState(parse_manifest)
         self._store = store_module.StoreLink(cell.store, self.loop)
@@ -124,12 +124,12 @@
         # What a script leaves for its test.
         self.marked = ''
         self.tables_seen = {}
+        self.asked = {}
         self.answers = {}
         self.outcomes = {}
         self.upstreams = {}
         self.routers = {}
         self._callers = {}
-        self._numbers = 0
         self._upstreams = upstreams
         self._extra = extra
         self._patches = [
@@ -168,10 +168,6 @@
     def process(self, name):
         return timeline.Process(self.timeline, name)
 
-    def next_number(self):
-        self._numbers += 1
-        return self._numbers
-
     def sheet(self, upstreams=None):
         return make_sheet(upstreams or self._upstreams, self._extra)
 
@@ -245,6 +241,7 @@
             self._answered(name, router, status, fields, data)
             conn.close()
 
+        self.asked.setdefault(name, []).append(path)
         conn = HttpClientConn(loop, '127.0.0.1', port)
         request = encode_request(method, path, 'cell', headers, body)
         conn.request(request, WholeAnswer(answered))
@@ -287,8 +284,25 @@
         for name, up in self.upstreams.items():
             if up.overload:
                 found.append(f'{name} was overloaded while cold')
-        for name, answers in self.answers.items():
-            found += [
-                f'{name} got no answer' for a in answers if not a['status']
-            ]
+        for name, paths in self.asked.items():
+            answers = self.answers.get(name, [])
+            whole = [a for a in answers if a['status']]
+            if len(whole) != len(paths):
+                found.append(f'{name} got {len(whole)} of {len(paths)}')
+            for path, answer in zip(paths, answers, strict=False):
+                not_run = answer.get('outcome') == 'not_run'
+                if not_run and paths.count(path) == 1 and self.runs(path):
+                    found.append(f'{path} ran and was answered not_run')
+        return found + self._fence_faults()
+
+    def _fence_faults(self):
+        """Return requests that ran under a fence that had been replaced."""
+        found = []
+        highest = {}
+        effects_seen = [e for u in self.upstreams.values() for e in u.effects]
+        for _, unit, fence, name in sorted(effects_seen):
+            known = highest.setdefault(unit, (fence, name))
+            if fence < known[0] or (fence == known[0] and name != known[1]):
+                found.append(f'unit {unit} ran on {name} and {known[1]}')
+            highest[unit] = max(known, (fence, name))
         return found
--- a/tests/sessions/lines.py
+++ b/tests/sessions/lines.py
@@ -61,15 +61,9 @@
         text = value.decode()
         return {'upstreams': text.count('[upstream '), 'bytes': len(value)}
     found = json.loads(value)
-    if key.endswith('/leader'):
-        return {
-            'term': found['term'],
-            'holder': found['holder'],
-            'candidates': names(found['candidates']),
-        }
-    if key.endswith('/lease'):
-        return {'holder': found['holder']}
-    return {k: names(v) for k, v in found.items()}
+    shown = {k: found[k] for k in ('term', 'holder') if k in found}
+    lists = {k: v for k, v in found.items() if isinstance(v, list | dict)}
+    return shown | {k: names(v) for k, v in lists.items()}
 
 
 def _heartbeat(message):
--- a/tests/sessions/network.py
+++ b/tests/sessions/network.py
@@ -132,9 +132,5 @@
         self.loop = loop
         self.make_protocol = make_protocol
         self.address = ('127.0.0.1', port)
-        self._listeners = listeners
+        self.close = lambda: listeners.pop(port, None)
         listeners[port] = self
-
-    def close(self):
-        if self._listeners.get(self.address[1]) is self:
-            del self._listeners[self.address[1]]
--- a/tests/sessions/upstream.py
+++ b/tests/sessions/upstream.py
@@ -21,6 +21,7 @@
         self.lose_next_answer = False
         self.service_seconds = SERVICE_SECONDS
         self.ran = []
+        self.effects = []
         # Requests that ran although the upstream was cold and full.
         self.overload = 0
         self.most_running = 0
@@ -64,10 +65,6 @@
         self.req = req
         self.peer = stream.peer
         self.body = b''
-        self.start()
-
-    def start(self):
-        """Look at the head of the request."""
 
     def on_body(self, data):
         self.body += data
@@ -116,24 +113,20 @@
 
 
 class _Run(_Sink):
-    def start(self):
-        req, up = self.req, self.up
+    def __init__(self, up, stream, req):
+        super().__init__(up, stream, req)
         self.id = req.header('sill-request-id')
         self.unit = req.header('sill-unit')
         self.fence = int(req.header('sill-fence') or 0)
         self.key = req.header('idempotency-key')
-        shown = {'id': self.id}
-        if self.unit:
-            shown |= {'unit': self.unit, 'fence': self.fence}
+        shown = {'id': self.id, 'unit': self.unit, 'fence': self.fence}
         if self.key:
             shown['idempotency_key'] = self.key
         up.record('in', self.peer, f'{req.method} {req.target}', **shown)
 
     def on_end(self):
         up = self.up
-        reason = self._refusal()
-        if reason:
-            self._send(409, [('Sill-Not-Run', '1'), ('Sill-Reason', reason)])
+        if self._refused():
             return
         up.running[self.id] = self
         up.most_running = max(up.most_running, len(up.running))
@@ -145,22 +138,23 @@
         if self.up.running.pop(self.id, None):
             self.up.recorder.note(f'{self.up.loop.name}: {self.id} cut off')
 
-    def _refusal(self):
-        if not self.unit:
-            return ''
-        up = self.up
-        return up.table.check(self.unit, self.fence, up.clock_ms())
+    def _refused(self):
+        now_ms = self.up.clock_ms()
+        reason = self.up.table.check(self.unit, self.fence, now_ms)
+        if reason:
+            self._send(409, [('Sill-Not-Run', '1'), ('Sill-Reason', reason)])
+        return reason
 
     def _finish(self):
         up = self.up
         if up.running.pop(self.id, None) is not self:
             return
         # The request takes effect now, so its authority is checked again.
-        reason = self._refusal()
-        if reason:
-            self._send(409, [('Sill-Not-Run', '1'), ('Sill-Reason', reason)])
+        if self._refused():
             return
         up.ran.append((self.req.method, self.req.target, self.key))
+        effect = (up.loop.now(), self.unit, self.fence, up.loop.name)
+        up.effects.append(effect)
         if up.lose_next_answer and self.req.method == 'POST':
             up.lose_next_answer = False
             up.recorder.note(f'{up.loop.name}: {self.id} ran, answer lost')
