Test that a released unit is served after two losses

Cause: the kernel can treat units that an upstream bars as released, but nothing carries the barred units from the upstream to the kernel.

Conclusion: the unit stays unserved until its owner changes.

--- a/tests/sessions/test_mechanisms.py
+++ b/tests/sessions/test_mechanisms.py
@@ -70,3 +70,24 @@
             self.assertEqual(200, cell.answers['caller'][0]['status'])
             self.assertEqual(1, cell.runs(path))
             self.assertTrue(cell.routers[dispatcher].loop.stopped)
+
+
+class ReleasedUnitTest(testtools.TestCase):
+    """Guards against a unit that stays released and is never served."""
+
+    def test_unit_is_served_after_two_losses_during_its_move(self):
+        with Cell() as cell:
+            cell.run(4.0)
+            cell.put('operator', 'drains', {'upstreams': ['u2']})
+            # Unit 1 is released at 4.102 and its new owner is not written.
+            cell.run(4.1025)
+            for name in ('r1', 'r2'):
+                cell.routers[name].loop.stop()
+            cell.put('other', 'drains', {}, expected=1)
+            # Long after the 3 s of the target, so that time is no issue.
+            cell.run(12.0)
+            place = cell.routers['r3'].state.route('ledger', 'k2')
+            self.assertEqual('1', place.unit)
+            cell.call('caller', 'r3', 'GET', '/ledger/k2')
+            cell.run(15.0)
+            self.assertEqual(200, cell.answers['caller'][0]['status'])
