Drop options of the session cell that no session uses

Cause: parameters for other manifests were never passed.

Change: make_sheet and Cell lose them.

Conclusion: no behaviour changes.

--- a/tests/sessions/cell.py
+++ b/tests/sessions/cell.py
@@ -53,9 +53,9 @@
 """
 
 
-def make_sheet(upstreams, extra=''):
+def make_sheet(upstreams=UPSTREAMS):
     """Return a manifest of these upstreams and their failure domains."""
-    text = _HEAD + extra
+    text = _HEAD
     for name in sorted(set(upstreams.values())):
         text += f'\n[failure_domain {name}]\n'
     for name, domain in upstreams.items():
@@ -111,7 +111,7 @@
 class Cell:
     """The parts of a session; used as a context manager."""
 
-    def __init__(self, seed=1, upstreams=UPSTREAMS, extra=''):
+    def __init__(self, seed=1):
         self.seed = seed
         self.timeline = timeline.Timeline()
         self.timeline.on_error = self._on_error
@@ -130,8 +130,6 @@
         self.upstreams = {}
         self.routers = {}
         self._callers = {}
-        self._upstreams = upstreams
-        self._extra = extra
         self._patches = [
             mock.patch.object(http_client, 'Conn', self.network),
             mock.patch.object(peer_links, 'Conn', self.network),
@@ -141,9 +139,9 @@
     def __enter__(self):
         for patch in self._patches:
             patch.start()
-        for number, name in enumerate(self._upstreams, 1):
+        for number, name in enumerate(UPSTREAMS, 1):
             self.add_upstream(name, number * 1000.0)
-        self.put('operator', 'manifest', self.sheet())
+        self.put('operator', 'manifest', make_sheet())
         self.run(0.1)
         for name, domain in ROUTERS.items():
             self.routers[name] = SessionRouter(self, name, domain)
@@ -168,9 +166,6 @@
     def process(self, name):
         return timeline.Process(self.timeline, name)
 
-    def sheet(self, upstreams=None):
-        return make_sheet(upstreams or self._upstreams, self._extra)
-
     def add_upstream(self, name, offset):
         """Start an upstream whose clock differs by `offset` seconds."""
         loop = self.process(name)
@@ -191,7 +186,7 @@
     def table(self):
         """Return the units of each owner, as the store has them."""
         entry = self.store.state.get(f'cell/{CELL}/table/ledger/0')
-        return lines.table_fields(entry.value, 0)
+        return lines.table_fields(entry.value)
 
     def owner_of(self, key):
         for router in self.routers.values():
--- a/tests/sessions/lines.py
+++ b/tests/sessions/lines.py
@@ -42,9 +42,9 @@
     return ','.join(sorted(found)) or '-'
 
 
-def table_fields(value, version):
+def table_fields(value):
     """Return the owners and fences of a table's units."""
-    table = ownership.OwnershipTable.decode(value, version)
+    table = ownership.OwnershipTable.decode(value, 0)
     owned = collections.defaultdict(list)
     for unit, held in table.units():
         owned[held.owner or 'nobody'].append(f'{unit}/{held.fence}')
@@ -54,7 +54,7 @@
 def store_fields(key, value):
     """Return what a store value says, by its key."""
     if '/table/' in key:
-        return table_fields(value, 0)
+        return table_fields(value)
     if not value:
         return {}
     if key == 'manifest':
--- a/tests/sessions/scripts.py
+++ b/tests/sessions/scripts.py
@@ -3,6 +3,7 @@
 from tests.sessions.cell import CELL
 from tests.sessions.cell import UPSTREAMS
 from tests.sessions.cell import Cell
+from tests.sessions.cell import make_sheet
 
 SESSIONS = {}
 READY_SECONDS = 4.0
@@ -28,7 +29,7 @@
     cell.run(6.0)
     cell.note('operator: the morning export declares upstream u4 in fd-1')
     cell.add_upstream('u4', 4000.0)
-    sheet = cell.sheet({**UPSTREAMS, 'u4': 'fd-1'})
+    sheet = make_sheet({**UPSTREAMS, 'u4': 'fd-1'})
     cell.put('operator', 'manifest', sheet, expected=1)
     cell.run(12.0)
     cell.call('caller', 'r2', 'GET', '/ledger/capsule-3')
@@ -126,18 +127,18 @@
     cell.run(READY_SECONDS)
     cell.note('both operators have read version 1')
     cell.add_upstream('u4', 4000.0)
-    first = cell.sheet({**UPSTREAMS, 'u4': 'fd-1'})
-    second = cell.sheet({n: UPSTREAMS[n] for n in ('u1', 'u2')})
+    first = make_sheet({**UPSTREAMS, 'u4': 'fd-1'})
+    second = make_sheet({n: UPSTREAMS[n] for n in ('u1', 'u2')})
     cell.put('operator-1', 'manifest', first, expected=1)
     cell.put('operator-2', 'manifest', second, expected=1, after=0.001)
     cell.run(9.0)
     cell.note('operator-3 loses the answer to a write and reads it back')
     cell.store.lose_answer_of = 'manifest'
-    cell.put('operator-3', 'manifest', cell.sheet(), expected=2)
+    cell.put('operator-3', 'manifest', make_sheet(), expected=2)
     cell.run(9.5)
     version = cell.store.state.version('manifest')
     cell.note(f'the manifest has version {version}')
-    cell.put('operator-3', 'manifest', cell.sheet(), expected=2)
+    cell.put('operator-3', 'manifest', make_sheet(), expected=2)
     cell.run(14.0)
 
 
