Use the store's stand-in and the HTTP client in sessions

Cause: the sessions had a store of their own besides the stand-in.

Change: sessions serve bramleysill_standins.store on connections in memory, and the routers reach it through HttpStoreClient.

Conclusion: the client of the store is part of the sessions now.

--- a/tests/sessions/cell.py
+++ b/tests/sessions/cell.py
@@ -91,7 +91,7 @@
         self._incarnation = f'{name}-1'
         self._shutdown_deadline = None
         self.state = RouterState(parse_manifest)
-        self._store = store_module.StoreLink(cell.store, self.loop)
+        self._store = store_module.StoreLink(cell.recorder, self.loop)
         self._build_control()
         self._build_request_path()
         self._connect_parts()
@@ -121,6 +121,9 @@
         self.network.routers = set(ROUTERS)
         store_loop = self.process('store')
         self.store = store_module.SessionStore(store_loop, self.recorder)
+        self.network.listener(
+            store_loop, '', store_module.PORT, self.store.accept
+        )
         # What a script leaves for its test.
         self.marked = ''
         self.tables_seen = {}
@@ -145,7 +148,7 @@
         self.run(0.1)
         for name, domain in ROUTERS.items():
             self.routers[name] = SessionRouter(self, name, domain)
-            self.store.vms.append(name)
+            self.store.vms.append({'name': name, 'state': 'live'})
             self.run(self.now + START_GAP_SECONDS)
         return self
 
@@ -200,7 +203,7 @@
     def put(self, operator, key, value, expected=0, after=0.0):
         """Write a key by compare-and-swap; the result goes to `outcomes`."""
         loop = self.process(operator)
-        link = store_module.StoreLink(self.store, loop)
+        link = store_module.StoreLink(self.recorder, loop)
         if not isinstance(value, bytes):
             value = json.dumps(value).encode()
         effect = effects.StoreWrite(0, key, value, expected)
--- a/tests/sessions/scripts.py
+++ b/tests/sessions/scripts.py
@@ -147,7 +147,7 @@
     """The store is down for an hour; an upstream is lost meanwhile."""
     cell.run(READY_SECONDS)
     cell.note('the store goes down')
-    cell.store.go_down()
+    cell.store.faults.set('down')
     cell.run(60.0)
     cell.call('caller', 'r1', 'GET', '/ledger/k1')
     cell.run(1800.0)
@@ -158,7 +158,7 @@
     cell.call('caller', 'r1', 'GET', '/ledger/k1')
     cell.run(READY_SECONDS + ONE_HOUR_SECONDS)
     cell.note('the store answers again')
-    cell.store.down = False
+    cell.store.faults.set('none')
     cell.run(3612.0)
     cell.call('caller', 'r2', 'GET', '/ledger/k1')
     cell.run(3613.0)
--- a/tests/sessions/timeline.py
+++ b/tests/sessions/timeline.py
@@ -114,7 +114,7 @@
             if second in self._lines:
                 out += self._flush(quiet)
                 quiet = []
-                found = sorted(self._lines[second])
+                found = sorted(self._lines[second], key=_order)
                 out += [f'{ms / 1000:9.3f} {text}' for ms, text in found]
             if self._folded[second]:
                 quiet.append(second)
@@ -139,3 +139,9 @@
 
     def _now_ms(self):
         return round((self._timeline.time - START_SECONDS) * 1000)
+
+
+def _order(line):
+    # Answers of the store are recorded on arrival, before what follows.
+    ms, text = line
+    return ms, not text.startswith('store ->'), text
