Keep grants alive over a graceful leave; carry barred units

A leaving router reported every busy upstream as still held, so no other dispatcher was named while its own grants stopped, and a running upload lost its grant after 0.9 s. A unit released by a lost dispatcher stays barred at the upstream, and nobody told the new dispatcher. Keys of a suspended owner were refused as moving.

Change: only keyed upstreams that do not check authority keep the role with the leaving router; elsewhere the next dispatcher renews the grants at once. The answer to a grant names barred units, which are released again. A suspended owner is refused as owner_lost.

--- a/packages/router/src/bramleysill_router/authority.py
+++ b/packages/router/src/bramleysill_router/authority.py
@@ -76,10 +76,13 @@
         unit, fence = message.unit, message.fence
         if unit in self.releasing:
             return
+        self._stop(unit, fence)
+        self.check_releases()
+
+    def _stop(self, unit, fence):
         self.keeper.stop(unit, fence)
         self._owner.hold(unit)
         self.releasing[unit] = (fence, False)
-        self.check_releases()
 
     def suspend(self):
         """Stop renewing; `Lapsed` is sent when the grant has run out."""
@@ -117,7 +120,8 @@
             if unit not in self.releasing:
                 return
             now = self._context.loop.now()
-            if status == 200 or now >= self.keeper.unit_lapse_bound(unit):
+            confirmed = status == 200 and self.keeper.may_confirm(unit, fence)
+            if confirmed or now >= self.keeper.unit_lapse_bound(unit):
                 self._released(unit, fence)
             else:
                 self.releasing[unit] = (fence, False)
@@ -174,8 +178,10 @@
         owner = self._owner
         owner.health.note_answer(status in (200, 409))
         if status == 200:
-            self.keeper.on_granted(body)
+            barred = _barred_units(document)
+            self.keeper.on_granted(body, barred)
             self._take_clock(document)
+            self._release_barred(barred)
             owner.admission.note_alive()
             owner.on_granted()
         elif status == 409:
@@ -187,6 +193,15 @@
             )
             self._read_clock()
 
+    def _release_barred(self, barred):
+        # A former dispatcher released these units and their next owner was
+        # never written; the coordinator moves on when it hears so again.
+        units = self._context.state.units_of(self.keeper.upstream)
+        for unit, fence in barred.items():
+            if units.get(unit) == fence and unit not in self.releasing:
+                self._stop(unit, fence)
+        self.check_releases()
+
     def _take_clock(self, document):
         try:
             clock_ms = int(document['clock_ms'])
@@ -212,3 +227,10 @@
             self._context.send(
                 messages.Lapsed(self.keeper.upstream, self.keeper.generation)
             )
+
+
+def _barred_units(document):
+    barred = document.get('barred')
+    if not isinstance(barred, dict):
+        return {}
+    return {str(u): f for u, f in barred.items() if isinstance(f, int)}
--- a/packages/router/src/bramleysill_router/dispatcher.py
+++ b/packages/router/src/bramleysill_router/dispatcher.py
@@ -390,6 +390,13 @@
             )
 
     def _moving(self, unit):
+        if self.authority.keeper.suspended:
+            return refusals.OwnerLost(
+                f'the owner of unit {unit} is lost',
+                'dispatch',
+                self.upstream.name,
+                retry_after=1,
+            )
         return refusals.OwnerMoving(
             f'unit {unit} is being moved',
             'dispatch',
--- a/packages/router/src/bramleysill_router/dispatchers.py
+++ b/packages/router/src/bramleysill_router/dispatchers.py
@@ -1,6 +1,7 @@
 """All dispatcher roles of this router."""
 
 from bramleysill_kernel import refusals
+from bramleysill_kernel.manifest import KIND_KEYED
 from bramleysill_router.dispatcher import UpstreamDispatcher
 from bramleysill_router.upstream_control import UpstreamControl
 from bramleysill_router.upstream_pool import UpstreamPool
@@ -36,10 +37,17 @@
             found = self._make(upstream)
         return found
 
-    def is_busy(self, upstream):
-        """Tell whether requests are at the upstream."""
+    def must_keep(self, upstream):
+        """Tell whether a role that was taken must be reported as held.
+
+        An upstream that checks authority goes on under the next dispatcher's
+        grants, and a shared service has no owner to protect. Otherwise only
+        this router knows what still runs.
+        """
         found = self._all.get(upstream)
-        return found is not None and found.is_busy()
+        if found is None or found.service.authority:
+            return False
+        return found.service.kind == KIND_KEYED and found.is_busy()
 
     def busy_count(self):
         """Return the number of upstreams with requests."""
--- a/packages/router/src/bramleysill_router/process.py
+++ b/packages/router/src/bramleysill_router/process.py
@@ -109,7 +109,7 @@
             self.loop,
             self.state,
             self.election,
-            self._is_busy,
+            self._must_keep,
         )
         self._control = Control(
             self.loop,
@@ -175,8 +175,8 @@
             self.state.manifest, self.state.drained
         )
 
-    def _is_busy(self, upstream):
-        return self.dispatchers.is_busy(upstream)
+    def _must_keep(self, upstream):
+        return self.dispatchers.must_keep(upstream)
 
     def _submit(self, router, head, sink, body, last):
         if router == self.cfg.name:
--- a/packages/standins/src/bramleysill_standins/fences.py
+++ b/packages/standins/src/bramleysill_standins/fences.py
@@ -63,6 +63,14 @@
             return NO_GRANT
         return OK if now_ms < self._until_ms else EXPIRED
 
+    def barred(self, units):
+        """Return those of the units that stay refused under their fence."""
+        return {
+            unit: fence
+            for unit, fence in units.items()
+            if fence < self._seen.get(unit, 0)
+        }
+
     def release(self, unit, fence):
         """Stop a unit for good at this fence and the ones below."""
         lowest = self._seen.get(unit, 0)
--- a/packages/standins/src/bramleysill_standins/upstream_control.py
+++ b/packages/standins/src/bramleysill_standins/upstream_control.py
@@ -55,12 +55,15 @@
             stream.send(404, [])
             return
         now_ms = self.app.clock_ms()
-        accepted = self.app.fences.apply(json.loads(body), now_ms)
-        self._send_clock(stream, 200 if accepted else 409)
+        command = json.loads(body)
+        accepted = self.app.fences.apply(command, now_ms)
+        barred = self.app.fences.barred(command['units'])
+        self._send_clock(stream, 200 if accepted else 409, {'barred': barred})
 
-    def _send_clock(self, stream, status):
+    def _send_clock(self, stream, status, more=None):
         clock_ms = int(self.app.clock_ms())
         value = {'clock_ms': clock_ms, 'epoch': self.app.epoch}
+        value.update(more or {})
         send_json(stream, status, value, self.app.report_headers())
 
     def _release(self, stream, target, body):
--- a/tests/sessions/upstream.py
+++ b/tests/sessions/upstream.py
@@ -98,7 +98,8 @@
         return 200, {'state': self.up.state, 'load': 0.0}
 
     def _grants(self, body):
-        return self.up.table.apply(body, self.up.clock_ms()), {}
+        status = self.up.table.apply(body, self.up.clock_ms())
+        return status, {'barred': self.up.table.barred(body['units'])}
 
     def _release(self, body):
         self.up.table.release(body['unit'], body['fence'])
