Ignore a Suspend of an older term and end unasked suspensions

Change: GrantKeeper.suspend takes the term; a Lapsed that was not asked for makes the coordinator name the role anew.

--- a/packages/kernel/src/bramleysill_kernel/grants.py
+++ b/packages/kernel/src/bramleysill_kernel/grants.py
@@ -9,6 +9,8 @@
 * It passes `clock_ms` and `epoch` of every answer of the upstream to
   `on_answer(clock_ms, epoch)`, together with the time of arrival, and
   `on_granted(body)` for a grant that was answered with 200.
+* It keeps the object while `RouterAgent.may_dispatch` is true and makes a new
+  one when the role is named again after that.
 * The answer to a grant may name units as `barred`: a former dispatcher has
   released them and their new owner was never written. They are treated like
   units of a `Release`, and so is a unit that the upstream refuses with
@@ -21,9 +23,9 @@
   repeats `Released` for everything in `stopped(units)` every second, because
   a message or a coordinator may have been lost; the unit is served again
   only under a higher fence.
-* On `Suspend` it calls `suspend()` and sends `Lapsed` with `generation` when
-  `lapse_bound` has passed. A new generation of the role (`set_role`) ends the
-  suspension.
+* On `Suspend` it calls `suspend(term)` and sends `Lapsed` with `generation`
+  when `lapse_bound` has passed, and again every 0.5 s. A new generation of
+  the role (`set_role`) ends the suspension.
 
 For an upstream that does not check authority nothing is granted; the
 dispatcher reports each send with `note_sent()` and each end with
@@ -183,9 +185,13 @@
         }
         return {u: f for u, f in self._stopped.items() if units.get(u) == f}
 
-    def suspend(self):
-        """Stop granting anything; see `lapse_bound`."""
-        self.suspended = True
+    def suspend(self, term):
+        """Stop granting anything; see `lapse_bound`.
+
+        A Suspend of an older term than the role's came late and is ignored.
+        """
+        if term >= self.generation[0]:
+            self.suspended = True
 
     def note_sent(self):
         """Note a request sent to the upstream."""
--- a/packages/kernel/src/bramleysill_kernel/losses.py
+++ b/packages/kernel/src/bramleysill_kernel/losses.py
@@ -237,15 +237,21 @@
         return [effects.SendMessage(router, suspend)]
 
     def on_lapsed(self, router, message):
-        """Take a Lapsed; the upstream is lost at the next tick."""
-        found = self.conditions.get(message.upstream)
-        if found is None or found.step != SUSPENDED:
+        """Take a Lapsed; the upstream is lost at the next tick.
+
+        If nobody has asked for the suspension in this term, a late Suspend
+        has caused it, and the role is renewed to end it.
+        """
+        upstream = message.upstream
+        if self._roles.router_of(upstream) != router:
             return
-        if self._roles.router_of(message.upstream) != router:
+        if tuple(message.generation) != self._roles.generation_of(upstream):
             return
-        generation = self._roles.generation_of(message.upstream)
-        if tuple(message.generation) == generation:
+        found = self.of(upstream)
+        if found.step == SUSPENDED:
             found.lapsed_at = self._clock.now()
+        elif found.step in (OK, RETURNING):
+            self._roles.renew(upstream)
 
     def role_given_up(self, upstream, lapsed_at):
         """Note that a former dispatcher's grants end by `lapsed_at`."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -335,7 +335,7 @@
         elif isinstance(message, messages.Suspend):
             keeper = self.keepers.get(message.upstream)
             if keeper is not None:
-                keeper.suspend()
+                keeper.suspend(message.term)
         elif isinstance(message, messages.ProbeRequest):
             self._on_probe(sender, message)
         elif self.coordinator is not None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -216,6 +216,10 @@
         """
         run_faults(('partition', 'drains'), 3)
 
+    def test_late_suspend_of_a_former_coordinator(self):
+        """Guards against an upstream that stays suspended for ever."""
+        run_faults(('freeze', 'delay', 'lost_answers'), 628)
+
     def test_dispatchers_alone_keep_one_owner(self):
         """Guards upstreams without grants against two sending routers."""
         for name, seed in itertools.product(FAULTS, SEEDS_PAIRS):
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -67,12 +67,18 @@
     def test_only_a_newer_generation_ends_a_suspension(self):
         """Guards against a late grant of an upstream reported as lapsed."""
         self.keeper.on_answer(5000, 'e')
-        self.keeper.suspend()
+        self.keeper.suspend(1)
         self.keeper.set_role((1, 1))
         self.assertIsNone(self.keeper.make_grant({'1': 1}))
         self.keeper.set_role((1, 2))
         self.assertIsNotNone(self.keeper.make_grant({'1': 1}))
 
+    def test_suspend_of_an_older_term_is_ignored(self):
+        """Guards against an upstream that a former coordinator blocks."""
+        self.keeper.set_role((2, 1))
+        self.keeper.suspend(1)
+        self.assertFalse(self.keeper.suspended)
+
     def test_unchecked_upstream_lapses_after_settle(self):
         """Guards against a frozen process that runs its socket buffer."""
         keeper = grants.GrantKeeper('u', self.agent, self.clock, False, 30.0)
