Keep the coordinator alive on a malformed value of drains

Cause: operators write the key `drains`; a value that is no JSON object raised an error in the coordinator.

Change: such a value is logged as value_malformed and changes nothing.

Conclusion: a mistake in the key costs a log line only.

--- a/packages/kernel/src/bramleysill_kernel/coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/coordinator.py
@@ -169,12 +169,20 @@
 
         `value` is the JSON object stored under `drains`, for example
         `{"failure_domains": ["fd-1"], "upstreams": ["u3"]}`; empty bytes
-        stand for a missing key.
+        stand for a missing key. A malformed value leaves the drains as they
+        were.
         """
         if version <= self._drains_version:
             return []
+        try:
+            found = json.loads(value) if value else {}
+        except ValueError:
+            found = None
+        if not isinstance(found, dict):
+            fields = {'key': 'drains', 'version': version}
+            return [effects.LogEvent('value_malformed', fields)]
         self._drains_version = version
-        self._drains = json.loads(value) if value else {}
+        self._drains = found
         self._update_drained()
         return []
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -126,6 +126,15 @@
         cell.put_drains()
         cell.run(10.0, lambda: len(set(cell.owners().values())) == 1)
 
+    def test_malformed_drains_change_nothing(self):
+        """Guards against an operator's mistake that ends the coordinator."""
+        cell = _cell(4)
+        leader = cell.leader().coordinator
+        for value in (b'{', b'[1]', b'3'):
+            (event,) = leader.on_drains(value, 9)
+            self.assertEqual('value_malformed', event.event)
+        self.assertEqual(frozenset(), leader.drained)
+
     def test_balanced_cell_stays_as_it_is(self):
         """Guards against moves that gain nothing."""
         cell = _cell(5)
