--- a/packages/router/src/bramleysill_router/authority.py
+++ b/packages/router/src/bramleysill_router/authority.py
@@ -84,9 +84,9 @@
         self._owner.hold(unit)
         self.releasing[unit] = (fence, False)
 
-    def suspend(self):
+    def suspend(self, term):
         """Stop renewing; `Lapsed` is sent when the grant has run out."""
-        self.keeper.suspend()
+        self.keeper.suspend(term)
         self._lapsed_told = False
 
     def warm(self, unit):
--- a/packages/router/src/bramleysill_router/control.py
+++ b/packages/router/src/bramleysill_router/control.py
@@ -274,7 +274,7 @@
     def _on_suspend(self, router, message):
         dispatcher = self.dispatchers.get(message.upstream)
         if dispatcher is not None and message.term >= self._agent.term:
-            dispatcher.authority.suspend()
+            dispatcher.authority.suspend(message.term)
 
     def _on_warm(self, router, message):
         dispatcher = self.dispatchers.get(message.upstream)
