Give metrics a registry of their own

Making a second Metrics object in a process failed: aioprometheus enters each collector into the process's registry as well, where its name was taken ('A collector for bramleysill_requests_total is already registered', seen in the setUp of tests.test_report_command).

Collectors are declared as a table and made with the object's own registry, so that two routers can run in one test process.

--- a/packages/router/src/bramleysill_router/metrics.py
+++ b/packages/router/src/bramleysill_router/metrics.py
@@ -29,6 +29,28 @@
     5.0,
 )
 
+# Metrics by name: the class of the collector and the help text.
+COLLECTORS = {
+    'bramleysill_requests_total': (Counter, 'Requests by outcome code.'),
+    'bramleysill_latency_seconds_bucket': (Counter, 'Requests by latency.'),
+    'bramleysill_latency_seconds_sum': (Counter, 'Sum of latencies.'),
+    'bramleysill_control_bytes_total': (Counter, 'Bytes of control.'),
+    'bramleysill_events_total': (Counter, 'Events by kind.'),
+    'bramleysill_failure_domain_moves_total': (
+        Counter,
+        'Failure domains that went out or came back.',
+    ),
+    'bramleysill_failure_domain_out': (Gauge, '1 while it is out.'),
+    'bramleysill_started_seconds': (Gauge, 'Start since the epoch.'),
+    'bramleysill_in_flight': (Gauge, 'Requests running at an upstream.'),
+    'bramleysill_most_in_flight': (Gauge, 'Most that ever ran at once.'),
+    'bramleysill_queued': (Gauge, 'Requests queued for an upstream.'),
+    'bramleysill_limit': (Gauge, 'Concurrency limit of an upstream.'),
+    'bramleysill_lease_seconds': (Gauge, 'What remains of the lease.'),
+    'bramleysill_manifest_version': (Gauge, 'Manifest in force.'),
+    'bramleysill_units': (Gauge, 'Units by condition.'),
+}
+
 
 class Metrics:
     """Counts what the router does; labels are positional tuples.
@@ -62,8 +84,10 @@
         self._gauges = []
         self._published = collections.Counter()
         self._registry = Registry()
-        for collector in _make_collectors():
-            self._registry.register(collector)
+        # Without a registry of its own, a collector enters the process's, in
+        # which a second Metrics object would find its names taken.
+        for name, (kind, text) in COLLECTORS.items():
+            kind(name, text, registry=self._registry)
         # Readers of the counters tell a restart by this time.
         started = self._registry.get('bramleysill_started_seconds')
         started.set({}, round(time.time(), 3))
@@ -179,26 +203,3 @@
         for condition, value in counts.items():
             labels = {'service': service, 'condition': condition}
             yield 'bramleysill_units', labels, value
-
-
-def _make_collectors():
-    return (
-        Counter('bramleysill_requests_total', 'Requests by outcome code.'),
-        Counter('bramleysill_latency_seconds_bucket', 'Requests by latency.'),
-        Counter('bramleysill_latency_seconds_sum', 'Sum of latencies.'),
-        Counter('bramleysill_control_bytes_total', 'Bytes of control.'),
-        Counter('bramleysill_events_total', 'Events by kind.'),
-        Counter(
-            'bramleysill_failure_domain_moves_total',
-            'Failure domains that went out or came back.',
-        ),
-        Gauge('bramleysill_failure_domain_out', '1 while it is out.'),
-        Gauge('bramleysill_started_seconds', 'Start since the epoch.'),
-        Gauge('bramleysill_in_flight', 'Requests running at an upstream.'),
-        Gauge('bramleysill_most_in_flight', 'Most that ever ran at once.'),
-        Gauge('bramleysill_queued', 'Requests queued for an upstream.'),
-        Gauge('bramleysill_limit', 'Concurrency limit of an upstream.'),
-        Gauge('bramleysill_lease_seconds', 'What remains of the lease.'),
-        Gauge('bramleysill_manifest_version', 'Manifest in force.'),
-        Gauge('bramleysill_units', 'Units by condition.'),
-    )
