--- a/packages/ctl/src/sillctl/burn.py
+++ b/packages/ctl/src/sillctl/burn.py
@@ -26,8 +26,11 @@
 BUDGET_WINDOW = Window('30 days', 30 * 86400)
 # The timeline shows this many steps of the longest window's data.
 TIMELINE_STEPS = 60
-# A router that has not answered for this long is reported as vanished.
+# A router whose newest answer is older is reported as vanished. Readings that
+# are recorded rarely allow twice their interval, up to the upper limit.
 VANISHED_SECONDS = 60.0
+MAX_VANISHED_SECONDS = 7200.0
+VANISHED_INTERVALS = 2
 # Latencies are compared in seconds; 50 ms must match the bound 0.05.
 BOUND_TOLERANCE = 1e-9
 
@@ -145,7 +148,7 @@
     state = STATE_ANSWERS
     if last is None:
         state = STATE_NO_DATA
-    elif age > VANISHED_SECONDS or last is not history.snapshots[-1]:
+    elif age > _patience(history) or last is not history.snapshots[-1]:
         state = STATE_VANISHED
     increase = history.increase(BUDGET_WINDOW, now)
     return {
@@ -157,6 +160,13 @@
     }
 
 
+def _patience(history):
+    """Return how old a router's newest answer may be, in seconds."""
+    times = [s.at for s in history.snapshots if s.samples is not None][-2:]
+    allowed = VANISHED_INTERVALS * (times[-1] - times[0])
+    return min(max(VANISHED_SECONDS, allowed), MAX_VANISHED_SECONDS)
+
+
 def _tally(window, histories, now, service, limit):
     tally = Tally()
     for history in histories.values():
--- a/packages/ctl/src/sillctl/report_command.py
+++ b/packages/ctl/src/sillctl/report_command.py
@@ -11,6 +11,7 @@
 from sillctl.burn import BUDGET_WINDOW
 from sillctl.burn import make_report
 from sillctl.report_output import to_html
+from sillctl.windows import FULL_SHARE
 
 # The bounds of the router's latency buckets; a test compares them.
 LATENCY_BOUNDS = (
@@ -75,18 +76,18 @@
 
 def build(options, manifest, until='', clock=time.time, sleep=time.sleep):
     """Return the burn report as a dict."""
-    # The live snapshots come first, so that the window ends after them.
+    # The live snapshots come first, so that the windows end after them.
     found = list(_collect(options, clock, sleep))
-    now = clock()
+    end = _end(until, options, found, clock())
     malformed = 0
     if options.snapshots:
-        # Without a known end, an old directory is read as a whole.
-        since = -math.inf if until else now - BUDGET_WINDOW.seconds
-        recorded, malformed = snapshot_files.load(options.snapshots, since)
+        # Windows may begin a tenth earlier than their length tells.
+        since = end - BUDGET_WINDOW.seconds * (2 - FULL_SHARE)
+        recorded, malformed = snapshot_files.load(
+            options.snapshots, since, end
+        )
         found += _without_repeats(recorded, found)
-    report = make_report(
-        found, objectives_of(manifest), _end(until, found, now)
-    )
+    report = make_report(found, objectives_of(manifest), end)
     return {**report, 'malformed_lines': malformed}
 
 
@@ -106,11 +107,15 @@
     return [s for s in recorded if (s.router, s.at) not in known]
 
 
-def _end(until, found, now):
+def _end(until, options, found, now):
     if not until:
         return now
     if until == UNTIL_LATEST:
-        return max((s.at for s in found), default=now)
+        times = [s.at for s in found]
+        if options.snapshots:
+            newest = snapshot_files.newest(options.snapshots)
+            times += [newest] if newest is not None else []
+        return max(times, default=now)
     try:
         end = float(until)
     except ValueError:
--- a/packages/ctl/src/sillctl/report_output.py
+++ b/packages/ctl/src/sillctl/report_output.py
@@ -164,7 +164,8 @@
 <line class="limit" x1="{{ p.margin }}" x2="{{ p.width - p.margin }}"
  y1="{{ limit }}" y2="{{ limit }}"/>
 <text x="4" y="{{ limit + 4 }}">burn 1</text>
-<text x="4" y="{{ p.margin / 2 + 4 }}">{{ '%.3g' % top }}{{ ' or more' if is_cut }}</text>
+<text x="4" y="{{ p.margin / 2 + 4 }}">{{ '%.3g' % top }}
+{{- ' or more' if is_cut }}</text>
 {%- endmacro %}
 {% for service in services %}
 <h2>{{ service.service }}: {{ service.state }}</h2>
@@ -174,7 +175,8 @@
 {{ '%g' % service.objective.latency_ms }} ms, counted at
 {{ '%g ms' % service.objective.measured_ms
    if service.objective.measured_ms is not none else 'no bound: no data' }}.
-Budget left{{ '' if service.budget.is_full else ' at most' }}: availability {{ service.budget.availability_left | percent }},
+Budget left{{ '' if service.budget.is_full else ' at most' }}:
+availability {{ service.budget.availability_left | percent }},
 latency {{ service.budget.latency_left | percent }};
 covers {{ service.budget | covers }}.</p>
 {% set p = plots[service.service] -%}
--- a/packages/ctl/src/sillctl/snapshot_files.py
+++ b/packages/ctl/src/sillctl/snapshot_files.py
@@ -1,14 +1,29 @@
-"""Snapshots of metrics in a directory, one file of lines per router."""
+"""Snapshots of metrics in a directory, one file of lines per router.
 
+A month of readings of one cell takes hundreds of megabytes. Old readings are
+therefore thinned out before they are decoded.
+"""
+
+import math
 import pathlib
 import re
 
 from bramleysill_kernel.exceptions import SettingsError
+from sillctl.snapshots import STARTED
 from sillctl.snapshots import decode
 from sillctl.snapshots import encode
 
 SUFFIX = '.jsonl'
+# Readings of the last hours are all kept, since the short windows and the
+# tolerance of the 6 h window need them. Up to the age given first, one
+# reading is kept in each step, both in seconds.
+ALL_KEPT_SECONDS = 7 * 3600
+THINNING = ((3.5 * 86400, 600), (math.inf, 3600))
+
 _UNSAFE = re.compile(r'[^A-Za-z0-9.-]')
+_TIME = re.compile(r'\{"at":(\d+(?:\.\d+)?),')
+_STARTED = re.compile(rf'"{STARTED}",{{}},([0-9.]+)\]')
+_NO_SAMPLES = '"samples":null'
 
 
 def append(directory, snapshot):
@@ -23,28 +38,84 @@
         raise _failed('record', 'cannot write snapshots', path, exc) from exc
 
 
-def load(directory, since):
-    """Return (snapshots not older than `since`, count of malformed lines).
+def newest(directory):
+    """Return the time of the newest snapshot, or None without any."""
+    times = (_time(line) for lines in _files(directory) for line in lines)
+    return max((at for at in times if at is not None), default=None)
+
 
-    A line may be malformed because a writer was stopped in the middle of it.
+def load(directory, since, end):
+    """Return (snapshots from `since` to `end`, count of malformed lines).
+
+    Times are in seconds since the epoch. A line may be malformed because a
+    writer was stopped in the middle of it.
     """
-    path = pathlib.Path(directory)
     found, malformed = [], 0
+    for lines in _files(directory):
+        for line in thin_out(lines, since, end):
+            try:
+                found.append(decode(line))
+            except ValueError:
+                malformed += 1
+    return found, malformed
+
+
+def thin_out(lines, since, end):
+    """Yield the lines of one router that a report needs.
+
+    The lines are in order of time. The first of each step is kept, and so
+    are the last before and the first after a restart, because what was
+    counted between them is lost, and the newest.
+    """
+    slot = started = skipped = failed = None
+    for line in lines:
+        at = _time(line)
+        if at is None:
+            yield line
+        if at is None or not since <= at <= end:
+            continue
+        if _NO_SAMPLES in line:
+            failed = line
+            continue
+        failed = None
+        is_new = slot != (slot := _slot(at, end))
+        has_restarted = started != (started := _start(line, started))
+        if has_restarted and skipped:
+            yield skipped
+        if is_new or has_restarted:
+            yield line
+        skipped = None if is_new or has_restarted else line
+    yield from filter(None, (skipped, failed))
+
+
+def _files(directory):
+    """Yield the lines of each file; raises SettingsError."""
+    path = pathlib.Path(directory)
     try:
         # A path without a directory would otherwise look like no snapshots.
-        files = sorted(p for p in path.iterdir() if p.suffix == SUFFIX)
-        for file in files:
-            for line in file.read_text('utf-8', 'replace').splitlines():
-                try:
-                    snapshot = decode(line)
-                except ValueError:
-                    malformed += 1
-                    continue
-                if snapshot.at >= since:
-                    found.append(snapshot)
+        for file in sorted(p for p in path.iterdir() if p.suffix == SUFFIX):
+            with open(file, encoding='utf-8', errors='replace') as lines:
+                yield lines
     except OSError as exc:
         raise _failed('snapshots', 'cannot read snapshots', path, exc) from exc
-    return found, malformed
+
+
+def _time(line):
+    found = _TIME.match(line)
+    return float(found[1]) if found else None
+
+
+def _start(line, default):
+    found = _STARTED.search(line)
+    return found[1] if found else default
+
+
+def _slot(at, end):
+    age = end - at
+    if age <= ALL_KEPT_SECONDS:
+        return at
+    step = next(step for limit, step in THINNING if age <= limit)
+    return step, at // step
 
 
 def _failed(option, what, path, exc):
--- a/packages/ctl/src/sillctl/snapshots.py
+++ b/packages/ctl/src/sillctl/snapshots.py
@@ -7,6 +7,7 @@
                   {"service": "ledger", "code": "ok"}, 12.0]]}
 """
 
+import functools
 import json
 import math
 
@@ -55,7 +56,13 @@
 
 def sample_key(name, labels):
     """Return the key of a sample."""
-    return name, tuple(sorted(labels.items()))
+    return _shared_key(name, tuple(sorted(labels.items())))
+
+
+@functools.lru_cache(maxsize=100_000)
+def _shared_key(name, labels):
+    # Each snapshot has the same keys, which take more memory than the values.
+    return name, labels
 
 
 def parse_exposition(text):
--- a/packages/ctl/src/sillctl/windows.py
+++ b/packages/ctl/src/sillctl/windows.py
@@ -72,13 +72,8 @@
         covered = points[-1].at - points[0].at
         if covered <= 0:
             return None
-        counts = collections.Counter()
-        for old, new in zip(points, points[1:], strict=False):
-            if not new.is_restart:
-                for key, value in new.counters.items():
-                    counts[key] += value - old.counters.get(key, 0.0)
         restarts = sum(p.is_restart for p in points[1:])
-        return Increase(counts, covered, restarts)
+        return Increase(_sum_up(points), covered, restarts)
 
     def _points_in(self, start, end, window):
         """Return the readings of a span, with the one just before it."""
@@ -90,6 +85,19 @@
         return self._points[first:last]
 
 
+def _sum_up(points):
+    """Return the increases of counters over the runs between restarts."""
+    counts = collections.Counter()
+    first = 0
+    for number in range(1, len(points) + 1):
+        if number == len(points) or points[number].is_restart:
+            old = points[first].counters
+            for key, value in points[number - 1].counters.items():
+                counts[key] += value - old.get(key, 0.0)
+            first = number
+    return counts
+
+
 def _time(point):
     return point.at
 
@@ -102,11 +110,12 @@
     points = []
     last = None
     for snapshot in filter(_answered, snapshots):
+        point = _Point(snapshot.at, snapshot.counters())
         if last is None:
             points += _birth(snapshot)
-        elif _has_restarted(last, snapshot):
+        elif _has_restarted(last, snapshot, points[-1].counters, point):
             points.append(_Point(_restart_time(last, snapshot), {}, True))
-        points.append(_Point(snapshot.at, snapshot.counters()))
+        points.append(point)
         last = snapshot
     return points
 
@@ -119,13 +128,12 @@
     return [_Point(started, {})]
 
 
-def _has_restarted(old, new):
-    # A counter that shrank or vanished shows a restart, even if the others
-    # have already grown past their old values.
+def _has_restarted(old, new, counters, point):
     if old.started and new.started and old.started != new.started:
         return True
-    counters = new.counters()
-    return any(counters.get(k, 0.0) < v for k, v in old.counters().items())
+    # A counter that shrank or vanished shows a restart, even if the others
+    # have already grown past their old values.
+    return any(point.counters.get(k, 0.0) < v for k, v in counters.items())
 
 
 def _restart_time(old, new):
