--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -3,6 +3,7 @@
 import testtools
 
 from bramleysill_kernel.manifest import Objective
+from bramleysill_kernel.manifest_parser import parse_manifest
 from bramleysill_kernel.ownership import OwnershipTable
 from bramleysill_router.metrics import Metrics
 from bramleysill_router.metrics import unit_gauges
@@ -13,29 +14,28 @@
 from sillctl.report_output import to_text
 from sillctl.snapshots import Snapshot
 from sillctl.snapshots import sample_key
+from tests.test_ctl_commands import EXAMPLE
 
 NOW = 1_000_000.0
 OBJECTIVE = Objective('ledger', 0.99, 50.0, 0.9)
 SERVICES = {'ledger': OBJECTIVE}
 
 
-def _snapshot(ago, router='r1', started=None, slow=0, total=None, **codes):
+def _snapshot(ago, router='r1', started=None, slow=0, **codes):
     """Return a reading `ago` seconds before NOW."""
-    samples = {
-        sample_key(
-            snapshots.REQUESTS, {'service': 'ledger', 'code': code}
-        ): float(value)
-        for code, value in codes.items()
-    }
-    total = sum(codes.values()) if total is None else total
-    for le, value in (('0.036', 0), ('0.05', total - slow), ('+Inf', total)):
-        labels = {'service': 'ledger', 'le': le}
-        samples[sample_key(snapshots.LATENCY, labels)] = float(value)
+    total = sum(codes.values())
+    buckets = {'0.036': 0, '0.05': total - slow, '+Inf': total}
+    samples = {_key(snapshots.REQUESTS, code=c): v for c, v in codes.items()}
+    samples |= {_key(snapshots.LATENCY, le=b): v for b, v in buckets.items()}
     if started is not None:
         samples[sample_key(snapshots.STARTED, {})] = NOW - started
     return Snapshot(NOW - ago, router, samples)
 
 
+def _key(name, **labels):
+    return sample_key(name, {'service': 'ledger', **labels})
+
+
 def _report(*found, services=SERVICES):
     return make_report(found, services, NOW)
 
@@ -61,6 +61,10 @@
         self.assertEqual({'owner_lost': 3, 'no_state': 1}, window['causes'])
         self.assertEqual(3, window['unavailable_keys'])
         self.assertEqual('burning', service['state'])
+        spent = 4.0 * 300 / (30 * 86400)
+        self.assertAlmostEqual(
+            1 - spent, service['budget']['availability_left']
+        )
 
     def test_slow_requests_burn_the_latency_budget(self):
         """Guards against a bucket that is taken above the objective."""
@@ -161,18 +165,28 @@
         self.assertEqual('met, but some routers are missing', service['state'])
         self.assertTrue(report['is_partial'])
 
+    def test_rare_readings_are_no_sign_of_a_loss(self):
+        """Guards against routers called lost between two recordings."""
+        later = _snapshot(-60, ok=3)
+        for ago, state in ((590, 'answers'), (610, 'vanished')):
+            found = (_snapshot(ago + 300, ok=1), _snapshot(ago, ok=2), later)
+            self.assertEqual(state, _report(*found)['routers'][0]['state'])
+
 
 class RouterMetricsTest(testtools.TestCase):
     def test_a_router_page_is_read_and_its_moves_are_counted_once(self):
         """Guards against names that reader and router spell differently."""
+        cell = parse_manifest(EXAMPLE.read_text())
+        names = cell.upstreams.values()
+        out = [u.name for u in names if u.failure_domain == 'tw-b']
         found = []
         for router in ('r1', 'r2'):
             metrics = Metrics()
-            metrics.note_failure_domains(_Cell, frozenset())
+            metrics.note_failure_domains(cell, ())
             first = metrics.render()[0].decode()
-            metrics.note_failure_domains(_Cell, frozenset(('u1', 'u2')))
-            metrics.note_failure_domains(_Cell, frozenset(('u1',)))
-            metrics.note_failure_domains(_Cell, frozenset(('u1', 'u2')))
+            metrics.note_failure_domains(cell, out)
+            metrics.note_failure_domains(cell, out[1:])
+            metrics.note_failure_domains(cell, out)
             metrics.observe('ledger', 'ok', 0.01)
             metrics.observe('ledger', 'owner_lost', 0.06)
             second = metrics.render()[0].decode()
@@ -181,7 +195,7 @@
                 line = snapshots.encode(Snapshot(NOW - ago, router, samples))
                 found.append(snapshots.decode(line))
         report = _report(*found)
-        domain = report['failure_domains'][0]
+        domain = report['failure_domains'][1]
         self.assertTrue(domain['is_out'])
         self.assertEqual({'out': 2, 'back': 1}, domain['moves']['5 min'])
         window = report['services'][0]['windows'][0]
@@ -211,16 +225,5 @@
         self.assertNotIn('Latency', text)
 
 
-class _Upstream:
-    def __init__(self, name):
-        self.name = name
-        self.failure_domain = 'tw-b'
-
-
-class _Cell:
-    failure_domains = ('tw-b',)
-    upstreams = {name: _Upstream(name) for name in ('u1', 'u2')}
-
-
 def _cover(window):
     return window['covered_s'], window['is_full']
--- a/tests/test_report_command.py
+++ b/tests/test_report_command.py
@@ -9,6 +9,12 @@
 from sillctl import exceptions as ctl_exceptions
 from sillctl import report_command
 from sillctl import router_client
+from sillctl import snapshot_files
+from sillctl.snapshots import STARTED
+from sillctl.snapshots import Snapshot
+from sillctl.snapshots import decode
+from sillctl.snapshots import encode
+from sillctl.snapshots import sample_key
 from tests.test_ctl_commands import EXAMPLE
 from tests.test_ctl_commands import _CommandTest
 
@@ -73,6 +79,20 @@
         found = self._build(snapshots=store, until='latest')
         self.assertEqual(1, _ledger(found)['requests'])
 
+    def test_thinning_keeps_what_restarts_and_windows_need(self):
+        """Guards against increases that are lost with thinned readings."""
+        samples = {sample_key(STARTED, {}): 1.0}
+        lines = []
+        for minute in range(120):
+            samples[sample_key(STARTED, {})] = 1.0 if minute < 90 else 2.0
+            found = None if minute in (0, 119) else samples
+            lines.append(encode(Snapshot(minute * 60.0, 'r1', found)))
+        kept = list(snapshot_files.thin_out(lines, 0.0, 9e9))
+        times = [decode(line).at / 60 for line in kept]
+        self.assertEqual([1, 60, 89, 90, 118, 119], times)
+        kept = list(snapshot_files.thin_out(lines, 0.0, 7140.0))
+        self.assertEqual(119, len(kept))
+
     def test_the_manifest_comes_from_the_store_or_a_file(self):
         """Guards against a report without objectives."""
         self._put_example()
