Measure the slopes that capacity rests on

Cause: the capacity of the target size had no measured basis, and the bytes of bench.control are JSON, not the real encoding. Change: bench/slopes.py measures coordination by cell size, codec time, memory by shards and planning time by upstreams, and writes bench/results/slopes.json. Conclusion: the slopes are there for the formulas of docs/CAPACITY.md.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,205 @@
+"""Measures what one process costs, as the basis of docs/CAPACITY.md.
+
+`python -m bench.slopes` writes bench/results/slopes.json: coordination by
+cell size with the bytes of the real encoding, codec time by message, memory
+by number of shards and planning time by number of upstreams. Times come from
+a shared machine; the sizes and the ratios between them are the evidence.
+"""
+
+import datetime
+import json
+import os
+import pathlib
+import random
+import time
+import tracemalloc
+
+from bench import control
+from bench import placement as placement_bench
+from bramleysill_kernel import messages
+from bramleysill_kernel import ownership
+from bramleysill_kernel import state
+from bramleysill_wire import codec
+
+COMMAND = 'python -m bench.slopes'
+RESULT = pathlib.Path(__file__).parent / 'results' / 'slopes.json'
+MEMORY_SHARDS = (1024, 4096, 16384, 82000)
+PLAN_UPSTREAMS = (30, 120, 480, 5100)
+CODEC_ROUTERS = 40
+CODEC_REPEATS = 200
+CODEC_ROUNDS = 5
+
+
+class _CountedCell(control._Cell):
+    """A cell that counts encoded bytes and keeps one message per type."""
+
+    def reset(self):
+        super().reset()
+        self.samples = {}
+        self.encoded = {}
+        self.counts = {}
+
+    def _count(self, message):
+        name = type(message).__name__
+        self.messages += 1
+        self.counts[name] = self.counts.get(name, 0) + 1
+        size = len(codec.encode(message))
+        self.encoded[name] = self.encoded.get(name, 0) + size
+        self.samples[name] = message
+
+
+def _settled_cell(routers):
+    cell = _CountedCell(routers)
+    cell.elect()
+    cell.run(control.SETTLE_SECONDS)
+    cell.reset()
+    cell.run(control.MEASURED_SECONDS)
+    return cell
+
+
+def _cell_row(cell, routers):
+    seconds = control.MEASURED_SECONDS
+    return {
+        'routers': routers,
+        'coordinator_core': cell.coordinator_seconds / seconds,
+        'agent_core': cell.agent_seconds / seconds / routers,
+        'messages_per_s': cell.messages / seconds,
+        'bytes_per_s': sum(cell.encoded.values()) / seconds,
+        'counts': dict(sorted(cell.counts.items())),
+    }
+
+
+def _sample_messages(cell):
+    """Return one message of each measured kind of a settled cell."""
+    full = cell.agents['r0'].state.make_update()
+    roles = cell.agents['r0'].state.make_update()
+    roles.tables = []
+    roles.manifest_text = ''
+    delta = messages.StateUpdate(
+        full.coordinator, full.term, full.serial, full.manifest_version
+    )
+    table = full.tables[0]
+    delta.tables = [
+        messages.TableUpdate(
+            table.service,
+            0,
+            table.version + 1,
+            base=table.version,
+            units={'0': ('u1', 2)},
+        )
+    ]
+    return {
+        'Heartbeat': cell.samples['Heartbeat'],
+        'HeartbeatReply': cell.samples['HeartbeatReply'],
+        'StateUpdate, whole': full,
+        'StateUpdate, roles': roles,
+        'StateUpdate, one shard': delta,
+    }
+
+
+def _best_us(call, *args):
+    """Return the least mean time of a call over rounds, in microseconds."""
+    best = float('inf')
+    for _ in range(CODEC_ROUNDS):
+        start = time.perf_counter()
+        for _ in range(CODEC_REPEATS):
+            call(*args)
+        best = min(best, time.perf_counter() - start)
+    return best / CODEC_REPEATS * 1e6
+
+
+def _codec_rows(cell):
+    rows = {}
+    for name, message in _sample_messages(cell).items():
+        frame = codec.encode(message)
+        rows[name] = {
+            'bytes': len(frame),
+            'encode_us': _best_us(codec.encode, message),
+            'decode_us': _best_us(codec.decode, frame[codec.LENGTH_BYTES :]),
+        }
+    return rows
+
+
+def _filled_table(made):
+    service = made.services['ledger']
+    space = ownership.KeySpace(service)
+    table = ownership.OwnershipTable('ledger', space.shard_count)
+    table.layout = space.layout()
+    count = len(made.upstreams)
+    for number, held in enumerate(table.shards):
+        held.owner = f'u{number % count}'
+        held.fence = number + 1
+    table.version = 1
+    return table
+
+
+def _memory_row(shards):
+    per_router = control.UPSTREAMS_PER_ROUTER * control.SHARDS_PER_UPSTREAM
+    routers = -(-shards // per_router)
+    made = control._manifest(routers)
+    made.services['ledger'].shards = shards
+    data = _filled_table(made).encode()
+    tracemalloc.start()
+    table = ownership.OwnershipTable.decode(data, 1)
+    table_bytes = tracemalloc.get_traced_memory()[0]
+    known = state.RouterState()
+    known.set_manifest(control._manifest(routers))
+    known.set_table(table)
+    known.dispatchers = {
+        f'u{n}': (f'r{n % routers}', 1, n) for n in range(len(made.upstreams))
+    }
+    known.members = {f'r{n}': f'10.0.0.{n}:7000' for n in range(routers)}
+    known.units_of('u0')
+    known.route('ledger', 'k')
+    state_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return {
+        'shards': shards,
+        'upstreams': len(made.upstreams),
+        'stored_bytes': len(data),
+        'table_bytes': table_bytes,
+        'state_bytes': state_bytes,
+    }
+
+
+def _planning_row(upstreams):
+    rows = placement_bench._measure('bounded', upstreams)
+    return {
+        'upstreams': upstreams,
+        'units': upstreams * placement_bench.UNITS_PER_UPSTREAM,
+        'domain_lost_s': next(
+            r['seconds'] for r in rows if r['case'] == 'domain lost'
+        ),
+        'worst_s': max(r['seconds'] for r in rows),
+    }
+
+
+def run():
+    """Return all slopes."""
+    random.seed(placement_bench.SEED)
+    cells = {n: _settled_cell(n) for n in control.ROUTERS}
+    return {
+        'command': COMMAND,
+        'date': datetime.datetime.now(datetime.UTC).strftime(
+            '%Y-%m-%d %H:%M UTC'
+        ),
+        'processors': os.cpu_count(),
+        'load_average': round(os.getloadavg()[0], 1),
+        'cells': [_cell_row(cell, n) for n, cell in cells.items()],
+        'codec_routers': CODEC_ROUTERS,
+        'codec': _codec_rows(cells[CODEC_ROUTERS]),
+        'memory': [_memory_row(n) for n in MEMORY_SHARDS],
+        'planning': [_planning_row(n) for n in PLAN_UPSTREAMS],
+    }
+
+
+def main():
+    """Write the results."""
+    found = run()
+    RESULT.parent.mkdir(exist_ok=True)
+    RESULT.write_text(json.dumps(found, indent=1) + '\n')
+    print(json.dumps(found, indent=1))
+
+
+if __name__ == '__main__':
+    main()
