Measure grant, manifest and process size for capacity

Cause: control bytes and memory of a node also depend on grants, the text of the manifest and the loaded interpreter. Change: bench/slopes.py measures them.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,6 +11,8 @@
 import os
 import pathlib
 import random
+import subprocess
+import sys
 import time
 import tracemalloc
 
@@ -19,6 +21,8 @@
 from bramleysill_kernel import messages
 from bramleysill_kernel import ownership
 from bramleysill_kernel import state
+from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_net.http_client import encode_request
 from bramleysill_wire import codec
 
 COMMAND = 'python -m bench.slopes'
@@ -28,6 +32,13 @@
 CODEC_ROUTERS = 40
 CODEC_REPEATS = 200
 CODEC_ROUNDS = 5
+MANIFEST = 'examples/hsinchu.ini'
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Resident memory of an interpreter that has loaded the whole router.
+RSS_SCRIPT = (
+    'import bramleysill_router.process, psutil; '
+    'print(psutil.Process().memory_info().rss)'
+)
 
 
 class _CountedCell(control._Cell):
@@ -174,6 +185,42 @@
     }
 
 
+def _grant_bytes():
+    """Return the size of one POST of a grant, without its answer."""
+    body = {
+        'dispatcher': 'r10',
+        'generation': [1, 40],
+        'until_clock_ms': 1764829020000,
+        'epoch': 'e1',
+        'units': {
+            str(1000 + n): 1 for n in range(control.SHARDS_PER_UPSTREAM)
+        },
+    }
+    data = json.dumps(body).encode()
+    target = '/.sill/grants'
+    return len(encode_request('POST', target, '10.0.0.1:7000', (), data))
+
+
+def _manifest_row():
+    text = (ROOT / MANIFEST).read_text()
+    parsed = parse_manifest(text, MANIFEST, 1)
+    return {
+        'file': MANIFEST,
+        'bytes': len(text.encode()),
+        'upstreams': len(parsed.upstreams),
+    }
+
+
+def _loaded_rss():
+    done = subprocess.run(
+        [sys.executable, '-c', RSS_SCRIPT],
+        capture_output=True,
+        check=True,
+        cwd=ROOT,
+    )
+    return int(done.stdout)
+
+
 def run():
     """Return all slopes."""
     random.seed(placement_bench.SEED)
@@ -188,6 +235,9 @@
         'cells': [_cell_row(cell, n) for n, cell in cells.items()],
         'codec_routers': CODEC_ROUTERS,
         'codec': _codec_rows(cells[CODEC_ROUTERS]),
+        'grant_bytes': _grant_bytes(),
+        'manifest': _manifest_row(),
+        'loaded_rss_bytes': _loaded_rss(),
         'memory': [_memory_row(n) for n in MEMORY_SHARDS],
         'planning': [_planning_row(n) for n in PLAN_UPSTREAMS],
     }
