Compute the capacity page from measured slopes

Cause: make capacity had no module and the target no page that says what does not fit. Change: bench/capacity.py writes the tables of docs/CAPACITY.md between markers from bench/results/slopes.json.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,861 @@
+"""Computes the tables of docs/CAPACITY.md from measured slopes.
+
+`python -m bench.capacity` reads bench/results/slopes.json and, if it exists,
+bench/results/latest.json, and rewrites the page between its markers::
+
+    <!-- begin fit -->
+    <!-- end fit -->
+"""
+
+import json
+import pathlib
+import re
+
+from bench import slopes as slopes_bench
+from bramleysill_kernel import election
+from bramleysill_kernel import lease
+from bramleysill_kernel import moves
+from bramleysill_router import control
+from bramleysill_router import store_client
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGE = ROOT / 'docs' / 'CAPACITY.md'
+LATEST = ROOT / 'bench' / 'results' / 'latest.json'
+
+# Target size, docs/design.md section 1.5 and 2.
+NODES = 1700
+REQUESTS_PER_S = 7_000_000
+CELLS = 43
+CELL_ROUTERS = 40
+UPSTREAMS = 5100
+SHARDS = 82_000
+DOMAINS = 10
+REGIONS = 4
+CHANGES_PER_DAY = 8300
+RESTARTS_PER_DAY = 480
+CANDIDATES = 3
+SERVICES_PER_CELL = 1
+WATCHES_PER_COORDINATOR = 2
+BLOCK_SHARDS = 4096
+DAY_SECONDS = 86_400
+
+# Bounds of section 1.5 and 1.6. "Several hundred" writes is read as 300.
+BOUND_BYTES_PER_S = 3000
+BOUND_CORE = 0.011
+BOUND_MEMORY = 128e6
+BOUND_WRITES_PER_S = 300
+BOUND_READS_PER_S = 2000
+
+NOT_MEASURED = 'not measured'
+_SLOPES = f'`{slopes_bench.COMMAND}`'
+_CONTROL = f'{_SLOPES}, 10 to 80 routers'
+_CODEC = f'{_SLOPES}, 40 routers, 3 upstreams each'
+_LATEST = '`make bench`, 2 routers, 1 upstream'
+
+
+def load():
+    """Return the committed slopes and the data path figures or None."""
+    found = json.loads(slopes_bench.RESULT.read_text())
+    if not LATEST.exists():
+        return found, None
+    path = json.loads(LATEST.read_text()).get('data_path') or {}
+    return found, path.get('ways')
+
+
+def _data_path(figures, ways):
+    figures['node_rps'] = REQUESTS_PER_S / NODES
+    figures['processes'] = None
+    if not ways or 'forwarded' not in ways:
+        return
+    row = ways['forwarded']
+    figures['served'] = row['requests_per_s']
+    figures['request_us'] = row['cpu_us_per_request']
+    figures['processes'] = figures['node_rps'] / row['requests_per_s']
+
+
+def _coordination(figures, found):
+    codec = found['codec']
+    beat = codec['Heartbeat']
+    reply = codec['HeartbeatReply']
+    roles = codec['StateUpdate, roles']
+    row = next(r for r in found['cells'] if r['routers'] == CELL_ROUTERS)
+    beats = 1 / lease.HEARTBEAT_SECONDS
+    peers = CELL_ROUTERS - 1
+    upstreams = UPSTREAMS / NODES
+    manifest = found['manifest']
+    cell_upstreams = UPSTREAMS / CELLS
+    text = manifest['bytes'] / manifest['upstreams'] * cell_upstreams
+    changes = CHANGES_PER_DAY / DAY_SECONDS
+    push = roles['bytes'] + text
+    pair = beat['bytes'] + reply['bytes']
+    figures.update(
+        beats=peers * beats,
+        agent_beat_bytes=beats * pair,
+        cell_beat_bytes=peers * beats * pair,
+        grant_bytes=upstreams
+        / lease.GRANT_RENEW_SECONDS
+        * found['grant_bytes'],
+        grants=upstreams / lease.GRANT_RENEW_SECONDS,
+        changes=changes,
+        manifest_text=text,
+        push=push,
+        agent_push_bytes=changes * push,
+        cell_push_bytes=changes * peers * push,
+        kernel_core=row['coordinator_core'],
+        codec_core=peers
+        * beats
+        * (beat['decode_us'] + reply['encode_us'])
+        / 1e6,
+        push_core=changes * peers * roles['encode_us'] / 1e6,
+        agent_core=row['agent_core']
+        + beats * (beat['encode_us'] + reply['decode_us']) / 1e6,
+    )
+    figures['agent_bytes'] = (
+        figures['agent_beat_bytes']
+        + figures['grant_bytes']
+        + figures['agent_push_bytes']
+    )
+    figures['coordinator_bytes'] = (
+        figures['cell_beat_bytes']
+        + figures['cell_push_bytes']
+        + figures['grant_bytes']
+    )
+    figures['coordinator_core'] = (
+        figures['kernel_core'] + figures['codec_core'] + figures['push_core']
+    )
+
+
+def _memory(figures, found):
+    per_shard = {r['shards']: r['state_bytes'] for r in found['memory']}
+    whole = per_shard[SHARDS]
+    figures.update(
+        cell_shards=SHARDS / CELLS,
+        cell_state=whole / SHARDS * (SHARDS / CELLS),
+        whole_state=whole,
+        rss=found['loaded_rss_bytes'],
+    )
+    figures['node_memory'] = figures['rss'] + figures['cell_state']
+
+
+def _store(figures):
+    followers = CANDIDATES - 1
+    poll = election.POLL_SECONDS * 0.75
+    region_cells = CELLS / REGIONS
+    figures.update(
+        renewals=CELLS / lease.LEADER_RENEW_SECONDS,
+        probes=CELLS * followers / election.PROBE_SECONDS,
+        waiting=CELLS * WATCHES_PER_COORDINATOR,
+        rearmed=CELLS * WATCHES_PER_COORDINATOR / store_client.WATCH_SECONDS,
+        vm_lists=NODES / control.VM_LIST_SECONDS,
+        change_reads=CHANGES_PER_DAY / DAY_SECONDS * CELLS,
+        cell_polls=(CELL_ROUTERS - 1) / poll,
+        region_cells=region_cells,
+    )
+    figures['writes'] = figures['renewals'] + figures['changes']
+    figures['reads'] = (
+        figures['probes'] + figures['rearmed'] + figures['change_reads']
+    )
+
+
+def _storms(figures, found):
+    planning = {r['upstreams']: r['worst_s'] for r in found['planning']}
+    per_upstream = SHARDS / UPSTREAMS
+    rounds = -(-per_upstream // moves.MAX_MOVES)
+    lost_cells = CELLS / DOMAINS
+    figures.update(
+        plan_cell=planning[120],
+        plan_region=planning[480],
+        plan_whole=planning[5100],
+        lost_routers=NODES / DOMAINS,
+        lost_upstreams=UPSTREAMS / DOMAINS,
+        lost_shards=SHARDS / DOMAINS,
+        lost_coordinators=lost_cells,
+        lost_polls=lost_cells * figures['cell_polls'],
+        all_polls=CELLS * figures['cell_polls'],
+        restarts=RESTARTS_PER_DAY / DAY_SECONDS,
+        whole_update=found['codec']['StateUpdate, whole']['bytes'],
+        delta=found['codec']['StateUpdate, one shard']['bytes'],
+        roles=found['codec']['StateUpdate, roles']['bytes'],
+        rounds=rounds,
+        move_writes=CELLS * SERVICES_PER_CELL / lease.TICK_SECONDS,
+        move_messages=SHARDS * 3,
+    )
+
+
+def compute(found, ways):
+    """Return every figure by name."""
+    figures = {}
+    _data_path(figures, ways)
+    _coordination(figures, found)
+    _memory(figures, found)
+    _store(figures)
+    _storms(figures, found)
+    return figures
+
+
+def _table(header, rows):
+    lines = [header, ['---'] * len(header), *rows]
+    return '\n'.join('| ' + ' | '.join(line) + ' |' for line in lines)
+
+
+def _kb(value):
+    return f'{value / 1000:.2f} KB'
+
+
+def _mb(value):
+    return f'{value / 1e6:.2f} MB'
+
+
+def _factor(value, bound):
+    ratio = value / bound
+    if ratio <= 1:
+        return f'fits ({ratio:.2f} of the bound)'
+    return f'**{ratio:.2f} times the bound**'
+
+
+def fit_table(f):
+    """Return the table of what fits and what does not."""
+    served = NOT_MEASURED
+    verdict = NOT_MEASURED
+    if f['processes']:
+        served = f'{f["served"]} requests/s'
+        verdict = f'**{f["processes"]:.1f} processes per VM**'
+    rows = [
+        ['requests/s per node', f'{f["node_rps"]:.0f}', served, verdict],
+    ]
+    for name, value, unit, bound, text in (
+        (
+            'control bytes, coordinator node',
+            f['coordinator_bytes'],
+            _kb,
+            BOUND_BYTES_PER_S,
+            '3 KB/s',
+        ),
+        (
+            'control bytes, any other node',
+            f['agent_bytes'],
+            _kb,
+            BOUND_BYTES_PER_S,
+            '3 KB/s',
+        ),
+        (
+            'control bytes of heartbeats alone, other node',
+            f['agent_beat_bytes'],
+            _kb,
+            BOUND_BYTES_PER_S,
+            '3 KB/s',
+        ),
+        (
+            'control processor time, coordinator node',
+            f['coordinator_core'],
+            '{:.2%} of a core'.format,
+            BOUND_CORE,
+            '1.1%',
+        ),
+        (
+            'control processor time, any other node, without grants',
+            f['agent_core'],
+            '{:.3%} of a core'.format,
+            BOUND_CORE,
+            '1.1%',
+        ),
+        (
+            'memory of a node, without requests in flight',
+            f['node_memory'],
+            _mb,
+            BOUND_MEMORY,
+            '128 MB',
+        ),
+        (
+            'store writes/s, steady',
+            f['writes'],
+            '{:.1f}'.format,
+            BOUND_WRITES_PER_S,
+            '300 (reading of "several hundred")',
+        ),
+        (
+            'store reads/s, steady',
+            f['reads'],
+            '{:.1f}'.format,
+            BOUND_READS_PER_S,
+            '2,000',
+        ),
+        (
+            'store reads/s and VM lists together',
+            f['reads'] + f['vm_lists'],
+            '{:.1f}'.format,
+            BOUND_READS_PER_S,
+            '2,000',
+        ),
+        (
+            'store reads/s, all coordinators lost',
+            f['all_polls'],
+            '{:.0f}'.format,
+            BOUND_READS_PER_S,
+            '2,000',
+        ),
+        (
+            'store writes/s, all cells move shards',
+            f['move_writes'] + f['renewals'],
+            '{:.0f}'.format,
+            BOUND_WRITES_PER_S,
+            '300',
+        ),
+        (
+            'planning for one cell of 120 upstreams',
+            f['plan_cell'],
+            '{:.3f} s'.format,
+            lease.TICK_SECONDS,
+            'one tick, 0.1 s',
+        ),
+        (
+            'planning for 5,100 upstreams in one process',
+            f['plan_whole'],
+            '{:.2f} s'.format,
+            3.0,
+            '3 s',
+        ),
+    ):
+        rows.append([name, unit(value), text, _factor(value, bound)])
+    return _table(['what', 'at the target', 'bound', 'verdict'], rows)
+
+
+def _entry_rows(f):
+    request_us = f.get('request_us')
+    cpu = NOT_MEASURED
+    result = NOT_MEASURED
+    if request_us:
+        cpu = f'{request_us} us per request, both routers; {_LATEST}'
+        result = f'{f["node_rps"] * request_us / 1e6:.2f} cores per node'
+    per = f'{f["node_rps"]:.0f}'
+    return [
+        [
+            'entry',
+            'messages',
+            'requests/s / nodes',
+            'given',
+            f'{per}/s in, {per}/s answered',
+            'balancer spreads callers',
+        ],
+        [
+            'entry',
+            'processor time',
+            'requests/s / nodes x time per request',
+            cpu,
+            result,
+            'several processes per VM',
+        ],
+        [
+            'entry',
+            'state',
+            'bytes(82,000 shards) / cells',
+            f'{_SLOPES}, 82,000 shards',
+            _mb(f['cell_state']),
+            'shard table, no record per key',
+        ],
+        [
+            'entry',
+            'connections',
+            'routers of the cell - 1',
+            'none',
+            f'{CELL_ROUTERS - 1} peer links in its cell',
+            'cells',
+        ],
+        [
+            'entry',
+            'store calls',
+            'none',
+            'none',
+            '0 per request',
+            'state is pushed',
+        ],
+    ]
+
+
+def _dispatcher_rows(f):
+    return [
+        [
+            'dispatcher',
+            'state',
+            'upstreams / nodes',
+            'none',
+            f'{UPSTREAMS / NODES:.0f} upstreams per router, 48 shards',
+            'soft, rebuilt',
+        ],
+        [
+            'dispatcher',
+            'messages',
+            'upstreams / nodes / 0.3 s',
+            'none',
+            f'{f["grants"]:.1f} grants/s out and as many answers',
+            'one grant per upstream, not per shard',
+        ],
+        [
+            'dispatcher',
+            'bytes',
+            'grants/s x bytes of a POST',
+            f'{_SLOPES}, 16 shards',
+            f'{_kb(f["grant_bytes"])}/s without answers',
+            'one grant per upstream',
+        ],
+        [
+            'dispatcher',
+            'processor time',
+            'grants',
+            NOT_MEASURED,
+            NOT_MEASURED,
+            '-',
+        ],
+        [
+            'dispatcher',
+            'memory',
+            'per request in flight, idempotency keys',
+            NOT_MEASURED,
+            NOT_MEASURED,
+            'bounded queues, 256 KB credit',
+        ],
+        [
+            'dispatcher',
+            'connections',
+            'upstreams per router x 120 to 130',
+            'design 1.4',
+            f'at most {3 * 130}',
+            'one dispatcher per upstream',
+        ],
+        ['dispatcher', 'store calls', 'none', 'none', '0', 'router lease'],
+    ]
+
+
+def _coordinator_rows(f):
+    return [
+        [
+            'coordinator',
+            'messages',
+            '39 / 0.4 s',
+            _CONTROL,
+            f'{f["beats"]:.1f}/s in, {f["beats"]:.1f}/s out',
+            'cells of 40',
+        ],
+        [
+            'coordinator',
+            'bytes',
+            '39 / 0.4 s x (heartbeat + reply)',
+            _CODEC,
+            f'{_kb(f["cell_beat_bytes"])}/s',
+            'cells of 40',
+        ],
+        [
+            'coordinator',
+            'processor time, decisions',
+            'measured at 40',
+            _CONTROL,
+            f'{f["kernel_core"]:.2%} of a core',
+            'cells of 40',
+        ],
+        [
+            'coordinator',
+            'processor time, codec',
+            '39 / 0.4 s x (decode heartbeat + encode reply)',
+            _CODEC,
+            f'{f["codec_core"]:.2%} of a core',
+            'cells of 40',
+        ],
+        [
+            'coordinator',
+            'state',
+            'shards / cells',
+            'none',
+            f'{f["cell_shards"]:.0f} shards, 40 routers, 119 upstreams',
+            'soft but for the table',
+        ],
+        [
+            'coordinator',
+            'memory',
+            'bytes(82,000 shards) / cells',
+            f'{_SLOPES}, 82,000 shards',
+            f'{_mb(f["cell_state"])} besides its '
+            'own board, which is not measured',
+            'cells of 40',
+        ],
+        [
+            'coordinator',
+            'connections',
+            'routers of the cell - 1',
+            'none',
+            f'{CELL_ROUTERS - 1} peer links, 1 store',
+            'cells of 40',
+        ],
+        [
+            'coordinator',
+            'store calls',
+            '1 / 0.3 s + changes of ownership',
+            'none',
+            f'{1 / lease.LEADER_RENEW_SECONDS:.2f} writes/s',
+            'one batch per block',
+        ],
+        [
+            'any router',
+            'bytes',
+            '(heartbeat + reply) / 0.4 s',
+            _CODEC,
+            f'{_kb(f["agent_beat_bytes"])}/s',
+            'one heartbeat for all roles',
+        ],
+        [
+            'any router',
+            'processor time',
+            'agent + (encode + decode) / 0.4 s',
+            _CODEC,
+            f'{f["agent_core"]:.3%} of a core',
+            'one heartbeat for all roles',
+        ],
+        [
+            'any router',
+            'memory',
+            'loaded process + state of the cell',
+            f'{_SLOPES}, 1 process',
+            _mb(f['node_memory']),
+            'cells of 40',
+        ],
+    ]
+
+
+def _distribution_rows(f):
+    return [
+        [
+            'distribution',
+            'messages',
+            'changes/day / 86,400 x 39',
+            'none',
+            f'{f["changes"] * 39:.2f}/s per coordinator, if every change '
+            'goes to every cell',
+            'tree of coordinator and routers',
+        ],
+        [
+            'distribution',
+            'bytes',
+            'changes/s x 39 x (roles + manifest text of 119 upstreams)',
+            f'{_CODEC}; text: 36 upstreams, linear estimate',
+            f'{_kb(f["cell_push_bytes"])}/s out of a '
+            f'coordinator, {_kb(f["agent_push_bytes"])}/s into a router',
+            'deltas of tables; the manifest is sent whole',
+        ],
+        [
+            'distribution',
+            'processor time',
+            'changes/s x 39 x encode roles',
+            _CODEC,
+            f'{f["push_core"]:.2%} of a core; parsing is not measured',
+            'tree',
+        ],
+        [
+            'distribution',
+            'state',
+            'the newest update',
+            'none',
+            f'{_kb(f["push"])} per change',
+            'versions',
+        ],
+        [
+            'distribution',
+            'connections',
+            'cells x 2 watches',
+            'none',
+            f'{f["waiting"]} waiting watches',
+            'only coordinators watch',
+        ],
+        [
+            'distribution',
+            'store calls',
+            'cells x 2 / 10 s + changes/s x cells',
+            'none',
+            f'{f["rearmed"] + f["change_reads"]:.1f} reads/s',
+            'only coordinators watch',
+        ],
+    ]
+
+
+def _outside_rows(f):
+    return [
+        [
+            "operators' tool",
+            'store calls',
+            'changes/day / 86,400',
+            'none',
+            f'{f["changes"]:.3f} writes/s and as many reads/s',
+            'compare-and-swap',
+        ],
+        [
+            "operators' tool",
+            'processor time, memory',
+            'per command',
+            NOT_MEASURED,
+            NOT_MEASURED,
+            'ends with the command',
+        ],
+        [
+            'store',
+            'writes',
+            'cells / 0.3 s + changes/s',
+            'none',
+            f'{f["writes"]:.1f}/s',
+            'a lease per cell, not per router',
+        ],
+        [
+            'store',
+            'reads',
+            'cells x 2 candidates / 1 s + watches',
+            'none',
+            f'{f["reads"]:.1f}/s',
+            'only 2 candidates per cell probe',
+        ],
+        [
+            'store',
+            'VM lists (platform)',
+            'nodes / 5 s',
+            'none',
+            f'{f["vm_lists"]:.0f}/s',
+            'none: every router reads it',
+        ],
+        [
+            'store',
+            'state',
+            'tables',
+            f'{_SLOPES}, 82,000 shards',
+            f'at least {-(-SHARDS // BLOCK_SHARDS)} blocks by size, '
+            f'{CELLS} by cells',
+            'blocks of 4,096',
+        ],
+        [
+            'store',
+            'connections',
+            'one or more per router',
+            NOT_MEASURED,
+            f'at least {NODES}',
+            'VM list keeps one open',
+        ],
+    ]
+
+
+def roles_table(f):
+    """Return the table of roles and resources."""
+    rows = [
+        *_entry_rows(f),
+        *_dispatcher_rows(f),
+        *_coordinator_rows(f),
+        *_distribution_rows(f),
+        *_outside_rows(f),
+    ]
+    header = ['role', 'resource', 'formula', 'slope measured by, at']
+    return _table([*header, 'at the target', 'carried by'], rows)
+
+
+def remedies_table(f):
+    """Return the estimated effect of each remedy."""
+    peers = CELL_ROUTERS - 1
+    idle = f['agent_beat_bytes'] / 3
+    small = int(BOUND_BYTES_PER_S / f['agent_beat_bytes'])
+    rows = [
+        [
+            'several router processes per VM, callers spread over them by the '
+            'balancer',
+            'requests/s per node',
+            'see the first row above; each '
+            'process is a router, so cells and peer links grow alike',
+        ],
+        [
+            'heartbeats of idle routers every 1.2 s with a lease of 3.6 s',
+            'bytes, coordinator',
+            f'{_kb(f["cell_beat_bytes"])}/s to '
+            f'{_kb(idle * peers)}/s if all are idle; recovery gets slower, so '
+            'only for routers without roles',
+        ],
+        [
+            'smaller cells',
+            'bytes, coordinator',
+            f'heartbeats alone allow '
+            f'{small} peer(s) per coordinator in 3 KB/s: no remedy by itself',
+        ],
+        [
+            'an aggregating level of 6 routers that each sum up 6 others',
+            'bytes, coordinator',
+            f'{_kb(f["cell_beat_bytes"])}/s to '
+            f'{_kb(f["cell_beat_bytes"] * 6 / peers)}/s if a sum is as long '
+            'as a heartbeat',
+        ],
+        [
+            'reports and versions only when they change',
+            'bytes, all nodes',
+            'a heartbeat without them is not measured; at the length of a '
+            f'reply: {_kb(f["agent_beat_bytes"])}/s to '
+            f'{_kb(2 * f["reply_beat"])}/s per router, coordinator '
+            f'{_kb(2 * f["reply_beat"] * peers)}/s',
+        ],
+        [
+            'grants that name a digest of the shards',
+            'bytes, all nodes',
+            f'at half the length: {_kb(f["grant_bytes"])}/s to '
+            f'{_kb(f["grant_bytes"] / 2)}/s',
+        ],
+        [
+            'deltas of the manifest, or changes only to the cell concerned',
+            'bytes, all nodes',
+            f'{_kb(f["agent_push_bytes"])}/s to '
+            f'{_kb(f["agent_push_bytes"] / CELLS)}/s per router, if each '
+            'change concerns one cell',
+        ],
+        [
+            'bound on batches to one per second and cell while all move',
+            'store writes',
+            f'{f["move_writes"] + f["renewals"]:.0f}/s to '
+            f'{CELLS + f["renewals"]:.0f}/s',
+        ],
+        [
+            'only candidates poll after the loss of a coordinator',
+            'store reads',
+            f'{f["all_polls"]:.0f}/s to '
+            f'{f["all_polls"] * 2 / peers:.0f}/s with all cells',
+        ],
+    ]
+    return _table(['remedy', 'concerns', 'estimated effect'], rows)
+
+
+def storms_table(f):
+    """Return the table of storms."""
+    cells = f['region_cells']
+    rows = [
+        [
+            'a failure domain lost at peak',
+            f'{f["lost_routers"]:.0f} routers, {f["lost_upstreams"]:.0f} '
+            f'upstreams, {f["lost_shards"]:.0f} shards; '
+            f'{f["lost_coordinators"]:.1f} coordinators',
+            f'estimate: one batch per cell of the region, {cells:.1f} writes '
+            f'and {f["lost_coordinators"]:.1f} elections; '
+            f'{f["lost_polls"]:.0f} reads/s while coordinators are missing',
+            f'leases 1.0 s + 1.2 s, planning {f["plan_cell"]:.3f} s per cell',
+            'one batch of writes per cell; leases',
+        ],
+        [
+            '480 restarts a day',
+            f'{f["restarts"]:.4f}/s; each: a whole state '
+            f'of {_kb(f["whole_update"])} and manifest, 39 updates of roles, '
+            f'{_kb(f["roles"] * 39)}',
+            'no store writes unless a coordinator or candidate restarts',
+            'graceful: no unavailable time expected (estimate)',
+            'roles need no store write',
+        ],
+        [
+            'the store is back after an hour',
+            f'{f["waiting"]} watches and {CELLS} reads of the manifest',
+            f'{CELLS} renewals at once, then {f["renewals"]:.0f}/s; if all '
+            f'coordinators were lost {f["all_polls"]:.0f} reads/s, '
+            f'{_factor(f["all_polls"], BOUND_READS_PER_S)}',
+            f'estimate: {f["all_polls"] / BOUND_READS_PER_S:.1f} s of queue per '
+            's of polling',
+            'retry after 0.3 s; jitter of polls',
+        ],
+        [
+            'a region rejoins',
+            f'{cells:.1f} cells, {cells * CELL_ROUTERS:.0f} routers',
+            f'{cells:.1f} renewals and {cells * 2:.1f} watches at once; '
+            'pending changes of ownership, one batch per cell',
+            "estimate: below 1 s of the store's writes",
+            'cells act alone; compare-and-swap',
+        ],
+        [
+            'a manifest that moves everything',
+            f'{SHARDS} shards x (Warm, Release, Released) = '
+            f'{f["move_messages"]}',
+            f'at most {f["move_writes"]:.0f} writes/s (one per tick and cell), '
+            f'{_factor(f["move_writes"] + f["renewals"], BOUND_WRITES_PER_S)} '
+            'with the renewals',
+            f'{f["rounds"]:.0f} rounds of '
+            f'{moves.MAX_MOVES} per upstream; at the hold bound of 2 s at most '
+            f'{f["rounds"] * 2:.0f} s each way (estimate)',
+            f'{moves.MAX_MOVES} moves per giving and receiving upstream',
+        ],
+    ]
+    header = ['storm', 'messages', 'store calls', 'time', 'bounded by']
+    return _table(header, rows)
+
+
+def tables(found, ways):
+    """Return the text of each marked part of the page by its name."""
+    f = compute(found, ways)
+    reply = found['codec']['HeartbeatReply']['bytes']
+    f['reply_beat'] = reply / lease.HEARTBEAT_SECONDS
+    basis = (
+        f'Slopes: `{found["command"]}`, {found["date"]}, '
+        f'{found["processors"]} processors, load average '
+        f'{found["load_average"]} at the end.'
+    )
+    return {
+        'basis': basis,
+        'fit': fit_table(f),
+        'remedies': remedies_table(f),
+        'roles': roles_table(f),
+        'storms': storms_table(f),
+        'slopes': slopes_table(found),
+    }
+
+
+def slopes_table(found):
+    """Return the measured slopes."""
+    rows = []
+    for row in found['cells']:
+        rows.append(
+            [
+                f'{row["routers"]} routers',
+                f'coordinator '
+                f'{row["coordinator_core"]:.2%} of a core, agent '
+                f'{row["agent_core"]:.4%}, {row["messages_per_s"]:.0f} '
+                f'messages/s, {row["bytes_per_s"]:.0f} bytes/s',
+            ]
+        )
+    for name, row in found['codec'].items():
+        rows.append(
+            [
+                name,
+                f'{row["bytes"]} bytes, encode {row["encode_us"]:.0f} us, '
+                f'decode {row["decode_us"]:.0f} us',
+            ]
+        )
+    for row in found['memory']:
+        rows.append(
+            [
+                f'{row["shards"]} shards',
+                f'table {_mb(row["table_bytes"])}, '
+                f'state {_mb(row["state_bytes"])}, stored '
+                f'{_kb(row["stored_bytes"])}',
+            ]
+        )
+    for row in found['planning']:
+        rows.append(
+            [
+                f'{row["upstreams"]} upstreams',
+                f'planning at most {row["worst_s"]:.4f} s',
+            ]
+        )
+    return _table(['size or message', 'measured'], rows)
+
+
+def render(page, parts):
+    """Return the page with each marked part replaced."""
+    for name, text in parts.items():
+        begin, end = f'<!-- begin {name} -->', f'<!-- end {name} -->'
+        pattern = re.escape(begin) + '.*?' + re.escape(end)
+        if not re.search(pattern, page, re.S):
+            raise ValueError(f'{PAGE} has no marker {begin}')
+        block = f'{begin}\n\n{text}\n\n{end}'
+        page = re.sub(pattern, lambda _, b=block: b, page, flags=re.S)
+    return page
+
+
+def main():
+    """Write the tables into the page."""
+    page = render(PAGE.read_text(), tables(*load()))
+    PAGE.write_text(page)
+
+
+if __name__ == '__main__':
+    main()
