--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -38,6 +38,8 @@
 WATCHES_PER_COORDINATOR = 2
 BLOCK_SHARDS = 4096
 DAY_SECONDS = 86_400
+# Followers wait between 0.5 and 1 times POLL_SECONDS.
+MEAN_POLL_JITTER = 0.75
 
 # Bounds of section 1.5 and 1.6. "Several hundred" writes is read as 300.
 BOUND_BYTES_PER_S = 3000
@@ -139,7 +141,7 @@
 
 def _store(figures):
     followers = CANDIDATES - 1
-    poll = election.POLL_SECONDS * 0.75
+    poll = election.POLL_SECONDS * MEAN_POLL_JITTER
     region_cells = CELLS / REGIONS
     figures.update(
         renewals=CELLS / lease.LEADER_RENEW_SECONDS,
@@ -159,8 +161,7 @@
 
 def _storms(figures, found):
     planning = {r['upstreams']: r['worst_s'] for r in found['planning']}
-    per_upstream = SHARDS / UPSTREAMS
-    rounds = -(-per_upstream // moves.MAX_MOVES)
+    rounds = round(SHARDS / UPSTREAMS) / moves.MAX_MOVES
     lost_cells = CELLS / DOMAINS
     figures.update(
         plan_cell=planning[120],
@@ -681,7 +682,7 @@
             'bytes, coordinator',
             f'{_kb(f["cell_beat_bytes"])}/s to '
             f'{_kb(f["cell_beat_bytes"] * 6 / peers)}/s if a sum is as long '
-            'as a heartbeat',
+            'as a heartbeat; each of the 6 then bears as much',
         ],
         [
             'reports and versions only when they change',
@@ -723,6 +724,7 @@
 def storms_table(f):
     """Return the table of storms."""
     cells = f['region_cells']
+    moving = f['move_writes'] + f['renewals']
     rows = [
         [
             'a failure domain lost at peak',
@@ -750,8 +752,8 @@
             f'{CELLS} renewals at once, then {f["renewals"]:.0f}/s; if all '
             f'coordinators were lost {f["all_polls"]:.0f} reads/s, '
             f'{_factor(f["all_polls"], BOUND_READS_PER_S)}',
-            f'estimate: {f["all_polls"] / BOUND_READS_PER_S:.1f} s of queue per '
-            's of polling',
+            f'estimate: {f["all_polls"] / BOUND_READS_PER_S:.1f} s of work '
+            'for the store per second of such polling',
             'retry after 0.3 s; jitter of polls',
         ],
         [
@@ -766,12 +768,12 @@
             'a manifest that moves everything',
             f'{SHARDS} shards x (Warm, Release, Released) = '
             f'{f["move_messages"]}',
-            f'at most {f["move_writes"]:.0f} writes/s (one per tick and cell), '
-            f'{_factor(f["move_writes"] + f["renewals"], BOUND_WRITES_PER_S)} '
-            'with the renewals',
+            f'{f["move_writes"]:.0f} writes/s if each cell writes once per '
+            f'tick (estimate), {_factor(moving, BOUND_WRITES_PER_S)} with '
+            'the renewals',
             f'{f["rounds"]:.0f} rounds of '
-            f'{moves.MAX_MOVES} per upstream; at the hold bound of 2 s at most '
-            f'{f["rounds"] * 2:.0f} s each way (estimate)',
+            f'{moves.MAX_MOVES} per upstream; {f["rounds"] * 2:.0f} s if a '
+            'move takes the 2 s for which callers are held (estimate)',
             f'{moves.MAX_MOVES} moves per giving and receiving upstream',
         ],
     ]
@@ -836,9 +838,30 @@
                 f'planning at most {row["worst_s"]:.4f} s',
             ]
         )
+    rows.extend(_ratio_rows(found))
     return _table(['size or message', 'measured'], rows)
 
 
+def _ratio_rows(found):
+    rows = []
+    for part, size, value, title in (
+        ('cells', 'routers', 'coordinator_core', 'coordinator time'),
+        ('memory', 'shards', 'state_bytes', 'state'),
+        ('planning', 'upstreams', 'worst_s', 'planning time'),
+    ):
+        first, *_, last = found[part]
+        sizes = last[size] / first[size]
+        values = last[value] / first[value]
+        rows.append(
+            [
+                f'{last[size]} against {first[size]} {size}',
+                f'{title} grows {values:.1f} times for {sizes:.1f} times '
+                f'the {size}',
+            ]
+        )
+    return rows
+
+
 def render(page, parts):
     """Return the page with each marked part replaced."""
     for name, text in parts.items():
