Show capacity for changes to one cell and all tables

Cause: the page assumed only that each change goes to every cell, and said nothing of a node that routes between cells. Change: rows for both, for forwarded requests and for entry memory, and a list of what no slope covers.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -203,6 +203,10 @@
     return f'{value / 1000:.2f} KB'
 
 
+def _kb_per_s(value):
+    return f'{_kb(value)}/s'
+
+
 def _mb(value):
     return f'{value / 1e6:.2f} MB'
 
@@ -216,6 +220,7 @@
 
 def fit_table(f):
     """Return the table of what fits and what does not."""
+    other_cells = (CELLS - 1) / CELLS
     served = NOT_MEASURED
     verdict = NOT_MEASURED
     if f['processes']:
@@ -228,21 +233,35 @@
         (
             'control bytes, coordinator node',
             f['coordinator_bytes'],
-            _kb,
+            _kb_per_s,
             BOUND_BYTES_PER_S,
             '3 KB/s',
         ),
         (
             'control bytes, any other node',
             f['agent_bytes'],
-            _kb,
+            _kb_per_s,
+            BOUND_BYTES_PER_S,
+            '3 KB/s',
+        ),
+        (
+            'the same, coordinator node, each change to one cell only',
+            f['coordinator_bytes'] - f['cell_push_bytes'] * other_cells,
+            _kb_per_s,
+            BOUND_BYTES_PER_S,
+            '3 KB/s',
+        ),
+        (
+            'the same, any other node, each change to one cell only',
+            f['agent_bytes'] - f['agent_push_bytes'] * other_cells,
+            _kb_per_s,
             BOUND_BYTES_PER_S,
             '3 KB/s',
         ),
         (
             'control bytes of heartbeats alone, other node',
             f['agent_beat_bytes'],
-            _kb,
+            _kb_per_s,
             BOUND_BYTES_PER_S,
             '3 KB/s',
         ),
@@ -267,6 +286,13 @@
             BOUND_MEMORY,
             '128 MB',
         ),
+        (
+            'memory of a node that holds the tables of all cells',
+            f['rss'] + f['whole_state'],
+            _mb,
+            BOUND_MEMORY,
+            '128 MB',
+        ),
         (
             'store writes/s, steady',
             f['writes'],
@@ -354,6 +380,14 @@
             _mb(f['cell_state']),
             'shard table, no record per key',
         ],
+        [
+            'entry',
+            'memory',
+            'requests in flight x at most 2 x 256 KB',
+            NOT_MEASURED,
+            NOT_MEASURED,
+            'back-pressure: 256 KB per direction',
+        ],
         [
             'entry',
             'connections',
@@ -391,6 +425,15 @@
             f'{f["grants"]:.1f} grants/s out and as many answers',
             'one grant per upstream, not per shard',
         ],
+        [
+            'dispatcher',
+            'messages',
+            'requests/s / nodes x 39 / 40',
+            'none',
+            f'{f["node_rps"] * 39 / 40:.0f} forwarded requests/s in and out '
+            'of each node, if owners are spread evenly over one cell',
+            'one stream per request on a peer link',
+        ],
         [
             'dispatcher',
             'bytes',
