Check that packages import only downward

Change: tests/test_layers.py reads all imports with the ast module, also those inside functions, and compares them with the allowed directions. The kernel may import no module for I/O, threads or waiting. The checks are tried on code that breaks each rule.

--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,150 @@
+"""Checks the directions of imports between packages."""
+
+import ast
+import pathlib
+
+import testtools
+
+PACKAGES = pathlib.Path(__file__).resolve().parent.parent / 'packages'
+# Each package and those of ours that it may import; docs/architecture.md
+# has the same table.
+ALLOWED = {
+    'bramleysill_kernel': set(),
+    'bramleysill_wire': {'bramleysill_kernel'},
+    'bramleysill_net': {'bramleysill_kernel'},
+    'bramleysill_router': {
+        'bramleysill_kernel',
+        'bramleysill_wire',
+        'bramleysill_net',
+    },
+    'sillctl': {'bramleysill_kernel', 'bramleysill_net'},
+    'bramleysill_standins': {'bramleysill_kernel', 'bramleysill_net'},
+}
+# Modules that do I/O, wait, or run code at the same time.
+IO_MODULES = {
+    'absl',
+    'asyncio',
+    'circuits',
+    'concurrent',
+    'ftplib',
+    'http',
+    'httptools',
+    'logging',
+    'multiprocessing',
+    'os',
+    'pathlib',
+    'queue',
+    'sched',
+    'select',
+    'selectors',
+    'shutil',
+    'signal',
+    'socket',
+    'socketserver',
+    'ssl',
+    'subprocess',
+    'tempfile',
+    'threading',
+    'urllib.request',
+}
+WAITS = {'time.sleep'}
+
+
+def _sources(package):
+    return sorted(PACKAGES.glob(f'*/src/{package}/**/*.py'))
+
+
+def _tree(path):
+    return ast.parse(path.read_text(), str(path))
+
+
+def _imported(tree):
+    """Return the full names that a module imports, also in functions."""
+    found = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            found.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            # The dots of a relative import remain, so that it is refused.
+            base = '.' * node.level + (node.module or '')
+            found.update(f'{base}.{alias.name}' for alias in node.names)
+    return found
+
+
+def _attributes(tree):
+    """Return names such as `time.sleep` that a module uses."""
+    return {
+        f'{node.value.id}.{node.attr}'
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name)
+    }
+
+
+def _prefixes(name):
+    parts = name.split('.')
+    return {'.'.join(parts[: n + 1]) for n in range(len(parts))}
+
+
+def _layer_faults(package, tree):
+    """Return the imports of a package that do not go downward."""
+    forbidden = set(ALLOWED) - ALLOWED[package] - {package}
+    return {
+        name
+        for name in _imported(tree)
+        if name.startswith('.') or name.partition('.')[0] in forbidden
+    }
+
+
+def _io_faults(tree):
+    """Return the uses of I/O, threads or waiting."""
+    names = _imported(tree)
+    faults = {name for name in names if _prefixes(name) & IO_MODULES}
+    faults |= (names | _attributes(tree)) & WAITS
+    calls = (n.func for n in ast.walk(tree) if isinstance(n, ast.Call))
+    faults.update(
+        func.id
+        for func in calls
+        if isinstance(func, ast.Name) and func.id in ('open', 'input', 'print')
+    )
+    return faults
+
+
+class LayersTest(testtools.TestCase):
+    def test_every_package_has_a_layer(self):
+        """Guards against a new package that no check covers."""
+        found = {path.parent.name for path in PACKAGES.glob('*/src/*/*.py')}
+        self.assertEqual(set(ALLOWED), found)
+
+    def test_packages_import_only_downward(self):
+        """Guards against cycles, and stand-ins in the product."""
+        for package in ALLOWED:
+            for path in _sources(package):
+                faults = _layer_faults(package, _tree(path))
+                self.assertEqual(set(), faults, str(path))
+
+    def test_the_kernel_does_no_io(self):
+        """Guards against decisions that tests and the model can't step."""
+        for path in _sources('bramleysill_kernel'):
+            self.assertEqual(set(), _io_faults(_tree(path)), str(path))
+
+    def test_faults_are_found(self):
+        """Guards against a check that passes whatever is imported."""
+        for text in (
+            'import bramleysill_standins.store',
+            'from bramleysill_standins import store',
+            'def f():\n    from bramleysill_router import entry',
+            'from . import clock',
+        ):
+            faults = _layer_faults('bramleysill_kernel', ast.parse(text))
+            self.assertEqual(1, len(faults), text)
+        for text in (
+            'import socket',
+            'from asyncio import sleep',
+            'import concurrent.futures',
+            'from urllib import request',
+            'import threading as t',
+            'import time\ntime.sleep(1)',
+            'from time import sleep',
+            "open('file')",
+        ):
+            self.assertNotEqual(set(), _io_faults(ast.parse(text)), text)
