Hedge safe reads of shared services in the entry role

Cause: the kernel's hedging policy existed, but no request used it, and the outlier detector saw a frozen upstream only after answers were late. Change: HedgedAttempt sits between Exchange and up to two attempts. The locator hears of each attempt's begin, answer head and end, and gives the detector the age of the oldest attempt without an answer head. Requests with a body are left out of that age, since a long upload would look like a frozen upstream.

--- a/packages/router/src/bramleysill_router/entry.py
+++ b/packages/router/src/bramleysill_router/entry.py
@@ -8,6 +8,7 @@
 from bramleysill_net.http_server import HttpServerConn
 from bramleysill_router import headers
 from bramleysill_router.exchange import Exchange
+from bramleysill_router.hedged import HedgePolicies
 from bramleysill_router.routing import find_target
 
 
@@ -23,6 +24,7 @@
         'locator',
         'submit',
         'retries',
+        'hedges',
         'metrics',
         '_name',
         '_state',
@@ -37,6 +39,7 @@
         self.locator = locator
         self.submit = submit
         self.retries = retries
+        self.hedges = HedgePolicies()
         self.metrics = metrics
         self._name = name
         self._state = state
--- a/packages/router/src/bramleysill_router/exchange.py
+++ b/packages/router/src/bramleysill_router/exchange.py
@@ -8,6 +8,7 @@
 from bramleysill_router import headers
 from bramleysill_router.attempts import WINDOW_BYTES
 from bramleysill_router.attempts import RequestHead
+from bramleysill_router.hedged import HedgedAttempt
 from bramleysill_router.logs import log_request
 
 # What is kept of a body so that a request that was not run can be sent again.
@@ -60,6 +61,8 @@
         '_excluded',
         '_headers',
         '_attempted_at',
+        '_waiting_since',
+        '_hedging',
         '_phase',
         '_sent_whole',
         '_may_have_run',
@@ -88,6 +91,8 @@
         self._excluded = ()
         self._headers = None
         self._attempted_at = None
+        self._waiting_since = None
+        self._hedging = None
         self._phase = _ENDED
         self._sent_whole = False
         self._may_have_run = False
@@ -101,6 +106,9 @@
         self.deadline = self.started + target.timeout
         self._headers = headers.forwarded_request(self._req.headers)
         self._entry.retries.note_request(target.service)
+        self._hedging = self._entry.hedges.policy_for(target, self._req)
+        if self._hedging is not None:
+            self._hedging.note_request()
         self._arm_deadline()
         if self._body_done:
             self._try()
@@ -164,22 +172,45 @@
             return
         self._upstream, unit, fence, router = place
         self._tries += 1
-        self._attempted_at = self._entry.loop.now()
-        self._entry.locator.begin(self._target.service.name, self._upstream)
         self._written = len(self._kept)
         self._sent_whole = self._body_done
         head = self._make_head(unit, fence)
         # A local dispatcher may admit or refuse before it returns.
         self._phase = _SUBMITTING
-        attempt = self._entry.submit(
-            router, head, self, bytes(self._kept), self._body_done
-        )
+        if self._hedging is not None:
+            attempt = self._submit_hedged(router, head)
+        else:
+            attempt = self._submit(router, head)
         if self._phase == _ENDED:
             return
         self._attempt = attempt
         if self._phase == _ADMITTED:
             self._stream_rest()
 
+    def _submit(self, router, head):
+        now = self._entry.loop.now()
+        self._attempted_at = now
+        self._waiting_since = None if self._req.has_body else now
+        self._entry.locator.begin(
+            self._target.service.name, self._upstream, self._waiting_since
+        )
+        return self._entry.submit(
+            router, head, self, bytes(self._kept), self._body_done
+        )
+
+    def _submit_hedged(self, router, head):
+        # A hedged attempt tells the locator of its parts itself.
+        attempt = HedgedAttempt(
+            self._entry,
+            self._target,
+            self._excluded,
+            head,
+            self,
+            self._hedging,
+        )
+        attempt.start(router)
+        return attempt
+
     def _make_head(self, unit, fence):
         req = self._req
         target = self._target
@@ -210,7 +241,11 @@
         seconds = self._entry.loop.now() - self._attempted_at
         self._attempted_at = None
         self._entry.locator.end(
-            self._target.service.name, self._upstream, seconds, ok
+            self._target.service.name,
+            self._upstream,
+            self._waiting_since,
+            seconds,
+            ok,
         )
 
     def _cancel_attempt(self):
@@ -243,6 +278,12 @@
         elif attempt.buffered < WINDOW_BYTES:
             self._stream.resume()
 
+    def on_upstream(self, name):
+        """A hedged attempt goes on at another upstream."""
+        if name != self._upstream:
+            self._excluded = (*self._excluded, self._upstream)
+            self._upstream = name
+
     def on_drain(self):
         """The upstream has taken enough of the body to go on."""
         attempt = self._attempt
@@ -256,6 +297,10 @@
         """Pass on the head of the answer."""
         if self.over:
             return
+        if self._attempted_at is not None:
+            self._entry.locator.heard(
+                self._target.service.name, self._upstream, self._waiting_since
+            )
         fields = headers.forwarded_response(fields)
         fields.append(('Sill-Request-Id', self._id))
         self._stream.start(status, fields, length)
--- /dev/null
+++ b/packages/router/src/bramleysill_router/hedged.py
@@ -0,0 +1,267 @@
+"""Second attempts of safe reads at shared services.
+
+`HedgedAttempt` is the sink of up to two attempts and looks like one attempt
+to the `Exchange`; see `attempts` for the interface. When the policy's delay
+has passed without an answer head, a second attempt goes to another upstream.
+The first good answer head wins and the other attempt is cancelled. A refusal
+reaches the exchange only when no attempt is open any more.
+"""
+
+import copy
+
+from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.exceptions import Refusal
+from bramleysill_kernel.hedging import Hedge
+from bramleysill_kernel.hedging import HedgePolicy
+from bramleysill_kernel.manifest import KIND_SHARED
+
+_HEDGED_METHODS = frozenset(('GET', 'HEAD'))
+# An answer from here on is a failure of the upstream; it is dropped while
+# the other attempt may still bring a good one.
+_FIRST_FAILURE_STATUS = 500
+
+
+class HedgePolicies:
+    """Holds one HedgePolicy for each service with `hedge = yes`."""
+
+    __slots__ = ('_policies',)
+
+    def __init__(self):
+        self._policies = {}
+
+    def policy_for(self, target, req):
+        """Return the HedgePolicy of a request, or None if not hedged."""
+        service = target.service
+        if not service.hedge or service.kind != KIND_SHARED:
+            return None
+        if req.method not in _HEDGED_METHODS or req.has_body:
+            return None
+        if not target.repeatable or target.idempotency_key:
+            return None
+        return self._policies.setdefault(service.name, HedgePolicy())
+
+
+class _Leg:
+    """One of the attempts: its sink and what is observed of it."""
+
+    __slots__ = ('upstream', 'attempt', 'started', 'over', '_owner')
+
+    def __init__(self, owner, upstream, started):
+        self.upstream = upstream
+        self.attempt = None
+        self.started = started
+        self.over = False
+        self._owner = owner
+
+    def on_admitted(self):
+        """The request has a slot."""
+        if not self.over:
+            self._owner.leg_admitted()
+
+    def on_drain(self):
+        """A request without a body has nothing to drain."""
+
+    def on_answer_head(self, status, fields, length):
+        """The head of this attempt's answer."""
+        if not self.over:
+            self._owner.leg_answered(self, status, fields, length)
+
+    def on_answer_body(self, data):
+        """A piece of this attempt's answer."""
+        if not self.over:
+            self._owner.leg_body(data)
+
+    def on_answer_end(self):
+        """This attempt's answer is complete."""
+        if not self.over:
+            self._owner.leg_ended(self)
+
+    def on_refused(self, refusal):
+        """This attempt has ended without a whole answer."""
+        if not self.over:
+            self._owner.leg_refused(self, refusal)
+
+
+class HedgedAttempt:
+    """An attempt that may be doubled; `sink` is the exchange.
+
+    `place` is what the locator returned for the first attempt, `head` its
+    RequestHead. The locator hears of each attempt's begin and end from here.
+    """
+
+    __slots__ = (
+        'buffered',
+        '_entry',
+        '_target',
+        '_excluded',
+        '_head',
+        '_sink',
+        '_policy',
+        '_hedge',
+        '_legs',
+        '_winner',
+        '_timer',
+        '_may_have_run',
+    )
+
+    def __init__(self, entry, target, excluded, head, sink, policy):
+        # The request has no body.
+        self.buffered = 0
+        self._entry = entry
+        self._target = target
+        self._excluded = (*excluded, head.upstream)
+        self._head = head
+        self._sink = sink
+        self._policy = policy
+        self._hedge = None
+        self._legs = []
+        self._winner = None
+        self._timer = None
+        self._may_have_run = False
+
+    def start(self, router):
+        """Start the first attempt; it may end before this returns."""
+        delay = self._policy.delay()
+        if delay is not None:
+            loop = self._entry.loop
+            self._timer = loop.scheduler.call_at(
+                loop.now() + delay, self._on_delay
+            )
+        self._submit(router, self._head)
+
+    # The attempt, as the exchange sees it.
+
+    def write(self, data):
+        """Take a piece of a body; hedged requests have none."""
+
+    def end(self):
+        """End the body; hedged requests have none."""
+
+    def cancel(self):
+        """Cancel all open attempts."""
+        self._stop_timer()
+        for leg in list(self._legs):
+            self._cancel_leg(leg, self._waited(leg), False)
+
+    def pause(self):
+        """Stop reading the answer."""
+        if self._winner is not None and self._winner.attempt is not None:
+            self._winner.attempt.pause()
+
+    def resume(self):
+        """Read the answer again."""
+        if self._winner is not None and self._winner.attempt is not None:
+            self._winner.attempt.resume()
+
+    # Called by the legs.
+
+    def leg_admitted(self):
+        """An attempt has a slot."""
+        self._sink.on_admitted()
+
+    def leg_answered(self, leg, status, fields, length):
+        """Let the first good answer win."""
+        locator = self._entry.locator
+        locator.heard(self._target.service.name, leg.upstream, leg.started)
+        good = status < _FIRST_FAILURE_STATUS
+        winner, losers = self._hedge.note_result(leg, good)
+        if winner is None:
+            # Dropped: the other attempt may still bring a good answer.
+            self._may_have_run = True
+            self._cancel_leg(leg, self._waited(leg), False)
+            return
+        self._stop_timer()
+        self._winner = leg
+        waited = self._waited(leg)
+        if leg.upstream == self._head.upstream:
+            self._policy.note_latency(waited)
+        for loser in losers:
+            self._end_loser(loser, waited)
+        self._sink.on_upstream(leg.upstream)
+        self._sink.on_answer_head(status, fields, length)
+
+    def leg_body(self, data):
+        """Pass on a piece of the winner's answer."""
+        self._sink.on_answer_body(data)
+
+    def leg_ended(self, leg):
+        """The winner's answer is complete."""
+        self._end_leg(leg, self._waited(leg), True)
+        self._sink.on_answer_end()
+
+    def leg_refused(self, leg, refusal):
+        """Tell the exchange once no other attempt is open."""
+        self._end_leg(leg, self._waited(leg), False)
+        if refusal.outcome != OUTCOME_NOT_RUN:
+            self._may_have_run = True
+        if self._legs:
+            self._hedge.note_result(leg, False)
+            return
+        self._stop_timer()
+        if self._may_have_run:
+            refusal.outcome = OUTCOME_UNKNOWN
+        self._sink.on_refused(refusal)
+
+    # Internal.
+
+    def _submit(self, router, head):
+        now = self._entry.loop.now()
+        leg = _Leg(self, head.upstream, now)
+        if self._hedge is None:
+            self._hedge = Hedge(leg)
+        else:
+            self._hedge.add(leg)
+        self._legs.append(leg)
+        self._entry.locator.begin(
+            self._target.service.name, head.upstream, now
+        )
+        attempt = self._entry.submit(router, head, leg, b'', True)
+        if not leg.over:
+            leg.attempt = attempt
+
+    def _on_delay(self):
+        self._timer = None
+        if not self._policy.start():
+            return
+        try:
+            place = self._entry.locator.locate(self._target, self._excluded)
+        except Refusal:
+            return
+        upstream, unit, fence, router = place
+        if upstream in self._excluded:
+            return
+        head = copy.copy(self._head)
+        head.upstream = upstream
+        head.unit = unit
+        head.fence = fence
+        self._sink.on_upstream(upstream)
+        self._submit(router, head)
+
+    def _waited(self, leg):
+        return self._entry.loop.now() - leg.started
+
+    def _end_loser(self, leg, winner_waited):
+        waited = self._waited(leg)
+        if leg.upstream == self._head.upstream:
+            self._policy.note_latency(waited)
+        # A shorter wait would make the upstream look faster than it is.
+        seconds = waited if waited > winner_waited else None
+        self._cancel_leg(leg, seconds, True)
+
+    def _cancel_leg(self, leg, seconds, ok):
+        self._end_leg(leg, seconds, ok)
+        if leg.attempt is not None:
+            leg.attempt.cancel()
+
+    def _end_leg(self, leg, seconds, ok):
+        leg.over = True
+        self._legs.remove(leg)
+        self._entry.locator.end(
+            self._target.service.name, leg.upstream, leg.started, seconds, ok
+        )
+
+    def _stop_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- a/packages/router/src/bramleysill_router/locator.py
+++ b/packages/router/src/bramleysill_router/locator.py
@@ -13,7 +13,15 @@
 class SharedChoice:
     """The upstreams of one shared service as this router observes them."""
 
-    __slots__ = ('_balancer', '_detector', '_candidates', '_rng', '_trials')
+    __slots__ = (
+        '_balancer',
+        '_clock',
+        '_detector',
+        '_candidates',
+        '_rng',
+        '_trials',
+        '_open',
+    )
 
     def __init__(self, service, clock, rng):
         self._balancer = balancers.get(service.balancer)(rng)
@@ -21,6 +29,9 @@
         self._candidates = {}
         self._rng = rng
         self._trials = set()
+        self._clock = clock
+        # When the attempts without an answer head were sent, by upstream.
+        self._open = {}
 
     def update(self, upstreams):
         """Take the eligible upstreams of the newest manifest."""
@@ -32,6 +43,7 @@
         names = {u.name for u in upstreams}
         for name in set(self._candidates) - names:
             del self._candidates[name]
+            self._open.pop(name, None)
         self._detector.set_upstreams(names)
 
     def pick(self, excluded):
@@ -46,27 +58,47 @@
         )
         return chosen.name if chosen is not None else None
 
-    def begin(self, name):
-        """An attempt was sent."""
+    def begin(self, name, sent_at):
+        """An attempt was sent; see `Locator.begin`."""
         candidate = self._candidates.get(name)
         if candidate is not None:
             candidate.in_flight += 1
-
-    def end(self, name, seconds, ok, route):
-        """An attempt has ended."""
+            if sent_at is not None:
+                self._open.setdefault(name, []).append(sent_at)
+
+    def heard(self, name, sent_at):
+        """The answer of an attempt has begun."""
+        waiting = self._open.get(name, ())
+        if sent_at in waiting:
+            waiting.remove(sent_at)
+
+    def end(self, name, sent_at, seconds, ok):
+        """An attempt has ended; see `Locator.end`."""
+        self.heard(name, sent_at)
+        if seconds is None:
+            self._release(name)
+            return
         trial = name in self._trials
         self._trials.discard(name)
         self._detector.note_answer(name, seconds, ok, trial=trial)
-        candidate = self._candidates.get(name)
-        if candidate is None:
-            return
-        candidate.in_flight = max(0, candidate.in_flight - 1)
-        if ok:
+        candidate = self._release(name)
+        if candidate is not None and ok:
             old = candidate.latency or seconds
             candidate.latency = old + LATENCY_WEIGHT * (seconds - old)
 
+    def _release(self, name):
+        candidate = self._candidates.get(name)
+        if candidate is not None:
+            candidate.in_flight = max(0, candidate.in_flight - 1)
+        return candidate
+
     def tick(self):
         """Evaluate outliers."""
+        now = self._clock.now()
+        for name in self._candidates:
+            waiting = self._open.get(name)
+            age = now - min(waiting) if waiting else 0.0
+            self._detector.note_waiting(name, age)
         self._detector.tick()
         for name, candidate in self._candidates.items():
             candidate.ejected = self._detector.is_ejected(name)
@@ -131,17 +163,30 @@
         """Return the SharedChoice of a shared service, or None."""
         return self._choices.get(service)
 
-    def begin(self, service, upstream):
-        """An attempt was sent."""
+    def begin(self, service, upstream, sent_at):
+        """An attempt was sent at a reading of the clock.
+
+        `sent_at` is None for a request with a body: a long upload would
+        look like a frozen upstream.
+        """
+        choice = self._choices.get(service)
+        if choice is not None:
+            choice.begin(upstream, sent_at)
+
+    def heard(self, service, upstream, sent_at):
+        """The answer has begun; a long download is not a frozen upstream."""
         choice = self._choices.get(service)
         if choice is not None:
-            choice.begin(upstream)
+            choice.heard(upstream, sent_at)
+
+    def end(self, service, upstream, sent_at, seconds, ok):
+        """An attempt has ended after `seconds`.
 
-    def end(self, service, upstream, seconds, ok, route=''):
-        """An attempt has ended after `seconds`."""
+        None stands for a cancelled attempt that says nothing of its latency.
+        """
         choice = self._choices.get(service)
         if choice is not None:
-            choice.end(upstream, seconds, ok, route)
+            choice.end(upstream, sent_at, seconds, ok)
 
     def on_state_changed(self):
         """Follow the newest manifest, drains and dispatchers."""
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -10,6 +10,7 @@
 from bramleysill_net.http_server import HttpRequest
 from bramleysill_router.exchange import REPLAY_BYTES
 from bramleysill_router.exchange import Exchange
+from bramleysill_router.hedged import HedgePolicies
 from bramleysill_router.metrics import Metrics
 from bramleysill_router.routing import find_target
 
@@ -110,14 +111,18 @@
         self.active = set()
         self.locator = self
         self.retries = self
+        self.hedges = HedgePolicies()
         self.attempts = []
         self.during_submit = None
         self.allowed_retries = 1
 
-    def begin(self, service, upstream):
+    def begin(self, service, upstream, sent_at):
         pass
 
-    def end(self, service, upstream, seconds, ok, route=''):
+    def heard(self, service, upstream, sent_at):
+        pass
+
+    def end(self, service, upstream, sent_at, seconds, ok):
         pass
 
     def note_request(self, service):
