Test hedged reads over the exchange and the locator

Cause: hedging had no tests of its own in the router. Change: tests of winner, loser, refusals, cancellation, late answers, budget and unsafe requests, and of the age of open attempts.

--- /dev/null
+++ b/tests/test_hedged.py
@@ -0,0 +1,408 @@
+"""Tests of hedged reads: exchange, hedged attempt and locator together."""
+
+import random
+
+import testtools
+
+from bramleysill_kernel import manifest
+from bramleysill_kernel import refusals
+from bramleysill_kernel.hedging import MIN_ANSWERS
+from bramleysill_net.http_server import HttpRequest
+from bramleysill_router.exchange import Exchange
+from bramleysill_router.hedged import HedgePolicies
+from bramleysill_router.locator import SharedChoice
+from bramleysill_router.metrics import Metrics
+from bramleysill_router.routing import find_target
+from tests.test_exchange import FakeLoop
+
+USUAL = 0.01
+
+
+class _Stream:
+    peer = '127.0.0.1:5'
+    buffered = 0
+
+    def __init__(self):
+        self.started = False
+        self.status = None
+        self.body = b''
+        self.ended = False
+        self.cut = False
+        self.on_drained = None
+
+    def start(self, status, headers, length=None):
+        self.started = True
+        self.status = status
+
+    def send(self, status, headers, body=b''):
+        self.status = status
+        self.body = body
+
+    def write(self, data):
+        self.body += data
+
+    def end(self):
+        self.ended = True
+
+    def abort(self):
+        self.cut = True
+
+
+class _Attempt:
+    buffered = 0
+
+    def __init__(self, head, sink):
+        self.head = head
+        self.sink = sink
+        self.cancelled = False
+
+    def cancel(self):
+        self.cancelled = True
+
+
+class _Entry:
+    """Stands for the entry, its locator and its retry budgets."""
+
+    def __init__(self):
+        self.loop = FakeLoop()
+        self.metrics = Metrics()
+        self.waiting = set()
+        self.active = set()
+        self.locator = self
+        self.retries = self
+        self.hedges = HedgePolicies()
+        self.attempts = []
+        self.begun = []
+        self.ended = []
+        self.upstreams = ['u0', 'u1']
+
+    def begin(self, service, upstream, sent_at):
+        self.begun.append(upstream)
+
+    def heard(self, service, upstream, sent_at):
+        pass
+
+    def end(self, service, upstream, sent_at, seconds, ok):
+        if seconds is not None:
+            seconds = round(seconds, 6)
+        self.ended.append((upstream, seconds, ok))
+
+    def note_request(self, service):
+        pass
+
+    def delay(self, service, refusal, repeatable, attempts, deadline):
+        return None
+
+    def locate(self, target, excluded):
+        for name in self.upstreams:
+            if name not in excluded:
+                return name, '', 0, 'r1'
+        raise refusals.NotDispatcher('none left', 'locate', 's')
+
+    def submit(self, router, head, sink, body, whole):
+        attempt = _Attempt(head, sink)
+        self.attempts.append(attempt)
+        return attempt
+
+
+class HedgedTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.entry = _Entry()
+        self.stream = _Stream()
+        self.service = manifest.Service('s', manifest.KIND_SHARED, '/s/')
+        self.service.timeout = 5.0
+        self.service.hedge = True
+        self.manifest = manifest.Manifest(
+            'r', 'c', services={'s': self.service}
+        )
+
+    def _warm_up(self):
+        policy = self.entry.hedges.policy_for(
+            find_target(self.manifest, self._request()), self._request()
+        )
+        for _ in range(MIN_ANSWERS):
+            policy.note_latency(USUAL)
+        return policy
+
+    def _request(self, method='GET', length=0, fields=()):
+        return HttpRequest(
+            method, '/s/k', [('host', 'x'), *fields], length, False, False
+        )
+
+    def _start(self, **options):
+        req = self._request(**options)
+        exchange = Exchange(self.entry, self.stream, req, 'id-1')
+        self.entry.active.add(exchange)
+        exchange.start(find_target(self.manifest, req))
+        return exchange
+
+    def _start_both(self):
+        self._warm_up()
+        exchange = self._start()
+        self.entry.loop.advance(2 * USUAL)
+        first, second = self.entry.attempts
+        return exchange, first, second
+
+    def _answer(self, attempt, body, status=200):
+        attempt.sink.on_answer_head(status, [], len(body))
+        attempt.sink.on_answer_body(body)
+        attempt.sink.on_answer_end()
+
+    def test_second_attempt_goes_to_another_upstream_and_wins(self):
+        """Guards against a read that waits for a slowed upstream."""
+        _, first, second = self._start_both()
+        self.assertEqual('u0', first.head.upstream)
+        self.assertEqual('u1', second.head.upstream)
+        self._answer(second, b'two')
+        self.assertEqual((200, b'two'), (self.stream.status, self.stream.body))
+        self.assertTrue(self.stream.ended)
+
+    def test_no_second_attempt_before_the_delay(self):
+        """Guards against hedges of reads that are answered in time."""
+        self._warm_up()
+        self._start()
+        self.entry.loop.advance(USUAL / 2)
+        self._answer(self.entry.attempts[0], b'one')
+        self.entry.loop.advance(1.0)
+        self.assertEqual(1, len(self.entry.attempts))
+        self.assertEqual([('u0', USUAL / 2, True)], self.entry.ended)
+
+    def test_no_second_attempt_once_the_answer_has_begun(self):
+        """Guards against hedges of long downloads."""
+        self._warm_up()
+        self._start()
+        self.entry.attempts[0].sink.on_answer_head(200, [], 100)
+        self.entry.loop.advance(1.0)
+        self.assertEqual(1, len(self.entry.attempts))
+
+    def test_losing_first_attempt_is_cancelled_with_its_time(self):
+        """Guards against a slot that the loser keeps.
+
+        The time waited for a loser that is slower than the winner must
+        reach the outlier detector, and not as a failure.
+        """
+        _, first, second = self._start_both()
+        self._answer(second, b'two')
+        self.assertTrue(first.cancelled)
+        self.assertFalse(second.cancelled)
+        self.assertEqual(['u0', 'u1'], self.entry.begun)
+        self.assertEqual(
+            [('u0', 2 * USUAL, True), ('u1', USUAL, True)], self.entry.ended
+        )
+
+    def test_losing_second_attempt_leaves_no_latency(self):
+        """Guards against a short wait that makes an upstream look fast."""
+        _, first, second = self._start_both()
+        self._answer(first, b'one')
+        self.assertTrue(second.cancelled)
+        self.assertEqual(
+            [('u1', None, True), ('u0', 2 * USUAL, True)], self.entry.ended
+        )
+
+    def test_late_answer_of_the_loser_never_reaches_the_caller(self):
+        """Guards against a caller that gets parts of two answers."""
+        _, first, second = self._start_both()
+        second.sink.on_answer_head(200, [], 3)
+        self._answer(first, b'one')
+        first.sink.on_refused(refusals.ConnectionLost('lost', 's', 'u0'))
+        second.sink.on_answer_body(b'two')
+        second.sink.on_answer_end()
+        self._answer(first, b'one')
+        self.assertEqual(b'two', self.stream.body)
+        self.assertTrue(self.stream.ended)
+        self.assertFalse(self.stream.cut)
+
+    def test_refusal_waits_for_the_other_attempt(self):
+        """Guards against a refusal while a good answer is under way."""
+        _, first, second = self._start_both()
+        first.sink.on_refused(refusals.ConnectionLost('lost', 's', 'u0'))
+        self.assertIsNone(self.stream.status)
+        self._answer(second, b'two')
+        self.assertEqual((200, b'two'), (self.stream.status, self.stream.body))
+
+    def test_both_refused_is_unknown_if_either_may_have_run(self):
+        """Guards against not_run when the first attempt may have run."""
+        _, first, second = self._start_both()
+        first.sink.on_refused(refusals.ConnectionLost('lost', 's', 'u0'))
+        second.sink.on_refused(refusals.UpstreamShed('shed', 's', 'u1'))
+        self.assertIn(b'"outcome":"unknown"', self.stream.body)
+        self.assertEqual(
+            [('u0', False), ('u1', False)],
+            [(name, ok) for name, _, ok in self.entry.ended],
+        )
+
+    def test_both_refused_without_running_is_not_run(self):
+        """Guards against an unknown outcome that nothing justifies."""
+        _, first, second = self._start_both()
+        first.sink.on_refused(refusals.UpstreamShed('shed', 's', 'u0'))
+        second.sink.on_refused(refusals.UpstreamShed('shed', 's', 'u1'))
+        self.assertIn(b'"outcome":"not_run"', self.stream.body)
+
+    def test_refusal_before_the_delay_stops_the_hedge(self):
+        """Guards against a second attempt of a request that has ended."""
+        self._warm_up()
+        self._start()
+        sink = self.entry.attempts[0].sink
+        sink.on_refused(refusals.UpstreamShed('shed', 's', 'u0'))
+        self.entry.loop.advance(1.0)
+        self.assertEqual(1, len(self.entry.attempts))
+
+    def test_failure_status_does_not_win_over_an_open_attempt(self):
+        """Guards against a fast 500 that hides a good answer."""
+        _, first, second = self._start_both()
+        self._answer(second, b'bad', 500)
+        self.assertTrue(second.cancelled)
+        self._answer(first, b'one')
+        self.assertEqual((200, b'one'), (self.stream.status, self.stream.body))
+
+    def test_refusal_after_a_dropped_failure_status_is_unknown(self):
+        """Guards against not_run after an upstream has answered 500."""
+        _, first, second = self._start_both()
+        second.sink.on_answer_head(500, [], 0)
+        first.sink.on_refused(refusals.UpstreamShed('shed', 's', 'u0'))
+        self.assertIn(b'"outcome":"unknown"', self.stream.body)
+
+    def test_only_failure_status_is_passed_on(self):
+        """Guards against a caller that waits when all answers are bad."""
+        self._warm_up()
+        self._start()
+        self._answer(self.entry.attempts[0], b'bad', 500)
+        self.assertEqual((500, b'bad'), (self.stream.status, self.stream.body))
+
+    def test_cut_answer_of_the_winner_cuts_the_connection(self):
+        """Guards against a partial answer that looks whole."""
+        _, _, second = self._start_both()
+        second.sink.on_answer_head(200, [], 100)
+        second.sink.on_refused(refusals.ConnectionLost('lost', 's', 'u1'))
+        self.assertTrue(self.stream.cut)
+
+    def test_caller_that_leaves_cancels_both(self):
+        """Guards against slots that a vanished caller keeps."""
+        exchange, first, second = self._start_both()
+        exchange.on_abort(None)
+        self.assertTrue(first.cancelled)
+        self.assertTrue(second.cancelled)
+        self.assertEqual(2, len(self.entry.ended))
+        self._answer(second, b'two')
+        self.assertFalse(self.stream.started)
+
+    def test_caller_that_leaves_early_gets_no_hedge(self):
+        """Guards against work for a caller that is gone."""
+        self._warm_up()
+        exchange = self._start()
+        exchange.on_abort(None)
+        self.entry.loop.advance(1.0)
+        self.assertEqual(1, len(self.entry.attempts))
+
+    def test_deadline_cancels_both(self):
+        """Guards against attempts that outlive their request."""
+        _, first, second = self._start_both()
+        self.entry.loop.advance(6.0)
+        self.assertTrue(first.cancelled)
+        self.assertTrue(second.cancelled)
+        self.assertEqual(504, self.stream.status)
+        self.assertIn(b'"outcome":"unknown"', self.stream.body)
+
+    def test_exhausted_budget_sends_no_second_attempt(self):
+        """Guards against doubled load when all upstreams are slow."""
+        policy = self._warm_up()
+        policy.tokens = 0.0
+        self._start()
+        self.entry.loop.advance(1.0)
+        self.assertEqual(1, len(self.entry.attempts))
+
+    def test_no_second_attempt_without_another_upstream(self):
+        """Guards against a hedge at the upstream that is slow already."""
+        self.entry.upstreams = ['u0']
+        self._warm_up()
+        self._start()
+        self.entry.loop.advance(1.0)
+        self.assertEqual(1, len(self.entry.attempts))
+        self._answer(self.entry.attempts[0], b'one')
+        self.assertEqual(b'one', self.stream.body)
+
+    def test_unsafe_requests_are_not_hedged(self):
+        """Guards against a request that runs twice without being safe."""
+        cases = (
+            {'method': 'POST'},
+            {'method': 'DELETE'},
+            {'method': 'OPTIONS'},
+            {'fields': [('sill-repeatable', 'no')]},
+            {'fields': [('idempotency-key', 'k1')]},
+        )
+        self._warm_up()
+        for options in cases:
+            self.entry.attempts.clear()
+            self._start(**options)
+            self.entry.loop.advance(1.0)
+            self.assertEqual(1, len(self.entry.attempts), options)
+
+    def test_get_with_a_body_is_not_hedged(self):
+        """Guards against a streamed body that two attempts share."""
+        self._warm_up()
+        exchange = self._start(length=3)
+        exchange.on_body(b'abc')
+        exchange.on_end()
+        self.entry.loop.advance(1.0)
+        self.assertEqual(1, len(self.entry.attempts))
+
+    def test_services_without_hedge_and_keyed_ones_are_not_hedged(self):
+        """Guards against hedges that the manifest does not allow."""
+        self._warm_up()
+        req = self._request()
+        target = find_target(self.manifest, req)
+        self.service.hedge = False
+        self.assertIsNone(self.entry.hedges.policy_for(target, req))
+        self.service.hedge = True
+        self.assertIsNotNone(self.entry.hedges.policy_for(target, req))
+        self.service.kind = manifest.KIND_KEYED
+        self.assertIsNone(self.entry.hedges.policy_for(target, req))
+
+
+class WaitingTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = FakeLoop()
+        service = manifest.Service('s', manifest.KIND_SHARED, '/s/')
+        self.choice = SharedChoice(service, self.clock, random.Random(1))
+        self.names = [f'u{i}' for i in range(6)]
+        self.choice.update(
+            [manifest.Upstream(n, 's', 'fd', 'h', 1) for n in self.names]
+        )
+        for _ in range(20):
+            for name in self.names:
+                sent_at = self.clock.now()
+                self.choice.begin(name, sent_at)
+                self.choice.end(name, sent_at, USUAL, True)
+
+    def _tick_for(self, seconds):
+        for _ in range(int(seconds / 0.05)):
+            self.clock.advance(0.05)
+            self.choice.tick()
+
+    def _picks(self):
+        return {self.choice.pick(()) for _ in range(200)}
+
+    def test_frozen_upstream_is_avoided_before_any_answer(self):
+        """Guards against work for an upstream that has stopped."""
+        self.choice.begin('u0', self.clock.now())
+        self._tick_for(0.2)
+        self.assertEqual(set(self.names[1:]), self._picks())
+
+    def test_long_transfers_are_not_taken_for_a_freeze(self):
+        """Guards against the ejection of an upstream in a long transfer."""
+        sent_at = self.clock.now()
+        self.choice.begin('u0', sent_at)
+        self.choice.heard('u0', sent_at)
+        self.choice.begin('u1', None)
+        self._tick_for(1.0)
+        self.assertEqual(set(self.names), self._picks())
+
+    def test_ended_attempt_no_longer_waits(self):
+        """Guards against an upstream that stays out for an old attempt."""
+        sent_at = self.clock.now()
+        self.choice.begin('u0', sent_at)
+        self.choice.end('u0', sent_at, None, True)
+        self._tick_for(1.0)
+        self.assertEqual(set(self.names), self._picks())
