Follow a changed balancer of a shared service

Change: Locator passes the service of each manifest to follow(), which makes a new balancer when the name has changed. Conclusion: a changed balancer is in force with the manifest.

--- a/packages/router/src/bramleysill_router/locator.py
+++ b/packages/router/src/bramleysill_router/locator.py
@@ -15,6 +15,7 @@
 
     __slots__ = (
         '_balancer',
+        '_balancer_name',
         '_clock',
         '_detector',
         '_candidates',
@@ -24,7 +25,8 @@
     )
 
     def __init__(self, service, clock, rng):
-        self._balancer = balancers.get(service.balancer)(rng)
+        self._balancer = None
+        self._balancer_name = ''
         self._detector = OutlierDetector(clock, rng)
         self._candidates = {}
         self._rng = rng
@@ -32,6 +34,13 @@
         self._clock = clock
         # When the attempts without an answer head were sent, by upstream.
         self._open = {}
+        self.follow(service)
+
+    def follow(self, service):
+        """Take the balancer that the newest manifest names."""
+        if service.balancer != self._balancer_name:
+            self._balancer_name = service.balancer
+            self._balancer = balancers.get(service.balancer)(self._rng)
 
     def update(self, upstreams):
         """Take the eligible upstreams of the newest manifest."""
@@ -200,6 +209,7 @@
             if choice is None:
                 choice = SharedChoice(service, self._clock, self._rng)
                 self._choices[service.name] = choice
+            choice.follow(service)
             choice.update(
                 [
                     manifest.upstreams[name]
