Give local attempts their route and count hedges

Cause: admission compared latencies of unlike routes, since no work had a route, and nobody could see how many second attempts were sent. Change: RequestHead carries the route's name to Work.route. Peer links do not carry it, which would change the wire schema; forwarded requests keep the empty route. Events hedge_sent and hedge_won are counted. Conclusion: local requests have their route; forwarded ones do not yet.

--- a/packages/router/src/bramleysill_router/attempts.py
+++ b/packages/router/src/bramleysill_router/attempts.py
@@ -22,7 +22,8 @@
     """What an upstream's dispatcher needs to know of a request.
 
     `deadline` is in seconds on the local monotonic clock; `length` is the
-    announced body length, or -1 for a chunked body.
+    announced body length, or -1 for a chunked body. `route` is the name of
+    the manifest's route; it is not sent over peer links and is empty there.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         'priority',
         'idempotency_key',
         'key',
+        'route',
     )
 
     def __init__(
@@ -60,6 +62,7 @@
         priority,
         idempotency_key,
         key,
+        route='',
     ):
         self.request_id = request_id
         self.service = service
@@ -76,3 +79,4 @@
         self.priority = priority
         self.idempotency_key = idempotency_key
         self.key = key
+        self.route = route
--- a/packages/router/src/bramleysill_router/exchange.py
+++ b/packages/router/src/bramleysill_router/exchange.py
@@ -233,6 +233,7 @@
             target.priority,
             target.idempotency_key,
             target.key,
+            target.route.name if target.route is not None else '',
         )
 
     def _note_end(self, ok):
--- a/packages/router/src/bramleysill_router/hedged.py
+++ b/packages/router/src/bramleysill_router/hedged.py
@@ -176,6 +176,8 @@
         waited = self._waited(leg)
         if leg.upstream == self._head.upstream:
             self._policy.note_latency(waited)
+        else:
+            self._entry.metrics.events['hedge_won'] += 1
         for loser in losers:
             self._end_loser(loser, waited)
         self._sink.on_upstream(leg.upstream)
@@ -235,6 +237,7 @@
         head.upstream = upstream
         head.unit = unit
         head.fence = fence
+        self._entry.metrics.events['hedge_sent'] += 1
         self._sink.on_upstream(upstream)
         self._submit(router, head)
 
--- a/packages/router/src/bramleysill_router/job.py
+++ b/packages/router/src/bramleysill_router/job.py
@@ -54,6 +54,7 @@
             caller=head.caller,
             priority=head.priority,
             repeatable=head.repeatable,
+            route=head.route,
         )
         self._dispatcher = dispatcher
         self._sink = sink
--- a/tests/test_hedged.py
+++ b/tests/test_hedged.py
@@ -347,6 +347,13 @@
         self.entry.loop.advance(1.0)
         self.assertEqual(1, len(self.entry.attempts))
 
+    def test_head_carries_the_route(self):
+        """Guards against latencies of unlike routes that are mixed."""
+        route = manifest.Route('reads', 's', ('GET',))
+        self.service.routes.append(route)
+        self._start()
+        self.assertEqual('reads', self.entry.attempts[0].head.route)
+
     def test_services_without_hedge_and_keyed_ones_are_not_hedged(self):
         """Guards against hedges that the manifest does not allow."""
         self._warm_up()
@@ -390,6 +397,18 @@
         self._tick_for(0.2)
         self.assertEqual(set(self.names[1:]), self._picks())
 
+    def test_changed_balancer_takes_effect(self):
+        """Guards against an accepted manifest that is never in force.
+
+        The balancer of the first manifest stayed until the router's restart.
+        """
+        service = manifest.Service('s', manifest.KIND_SHARED, '/s/')
+        service.balancer = 'round_robin'
+        self.choice.follow(service)
+        chosen = [self.choice.pick(()) for _ in range(12)]
+        self.assertEqual(chosen[:6], chosen[6:])
+        self.assertEqual(self.names, sorted(chosen[:6]))
+
     def test_long_transfers_are_not_taken_for_a_freeze(self):
         """Guards against the ejection of an upstream in a long transfer."""
         sent_at = self.clock.now()
