Hand over dispatcher roles before a router ends

Cause: a leaving router ended as soon as it had dropped its roles, before it said so; the coordinator waited for its lease. Besides, each of the three steps of the handover waited for a tick of 0.1 s. A lone router waited for its whole grace, since nobody takes its roles.

Change: after the roles are dropped a heartbeat is sent and 0.4 s are left for the next dispatchers to be named; a heartbeat of a leaving router and a state that takes roles are acted on at once; a lone router does not wait.

--- a/packages/router/src/bramleysill_router/control.py
+++ b/packages/router/src/bramleysill_router/control.py
@@ -67,7 +67,7 @@
         """Begin to tick and to send heartbeats."""
         scheduler = self._loop.scheduler
         scheduler.call_every(TICK_SECONDS, self._tick)
-        scheduler.call_every(HEARTBEAT_SECONDS, self._heartbeat)
+        scheduler.call_every(HEARTBEAT_SECONDS, self.heartbeat)
         self._tick()
 
     def send_to_coordinator(self, message):
@@ -83,7 +83,7 @@
         if self._coordinator is not None:
             self._run(self._coordinator, self._coordinator.tick())
         if self._agent.heartbeat_due:
-            self._heartbeat()
+            self.heartbeat()
         self._links.learn(self._state.members)
         if self._election.leader_hint and self._election.leader_address:
             self._links.learn(
@@ -92,7 +92,8 @@
         self._ask_for_state()
         self._read_vm_list()
 
-    def _heartbeat(self):
+    def heartbeat(self):
+        """Send a heartbeat now."""
         self.dispatchers.report_all()
         router, heartbeat = self._agent.make_heartbeat()
         if router:
@@ -248,6 +249,9 @@
             self._deliver(router, self._agent.refuse(heartbeat))
             return
         self._run(coordinator, coordinator.on_heartbeat(heartbeat))
+        if heartbeat.leaving:
+            # Its roles are named anew at once rather than with the next tick.
+            self._run(coordinator, coordinator.tick())
 
     def _on_reply(self, router, reply):
         self._agent.on_reply(reply)
@@ -257,6 +261,8 @@
         changed = self._agent.on_state(update)
         if changed:
             self.on_changed(changed)
+        if self._agent.heartbeat_due:
+            self.heartbeat()
         if self._state.manifest_problem is not None:
             problem = self._state.manifest_problem
             self._state.manifest_problem = None
--- a/packages/router/src/bramleysill_router/process.py
+++ b/packages/router/src/bramleysill_router/process.py
@@ -33,6 +33,8 @@
 
 DISPATCH_TICK_SECONDS = 0.05
 SHUTDOWN_TICK_SECONDS = 0.05
+# Time for the last heartbeat and for the naming of the next dispatchers.
+HANDOVER_SECONDS = 0.4
 
 
 class RouterProcess:
@@ -45,6 +47,7 @@
         self._rng = random.Random()
         self._incarnation = f'{os.getpid()}-{time.time_ns()}'
         self._shutdown_deadline = None
+        self._handed_over_at = None
         self.state = RouterState(parse_manifest)
         self._store = store_clients.get(cfg.store_client)(self.loop, cfg.store)
         self._build_control()
@@ -214,18 +217,33 @@
     def _check_shutdown(self):
         self.entry.close_idle()
         running = len(self.entry.active)
-        roles = len(self.agent.held)
+        roles = 0 if self._is_alone() else len(self.agent.held)
         busy = self.dispatchers.busy_count()
         late = self.loop.now() >= self._shutdown_deadline
         if late and (running or busy):
             log_warning(
                 'grace_exceeded', running=running, roles=roles, busy=busy
             )
-        if late or not (running or busy or roles):
+        if late or not (running or busy or roles or self._handing_over()):
             self._control.stop()
             self.links.close()
             self.loop.stop()
 
+    def _is_alone(self):
+        return set(self.state.members) <= {self.cfg.name}
+
+    def _handing_over(self):
+        """Tell whether the coordinator may not know yet that roles are free.
+
+        A router that ends without saying so leaves its roles to nobody
+        until its lease has run out.
+        """
+        now = self.loop.now()
+        if self._handed_over_at is None:
+            self._handed_over_at = now + HANDOVER_SECONDS
+            self._control.heartbeat()
+        return now < self._handed_over_at and not self._is_alone()
+
     # For the admin port.
 
     def not_ready_reason(self):
