Follow changed limits, refuse a changed address, check drains

A changed address would let two servers hold grants of one name. Drains that are JSON of another shape raised on every later manifest.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,54 @@
+"""Runs all benchmarks, prints their tables and keeps the latest figures.
+
+`python -m bench [--only NAME]` or `make bench`. The figures go to
+bench/results/latest.json. Machines are shared and noisy: only ratios within
+one run are evidence.
+"""
+
+import datetime
+import json
+import pathlib
+import time
+
+import fire
+
+from bench import availability
+from bench import control
+from bench import data_path
+from bench import placement
+from bench import policy
+from bench import stragglers
+
+RESULTS = pathlib.Path(__file__).with_name('results') / 'latest.json'
+BIN_DIR = pathlib.Path('.venv/bin')
+
+BENCHMARKS = {
+    'data_path': lambda: data_path.run(BIN_DIR),
+    'stragglers': lambda: stragglers.run(BIN_DIR),
+    'availability': lambda: availability.run(BIN_DIR),
+    'policy': policy.run,
+    'placement': placement.run,
+    'control': control.run,
+}
+
+
+def main(only=''):
+    """Run the benchmarks whose name contains `only`."""
+    found = json.loads(RESULTS.read_text()) if RESULTS.exists() else {}
+    for name, run in BENCHMARKS.items():
+        if only not in name:
+            continue
+        started = time.monotonic()
+        found[name] = run()
+        seconds = time.monotonic() - started
+        print(f'== {name} ({seconds:.0f} s)', flush=True)
+        print(json.dumps(found[name], indent=1), flush=True)
+    now = datetime.datetime.now(datetime.UTC)
+    found['date'] = now.isoformat(timespec='seconds')
+    found['command'] = 'python -m bench'
+    RESULTS.parent.mkdir(exist_ok=True)
+    RESULTS.write_text(json.dumps(found, indent=1, sort_keys=True) + '\n')
+
+
+if __name__ == '__main__':
+    fire.Fire(main)
--- a/packages/ctl/src/sillctl/commands.py
+++ b/packages/ctl/src/sillctl/commands.py
@@ -15,6 +15,7 @@
 from sillctl import report_command
 from sillctl import router_client
 from sillctl import sheets
+from sillctl.exceptions import AddressChanged
 from sillctl.exceptions import CellChanged
 from sillctl.exceptions import NotFound
 from sillctl.exceptions import RaceLost
@@ -79,7 +80,8 @@
           file: The manifest file.
           expected_version: The store's version that the file was made for,
             as `sillctl diff` shows it; by default the current one.
-          force: Write a sheet of another region or cell.
+          force: Write a sheet of another region or cell, or one that
+            changes the address of an upstream.
         """
         _check_version(expected_version)
         store = self._open_store()
@@ -96,6 +98,7 @@
             raise _race_lost(stored, expected_version, text)
         if not force:
             _check_cell(stored.manifest, manifest)
+            _check_addresses(stored.manifest, manifest)
         if sheets.strip_stamp(stored.text) == sheets.strip_stamp(text):
             fields.update(is_written=False, version=stored.version)
             return self._document('apply', write_id='', **fields)
@@ -337,6 +340,21 @@
     )
 
 
+def _check_addresses(old, new):
+    """Raise AddressChanged if an upstream keeps its name but moves."""
+    for name, upstream in new.upstreams.items():
+        before = old.upstreams.get(name) if old is not None else None
+        if before is None:
+            continue
+        if (before.host, before.port) != (upstream.host, upstream.port):
+            raise AddressChanged(
+                f'upstream {name} is at {before.host}:{before.port} and the '
+                f'file declares {upstream.host}:{upstream.port}',
+                'apply',
+                name,
+            )
+
+
 def _race_lost(stored, expected, text):
     return RaceLost(
         sheets.MANIFEST_KEY,
--- a/packages/ctl/src/sillctl/exceptions.py
+++ b/packages/ctl/src/sillctl/exceptions.py
@@ -15,6 +15,7 @@
 EXIT_NO_UPSTREAM_LEFT = 9
 EXIT_ROUTER = 10
 EXIT_CELL_CHANGED = 11
+EXIT_ADDRESS_CHANGED = 12
 
 
 class StoreNotReached(exceptions.StoreUnavailable):
@@ -80,6 +81,20 @@
     )
 
 
+class AddressChanged(exceptions.SillError):
+    """An upstream has another address than in force.
+
+    The server at the old address may still hold grants of its name, so that
+    two servers could own the same keys for a while.
+    """
+
+    code = 'address_changed'
+    hint = (
+        'Declare the server at the new address under a new name, or add '
+        '--force when no server runs at the old address.'
+    )
+
+
 class NoUpstreamLeft(exceptions.SillError):
     """A drain would leave a service without any upstream."""
 
@@ -105,6 +120,7 @@
     NoUpstreamLeft: EXIT_NO_UPSTREAM_LEFT,
     RouterUnavailable: EXIT_ROUTER,
     CellChanged: EXIT_CELL_CHANGED,
+    AddressChanged: EXIT_ADDRESS_CHANGED,
 }
 
 
--- a/packages/kernel/src/bramleysill_kernel/admission.py
+++ b/packages/kernel/src/bramleysill_kernel/admission.py
@@ -129,6 +129,15 @@
         """Return the number of waiting works, those of held units too."""
         return len(self._queue) + self._held_count
 
+    def set_slots(self, slots):
+        """Follow a changed number of slots; returns works to send."""
+        if self._restriction == self.slots:
+            self._restriction = slots
+        self.slots = slots
+        self.slow_start.set_slots(slots)
+        self._refresh()
+        return self._start_next(self._clock.now())
+
     def restrict(self, bound):
         """Bound the work further, for a suspect or ejected upstream.
 
--- a/packages/kernel/src/bramleysill_kernel/coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/coordinator.py
@@ -182,7 +182,7 @@
             found = json.loads(value) if value else {}
         except ValueError:
             found = None
-        if not isinstance(found, dict):
+        if not _is_drains(found):
             fields = {'key': 'drains', 'version': version}
             return [effects.LogEvent('value_malformed', fields)]
         self._drains_version = version
@@ -374,3 +374,14 @@
         if self.members.take_joined():
             self.roles.touch()
         return self._publisher.publish(*self._shared())
+
+
+def _is_drains(value):
+    """Tell whether a parsed value names failure domains and upstreams."""
+    if not isinstance(value, dict):
+        return False
+    lists = [value.get(k, []) for k in ('failure_domains', 'upstreams')]
+    return all(
+        isinstance(names, list) and all(isinstance(n, str) for n in names)
+        for names in lists
+    )
--- a/packages/kernel/src/bramleysill_kernel/slow_start.py
+++ b/packages/kernel/src/bramleysill_kernel/slow_start.py
@@ -130,6 +130,13 @@
             self._usual[route] = usual = _Usual(latency)
             usual.answers = LEARN_ANSWERS
 
+    def set_slots(self, slots):
+        """Follow a changed number of slots; a warm upstream stays warm."""
+        warm = self.bound >= self.slots
+        self.slots = slots
+        self.cold_bound = min(self.cold_bound, slots)
+        self.bound = slots if warm else min(self.bound, slots)
+
     def note_epoch(self, epoch):
         """Record the id of the upstream's start; a new one means cold."""
         if not epoch or epoch == self.epoch:
--- a/packages/router/src/bramleysill_router/dispatcher.py
+++ b/packages/router/src/bramleysill_router/dispatcher.py
@@ -67,6 +67,7 @@
         '_jobs',
         '_waiting',
         '_host',
+        '_address',
         '_unit_counts',
         '_counted_since',
         '_condition',
@@ -78,6 +79,7 @@
         self.service = service
         self._context = context
         self._host = f'{upstream.host}:{upstream.port}'
+        self._address = (upstream.host, upstream.port)
         self._pool = UpstreamPool(
             loop,
             upstream.host,
@@ -301,8 +303,27 @@
         self.authority.tick()
         self.apply_condition()
 
+    def _follow_manifest(self):
+        """Follow changed limits and timeouts of the declaration.
+
+        A changed address is not followed: the server at the old one may hold
+        grants. sillctl refuses such a sheet.
+        """
+        manifest = self._context.state.manifest
+        declared = manifest.upstreams.get(self.upstream.name)
+        if declared is None or declared is self.upstream:
+            return
+        if (declared.host, declared.port) != self._address:
+            log_event('address_change_ignored', upstream=declared.name)
+        self.upstream = declared
+        self.service = manifest.services[declared.service]
+        self._pool.limit = declared.connections - CONTROL_CONNECTIONS
+        if declared.slots != self.admission.slots:
+            self._start_all(self.admission.set_slots(declared.slots))
+
     def on_state_changed(self):
         """Follow a new table: renew the grant, look at what waits for it."""
+        self._follow_manifest()
         self.authority.renew()
         for unit, jobs in list(self._waiting.items()):
             moved = [j for j in jobs if self._check(j.head) is not None]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -281,3 +281,23 @@
         self.assertEqual(set(), driver.waiting)
         ended = [w.id for w in driver.ended]
         self.assertEqual(list(range(driver.offered)), sorted(ended))
+
+
+class SlotsChangeTest(testtools.TestCase):
+    def test_a_changed_number_of_slots_is_followed(self):
+        """Guards against a manifest in force that is not applied.
+
+        Slots of a running upstream were those of the day on which its
+        dispatcher was made.
+        """
+        clock = ManualClock()
+        bound = SlowStart(clock, 4)
+        bound.bound = 4
+        admission = Admission('u1', clock, 4, slow_start=bound)
+        works = [Work(i, 's', deadline=9.0) for i in range(6)]
+        for work in works:
+            admission.offer(work)
+        self.assertEqual((4, 2), (admission.in_flight, admission.queued))
+        self.assertEqual(2, len(admission.set_slots(8)))
+        self.assertEqual([], admission.set_slots(2))
+        self.assertEqual(2, admission.limit)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -130,7 +130,13 @@
         """Guards against an operator's mistake that ends the coordinator."""
         cell = _cell(4)
         leader = cell.leader().coordinator
-        for value in (b'{', b'[1]', b'3'):
+        for value in (
+            b'{',
+            b'[1]',
+            b'3',
+            b'{"upstreams": 5}',
+            b'{"upstreams": "u1"}',
+        ):
             (event,) = leader.on_drains(value, 9)
             self.assertEqual('value_malformed', event.event)
         self.assertEqual(frozenset(), leader.drained)
--- a/tests/test_ctl_commands.py
+++ b/tests/test_ctl_commands.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import re
 import tempfile
 
 import fixtures
@@ -193,6 +194,20 @@
         self.assertEqual(0, self.store.writes)
         self.assertEqual(0, self._run('apply', path, '--force')[0])
 
+    def test_another_address_under_the_same_name_is_refused(self):
+        """Guards against two servers that hold grants of one name."""
+        self._put_example()
+        port = '127.0.0.1:65001'
+        text = re.sub(
+            r'address = \S+', f'address = {port}', self.text, count=1
+        )
+        path = self._file(text)
+        self.assertEqual(
+            ctl_exceptions.EXIT_ADDRESS_CHANGED, self._run('apply', path)[0]
+        )
+        self.assertEqual(0, self.store.writes)
+        self.assertEqual(0, self._run('apply', path, '--force')[0])
+
     def test_damaged_values_do_not_keep_a_sheet_from_being_applied(self):
         """Guards against an estimate that blocks a repair."""
         path = self._file(self.text + '\n; new comment\n')
