Keep trials of ejected upstreams out of hedges

Cause: a second attempt could be a trial of another ejected upstream, so that both were slow; a trial that was cancelled because the other attempt won could count as good and take a slow upstream back. Change: retries and second attempts choose no trial; a trial that lost counts as failed. This departs from 'a cancelled loser is no failure' for trials only: the time until the cancellation is a lower bound. Both tests fail without their change.

--- a/packages/router/src/bramleysill_router/hedged.py
+++ b/packages/router/src/bramleysill_router/hedged.py
@@ -250,18 +250,23 @@
             self._policy.note_latency(waited)
         # A shorter wait would make the upstream look faster than it is.
         seconds = waited if waited > winner_waited else None
-        self._cancel_leg(leg, seconds, True)
+        self._cancel_leg(leg, seconds, True, lost=True)
 
-    def _cancel_leg(self, leg, seconds, ok):
-        self._end_leg(leg, seconds, ok)
+    def _cancel_leg(self, leg, seconds, ok, lost=False):
+        self._end_leg(leg, seconds, ok, lost)
         if leg.attempt is not None:
             leg.attempt.cancel()
 
-    def _end_leg(self, leg, seconds, ok):
+    def _end_leg(self, leg, seconds, ok, lost=False):
         leg.over = True
         self._legs.remove(leg)
         self._entry.locator.end(
-            self._target.service.name, leg.upstream, leg.started, seconds, ok
+            self._target.service.name,
+            leg.upstream,
+            leg.started,
+            seconds,
+            ok,
+            lost,
         )
 
     def _stop_timer(self):
--- a/packages/router/src/bramleysill_router/locator.py
+++ b/packages/router/src/bramleysill_router/locator.py
@@ -57,8 +57,10 @@
 
     def pick(self, excluded):
         """Return the name of an upstream, or None without any."""
-        for name in self._detector.trial_names():
-            usable = name in self._candidates and name not in excluded
+        # A second attempt or a retry is late already and tries nothing out.
+        trials = () if excluded else self._detector.trial_names()
+        for name in trials:
+            usable = name in self._candidates
             if usable and self._detector.take_trial(name):
                 self._trials.add(name)
                 return name
@@ -81,7 +83,7 @@
         if sent_at in waiting:
             waiting.remove(sent_at)
 
-    def end(self, name, sent_at, seconds, ok):
+    def end(self, name, sent_at, seconds, ok, lost=False):
         """An attempt has ended; see `Locator.end`."""
         self.heard(name, sent_at)
         if seconds is None:
@@ -89,7 +91,10 @@
             return
         trial = name in self._trials
         self._trials.discard(name)
-        self._detector.note_answer(name, seconds, ok, trial=trial)
+        # A trial that lost to a later attempt would have taken longer than it
+        # was waited for; it must not count as a good one.
+        good = ok and not (trial and lost)
+        self._detector.note_answer(name, seconds, good, trial=trial)
         candidate = self._release(name)
         if candidate is not None and ok:
             old = candidate.latency or seconds
@@ -188,14 +193,15 @@
         if choice is not None:
             choice.heard(upstream, sent_at)
 
-    def end(self, service, upstream, sent_at, seconds, ok):
+    def end(self, service, upstream, sent_at, seconds, ok, lost=False):
         """An attempt has ended after `seconds`.
 
         None stands for a cancelled attempt that says nothing of its latency.
+        `lost` tells that it was cancelled because another one won.
         """
         choice = self._choices.get(service)
         if choice is not None:
-            choice.end(upstream, sent_at, seconds, ok)
+            choice.end(upstream, sent_at, seconds, ok, lost)
 
     def on_state_changed(self):
         """Follow the newest manifest, drains and dispatchers."""
--- a/tests/test_hedged.py
+++ b/tests/test_hedged.py
@@ -82,7 +82,7 @@
     def heard(self, service, upstream, sent_at):
         pass
 
-    def end(self, service, upstream, sent_at, seconds, ok):
+    def end(self, service, upstream, sent_at, seconds, ok, lost=False):
         if seconds is not None:
             seconds = round(seconds, 6)
         self.ended.append((upstream, seconds, ok))
@@ -397,6 +397,42 @@
         self._tick_for(0.2)
         self.assertEqual(set(self.names[1:]), self._picks())
 
+    def _eject_and_wait_for_trial(self):
+        sent_at = self.clock.now()
+        self.choice.begin('u0', sent_at)
+        self._tick_for(0.2)
+        self.choice.end('u0', sent_at, 0.2, True)
+        self._tick_for(0.5)
+
+    def test_second_attempt_is_no_trial(self):
+        """Guards against a hedge that waits for another slow upstream.
+
+        Seen in bench.stragglers: both attempts were trials of the two slowed
+        upstreams, and the caller waited for ten service times.
+        """
+        self._eject_and_wait_for_trial()
+        self.assertNotIn('u0', {self.choice.pick(('u1',)) for _ in range(200)})
+        self.assertEqual('u0', self.choice.pick(()))
+
+    def test_trial_that_lost_is_not_good(self):
+        """Guards against a slow upstream that is taken back.
+
+        The time until the cancellation of a trial was below the bound for
+        re-admission, although the upstream had not answered.
+        """
+        service = manifest.Service('s', manifest.KIND_SHARED, '/s/')
+        service.balancer = 'random'
+        self.choice.follow(service)
+        self._eject_and_wait_for_trial()
+        for _ in range(20):
+            sent_at = self.clock.now()
+            if self.choice.pick(()) == 'u0':
+                self.choice.begin('u0', sent_at)
+                self.choice.end('u0', sent_at, USUAL, True, lost=True)
+            self._tick_for(0.5)
+        self.choice.pick(())
+        self.assertNotIn('u0', {self.choice.pick(()) for _ in range(200)})
+
     def test_changed_balancer_takes_effect(self):
         """Guards against an accepted manifest that is never in force.
 
