Free the key of a request that was never sent; split the dispatcher

Cause: a caller that left while its opening was queued left the idempotency key in progress, and every repetition was refused for ten minutes although nothing had been sent.

Change: withdrawn work frees its key. Waiting for grants, unit rates, the shared context and the checks of a sheet are modules of their own.

--- a/packages/ctl/src/sillctl/commands.py
+++ b/packages/ctl/src/sillctl/commands.py
@@ -14,9 +14,8 @@
 from sillctl import ownership_view
 from sillctl import report_command
 from sillctl import router_client
+from sillctl import sheet_checks
 from sillctl import sheets
-from sillctl.exceptions import AddressChanged
-from sillctl.exceptions import CellChanged
 from sillctl.exceptions import NotFound
 from sillctl.exceptions import RaceLost
 from sillctl.output import Document
@@ -97,8 +96,8 @@
         if expected_version not in (None, stored.version):
             raise _race_lost(stored, expected_version, text)
         if not force:
-            _check_cell(stored.manifest, manifest)
-            _check_addresses(stored.manifest, manifest)
+            sheet_checks.check_cell(stored.manifest, manifest)
+            sheet_checks.check_addresses(stored.manifest, manifest)
         if sheets.strip_stamp(stored.text) == sheets.strip_stamp(text):
             fields.update(is_written=False, version=stored.version)
             return self._document('apply', write_id='', **fields)
@@ -328,33 +327,6 @@
     )
 
 
-def _check_cell(old, new):
-    """Raise CellChanged if a sheet is of another region or cell."""
-    if old is None or (old.region, old.cell) == (new.region, new.cell):
-        return
-    raise CellChanged(
-        f'the store holds cell {old.cell} of region {old.region}, the file '
-        f'declares cell {new.cell} of region {new.region}',
-        'apply',
-        new.cell,
-    )
-
-
-def _check_addresses(old, new):
-    """Raise AddressChanged if an upstream keeps its name but moves."""
-    for name, upstream in new.upstreams.items():
-        before = old.upstreams.get(name) if old is not None else None
-        if before is None:
-            continue
-        if (before.host, before.port) != (upstream.host, upstream.port):
-            raise AddressChanged(
-                f'upstream {name} is at {before.host}:{before.port} and the '
-                f'file declares {upstream.host}:{upstream.port}',
-                'apply',
-                name,
-            )
-
-
 def _race_lost(stored, expected, text):
     return RaceLost(
         sheets.MANIFEST_KEY,
--- /dev/null
+++ b/packages/ctl/src/sillctl/sheet_checks.py
@@ -0,0 +1,31 @@
+"""Checks of a sheet against the one in force, before it is applied."""
+
+from sillctl.exceptions import AddressChanged
+from sillctl.exceptions import CellChanged
+
+
+def check_cell(old, new):
+    """Raise CellChanged if a sheet is of another region or cell."""
+    if old is None or (old.region, old.cell) == (new.region, new.cell):
+        return
+    raise CellChanged(
+        f'the store holds cell {old.cell} of region {old.region}, the file '
+        f'declares cell {new.cell} of region {new.region}',
+        'apply',
+        new.cell,
+    )
+
+
+def check_addresses(old, new):
+    """Raise AddressChanged if an upstream keeps its name but moves."""
+    for name, upstream in new.upstreams.items():
+        before = old.upstreams.get(name) if old is not None else None
+        if before is None:
+            continue
+        if (before.host, before.port) != (upstream.host, upstream.port):
+            raise AddressChanged(
+                f'upstream {name} is at {before.host}:{before.port} and the '
+                f'file declares {upstream.host}:{upstream.port}',
+                'apply',
+                name,
+            )
--- a/packages/router/src/bramleysill_router/dispatcher.py
+++ b/packages/router/src/bramleysill_router/dispatcher.py
@@ -1,7 +1,5 @@
 """The dispatcher role for one upstream: admission, sending and grants."""
 
-import collections
-
 from bramleysill_kernel import idempotency
 from bramleysill_kernel import refusals
 from bramleysill_kernel.admission import ADMITTED
@@ -15,36 +13,19 @@
 from bramleysill_kernel.messages import UPSTREAM_SUSPECT
 from bramleysill_kernel.messages import UpstreamReport
 from bramleysill_router.authority import Authority
+from bramleysill_router.grant_queue import GrantQueue
 from bramleysill_router.job import Job
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_request
 from bramleysill_router.recording import NO_RECORDING
 from bramleysill_router.recording import Recording
 from bramleysill_router.recording import refusal_for_key
+from bramleysill_router.unit_rates import UnitRates
 from bramleysill_router.upstream_control import UpstreamControl
 from bramleysill_router.upstream_pool import UpstreamPool
 
 # Connections that are kept for grants, probes and cancellations.
 CONTROL_CONNECTIONS = 4
-# Requests of a unit whose grant is still under way wait for it this long.
-GRANT_WAIT_SECONDS = 1.0
-# Units that are reported as candidates for a move of their own.
-MAX_HOT_UNITS = 4
-
-
-class DispatchContext:
-    """What the dispatchers of a router share."""
-
-    __slots__ = ('loop', 'rng', 'agent', 'state', 'send', 'metrics')
-
-    def __init__(self, loop, rng, agent, state, send, metrics):
-        self.loop = loop
-        self.rng = rng
-        self.agent = agent
-        self.state = state
-        # Sends a message to the coordinator.
-        self.send = send
-        self.metrics = metrics
 
 
 class UpstreamDispatcher:
@@ -68,8 +49,7 @@
         '_waiting',
         '_host',
         '_address',
-        '_unit_counts',
-        '_counted_since',
+        '_rates',
         '_condition',
     )
 
@@ -104,9 +84,8 @@
         self.authority = Authority(self, keeper, context, self._control)
         self.memory = IdempotencyMemory(loop)
         self._jobs = {}
-        self._waiting = collections.defaultdict(list)
-        self._unit_counts = collections.Counter()
-        self._counted_since = loop.now()
+        self._waiting = GrantQueue()
+        self._rates = UnitRates(loop.now())
         self._condition = self.health.condition
 
     def now(self):
@@ -148,7 +127,7 @@
                 name,
                 retry_after=1,
             )
-        self._unit_counts[head.unit] += 1
+        self._rates.note(head.unit)
         return None
 
     def _begin_key(self, head):
@@ -166,7 +145,8 @@
     def _admit(self, job):
         head = job.head
         if head.unit and not self.authority.may_run(head.unit, head.fence):
-            self._await_grant(job)
+            self.authority.renew()
+            self._waiting.add(job, self.now())
             return
         offered = self.admission.offer(job.work)
         if offered is ADMITTED:
@@ -175,11 +155,6 @@
             job.refuse(offered)
         self._answer_dropped()
 
-    def _await_grant(self, job):
-        self.authority.renew()
-        self._waiting[job.head.unit].append(job)
-        job.work.enqueued_at = self.now()
-
     def _start(self, job):
         head = job.head
         allowed = self._context.agent.may_dispatch(self.upstream.name)
@@ -234,10 +209,8 @@
 
     def job_cancelled(self, job):
         """A job's caller has left, or its deadline has passed."""
-        waiting = self._waiting.get(job.head.unit)
-        if waiting and job in waiting:
-            waiting.remove(job)
-            job.abort()
+        if self._waiting.remove(job):
+            job.withdraw()
             return
         log_request(
             role='dispatcher',
@@ -251,7 +224,7 @@
         )
         self.admission.cancel(job.work)
         if job not in self._jobs:
-            job.abort()
+            job.withdraw()
             return
         job.refuse(
             refusals.DeadlineUnknown(
@@ -290,7 +263,7 @@
         """Deadlines, queue, probes and idle connections."""
         now = self.now()
         self._expire_running(now)
-        self._expire_waiting(now)
+        self._refuse_moving(self._waiting.take_late(now))
         if not self._context.agent.may_dispatch(self.upstream.name):
             self._refuse_queued()
         self._start_all(self.admission.tick())
@@ -325,30 +298,22 @@
         """Follow a new table: renew the grant, look at what waits for it."""
         self._follow_manifest()
         self.authority.renew()
-        for unit, jobs in list(self._waiting.items()):
-            moved = [j for j in jobs if self._check(j.head) is not None]
-            for job in moved:
-                jobs.remove(job)
-                job.refuse(self._moving(unit))
+        self._refuse_moving(
+            self._waiting.take_moved(
+                lambda job: self._check(job.head) is not None
+            )
+        )
 
     def on_granted(self):
         """A grant was confirmed: go on with requests that waited for it."""
-        for unit, jobs in list(self._waiting.items()):
-            if not jobs:
-                del self._waiting[unit]
-                continue
-            if self.authority.may_run(unit, jobs[0].head.fence):
-                del self._waiting[unit]
-                for job in jobs:
-                    self._admit(job)
+        for job in self._waiting.take_granted(self.authority.may_run):
+            self._admit(job)
 
     def hold(self, unit):
         """Stop a unit and hand its unsent requests back to the entries."""
         self.admission.hold(unit)
-        for work in self.admission.withdraw(unit):
-            work.id.refuse(self._moving(unit))
-        for job in self._waiting.pop(unit, ()):
-            job.refuse(self._moving(unit))
+        queued = [work.id for work in self.admission.withdraw(unit)]
+        self._refuse_moving(queued + self._waiting.take_unit(unit))
 
     def is_idle(self, unit):
         """Tell whether no request of a unit is at the upstream."""
@@ -369,13 +334,7 @@
 
     def report(self):
         """Return what the coordinator wants to know of the upstream."""
-        now = self.now()
-        elapsed = max(0.05, now - self._counted_since)
-        counts = self._unit_counts
-        rate = sum(counts.values()) / elapsed
-        hot = {u: n / elapsed for u, n in counts.most_common(MAX_HOT_UNITS)}
-        self._unit_counts = collections.Counter()
-        self._counted_since = now
+        rate, hot = self._rates.take(self.now())
         load = self.admission.in_flight + self.admission.queued
         return UpstreamReport(
             self.upstream.name,
@@ -393,14 +352,6 @@
             if job.running:
                 job.expire()
 
-    def _expire_waiting(self, now):
-        for unit, jobs in list(self._waiting.items()):
-            for job in list(jobs):
-                late = now - job.work.enqueued_at > GRANT_WAIT_SECONDS
-                if late or job.deadline <= now:
-                    jobs.remove(job)
-                    job.refuse(self._moving(unit))
-
     def _refuse_queued(self):
         name = self.upstream.name
         for work in self.admission.withdraw_all():
@@ -410,6 +361,10 @@
                 )
             )
 
+    def _refuse_moving(self, jobs):
+        for job in jobs:
+            job.refuse(self._moving(job.head.unit))
+
     def _moving(self, unit):
         if self.authority.keeper.suspended:
             return refusals.OwnerLost(
--- a/packages/router/src/bramleysill_router/job.py
+++ b/packages/router/src/bramleysill_router/job.py
@@ -163,6 +163,12 @@
         )
         self._dispatcher.job_cancelled(self)
 
+    def withdraw(self):
+        """The entry has given up before anything was sent."""
+        self._over = True
+        self._sink = None
+        self._recording.not_run()
+
     def abort(self):
         """Drop the connection, which also cancels the work."""
         self._over = True
--- a/packages/router/src/bramleysill_router/process.py
+++ b/packages/router/src/bramleysill_router/process.py
@@ -17,7 +17,7 @@
 from bramleysill_net.loop import Loop
 from bramleysill_router.admin import serve_admin
 from bramleysill_router.control import Control
-from bramleysill_router.dispatcher import DispatchContext
+from bramleysill_router.dispatch_context import DispatchContext
 from bramleysill_router.dispatchers import Dispatchers
 from bramleysill_router.entry import Entry
 from bramleysill_router.locator import Locator
--- a/packages/router/src/bramleysill_router/recording.py
+++ b/packages/router/src/bramleysill_router/recording.py
@@ -22,6 +22,9 @@
     def refused(self, refusal):
         """Nothing is recorded."""
 
+    def not_run(self):
+        """Nothing is recorded."""
+
 
 NO_RECORDING = NoRecording()
 
@@ -71,10 +74,14 @@
     def refused(self, refusal):
         """The attempt has ended without an answer."""
         if refusal.outcome == OUTCOME_NOT_RUN:
-            self._memory.not_run(self._unit, self._key)
+            self.not_run()
         else:
             self._memory.unknown(self._unit, self._key)
 
+    def not_run(self):
+        """Nothing was sent; the key may be used again."""
+        self._memory.not_run(self._unit, self._key)
+
 
 def refusal_for_key(state, upstream):
     """Return the refusal of a repeated request by its key's state."""
@@ -94,6 +101,12 @@
             upstream,
             retry_after=1,
         )
+    if state == idempotency.DONE:
+        return refusals.KeyOutcomeUnknown(
+            'the first request ran, but its answer is not kept',
+            step,
+            upstream,
+        )
     return refusals.KeyOutcomeUnknown(
         'the outcome of the first request is not known', step, upstream
     )
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,148 @@
+"""Tests of the dispatcher of one upstream."""
+
+import random
+
+import testtools
+
+from bramleysill_kernel import manifest
+from bramleysill_router.attempts import RequestHead
+from bramleysill_router.dispatch_context import DispatchContext
+from bramleysill_router.dispatcher import UpstreamDispatcher
+from tests.test_exchange import FakeLoop
+
+
+class _Agent:
+    """Holds the role of every upstream under a lease without end."""
+
+    name = 'r1'
+    lease_deadline = float('inf')
+
+    def __init__(self):
+        self.allowed = True
+
+    def may_dispatch(self, upstream):
+        return self.allowed
+
+    def generation(self, upstream):
+        return (1, 1)
+
+
+class _State:
+    def __init__(self, found):
+        self.manifest = found
+
+    def units_of(self, upstream):
+        return {}
+
+
+class _Sink:
+    def __init__(self):
+        self.refused = None
+
+    def on_admitted(self):
+        pass
+
+    def on_refused(self, refusal):
+        self.refused = refusal
+
+
+class _Conn:
+    """A connection that keeps what was sent and never answers."""
+
+    buffered = 0
+    sent_bytes = 1
+
+    def __init__(self):
+        self.data = b''
+
+    def request(self, data, sink, head_only=False):
+        self.data += data
+        self.sink = sink
+
+    def abort(self):
+        pass
+
+
+class UpstreamDispatcherTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        service = manifest.Service('s', manifest.KIND_SHARED, '/s/')
+        upstream = manifest.Upstream('u1', 's', 'a', '127.0.0.1', 1)
+        service.upstreams.append(upstream)
+        declared = manifest.Manifest(
+            'r', 'c', services={'s': service}, upstreams={'u1': upstream}
+        )
+        self.agent = _Agent()
+        self.loop = FakeLoop()
+        context = DispatchContext(
+            self.loop,
+            random.Random(1),
+            self.agent,
+            _State(declared),
+            lambda message: None,
+            None,
+        )
+        self.dispatcher = UpstreamDispatcher(context, upstream, service)
+        self.conns = []
+        self.dispatcher._pool = self
+        self.dispatcher._control = self
+
+    # Stands for the pool and the control calls.
+
+    def take(self):
+        self.conns.append(_Conn())
+        return self.conns[-1]
+
+    def sweep(self):
+        pass
+
+    def cancel(self, request_id, done):
+        pass
+
+    def probe(self, done):
+        pass
+
+    def _submit(self, number, key=''):
+        head = RequestHead(
+            f'id-{number}', 's', 'u1', '', 0, 'POST', '/s/k', [], 0,
+            self.loop.now() + 5.0, False, 'c', 1, key, 'k',
+        )  # fmt: skip
+        sink = _Sink()
+        return self.dispatcher.submit(head, sink), sink
+
+    def test_key_of_a_cancelled_queued_request_can_be_used_again(self):
+        """Guards against a key that stays in progress for ever.
+
+        A caller left while its opening was queued, and every repetition was
+        refused as running although nothing had been sent.
+        """
+        self._submit(1, 'first')
+        queued, _ = self._submit(2, 'second')
+        self.assertEqual(1, len(self.conns))
+        queued.cancel()
+        _, sink = self._submit(3, 'second')
+        self.assertIsNone(sink.refused)
+
+    def test_key_of_a_cancelled_running_request_stays_unknown(self):
+        """Guards against an opening that runs twice after a cancellation."""
+        running, _ = self._submit(1, 'first')
+        running.cancel()
+        _, sink = self._submit(2, 'first')
+        self.assertEqual('key_outcome_unknown', sink.refused.code)
+        self.assertEqual('unknown', sink.refused.outcome)
+
+    def test_running_key_is_in_progress(self):
+        """Guards against a repetition that runs beside the first."""
+        self._submit(1, 'first')
+        _, sink = self._submit(2, 'first')
+        self.assertEqual('key_in_progress', sink.refused.code)
+
+    def test_lapsed_lease_refuses_what_is_queued(self):
+        """Guards against work sent without the dispatcher role."""
+        self._submit(1)
+        _, queued = self._submit(2)
+        self.agent.allowed = False
+        self.dispatcher.tick()
+        self.assertEqual('no_authority', queued.refused.code)
+        self.assertEqual('not_run', queued.refused.outcome)
+        self.assertEqual(1, len(self.conns))
