Elect the next coordinator before router leases run out

Cause: the promises (1.2 s) lasted as long as the router leases, so that at the loss of a coordinator every dispatcher's lease ran out before another could be elected, and all keys waited.

Change: promise 0.7 s, leader lease 0.6 s; candidates send a heartbeat every 0.2 s, which renews the promise with the same margin as before. Router leases and the renewals of the leader lease stay as they were.

--- a/packages/kernel/src/bramleysill_kernel/lease.py
+++ b/packages/kernel/src/bramleysill_kernel/lease.py
@@ -13,11 +13,16 @@
 # Largest relative difference between the rates of two clocks.
 CLOCK_RATE_ERROR = 0.001
 
-LEADER_LEASE_SECONDS = 1.0
+# The next coordinator is elected once the leader lease and the promises have
+# run out. Both end well before router leases do, so that the loss of a
+# coordinator is not the loss of every dispatcher's lease.
+LEADER_LEASE_SECONDS = 0.6
 LEADER_RENEW_SECONDS = 0.3
-PROMISE_SECONDS = 1.2
+PROMISE_SECONDS = 0.7
 ROUTER_LEASE_SECONDS = 1.2
 HEARTBEAT_SECONDS = 0.4
+# Promises are short, and a candidate renews its own with each heartbeat.
+CANDIDATE_HEARTBEAT_SECONDS = 0.2
 GRANT_SECONDS = 0.9
 GRANT_RENEW_SECONDS = 0.3
 TICK_SECONDS = 0.1
--- a/packages/kernel/src/bramleysill_kernel/membership.py
+++ b/packages/kernel/src/bramleysill_kernel/membership.py
@@ -2,8 +2,8 @@
 
 The process drives the `RouterAgent` of a router as follows:
 
-* Every 0.4 s, and at once while `heartbeat_due` is set, it calls
-  `make_heartbeat()`, which returns (router, message), and sends the message
+* Every `heartbeat_interval()` seconds, and at once while `heartbeat_due` is
+  set, it calls `make_heartbeat()`, which returns (router, message), and sends the message
   to that router. If `router` is its own name, it passes the message to its
   own `Coordinator.on_heartbeat`, or to `refuse(heartbeat)` if it does not
   lead. If `router` is empty, no peer is known and nothing is sent.
@@ -106,6 +106,16 @@
         if upstream_report.condition != UPSTREAM_OK:
             self.heartbeat_due = True
 
+    def heartbeat_interval(self):
+        """Return the seconds between heartbeats.
+
+        A candidate's heartbeat renews its promise, which is shorter than a
+        router lease.
+        """
+        if self.name in self.state.candidates:
+            return lease.CANDIDATE_HEARTBEAT_SECONDS
+        return lease.HEARTBEAT_SECONDS
+
     def make_heartbeat(self):
         """Return the router to send to and the Heartbeat."""
         now = self._clock.now()
--- a/packages/router/src/bramleysill_router/control.py
+++ b/packages/router/src/bramleysill_router/control.py
@@ -4,6 +4,7 @@
 import json
 
 from bramleysill_kernel import effects
+from bramleysill_kernel import lease
 from bramleysill_kernel import messages
 from bramleysill_kernel.coordinator import Coordinator
 from bramleysill_kernel.election import LEADING
@@ -14,7 +15,6 @@
 from bramleysill_router.watches import StoreWatch
 
 TICK_SECONDS = 0.1
-HEARTBEAT_SECONDS = 0.4
 STATE_REQUEST_SECONDS = 0.5
 VM_LIST_SECONDS = 5.0
 STORE_OK_SECONDS = 2.0
@@ -54,6 +54,7 @@
         self._watches = []
         self._asked_at = 0.0
         self._vms_at = 0.0
+        self._heartbeat_sent_at = lease.NEVER
         self._seeds = itertools.cycle(cfg.seeds) if cfg.seeds else None
         self.dispatchers = None
         self.on_changed = None
@@ -67,7 +68,6 @@
         """Begin to tick and to send heartbeats."""
         scheduler = self._loop.scheduler
         scheduler.call_every(TICK_SECONDS, self._tick)
-        scheduler.call_every(HEARTBEAT_SECONDS, self.heartbeat)
         self._tick()
 
     def send_to_coordinator(self, message):
@@ -82,7 +82,7 @@
         self._follow_office()
         if self._coordinator is not None:
             self._run(self._coordinator, self._coordinator.tick())
-        if self._agent.heartbeat_due:
+        if self._agent.heartbeat_due or self._heartbeat_at_hand():
             self.heartbeat()
         self._links.learn(self._state.members)
         if self._election.leader_hint and self._election.leader_address:
@@ -92,8 +92,15 @@
         self._ask_for_state()
         self._read_vm_list()
 
+    def _heartbeat_at_hand(self):
+        interval = self._agent.heartbeat_interval()
+        # Half a tick of tolerance keeps the interval from becoming longer.
+        due = self._heartbeat_sent_at + interval - TICK_SECONDS / 2
+        return self._loop.now() >= due
+
     def heartbeat(self):
         """Send a heartbeat now."""
+        self._heartbeat_sent_at = self._loop.now()
         self.dispatchers.report_all()
         router, heartbeat = self._agent.make_heartbeat()
         if router:
