Move no unit for noise, and none while the store is silent

Such a planned move that was released just before a store outage left its unit without an owner until the store answered again.

Change: the reported load is an average over about 10 s, load counts only above 0.2 work per slot, and planned moves wait while the store does not answer.

--- a/packages/kernel/src/bramleysill_kernel/coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/coordinator.py
@@ -289,7 +289,7 @@
             if due or self._writer.remapping(service):
                 self._plan(service)
         self._stop_undispatched(now)
-        out = self.board.tick(self.roles.router_of)
+        out = self.board.tick(self.roles.router_of, self._store_answers())
         out += self._write()
         for upstream, found in list(self.losses.conditions.items()):
             if found.step == losses.LOST:
@@ -334,6 +334,12 @@
 
     # Helpers.
 
+    def _store_answers(self):
+        """Tell whether the newest calls to the store were answered."""
+        if self.authority.on_promises():
+            return False
+        return self._election.store_ok
+
     def _adopt(self, service):
         self.tables.adopt(service, lambda: self._planner.make_table(service))
 
--- a/packages/kernel/src/bramleysill_kernel/moves.py
+++ b/packages/kernel/src/bramleysill_kernel/moves.py
@@ -118,12 +118,16 @@
         """Return the upstreams that have given up units not yet written."""
         return {m.source for m in self.pending.values() if m.ready}
 
-    def tick(self, router_of):
-        """Return the Warm and Release messages that are due."""
+    def tick(self, router_of, writable=True):
+        """Return the Warm and Release messages that are due.
+
+        Without a writable store no planned move is advanced: a unit that was
+        released stays without an owner until its next one is written.
+        """
         now = self._clock.now()
         out = []
         for move in self.pending.values():
-            if not move.ready:
+            if not move.ready and (writable or move.urgent):
                 out.extend(self._advance(move, now, router_of))
         return out
 
--- a/packages/kernel/src/bramleysill_kernel/placement.py
+++ b/packages/kernel/src/bramleysill_kernel/placement.py
@@ -29,6 +29,9 @@
 
 # Load within this ratio of the mean does not change an upstream's share.
 LOAD_DEAD_BAND = 0.25
+# Below this mean load, in work per slot, differences are noise and moving
+# units would not help anybody.
+LOAD_MIN_MEAN = 0.2
 # Load changes an upstream's share by at most this factor.
 LOAD_MAX_FACTOR = 1.5
 # Share, in units, by which an owner must exceed another to give one away.
@@ -53,7 +56,7 @@
     for name in names:
         weight = max(weights.get(name, 1.0), 0.001)
         load = loads.get(name, mean)
-        if mean > 0 and abs(load - mean) > LOAD_DEAD_BAND * mean:
+        if mean >= LOAD_MIN_MEAN and abs(load - mean) > LOAD_DEAD_BAND * mean:
             factor = mean / max(load, mean / LOAD_MAX_FACTOR)
             weight *= max(factor, 1.0 / LOAD_MAX_FACTOR)
         result[name] = weight
--- a/packages/router/src/bramleysill_router/dispatcher.py
+++ b/packages/router/src/bramleysill_router/dispatcher.py
@@ -26,6 +26,10 @@
 
 # Connections that are kept for grants, probes and cancellations.
 CONTROL_CONNECTIONS = 4
+# Weight of one tick of 50 ms in the reported load, an average over about
+# 10 s: single readings differ between equally loaded upstreams, and the
+# coordinator moved units to and fro because of it.
+LOAD_WEIGHT = 0.005
 
 
 class UpstreamDispatcher:
@@ -50,6 +54,7 @@
         '_host',
         '_address',
         '_rates',
+        '_load',
         '_condition',
     )
 
@@ -86,6 +91,7 @@
         self._jobs = {}
         self._waiting = GrantQueue()
         self._rates = UnitRates(loop.now())
+        self._load = 0.0
         self._condition = self.health.condition
 
     def now(self):
@@ -271,6 +277,9 @@
         if self.health.probe_due() and self._probing():
             self.health.probe_sent()
             self._control.probe(self._on_probe)
+        work = self.admission.in_flight + self.admission.queued
+        load = work / self.upstream.slots
+        self._load += LOAD_WEIGHT * (load - self._load)
         self._pool.sweep()
         self.memory.tick()
         self.authority.tick()
@@ -335,11 +344,10 @@
     def report(self):
         """Return what the coordinator wants to know of the upstream."""
         rate, hot = self._rates.take(self.now())
-        load = self.admission.in_flight + self.admission.queued
         return UpstreamReport(
             self.upstream.name,
             self.health.condition,
-            load / self.upstream.slots,
+            self._load,
             rate,
             self.admission.slow_start.cold,
             hot,
--- /dev/null
+++ b/tests/test_moves_outage.py
@@ -0,0 +1,40 @@
+"""Tests of planned moves while the store does not answer."""
+
+import testtools
+
+from bramleysill_kernel import messages
+from bramleysill_kernel import moves
+from bramleysill_kernel import placement
+from bramleysill_kernel.clock import ManualClock
+
+
+class PlannedMoveTest(testtools.TestCase):
+    def _board(self, urgent):
+        clock = ManualClock()
+        board = moves.MoveBoard(clock, 1)
+        move = placement.Move('3', 'u1', 'u2')
+        board.add('ledger', move, 1, urgent)
+        return clock, board
+
+    def _released(self, board, writable):
+        effects = board.tick(lambda upstream: 'r1', writable)
+        return any(isinstance(e.message, messages.Release) for e in effects)
+
+    def test_planned_move_waits_for_the_store(self):
+        """Guards against a unit that is released and cannot be given away.
+
+        During a store outage keys were refused for 3.9 s, because a planned
+        move had released them and its write had to wait.
+        """
+        clock, board = self._board(False)
+        self.assertFalse(self._released(board, False))
+        clock.advance(10.0)
+        self.assertFalse(self._released(board, False))
+        self._released(board, True)
+        clock.advance(10.0)
+        self.assertTrue(self._released(board, True))
+
+    def test_urgent_move_goes_on(self):
+        """Guards against a drained upstream that keeps its units."""
+        _, board = self._board(True)
+        self.assertTrue(self._released(board, False))
--- a/tests/test_placement_stability.py
+++ b/tests/test_placement_stability.py
@@ -45,3 +45,22 @@
             rounds += 1
         self.assertLess(rounds, 3)
         self.assertIn(len(owners['small']), (12, 13))
+
+    def test_idle_upstreams_are_not_balanced_by_load(self):
+        """Guards against churn that follows the noise of a small load.
+
+        Single readings of work in progress differ between equally loaded
+        upstreams; units were moved for it all the time.
+        """
+        names = ('a', 'b')
+        owners = {n: [f'{n}{i}' for i in range(16)] for n in names}
+        eligible = {u: names for units in owners.values() for u in units}
+        moves = placements.get('bounded')(
+            owners,
+            eligible,
+            dict.fromkeys(names, 1.0),
+            {'a': 0.15, 'b': 0.0},
+            64,
+            random.Random(1),
+        )
+        self.assertEqual([], moves)
