--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,12 +18,14 @@
 from bench import placement
 from bench import policy
 from bench import stragglers
+from bench import transfer
 
 RESULTS = pathlib.Path(__file__).with_name('results') / 'latest.json'
 BIN_DIR = pathlib.Path('.venv/bin')
 
 BENCHMARKS = {
     'data_path': lambda: data_path.run(BIN_DIR),
+    'transfer': lambda: transfer.run(BIN_DIR),
     'stragglers': lambda: stragglers.run(BIN_DIR),
     'availability': lambda: availability.run(BIN_DIR),
     'policy': policy.run,
--- /dev/null
+++ b/bench/transfer.py
@@ -0,0 +1,83 @@
+"""Peak memory of routers while bodies of hundreds of megabytes pass.
+
+A request buffers at most 256 KB per direction (design section 7), whatever
+the length of the body. Three transfers of 200 MB go through a cell on
+loopback: an upload, a download, and a download that the caller reads slowly.
+The table gives the growth of each router's peak resident memory.
+"""
+
+import http.client
+import pathlib
+import re
+import tempfile
+import time
+
+from demo.cell import Cell
+from demo.processes import ProcessGroup
+
+BODY_BYTES = 200 << 20
+PIECE = bytes(1 << 20)
+SLOW_SECONDS = 3.0
+SLOW_READ_BYTES = 65536
+
+
+def _peak_kb(pid):
+    text = pathlib.Path(f'/proc/{pid}/status').read_text()
+    return int(re.search(r'VmHWM:\s+(\d+)', text)[1])
+
+
+def _pieces():
+    for _ in range(BODY_BYTES // len(PIECE)):
+        yield PIECE
+
+
+def _upload(address):
+    conn = http.client.HTTPConnection(address, timeout=60)
+    headers = {'Content-Length': str(BODY_BYTES)}
+    conn.request('PUT', '/intake/large', body=_pieces(), headers=headers)
+    answer = conn.getresponse()
+    answer.read()
+    conn.close()
+    return answer.status
+
+
+def _download(address, seconds):
+    conn = http.client.HTTPConnection(address, timeout=60)
+    conn.request('GET', f'/intake/large?bytes={BODY_BYTES}')
+    answer = conn.getresponse()
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline and answer.read(SLOW_READ_BYTES):
+        if seconds <= SLOW_SECONDS:
+            time.sleep(0.01)
+    conn.close()
+    return answer.status
+
+
+def run(bin_dir):
+    """Run the transfers; returns statuses and growth of memory in KB."""
+    with (
+        tempfile.TemporaryDirectory(prefix='sill-bench-') as directory,
+        ProcessGroup(directory) as group,
+    ):
+        cell = Cell(group, bin_dir)
+        cell.start(['tw-a', 'tw-b'], ledgers=1, routers=1)
+        pids = [r.process.pid for r in cell.routers]
+        address = cell.routers[0].address
+        before = [_peak_kb(pid) for pid in pids]
+        statuses = {
+            'upload': _upload(address),
+            'download': _download(address, 60.0),
+            'slow download': _download(address, SLOW_SECONDS),
+        }
+        after = [_peak_kb(pid) for pid in pids]
+    grown = [b - a for a, b in zip(before, after, strict=True)]
+    return {'statuses': statuses, 'before_kb': before, 'grown_kb': grown}
+
+
+def main(bin_dir='.venv/bin'):
+    """Print the result."""
+    print(run(pathlib.Path(bin_dir)))
+
+
+if __name__ == '__main__':
+    main()
