--- a/packages/router/src/bramleysill_router/dispatchers.py
+++ b/packages/router/src/bramleysill_router/dispatchers.py
@@ -87,10 +87,6 @@
 
         UpstreamControl(self._context.loop, pool).probe(probed)
 
-    def values(self):
-        """Return all dispatchers."""
-        return list(self._all.values())
-
     def gauges(self):
         """Yield gauges for the metrics."""
         for name, dispatcher in self._all.items():
