Bound queues by the objective and balance keys by reported demand

The queue was bounded only by the caller's deadline; the leader saw the demand that was met, not what was refused, and knew upstreams' speed from a twelfth of the answers.

The two hottest keys are single keys that need more than one upstream's slots.

Change: a request is sent only if it is expected to be answered within about its objective; routers report all demand by key and the service times they saw; a plan divides a range into as many pieces as needed.

--- a/packages/gateway/src/bramleysill_gateway/entry.py
+++ b/packages/gateway/src/bramleysill_gateway/entry.py
@@ -164,7 +164,7 @@
     def judge(self, peer, now, exchange):
         """Decide whether a request may go to an upstream now."""
         left = exchange.time_left(now)
-        return send_policy.judge(peer.load, now, left, exchange.route.priority)
+        return send_policy.judge(peer.load, now, left, exchange.route)
 
     def choose(self, service, now, shunned):
         """Return the best upstream of a shared service, or None."""
@@ -199,11 +199,12 @@
         )
 
     def note_request(self, exchange):
-        """Count a fresh request for the retry budget and the key loads."""
-        name = exchange.service.name
-        self._allowance(name).note_request()
-        if exchange.key is not None:
-            self.key_counts[name][exchange.key] += 1
+        """Count a fresh request for the retry budget."""
+        self._allowance(exchange.service.name).note_request()
+
+    def note_key(self, exchange):
+        """Count the demand for a key, whether or not it can be met."""
+        self.key_counts[exchange.service.name][exchange.key] += 1
 
     def take_retry(self, service):
         """Return whether a request may be sent once more."""
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -170,6 +170,7 @@
         gateway = self.gateway
         if self.key is None:
             self.key = gateway.key_of(self.req)
+            gateway.note_key(self)
         table = gateway.state.tables.get(self.service.name)
         if table is None:
             self._refuse_lost('no table of owners', now)
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -5,12 +5,15 @@
 from bramleysill_gateway.cell_state import LEADER
 from bramleysill_gateway.control_calls import ControlCalls
 from bramleysill_kernel.key_loads import KeyLoads
+from bramleysill_kernel.key_loads import UpstreamSpeeds
 from bramleysill_kernel.leadership import RENEW_SECONDS
 from bramleysill_kernel.leadership import Leadership
 from bramleysill_kernel.range_coordinator import RangeCoordinator
 from bramleysill_kernel.store_types import Condition
 from bramleysill_kernel.store_types import Put
 from bramleysill_kernel.store_types import StoreOutcome
+from bramleysill_kernel.upstream_load import FIRST_SERVICE_SECONDS
+from bramleysill_kernel.upstream_load import LEAST_SERVICE_SECONDS
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
@@ -22,20 +25,22 @@
 class Leader:
     """This router's part in leading the cell."""
 
-    def __init__(self, loop, rng, cfg, name, address, store, state, upstreams):
+    def __init__(self, loop, rng, cfg, address, store, state):
         self.leadership = Leadership(loop, cfg.shortest_lease)
         self._loop = loop
         self._rng = rng
         self._store = store
         self._state = state
-        self._upstreams = upstreams
         self._adapter = state.adapter
-        self._value = json.dumps({'router': name, 'address': address}).encode()
+        self._value = json.dumps(
+            {'router': cfg.name, 'address': address}
+        ).encode()
         self._calls = ControlCalls(
             loop, store, state.adapter, self.leadership, state
         )
         self._coordinators = {}
         self._loads = {}
+        self._speeds = UpstreamSpeeds()
         self._starting = set()
         self._standing = False
         self._renew_at = 0.0
@@ -59,10 +64,26 @@
             log_warning('document_rejected', key=self.key, error=exc)
             return None
 
-    def note_keys(self, service, counts):
-        """Take a report of requests by key."""
-        if self.leadership.leading:
-            self._loads_of(service).add(counts)
+    def note_report(self, message):
+        """Take a router's report of demand for keys and upstreams' speed."""
+        if not self.leadership.leading:
+            return
+        counts = dict(zip(message.keys, message.counts, strict=True))
+        self._loads_of(message.service).add(counts)
+        for row in zip(
+            message.upstreams,
+            message.answers,
+            message.busy_times,
+            strict=True,
+        ):
+            self._speeds.add(*row)
+
+    def _capacity(self, entry):
+        """Return the requests/s that an upstream can serve."""
+        seconds = self._speeds.service_time(entry.upstream)
+        if seconds is None:
+            seconds = self._speeds.mean() or FIRST_SERVICE_SECONDS
+        return entry.slots / max(seconds, LEAST_SERVICE_SECONDS)
 
     def tick(self):
         """Go on with the role; called every few tens of milliseconds."""
@@ -87,6 +108,7 @@
     def sweep(self):
         """Forget what belongs to upstreams that have gone."""
         self._calls.sweep()
+        self._speeds.keep_only(self._state.directory.entries)
 
     # Standing.
 
@@ -245,7 +267,7 @@
                 self._calls,
                 self._state.directory,
                 self._loads_of(service),
-                self._upstreams.capacity,
+                self._capacity,
             )
             coordinator.start(table, revision)
             self._coordinators[service] = coordinator
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -116,11 +116,9 @@
             self.loop,
             self._rng,
             cfg,
-            cfg.name,
             address,
             self._store,
             self.state,
-            self._upstreams,
         )
         self._registration = Registration(
             self.loop, self._store, self._adapter, cfg.name, address
@@ -187,20 +185,29 @@
             return
         name, address = leader
         for service, keys in counts.items():
+            message = self._key_loads(service, keys)
             if name == self.cfg.name:
-                self.leader.note_keys(service, keys)
+                self.leader.note_report(message)
                 continue
             self._links.learn({name: address})
-            message = messages.KeyLoads(
-                self.cfg.name, service, list(keys), list(keys.values())
-            )
             self._links.send(name, message)
         counts.clear()
 
+    def _key_loads(self, service, keys):
+        seen = self._upstreams.observations(service)
+        return messages.KeyLoads(
+            self.cfg.name,
+            service,
+            list(keys),
+            list(keys.values()),
+            [row[0] for row in seen],
+            [row[1] for row in seen],
+            [row[2] for row in seen],
+        )
+
     def _on_message(self, link, message):
         if isinstance(message, messages.KeyLoads):
-            counts = dict(zip(message.keys, message.counts, strict=True))
-            self.leader.note_keys(message.service, counts)
+            self.leader.note_report(message)
 
     # Settings.
 
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -41,10 +41,16 @@
             peer.cold_until = entry.cold_until
         return peer
 
-    def capacity(self, entry):
-        """Return the requests/s that an upstream can serve."""
-        load = self.peer(entry).load
-        return load.slots / max(load.service_time, 0.001)
+    def observations(self, service):
+        """Return (upstream, answers, busy seconds) since the last call."""
+        found = []
+        for peer in self._peers.values():
+            if peer.entry.service != service:
+                continue
+            answers, busy = peer.load.take_observations()
+            if answers:
+                found.append((peer.entry.upstream, answers, busy))
+        return found
 
     def sweep(self):
         """Forget processes that have ended and close idle connections."""
--- a/packages/kernel/src/bramleysill_kernel/key_loads.py
+++ b/packages/kernel/src/bramleysill_kernel/key_loads.py
@@ -1,4 +1,4 @@
-"""How much work the keys of a service cause, as reported by all routers.
+"""Demand for keys and speed of upstreams, as reported by all routers.
 
 Each router counts requests by key and reports the counts; the leader keeps
 an exponentially decayed rate for each key. Idle keys are dropped, so the
@@ -10,10 +10,47 @@
 # Halves a rate that gets no more requests; short, because busy keys change
 # within seconds.
 HALF_LIFE_SECONDS = 1.5
+# Weight of one answer in the average service time of an upstream.
+ANSWER_WEIGHT = 0.04
 # Rates below this, in requests/s, are dropped.
 LEAST_RATE = 0.02
 
 
+class UpstreamSpeeds:
+    """Average service times by upstream, from the answers of all routers."""
+
+    __slots__ = ('_times',)
+
+    def __init__(self):
+        self._times = {}
+
+    def add(self, upstream, answers, busy_time):
+        """Add a report; `busy_time` is the sum of `answers` times."""
+        if answers <= 0:
+            return
+        sample = busy_time / answers
+        old = self._times.get(upstream)
+        if old is None:
+            self._times[upstream] = sample
+            return
+        weight = 1.0 - (1.0 - ANSWER_WEIGHT) ** answers
+        self._times[upstream] = old + weight * (sample - old)
+
+    def service_time(self, upstream):
+        """Return the seconds that a request takes, or None if unknown."""
+        return self._times.get(upstream)
+
+    def mean(self):
+        """Return the mean over all upstreams, or None if none is known."""
+        times = self._times.values()
+        return sum(times) / len(times) if times else None
+
+    def keep_only(self, upstreams):
+        """Forget the upstreams that have gone."""
+        for upstream in set(self._times) - set(upstreams):
+            del self._times[upstream]
+
+
 class KeyLoads:
     """Decayed request rates by key, in requests/s."""
 
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -194,12 +194,17 @@
 
 @dataclasses.dataclass(slots=True)
 class KeyLoads:
-    """Requests by key that a router has sent since its last report.
+    """What a router has observed of a service since its last report.
 
-    `keys` and `counts` have the same length.
+    `counts` are the requests for each of `keys`. `answers` are the answers
+    of each of `upstreams` and `busy_times` the sums of their service times
+    in seconds.
     """
 
     router: str
     service: str
     keys: list
     counts: list
+    upstreams: list = dataclasses.field(default_factory=list)
+    answers: list = dataclasses.field(default_factory=list)
+    busy_times: list = dataclasses.field(default_factory=list)
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -36,6 +36,9 @@
 OUTAGE_HOLD_SECONDS = 7.0
 # Changes that become ready within this time go into one write.
 BATCH_SECONDS = 0.03
+# Before keys are placed for the first time; longer than a heartbeat, in
+# which every upstream has registered.
+SETTLE_SECONDS = 2.0
 # Pause between plans that balance the load.
 BALANCE_SECONDS = 0.4
 
@@ -112,6 +115,7 @@
         self._fresh_fences_written = False
         self._balance_at = 0.0
         self._call_number = 0
+        self._place_at = 0.0
 
     def start(self, table, revision):
         """Take over a table; `table` is None if none was ever stored."""
@@ -124,6 +128,10 @@
             self._fresh_fences_written = True
         self.table = table
         self._balance_at = now + BALANCE_SECONDS
+        self._place_at = 0.0
+        if not any(item.owner for item in table.ranges):
+            # Upstreams that start together register one after the other.
+            self._place_at = now + SETTLE_SECONDS
 
     @property
     def moving(self):
@@ -135,6 +143,8 @@
         if not self._fresh_fences_written:
             self._write(self.table.renew_fences(), [])
             return
+        if self._clock.now() < self._place_at:
+            return
         self._start_vacating()
         self._renew()
         self._advance_moves()
@@ -360,16 +370,20 @@
 
     def _balance(self):
         now = self._clock.now()
-        if now < self._balance_at or self._moves or self._writing:
+        if now < self._balance_at or self._writing:
+            return
+        if any(move.target is None for move in self._moves):
             return
         self._balance_at = now + BALANCE_SECONDS
         self.loads.decay()
         self._ledger.keep_only({r.holder for r in self.table.ranges})
         capacities = self._capacities()
         rates = self.loads.sorted_rates()
-        plan = plan_newcomers(self.table, capacities, rates, self._movable)
+        # What is on its way counts for the upstream that will have it.
+        table = self.table.assign([move.target for move in self._moves])
+        plan = plan_newcomers(table, capacities, rates, self._movable)
         if not plan:
-            plan = plan_balance(self.table, capacities, rates, self._movable)
+            plan = plan_balance(table, capacities, rates, self._movable)
         for item in plan:
             old = self.table.find(item.first)
             part = old.part(item.first, item.last)
@@ -377,6 +391,9 @@
 
     def _movable(self, item):
         now = self._clock.now()
+        for move in self._moves:
+            if move.first <= item.last and item.first <= move.last:
+                return False
         return self._ledger.free_after_release(item.holder) <= now
 
     # Writes.
--- a/packages/kernel/src/bramleysill_kernel/range_planner.py
+++ b/packages/kernel/src/bramleysill_kernel/range_planner.py
@@ -13,11 +13,17 @@
 
 # An upstream is relieved when its utilisation exceeds the mean of all by
 # this factor, and also LEAST_UTILISATION.
-IMBALANCE_FACTOR = 1.25
+IMBALANCE_FACTOR = 1.3
 # Below this share of its slots an upstream has no queue worth a move.
 LEAST_UTILISATION = 0.45
+# Upstreams are filled up to the mean times this factor, or to
+# FILL_UTILISATION, so that a move does not make the next one necessary.
+FILL_FACTOR = 1.1
+FILL_UTILISATION = 0.35
+# A piece with this much more load than wanted is moved without being cut.
+WHOLE_PIECE_FACTOR = 1.2
 # Moves of one plan; each costs one release and one grant.
-MOST_MOVES = 12
+MOST_MOVES = 24
 # More ranges than this for each upstream cost too many renewals.
 MOST_RANGES_PER_UPSTREAM = 8
 
@@ -57,26 +63,20 @@
 def plan_balance(table, capacities, rates, movable):
     """Return moves that relieve the busiest upstreams.
 
-    `movable(range)` tells whether a range may move now.
+    `movable(range)` tells whether a range may move now. A busy range is cut
+    into as many pieces as are needed, so that one plan spreads a burst on
+    neighbouring keys over several upstreams.
     """
     if len(capacities) < 2:
         return []
-    loads = _Loads(table, capacities, rates, ())
-    crowded = len(table.ranges) >= MOST_RANGES_PER_UPSTREAM * len(capacities)
-    result = []
-    taken = set()
+    work = _Pieces(table, capacities, rates, movable)
     for _ in range(MOST_MOVES):
-        busiest = loads.busiest(taken)
-        if busiest is None:
-            return result
-        move = _relieve(table, loads, busiest, rates, movable, crowded)
-        if move is None:
-            taken.add(busiest.upstream)
-            continue
-        result.append(move)
-        # The table is not changed here, so a range is split once a plan.
-        taken.add(busiest.upstream)
-    return result
+        source = work.busiest()
+        if source is None:
+            break
+        if not work.relieve(source):
+            work.give_up(source)
+    return work.moves()
 
 
 def plan_newcomers(table, capacities, rates, movable):
@@ -121,12 +121,14 @@
 def _half(item, rates):
     """Return the part of a range that has the first half of its load."""
     total = _rate_between(rates, item.first, item.last)
-    piece = None
-    if total > 0.0:
-        piece = _piece(item, rates, total / 3, False)
-    if piece is None or (piece[0], piece[1]) == (item.first, item.last):
-        return item.first, item.first + item.width // 2 - 1
-    return piece[0], piece[1]
+    load = 0.0
+    for key, rate in rates:
+        if not item.first <= key < item.last:
+            continue
+        load += rate
+        if load >= total / 2:
+            return item.first, key
+    return item.first, item.first + item.width // 2 - 1
 
 
 class _Loads:
@@ -170,73 +172,148 @@
         self.load[capacity.upstream] += load
         self.width[capacity.upstream] += width
 
-    def busiest(self, taken):
-        bound = max(LEAST_UTILISATION, self.mean * IMBALANCE_FACTOR)
+
+class _Piece:
+    """Keys that stay together in a plan, with their load in requests/s."""
+
+    __slots__ = ('first', 'last', 'rates', 'load', 'home', 'owner')
+
+    def __init__(self, first, last, rates, home, owner):
+        self.first = first
+        self.last = last
+        self.rates = rates
+        self.load = sum(rate for _, rate in rates)
+        self.home = home
+        self.owner = owner
+
+
+class _Pieces:
+    """The ranges of all upstreams, while a plan divides and moves them."""
+
+    def __init__(self, table, capacities, rates, movable):
+        self._capacities = {c.upstream: c for c in capacities}
+        self._load = dict.fromkeys(self._capacities, 0.0)
+        self._pieces = []
+        self._given_up = set()
+        self._room = MOST_RANGES_PER_UPSTREAM * len(capacities)
+        position = 0
+        for item in table.ranges:
+            inside = []
+            while position < len(rates) and rates[position][0] <= item.last:
+                inside.append(rates[position])
+                position += 1
+            if item.owner not in self._load:
+                continue
+            home = item.owner if movable(item) else None
+            piece = _Piece(item.first, item.last, inside, home, item.owner)
+            self._load[item.owner] += piece.load
+            self._pieces.append(piece)
+        total = sum(c.rate for c in capacities)
+        mean = sum(self._load.values()) / max(total, 1e-9)
+        self._relieve_above = max(LEAST_UTILISATION, mean * IMBALANCE_FACTOR)
+        self._fill_to = max(FILL_UTILISATION, mean * FILL_FACTOR)
+
+    def busiest(self):
+        """Return the busiest upstream above the bound, or None."""
         found = [
             u
-            for u in self.load
-            if u not in taken and self.utilisation(u) > bound
+            for u in self._load
+            if u not in self._given_up
+            and self._utilisation(u) > self._relieve_above
         ]
-        if not found:
+        return max(found, key=self._utilisation) if found else None
+
+    def give_up(self, upstream):
+        """Leave an upstream as it is in this plan."""
+        self._given_up.add(upstream)
+
+    def relieve(self, source):
+        """Move one piece away; return whether that was possible."""
+        target = min(self._load, key=self._utilisation)
+        room = self._fill_to * self._rate(target) - self._load[target]
+        excess = self._load[source] - self._fill_to * self._rate(source)
+        wanted = min(room, excess)
+        if target == source or wanted <= 0.0:
+            return False
+        piece = self._cut(source, wanted)
+        if piece is None:
+            return False
+        after = (self._load[target] + piece.load) / self._rate(target)
+        if after >= self._utilisation(source):
+            return False
+        piece.owner = target
+        self._load[source] -= piece.load
+        self._load[target] += piece.load
+        return True
+
+    def moves(self):
+        """Return the assignments that the plan consists of."""
+        result = []
+        for piece in self._pieces:
+            if piece.home is None or piece.owner == piece.home:
+                continue
+            target = self._capacities[piece.owner]
+            result.append(
+                Assignment(
+                    piece.first, piece.last, target.upstream, target.life
+                )
+            )
+        return result
+
+    def _cut(self, source, wanted):
+        """Return a piece of the source with about the wanted load."""
+        best = None
+        for piece in self._pieces:
+            if piece.owner != source or piece.home is None:
+                continue
+            # A piece that was moved in this plan stays where it is.
+            if piece.owner != piece.home or piece.load <= 0.0:
+                continue
+            if best is None or _fit(piece, wanted) > _fit(best, wanted):
+                best = piece
+        if best is None or best.load <= wanted * WHOLE_PIECE_FACTOR:
+            return best
+        if len(self._pieces) >= self._room:
             return None
-        return self.capacities[max(found, key=self.utilisation)]
+        return self._split(best, wanted)
+
+    def _split(self, piece, wanted):
+        """Divide a piece; return the part with about the wanted load."""
+        load = 0.0
+        for index, (_, rate) in enumerate(piece.rates):
+            if load + rate / 2 >= wanted and index:
+                break
+            load += rate
+        else:
+            return piece
+        last = piece.rates[index][0] - 1
+        rest = _Piece(
+            last + 1,
+            piece.last,
+            piece.rates[index:],
+            piece.home,
+            piece.owner,
+        )
+        part = _Piece(
+            piece.first, last, piece.rates[:index], piece.home, piece.owner
+        )
+        at = self._pieces.index(piece)
+        self._pieces[at : at + 1] = [part, rest]
+        return part
 
-    def idlest(self):
-        return self.capacities[min(self.load, key=self.utilisation)]
+    def _rate(self, upstream):
+        return max(self._capacities[upstream].rate, 1e-9)
 
+    def _utilisation(self, upstream):
+        return self._load[upstream] / self._rate(upstream)
 
-def _relieve(table, loads, source, rates, movable, crowded):
-    """Return one move from a busy upstream, or None if none helps."""
-    target = loads.idlest()
-    if target.upstream == source.upstream:
-        return None
-    excess = _excess(loads, source, target)
-    best = None
-    for item in table.ranges:
-        if item.owner != source.upstream or not movable(item):
-            continue
-        piece = _piece(item, rates, excess, crowded)
-        if piece is None:
-            continue
-        if best is None or abs(piece[2] - excess) < abs(best[2] - excess):
-            best = piece
-    if best is None or best[2] <= 0.0:
-        return None
-    first, last, load = best
-    after = loads.utilisation(target.upstream, load)
-    if after >= loads.utilisation(source.upstream):
-        return None
-    loads.load[source.upstream] -= load
-    loads.load[target.upstream] += load
-    return Assignment(first, last, target.upstream, target.life)
-
-
-def _excess(loads, source, target):
-    """Return the requests/s that even out two upstreams."""
-    total = loads.load[source.upstream] + loads.load[target.upstream]
-    share = source.rate / max(source.rate + target.rate, 1e-9)
-    return loads.load[source.upstream] - total * share
-
-
-def _piece(item, rates, wanted, crowded):
-    """Return (first, last, load) of the end of a range nearest `wanted`."""
-    inside = [(k, r) for k, r in rates if item.first <= k <= item.last]
-    total = sum(r for _, r in inside)
-    if not inside or total <= 0.0:
-        return None
-    if total <= wanted * 1.5 or crowded:
-        return item.first, item.last, total
-    left = 0.0
-    for key, rate in inside:
-        if left + rate / 2 >= wanted:
-            if key == item.first:
-                return item.first, key, rate
-            if left <= 0.0:
-                # One key carries more than what should move.
-                return key, item.last, total
-            return item.first, key - 1, left
-        left += rate
-    return None
+
+def _fit(piece, wanted):
+    """Return how well a piece serves; more is better."""
+    if piece.load <= wanted * WHOLE_PIECE_FACTOR:
+        return piece.load
+    # A larger piece has to be cut, which adds a range.
+    return wanted / 2
 
 
 def _divide(vacant, count):
--- a/packages/kernel/src/bramleysill_kernel/send_policy.py
+++ b/packages/kernel/src/bramleysill_kernel/send_policy.py
@@ -12,9 +12,12 @@
 
 import enum
 
-# A less urgent request may only use this share of the time that is left, by
-# priority; later priorities use the last value.
-QUEUE_SHARE_BY_PRIORITY = (0.9, 0.9, 0.75)
+# Part of the time that is left which a request may take at the upstream.
+SHARE_OF_TIME_LEFT = 0.9
+# Part of the latency objective that it may take, by priority; later
+# priorities use the last value. A longer queue would serve no more requests,
+# and all of them late.
+SHARE_OF_OBJECTIVE_BY_PRIORITY = (1.2, 1.2, 0.9)
 # Bounds of Retry-After, in seconds.
 SHORTEST_RETRY_AFTER = 0.1
 LONGEST_RETRY_AFTER = 1.5
@@ -42,20 +45,22 @@
         self.expected = expected
 
 
-def queue_share(priority):
-    """Return the share of the remaining time that a request may queue."""
-    last = len(QUEUE_SHARE_BY_PRIORITY) - 1
-    return QUEUE_SHARE_BY_PRIORITY[min(priority, last)]
+def longest_stay(route, time_left):
+    """Return the seconds that a request may take at an upstream."""
+    shares = SHARE_OF_OBJECTIVE_BY_PRIORITY
+    share = shares[min(route.priority, len(shares) - 1)]
+    return min(time_left * SHARE_OF_TIME_LEFT, route.objective * share)
 
 
-def judge(load, now, time_left, priority):
+def judge(load, now, time_left, route):
     """Decide about one upstream; `time_left` in seconds."""
     if load.is_down(now):
         wait = _bounded(load.down_until - now)
         return Judgement(Verdict.REFUSE_DOWN, wait)
     expected = load.expected_finish(now)
-    allowed = time_left * queue_share(priority)
-    if expected > allowed or (now < load.full_until and load.in_flight):
+    allowed = longest_stay(route, time_left)
+    has_queue = load.expected_wait(now) > 0.0
+    if has_queue and (expected > allowed or now < load.full_until):
         excess = max(load.full_until - now, expected - allowed)
         return Judgement(Verdict.REFUSE_BUSY, _bounded(excess), expected)
     return Judgement(Verdict.SEND, expected=expected)
--- a/packages/kernel/src/bramleysill_kernel/upstream_load.py
+++ b/packages/kernel/src/bramleysill_kernel/upstream_load.py
@@ -48,6 +48,8 @@
         'failures',
         'down_until',
         'full_until',
+        'answers',
+        'busy_time',
         '_others',
         '_others_at',
     )
@@ -60,6 +62,9 @@
         self.failures = 0
         self.down_until = 0.0
         self.full_until = 0.0
+        # Observed since they were last reported to the leader.
+        self.answers = 0
+        self.busy_time = 0.0
         self._others = 0.0
         self._others_at = 0.0
 
@@ -76,7 +81,7 @@
 
     def expected_finish(self, now):
         """Return the seconds until one more request is answered."""
-        return self.expected_wait(now) + self.service_time * self.pace
+        return self.expected_wait(now) + self.service_time
 
     def note_report(self, now, report):
         """Take a load report of an answer that has just arrived.
@@ -97,6 +102,18 @@
         queued = max(1.0, (backlog_at_send + 1) / self.slots)
         sample = max(LEAST_SERVICE_SECONDS, seconds / queued)
         self.service_time += SAMPLE_WEIGHT * (sample - self.service_time)
+        self.answers += 1
+        self.busy_time += sample
+
+    def take_observations(self):
+        """Return and reset the answers counted, and their service times.
+
+        The times are summed up, in seconds.
+        """
+        found = self.answers, self.busy_time
+        self.answers = 0
+        self.busy_time = 0.0
+        return found
 
     def note_full(self, now):
         """The upstream has turned a request away for want of room."""
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -160,6 +160,9 @@
     + [
         _Field('keys', 'keys', list, list),
         _Field('counts', 'counts', list, list),
+        _Field('upstreams', 'upstreams', list, list),
+        _Field('answers', 'answers', list, list),
+        _Field('busy_times', 'busyTimes', list, list),
     ],
     streams.StreamOpen: _plain(*streams.StreamOpen.__slots__),
     streams.StreamHead: _plain(*streams.StreamHead.__slots__),
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -151,6 +151,9 @@
   service @1 :Text;
   keys @2 :List(UInt16);
   counts @3 :List(UInt32);
+  upstreams @4 :List(Text);
+  answers @5 :List(UInt32);
+  busyTimes @6 :List(Float32);
 }
 
 struct Frame {
