Match answers by request id and stop taking requests before the grace ends

Ruled out: answers cut by our own restart of connections; every LOST had arrived after the balancer's two questions, on connections that it still sent because too few routers of the failure domain were ready.

Change: a signed answer must carry the id of the request. Requests are taken until 2.5 s after SIGTERM, then the listener closes and what still arrives is refused. Grants that fail twice end the attempts, because each further one prolongs the time that the keys may be held.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -112,10 +112,14 @@
     # Called by the connection.
 
     def accepts(self, status, headers):
-        """Tell whether an answer is the one to this request."""
+        """Tell whether an answer is the one to this request.
+
+        Only what an upstream says before it reads a request has no id.
+        """
         answer_id = value_of(headers, self._adapter.request_id)
-        expected = self._exchange.request_id
-        return not answer_id or not expected or answer_id == expected
+        if not answer_id and not value_of(headers, self._adapter.signature):
+            return True
+        return answer_id == self._exchange.request_id
 
     def on_head(self, status, headers, length):
         """Judge an answer by its head."""
--- a/packages/gateway/src/bramleysill_gateway/entry.py
+++ b/packages/gateway/src/bramleysill_gateway/entry.py
@@ -17,6 +17,8 @@
 # An owner that answered that it does not hold a key is asked again after
 # this time, or as soon as the table of owners changes.
 STALE_SECONDS = 0.12
+# A caller that is refused by a router that ends finds another one at once.
+SHUTDOWN_RETRY_SECONDS = 0.05
 # What is added to the idle time that callers are promised, so that a
 # request does not cross the close.
 IDLE_SLACK_SECONDS = 1.0
@@ -31,7 +33,10 @@
         self.upstreams = upstreams
         self.adapter = adapter
         self.active = set()
+        # While this router shuts down: first connections end with their
+        # next answer, then requests are refused.
         self.leaving = False
+        self.refusing = False
         # Requests by key since the last report, by service.
         self.key_counts = collections.defaultdict(collections.Counter)
         self.request_drops = frozenset(
@@ -87,6 +92,10 @@
             if server.idle:
                 server.conn.close()
 
+    def unsent_answers(self):
+        """Return the number of callers that have not taken an answer yet."""
+        return sum(1 for server in self._conns if server.conn.buffered)
+
     @property
     def connections(self):
         """Return the number of open caller connections."""
@@ -105,6 +114,14 @@
             stream.set_last()
         request_id = req.header(self.adapter.request_id)
         config = self.state.config
+        if self.refusing:
+            refusal = refusals.ShuttingDown(
+                'the router is shutting down',
+                'route',
+                retry_after=SHUTDOWN_RETRY_SECONDS,
+            )
+            self._refuse_unrouted(stream, refusal, request_id, 0)
+            return None
         if config is None:
             refusal = refusals.NoState(
                 'no configuration yet', 'route', retry_after=0.5
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -25,8 +25,9 @@
 # The settings file may change without a signal.
 SETTINGS_CHECK_SECONDS = 5.0
 # After SIGTERM the balancer needs two failed questions, a second apart, to
-# send no new connections here.
-LINGER_SECONDS = 3.0
+# send no new connections here. Requests are taken until then; those that come
+# later could not be finished within the grace period.
+LINGER_SECONDS = 2.5
 # Left of the grace period for ending what is still running.
 GRACE_RESERVE_SECONDS = 0.6
 CELL = 'cell'
@@ -163,10 +164,13 @@
 
     def _check_shutdown(self):
         now = self.loop.now()
-        running = len(self.entry.active)
         if now < self._earliest_stop_at:
             return
+        if not self.entry.refusing:
+            self.entry.refusing = True
+            self._listener.close()
         self.entry.close_idle()
+        running = len(self.entry.active) + self.entry.unsent_answers()
         if running and now < self._stop_at:
             return
         if running:
--- a/packages/kernel/src/bramleysill_kernel/hold_ledger.py
+++ b/packages/kernel/src/bramleysill_kernel/hold_ledger.py
@@ -11,9 +11,9 @@
 CLOCK_RATE_ERROR = 0.02
 # A grant call that has no answer by then is given up and its connection
 # reset, after which its bytes can no longer arrive.
-CALL_TIMEOUT_SECONDS = 0.6
+CALL_TIMEOUT_SECONDS = 0.4
 # Bytes that were already on their way when the connection was reset.
-TRANSIT_SECONDS = 0.1
+TRANSIT_SECONDS = 0.05
 
 
 def longest_hold(hold):
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -30,7 +30,13 @@
 HOLD_SECONDS = 3.0
 RENEW_SECONDS = 0.9
 # Pause before a grant or release that failed is sent again.
-REPEAT_SECONDS = 0.25
+REPEAT_SECONDS = 0.1
+# After so many grants without an answer the keys are taken away; further
+# grants would only prolong the time for which they may be held.
+MOST_FAILURES = 2
+# An upstream that answered no grant gets no keys for this time, unless it
+# answers one before.
+AVOID_SECONDS = 6.0
 # While the store is silent the leader extends the holds before its own
 # lease ends, so that keys are served through an outage of several seconds.
 OUTAGE_HOLD_SECONDS = 7.0
@@ -111,6 +117,8 @@
         self._moves = []
         self._renewals = {}
         self._handovers = {}
+        # Upstreams that did not take a grant, with the end of the pause.
+        self._avoid_until = {}
         self._writing = None
         self._fresh_fences_written = False
         self._balance_at = 0.0
@@ -176,13 +184,8 @@
             return False
         if not self._directory.may_use(entry):
             return False
-        # An owner that answers no grant has lost its hold; others may have
-        # the keys instead of waiting for its entry to lapse.
         renewal = self._renewals.get((item.first, item.last, item.fence))
-        if renewal is None or renewal.failures < 2:
-            return True
-        end = self._ledger.free_without_release(item.holder)
-        return self._clock.now() < end
+        return renewal is None or renewal.failures < MOST_FAILURES
 
     def _free_parts(self, item):
         """Return the parts of a range that are not on the move."""
@@ -245,11 +248,13 @@
         if result is CallResult.OK:
             self._ledger.note_granted(holder, call, hold)
             self._handovers.pop(part.fence, None)
+            self._avoid_until.pop(part.owner, None)
             if renewal is not None:
                 renewal.failures = 0
             return
         if result is CallResult.REFUSED:
             self._ledger.note_refused(holder, call)
+        self._avoid_until[part.owner] = now + AVOID_SECONDS
         if renewal is not None:
             renewal.failures += 1
             renewal.due_at = now + REPEAT_SECONDS
@@ -358,13 +363,8 @@
         ]
 
     def _is_reachable(self, entry):
-        for (first, _, fence), renewal in self._renewals.items():
-            if renewal.failures == 0:
-                continue
-            item = self.table.find(first)
-            if item.fence == fence and item.owner == entry.upstream:
-                return False
-        return True
+        until = self._avoid_until.get(entry.upstream)
+        return until is None or self._clock.now() >= until
 
     # Balance.
 
@@ -376,6 +376,11 @@
             return
         self._balance_at = now + BALANCE_SECONDS
         self.loads.decay()
+        self._avoid_until = {
+            upstream: until
+            for upstream, until in self._avoid_until.items()
+            if until > now
+        }
         self._ledger.keep_only({r.holder for r in self.table.ranges})
         capacities = self._capacities()
         rates = self.loads.sorted_rates()
--- a/packages/kernel/src/bramleysill_kernel/range_planner.py
+++ b/packages/kernel/src/bramleysill_kernel/range_planner.py
@@ -9,6 +9,7 @@
 owns all of them turns most of it away while others idle.
 """
 
+from bramleysill_kernel.key_ranges import KEY_SPACE
 from bramleysill_kernel.key_ranges import Assignment
 
 # An upstream is relieved when its utilisation exceeds the mean of all by
@@ -149,24 +150,23 @@
                 continue
             self.load[item.owner] += total
             self.width[item.owner] += item.width
-        capacity = sum(c.rate for c in capacities)
-        self.mean = sum(r for _, r in rates) / max(capacity, 1e-9)
+        self.density = sum(r for _, r in rates) / KEY_SPACE / 2
 
     def utilisation(self, upstream, extra=0.0):
         rate = max(self.capacities[upstream].rate, 1e-9)
         return (self.load[upstream] + extra) / rate
 
     def least(self, load, width):
+        """Return the upstream that has most room for a piece."""
+        # Keys without requests lately may still get some.
+        expected = load + width * self.density
+
         def score(upstream):
             rate = max(self.capacities[upstream].rate, 1e-9)
             share = (self.width[upstream] + width) / rate
-            return self.utilisation(upstream, load), share
+            return self.utilisation(upstream, expected), share
 
-        if load <= 0.0:
-            best = min(self.load, key=lambda u: score(u)[1])
-        else:
-            best = min(self.load, key=score)
-        return self.capacities[best]
+        return self.capacities[min(self.load, key=score)]
 
     def add(self, capacity, load, width):
         self.load[capacity.upstream] += load
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -61,17 +61,11 @@
         self._lingering = False
 
     @classmethod
-    def connect(cls, loop, host, port, protocol, silent_peer_ms=0):
-        """Start a connection; the protocol hears of success or failure.
-
-        With `silent_peer_ms`, the connection fails when the peer has not
-        acknowledged bytes or probes for so long; 0 leaves it to the kernel.
-        """
+    def connect(cls, loop, host, port, protocol):
+        """Start a connection; the protocol hears of success or failure."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if silent_peer_ms:
-            _detect_silence(sock, silent_peer_ms)
         conn = cls(loop, sock, f'{host}:{port}', protocol)
         conn._connecting = True
         code = sock.connect_ex((host, port))
@@ -94,6 +88,18 @@
         """Begin to read."""
         self.loop.poller.watch(self, self._reading, self._writing)
 
+    def detect_silence(self, milliseconds):
+        """Fail when the peer acknowledges nothing for so long."""
+        if self.closed:
+            return
+        tcp = socket.IPPROTO_TCP
+        idle = KEEP_ALIVE_IDLE_SECONDS
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        self._sock.setsockopt(tcp, socket.TCP_KEEPIDLE, idle)
+        self._sock.setsockopt(tcp, socket.TCP_KEEPINTVL, idle)
+        self._sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+        self._sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, milliseconds)
+
     def fileno(self):
         """Return the descriptor, also after the socket was closed."""
         return self._fileno
@@ -266,15 +272,6 @@
             self.protocol.on_close(exc)
 
 
-def _detect_silence(sock, silent_peer_ms):
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_IDLE_SECONDS)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, silent_peer_ms)
-
-
 class Listener:
     """Accepts connections; `make_protocol(conn)` builds each protocol."""
 
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -70,7 +70,9 @@
         self._reusable = False
         self._dropping = False
         self._extra = False
-        self.conn = Conn.connect(loop, host, port, self, silent_peer_ms)
+        self.conn = Conn.connect(loop, host, port, self)
+        if silent_peer_ms:
+            self.conn.detect_silence(silent_peer_ms)
 
     @property
     def closed(self):
--- /dev/null
+++ b/tests/range_fakes.py
@@ -0,0 +1,258 @@
+"""A stepped cell of leaders, a table in a store and upstreams with keys.
+
+Upstreams hold keys as the platform's do: a hold runs on a clock that may be
+2% slow, a lower fence is refused, and a release ends what is held. Calls can
+be delayed, lost, or carried out late without an answer.
+"""
+
+import heapq
+import itertools
+
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
+from bramleysill_kernel.key_loads import KeyLoads
+from bramleysill_kernel.range_coordinator import CallResult
+from bramleysill_kernel.range_coordinator import RangeCoordinator
+from bramleysill_kernel.upstream_directory import UpstreamDirectory
+from bramleysill_kernel.upstream_directory import UpstreamEntry
+
+SERVICE = 'ledger'
+STEP_SECONDS = 0.05
+SLOW_CLOCK = 1.02
+
+
+def make_entry(name, life=1, domain='a', draining=False, cold_until=0.0):
+    number = int(name[1:])
+    return UpstreamEntry(
+        name,
+        life,
+        SERVICE,
+        '10.0.0.1',
+        9000 + number,
+        domain,
+        4,
+        draining,
+        cold_until,
+    )
+
+
+class FakeUpstream:
+    """One process that holds keys; `holds` maps key to (fence, end)."""
+
+    def __init__(self, clock, name, life=1):
+        self.name = name
+        self.life = life
+        self.alive = True
+        self.reachable = True
+        self._clock = clock
+        self._holds = []
+        self._seen = []
+
+    def grant(self, arrived, first, last, fence, hold):
+        """Take keys; `arrived` is when the call reached the upstream."""
+        if any(
+            f <= last and first <= t and seen > fence
+            for f, t, seen in self._seen
+        ):
+            return False
+        self._seen.append((first, last, fence))
+        end = arrived + hold * SLOW_CLOCK
+        self._holds.append((first, last, fence, end))
+        return True
+
+    def release(self, first, last, fence):
+        """Give keys back."""
+        kept = []
+        for f, t, held, end in self._holds:
+            if held > fence or t < first or last < f:
+                kept.append((f, t, held, end))
+                continue
+            if f < first:
+                kept.append((f, first - 1, held, end))
+            if t > last:
+                kept.append((last + 1, t, held, end))
+        self._holds = kept
+
+    def holds(self, key):
+        """Tell whether the upstream would run a request for a key."""
+        now = self._clock.now()
+        if not self.alive:
+            return False
+        return any(f <= key <= t and end > now for f, t, _, end in self._holds)
+
+
+class FakeStore:
+    """The stored table and the revision of the leader key."""
+
+    def __init__(self):
+        self.table = None
+        self.revision = 0
+        self.leader_revision = 0
+        self.available = True
+
+
+class FakeCalls:
+    """The calls of one leader; they stop when it no longer leads."""
+
+    def __init__(self, cell):
+        self.cell = cell
+        self.key_revision = cell.store.leader_revision
+        self.valid = True
+
+    def grant(self, entry, part, hold, handover, done):
+        self.cell.grants.append((entry.upstream, part.fence, handover))
+        if not self.valid:
+            done(CallResult.REFUSED)
+            return
+        self.cell.call(
+            entry,
+            lambda upstream, arrived: upstream.grant(
+                arrived, part.first, part.last, part.fence, hold
+            ),
+            done,
+        )
+
+    def release(self, entry, part, done):
+        if not self.valid:
+            done(CallResult.REFUSED, '')
+            return
+        self.cell.releases.append((entry.upstream, part.first, part.last))
+
+        def carry_out(upstream, arrived):
+            upstream.release(part.first, part.last, part.fence)
+            return True
+
+        self.cell.call(
+            entry,
+            carry_out,
+            lambda result: done(
+                result, 'h' if result is CallResult.OK else ''
+            ),
+        )
+
+    def write_table(self, service, table, revision, done):
+        store = self.cell.store
+        self.cell.later(
+            0.004, lambda: self._write(store, table, revision, done)
+        )
+
+    def _write(self, store, table, revision, done):
+        if not store.available:
+            done(CallResult.REFUSED, None, 0)
+            return
+        if self.key_revision != store.leader_revision:
+            self.valid = False
+            done(CallResult.REFUSED, None, 0)
+            return
+        if revision != store.revision:
+            done(CallResult.CONFLICT, store.table, store.revision)
+            return
+        store.table = table
+        store.revision += 1
+        done(CallResult.OK, table, store.revision)
+
+
+class FakeCell:
+    """Steps a leader, upstreams and calls in flight on one clock."""
+
+    def __init__(self, rng, names=('u0', 'u1', 'u2', 'u3')):
+        self.clock = ManualClock(100.0)
+        self.rng = rng
+        self.store = FakeStore()
+        self.directory = UpstreamDirectory(self.clock)
+        self.loads = KeyLoads(self.clock)
+        self.upstreams = {}
+        self.past = []
+        self.grants = []
+        self.releases = []
+        self.late_share = 0.0
+        self.lost_share = 0.0
+        self.coordinator = None
+        self.calls = None
+        self._events = []
+        self._order = itertools.count()
+        for name in names:
+            self.add(name)
+
+    def add(self, name, life=1, domain='a'):
+        old = self.upstreams.get(name)
+        if old is not None:
+            old.alive = False
+            self.past.append(old)
+        self.upstreams[name] = FakeUpstream(self.clock, name, life)
+        self.directory.put(make_entry(name, life, domain))
+
+    def elect(self):
+        """Let a new leader take over; the one before stops."""
+        if self.calls is not None:
+            self.calls.valid = False
+        self.store.leader_revision += 1
+        self.calls = FakeCalls(self)
+        self.coordinator = RangeCoordinator(
+            SERVICE,
+            self.clock,
+            self.calls,
+            self.directory,
+            self.loads,
+            lambda entry: 33.0,
+        )
+        self.coordinator.start(self.store.table, self.store.revision)
+
+    def call(self, entry, carry_out, done):
+        """Send a call to an upstream process, with the faults set."""
+        upstream = self.upstreams.get(entry.upstream)
+        delay = self.rng.uniform(0.001, 0.01)
+        if upstream is None or not upstream.alive or not upstream.reachable:
+            self.later(
+                CALL_TIMEOUT_SECONDS, lambda: done(CallResult.NO_ANSWER)
+            )
+            return
+        arrived = self.clock.now() + delay
+        if self.rng.random() < self.late_share:
+            late = self.rng.uniform(2.0, 12.0)
+            self.later(late, lambda: carry_out(upstream, arrived))
+            self.later(
+                CALL_TIMEOUT_SECONDS, lambda: done(CallResult.NO_ANSWER)
+            )
+            return
+        lost = self.rng.random() < self.lost_share
+
+        def arrive():
+            taken = upstream.alive and carry_out(upstream, arrived)
+            if lost:
+                return
+            result = CallResult.OK if taken else CallResult.REFUSED
+            self.later(delay, lambda: done(result))
+
+        self.later(delay, arrive)
+        if lost:
+            self.later(
+                CALL_TIMEOUT_SECONDS, lambda: done(CallResult.NO_ANSWER)
+            )
+
+    def later(self, seconds, action):
+        at = self.clock.now() + seconds
+        heapq.heappush(self._events, (at, next(self._order), action))
+
+    def run(self, seconds, check=None):
+        """Step the cell; `check(cell)` is called after each event."""
+        end = self.clock.now() + seconds
+        while self.clock.now() < end:
+            step_end = self.clock.now() + STEP_SECONDS
+            while self._events and self._events[0][0] <= step_end:
+                at, _, action = heapq.heappop(self._events)
+                self.clock.advance(max(0.0, at - self.clock.now()))
+                action()
+                if check is not None:
+                    check(self)
+            self.clock.advance(max(0.0, step_end - self.clock.now()))
+            self.directory.tick()
+            if self.coordinator is not None and self.calls.valid:
+                self.coordinator.tick()
+            if check is not None:
+                check(self)
+
+    def holders(self, key):
+        """Return the names of the live processes that hold a key."""
+        everyone = [*self.upstreams.values(), *self.past]
+        return [u.name for u in everyone if u.holds(key)]
--- /dev/null
+++ b/tests/test_key_ranges.py
@@ -0,0 +1,91 @@
+"""Tests of the table of key ranges."""
+
+import testtools
+
+from bramleysill_kernel.key_ranges import KEY_SPACE
+from bramleysill_kernel.key_ranges import Assignment
+from bramleysill_kernel.key_ranges import RangeTable
+from bramleysill_kernel.key_ranges import TableError
+
+
+def _table(*rows):
+    return RangeTable.empty().assign([Assignment(*row) for row in rows])
+
+
+def _rows(table):
+    return [(r.first, r.last, r.owner) for r in table.ranges]
+
+
+class RangeTableTest(testtools.TestCase):
+    def test_an_assignment_splits_a_range(self):
+        """Guards against keys that are lost or doubled at a split."""
+        table = _table((0, 65535, 'a', 1), (100, 199, 'b', 1))
+        self.assertEqual(
+            [(0, 99, 'a'), (100, 199, 'b'), (200, 65535, 'a')], _rows(table)
+        )
+
+    def test_an_assignment_covers_several_ranges(self):
+        """Guards against remains of ranges that were assigned as one."""
+        table = _table(
+            (0, 65535, 'a', 1), (100, 199, 'b', 1), (50, 250, 'c', 1)
+        )
+        self.assertEqual(
+            [(0, 49, 'a'), (50, 250, 'c'), (251, 65535, 'a')], _rows(table)
+        )
+
+    def test_fences_only_rise(self):
+        """Guards against a fence that an earlier owner had as well."""
+        table = _table((0, 65535, 'a', 1), (5, 9, 'b', 1))
+        before = max(r.fence for r in table.ranges)
+        table = table.assign([Assignment(5, 9, 'a', 1)])
+        self.assertGreater(table.find(7).fence, before)
+        renewed = table.renew_fences()
+        self.assertGreaterEqual(
+            min(r.fence for r in renewed.ranges), table.next_fence
+        )
+
+    def test_renewed_fences_merge_neighbours_of_one_owner(self):
+        """Guards against ranges that only ever become narrower."""
+        table = _table((0, 65535, 'a', 1), (5, 9, 'b', 1), (5, 9, 'a', 1))
+        renewed = table.renew_fences()
+        self.assertEqual([(0, 65535, 'a')], _rows(renewed))
+        self.assertEqual(3, len(table.ranges))
+
+    def test_renewed_fences_leave_the_old_table_alone(self):
+        """Guards against a table that changes though its write failed."""
+        table = _table((0, 99, 'a', 1), (100, 65535, 'a', 1))
+        table.renew_fences()
+        self.assertEqual([(0, 99, 'a'), (100, 65535, 'a')], _rows(table))
+
+    def test_a_new_life_is_another_owner(self):
+        """Guards against keys left with a process that has ended."""
+        table = _table((0, 99, 'a', 1), (100, 65535, 'a', 2))
+        self.assertEqual(2, len(table.renew_fences().ranges))
+
+    def test_the_text_keeps_everything(self):
+        """Guards against owners that a new leader reads differently."""
+        table = _table((0, 65535, 'a', 1), (100, 199, 'b', 17))
+        copy = RangeTable.decode(table.encode())
+        self.assertEqual(_rows(table), _rows(copy))
+        self.assertEqual(table.find(150).holder, copy.find(150).holder)
+        self.assertEqual(table.next_fence, copy.next_fence)
+
+    def test_every_key_is_found(self):
+        """Guards against keys at the ends of ranges."""
+        table = _table((0, 65535, 'a', 1), (100, 199, 'b', 1))
+        for key, owner in ((0, 'a'), (99, 'a'), (100, 'b'), (199, 'b')):
+            self.assertEqual(owner, table.find(key).owner)
+        self.assertEqual('a', table.find(KEY_SPACE - 1).owner)
+
+    def test_unreadable_texts_are_refused(self):
+        """Guards against a table with a gap, and against any other text."""
+        for data in (
+            b'',
+            b'[]',
+            b'{"format":2}',
+            b'{"format":1,"next_fence":2,"ranges":[[0,9,1,"a",1]]}',
+            b'{"format":1,"next_fence":1,"ranges":[[0,65535,1,"a",1]]}',
+            b'{"format":1,"next_fence":3,'
+            b'"ranges":[[0,9,1,"a",1],[9,65535,2,"b",1]]}',
+        ):
+            self.assertRaises(TableError, RangeTable.decode, data)
--- /dev/null
+++ b/tests/test_range_coordinator.py
@@ -0,0 +1,243 @@
+"""Tests of the leader's decisions on a stepped cell with faults."""
+
+import random
+
+import testtools
+
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.hold_ledger import HoldLedger
+from bramleysill_kernel.range_coordinator import HOLD_SECONDS
+from bramleysill_kernel.range_coordinator import OUTAGE_HOLD_SECONDS
+from tests.range_fakes import FakeCell
+from tests.range_fakes import make_entry
+
+KEYS = tuple(range(0, 65536, 1021))
+
+
+def _cell(seed=1, **kwargs):
+    cell = FakeCell(random.Random(seed), **kwargs)
+    cell.elect()
+    cell.run(4.0)
+    return cell
+
+
+class _NoDoubleHold:
+    """Checks that no key has two live holders."""
+
+    def __init__(self, test):
+        self.test = test
+
+    def __call__(self, cell):
+        for key in KEYS:
+            holders = cell.holders(key)
+            if len(holders) > 1:
+                self.test.fail(
+                    f'key {key} is held by {holders} at {cell.clock.now()}'
+                )
+
+
+def _unserved(cell):
+    return [key for key in KEYS if not cell.holders(key)]
+
+
+class PlacementTest(testtools.TestCase):
+    def test_every_key_gets_a_holder(self):
+        """Guards against keys that nobody serves after the start."""
+        cell = _cell()
+        self.assertEqual([], _unserved(cell))
+
+    def test_a_hold_is_renewed(self):
+        """Guards against keys that lapse though nothing has failed."""
+        cell = _cell()
+        cell.run(
+            3 * HOLD_SECONDS,
+            lambda c: self.assertEqual([], _unserved(c)),
+        )
+
+    def test_the_table_is_written_before_a_grant(self):
+        """Guards against a holder that a new leader doesn't know."""
+        cell = FakeCell(random.Random(1))
+        cell.store.available = False
+        cell.elect()
+        cell.run(4.0)
+        self.assertEqual([], cell.grants)
+
+
+class MovesTest(testtools.TestCase):
+    def test_a_draining_upstream_gives_its_keys_up(self):
+        """Guards against requests at an upstream that leaves."""
+        cell = _cell()
+        cell.directory.put(make_entry('u1', draining=True))
+        cell.run(1.0, _NoDoubleHold(self))
+        self.assertEqual([], _unserved(cell))
+        self.assertNotIn('u1', {h for k in KEYS for h in cell.holders(k)})
+
+    def test_the_handover_reaches_the_new_owner(self):
+        """Guards against keys that arrive without their state."""
+        cell = _cell()
+        cell.grants.clear()
+        cell.directory.put(make_entry('u1', draining=True))
+        cell.run(1.0)
+        self.assertIn('h', {handover for _, _, handover in cell.grants})
+
+    def test_an_evacuated_domain_gives_its_keys_up(self):
+        """Guards against work in a failure domain that is taken out."""
+        cell = FakeCell(random.Random(1))
+        cell.add('u4', domain='b')
+        cell.add('u5', domain='b')
+        cell.elect()
+        cell.run(4.0)
+        cell.directory.set_evacuated({'b'})
+        cell.run(1.0, _NoDoubleHold(self))
+        holders = {h for k in KEYS for h in cell.holders(k)}
+        self.assertEqual({'u0', 'u1', 'u2', 'u3'}, holders)
+
+    def test_a_silent_upstream_loses_its_keys_after_its_hold(self):
+        """Guards against keys that stay with a dark upstream."""
+        cell = _cell()
+        cell.upstreams['u1'].reachable = False
+        cell.run(HOLD_SECONDS + 2.5, _NoDoubleHold(self))
+        self.assertEqual([], _unserved(cell))
+
+    def test_a_new_process_gets_a_new_fence_at_once(self):
+        """Guards against waiting for a hold that ended with its process."""
+        cell = _cell()
+        cell.add('u1', life=2)
+        cell.run(0.5, _NoDoubleHold(self))
+        self.assertEqual([], _unserved(cell))
+
+    def test_an_expired_entry_of_a_live_upstream_is_released(self):
+        """Replays an upstream that is cut off from the store.
+
+        Guards against two owners: it still holds and serves its keys.
+        """
+        cell = _cell()
+        cell.directory.remove('u1')
+        cell.run(1.0, _NoDoubleHold(self))
+        self.assertEqual([], _unserved(cell))
+        self.assertIn('u1', {name for name, _, _ in cell.releases})
+
+    def test_an_unanswered_grant_delays_the_next_owner(self):
+        """Guards against an old grant that is carried out after a move."""
+        cell = _cell()
+        cell.late_share = 1.0
+        cell.run(1.0)
+        cell.late_share = 0.0
+        cell.directory.put(make_entry('u1', draining=True))
+        cell.run(16.0, _NoDoubleHold(self))
+        self.assertEqual([], _unserved(cell))
+
+
+class TakeoverTest(testtools.TestCase):
+    def test_a_new_leader_keeps_the_owners(self):
+        """Guards against moves, or a gap, only because a leader ended."""
+        cell = _cell()
+        before = {key: cell.holders(key) for key in KEYS}
+        cell.elect()
+        cell.run(2.0, lambda c: self.assertEqual([], _unserved(c)))
+        self.assertEqual(before, {key: cell.holders(key) for key in KEYS})
+
+    def test_a_new_leader_waits_for_holds_that_it_did_not_grant(self):
+        """Guards against two owners after a leader and its grants ended."""
+        cell = _cell()
+        cell.coordinator.extend_holds()
+        cell.run(0.2)
+        cell.upstreams['u1'].reachable = False
+        cell.directory.remove('u1')
+        cell.elect()
+        cell.run(OUTAGE_HOLD_SECONDS - 2.0, _NoDoubleHold(self))
+        cell.run(4.0, _NoDoubleHold(self))
+        self.assertEqual([], _unserved(cell))
+
+    def test_holds_last_through_an_outage_of_the_store(self):
+        """Replays a silent store for longer than the leader lease."""
+        cell = _cell()
+        cell.store.available = False
+        cell.coordinator.extend_holds()
+        cell.run(0.3)
+        cell.calls.valid = False
+        cell.run(
+            OUTAGE_HOLD_SECONDS - 1.0,
+            lambda c: self.assertEqual([], _unserved(c)),
+        )
+
+
+class RandomFaultsTest(testtools.TestCase):
+    def test_no_key_ever_has_two_holders(self):
+        """Replays random losses, late orders, restarts and takeovers."""
+        for seed in range(30):
+            self._play(seed)
+
+    def _play(self, seed):
+        rng = random.Random(seed)
+        cell = FakeCell(rng, names=('u0', 'u1', 'u2', 'u3', 'u4'))
+        check = _NoDoubleHold(self)
+        cell.elect()
+        lives = dict.fromkeys(cell.upstreams, 1)
+        for _ in range(12):
+            cell.late_share = rng.choice((0.0, 0.0, 0.2))
+            cell.lost_share = rng.choice((0.0, 0.0, 0.2))
+            action = rng.randrange(6)
+            name = rng.choice(sorted(cell.upstreams))
+            if action == 0:
+                cell.elect()
+            elif action == 1:
+                lives[name] += 1
+                cell.add(name, lives[name])
+            elif action == 2:
+                cell.directory.put(
+                    make_entry(name, lives[name], draining=True)
+                )
+            elif action == 3:
+                cell.directory.put(make_entry(name, lives[name]))
+            elif action == 4:
+                upstream = cell.upstreams[name]
+                upstream.reachable = not upstream.reachable
+            else:
+                cell.directory.remove(name)
+            counts = {rng.randrange(65536): 5 for _ in range(20)}
+            cell.loads.add(counts)
+            cell.run(rng.uniform(0.1, 3.0), check)
+
+
+class HoldLedgerTest(testtools.TestCase):
+    HOLDER = ('u1', 1, 5)
+
+    def _ledger(self):
+        clock = ManualClock(100.0)
+        ledger = HoldLedger(clock, 100.0, 7.0)
+        ledger.forget_inherited()
+        return clock, ledger
+
+    def test_an_answered_grant_counts_from_its_answer(self):
+        """Guards against a hold that outlives what the leader assumes."""
+        clock, ledger = self._ledger()
+        ledger.note_sent(self.HOLDER, 1, 3.0)
+        clock.advance(0.4)
+        ledger.note_granted(self.HOLDER, 1, 3.0)
+        end = ledger.free_without_release(self.HOLDER)
+        self.assertAlmostEqual(100.4 + 3.06, end)
+        self.assertEqual(0.0, ledger.free_after_release(self.HOLDER))
+
+    def test_an_unanswered_grant_outlives_a_release(self):
+        """Guards against a late order that brings a hold back."""
+        _, ledger = self._ledger()
+        ledger.note_sent(self.HOLDER, 1, 3.0)
+        self.assertGreater(ledger.free_after_release(self.HOLDER), 103.0)
+
+    def test_a_later_answer_does_not_settle_an_earlier_call(self):
+        """Guards against forgetting a call that is still under way."""
+        clock, ledger = self._ledger()
+        ledger.note_sent(self.HOLDER, 1, 3.0)
+        ledger.note_sent(self.HOLDER, 2, 3.0)
+        ledger.note_granted(self.HOLDER, 2, 3.0)
+        self.assertGreater(ledger.free_after_release(self.HOLDER), 103.0)
+
+    def test_a_new_leader_waits_for_holders_it_has_not_reached(self):
+        """Guards against a predecessor's grant that still holds."""
+        clock = ManualClock(100.0)
+        ledger = HoldLedger(clock, 100.0, 7.0)
+        self.assertGreater(ledger.free_after_release(self.HOLDER), 107.0)
+        ledger.note_sent(self.HOLDER, 1, 3.0)
+        ledger.note_granted(self.HOLDER, 1, 3.0)
+        self.assertEqual(0.0, ledger.free_after_release(self.HOLDER))
--- /dev/null
+++ b/tests/test_range_planner.py
@@ -0,0 +1,132 @@
+"""Tests of the placement of key ranges, replaying load patterns."""
+
+import testtools
+
+from bramleysill_kernel.key_ranges import Assignment
+from bramleysill_kernel.key_ranges import RangeTable
+from bramleysill_kernel.range_planner import Capacity
+from bramleysill_kernel.range_planner import plan_balance
+from bramleysill_kernel.range_planner import plan_newcomers
+from bramleysill_kernel.range_planner import plan_vacant
+
+# Four slots with 120 ms a request.
+RATE = 33.0
+
+
+def _capacities(count, rate=RATE):
+    return [Capacity(f'u{n}', 1, rate) for n in range(count)]
+
+
+def _even_table(count):
+    capacities = _capacities(count)
+    table = RangeTable.empty()
+    return table.assign(plan_vacant(table.ranges, table, capacities, []))
+
+
+def _always(item):
+    return True
+
+
+def _utilisation(table, rates, capacities):
+    load = dict.fromkeys((c.upstream for c in capacities), 0.0)
+    for key, rate in rates:
+        load[table.find(key).owner] += rate
+    return {c.upstream: load[c.upstream] / c.rate for c in capacities}
+
+
+class VacantTest(testtools.TestCase):
+    def test_the_first_placement_spreads_over_all(self):
+        """Guards against a single owner of everything after a start."""
+        table = _even_table(8)
+        widths = [r.width for r in table.ranges]
+        self.assertEqual(
+            {f'u{n}' for n in range(8)}, {r.owner for r in table.ranges}
+        )
+        self.assertEqual(8192, max(widths))
+
+    def test_lost_keys_go_to_idle_upstreams(self):
+        """Guards against keys of a lost owner piling up on a busy one."""
+        table = _even_table(4)
+        lost = table.find(0)
+        rates = [(20000, 30.0), (40000, 2.0), (60000, 2.0)]
+        rest = [c for c in _capacities(4) if c.upstream != lost.owner]
+        busy = table.find(20000).owner
+        plan = plan_vacant([lost], table, rest, rates)
+        self.assertNotIn(busy, {a.owner for a in plan})
+
+    def test_nothing_is_planned_without_upstreams(self):
+        """Guards against an assignment to nobody."""
+        table = RangeTable.empty()
+        self.assertEqual([], plan_vacant(table.ranges, table, [], []))
+
+
+class BalanceTest(testtools.TestCase):
+    def test_busy_neighbours_are_spread_in_one_plan(self):
+        """Replays 200 neighbouring keys that get a third of the traffic.
+
+        Guards against an upstream that turns most of them away while the
+        others idle.
+        """
+        capacities = _capacities(12)
+        table = _even_table(12)
+        rates = [(key, 0.5) for key in range(1000, 1200)]
+        rates += [(key, 0.5) for key in range(6000, 65000, 500)]
+        before = _utilisation(table, rates, capacities)
+        self.assertGreater(max(before.values()), 2.0)
+        plan = plan_balance(table, capacities, rates, _always)
+        after = _utilisation(table.assign(plan), rates, capacities)
+        self.assertLess(max(after.values()), 0.75)
+
+    def test_a_single_busy_key_gets_an_owner_of_its_own(self):
+        """Replays one key that needs more than an upstream has.
+
+        Guards against its neighbours being turned away as well.
+        """
+        capacities = _capacities(12)
+        table = _even_table(12)
+        rates = [(key, 0.4) for key in range(960, 1000)]
+        rates += [(1000, 60.0)]
+        rates += [(key, 0.4) for key in range(1001, 1040)]
+        plan = plan_balance(table, capacities, rates, _always)
+        moved = table.assign(plan)
+        owner = moved.find(1000).owner
+        others = sum(r for k, r in rates if moved.find(k).owner == owner)
+        self.assertLess(others - 60.0, 10.0)
+
+    def test_a_balanced_cell_stays_as_it_is(self):
+        """Guards against moves that only noise asks for."""
+        capacities = _capacities(6)
+        table = _even_table(6)
+        rates = [(key, 0.4) for key in range(0, 65000, 1000)]
+        self.assertEqual([], plan_balance(table, capacities, rates, _always))
+
+    def test_ranges_that_may_not_move_stay(self):
+        """Guards against a second move of keys that are on their way."""
+        capacities = _capacities(6)
+        table = _even_table(6)
+        rates = [(key, 1.0) for key in range(100)]
+        self.assertEqual(
+            [], plan_balance(table, capacities, rates, lambda item: False)
+        )
+
+    def test_a_faster_upstream_gets_more(self):
+        """Guards against equal shares for upstreams of unequal speed."""
+        capacities = [Capacity('u0', 1, 20.0), Capacity('u1', 1, 60.0)]
+        table = RangeTable.empty().assign(
+            [Assignment(0, 32767, 'u0', 1), Assignment(32768, 65535, 'u1', 1)]
+        )
+        rates = [(key, 0.5) for key in range(0, 65000, 1000)]
+        plan = plan_balance(table, capacities, rates, _always)
+        after = _utilisation(table.assign(plan), rates, capacities)
+        self.assertLess(after['u0'], 0.6)
+
+
+class NewcomersTest(testtools.TestCase):
+    def test_an_upstream_that_joins_gets_keys(self):
+        """Guards against new upstreams that idle for good."""
+        table = _even_table(4)
+        rates = [(key, 0.5) for key in range(0, 60, 2)]
+        plan = plan_newcomers(table, _capacities(5), rates, _always)
+        self.assertEqual(['u4'], [a.owner for a in plan])
+        moved = sum(r for k, r in rates if plan[0].first <= k <= plan[0].last)
+        self.assertLess(abs(moved - 7.5), 2.0)
