Keep the headers of an extra answer apart from the answer before it

Ruled out: a late answer at the next request (dropped by its id) and a pooled connection with bytes waiting (closed).

--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -185,6 +185,8 @@
 
     def on_header(self, name, value):
         """Collect a header."""
+        if self._extra:
+            return
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
             raise httptools.HttpParserError('response head too large')
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -118,3 +118,98 @@
         self._exchange(conn)
         conn.pause()
         self.assertEqual((200, b'0'), self._exchange(conn))
+
+
+class _Scripted:
+    """A server that answers each piece of input with the next bytes."""
+
+    def __init__(self, conn, answers):
+        self.conn = conn
+        self.answers = answers
+
+    def on_connect(self):
+        pass
+
+    def on_data(self, data):
+        if self.answers:
+            self.conn.write(self.answers.pop(0))
+
+    def on_drain(self):
+        pass
+
+    def on_close(self, exc):
+        pass
+
+
+class _OwnAnswer(WholeAnswer):
+    """Accepts only the answer that carries the number of its request."""
+
+    def __init__(self, callback, number):
+        super().__init__(callback)
+        self.number = number
+
+    def accepts(self, status, headers):
+        return dict(headers).get('number') == self.number
+
+
+def _answer(number, body):
+    return b'HTTP/1.1 200 OK\r\nNumber: %b\r\nContent-Length: %d\r\n\r\n%b' % (
+        number,
+        len(body),
+        body,
+    )
+
+
+class ExtraAnswersTest(testtools.TestCase):
+    """Answers that a faulty server sends beyond the one it owes."""
+
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop()
+        self.script = []
+        listener = Listener(
+            self.loop,
+            '127.0.0.1',
+            0,
+            lambda conn: _Scripted(conn, self.script),
+        )
+        self.addCleanup(listener.close)
+        self.conn = HttpClientConn(self.loop, *listener.address)
+        self.addCleanup(self.conn.abort)
+
+    def _exchange(self, number):
+        answers = []
+        sink = _OwnAnswer(lambda *answer: answers.append(answer), number)
+        self.conn.request(encode_request('GET', '/', 'x'), sink)
+        self.assertTrue(self.loop.run_until(lambda: answers, TIMEOUT_SECONDS))
+        return answers[0]
+
+    def test_headers_of_an_extra_answer_are_not_mixed_in(self):
+        """Guards against the next answer's fields on this answer.
+
+        A second answer in the same segment was parsed into the list of
+        headers that the sink had been given.
+        """
+        self.script += [_answer(b'1', b'mine') + _answer(b'0', b'extra')]
+        status, headers, body = self._exchange('1')
+        self.assertEqual(
+            (200, '1', b'mine'), (status, headers['number'], body)
+        )
+        self.assertTrue(self.conn.closed)
+
+    def test_an_earlier_answer_is_dropped(self):
+        """Guards against an answer that arrives late, at the next request."""
+        self.script += [_answer(b'0', b'late') + _answer(b'1', b'mine')]
+        status, headers, body = self._exchange('1')
+        self.assertEqual(
+            (200, '1', b'mine'), (status, headers['number'], body)
+        )
+
+    def test_a_connection_in_step_is_used_again(self):
+        """Guards against closing connections that dropped an answer."""
+        self.script += [
+            _answer(b'0', b'late') + _answer(b'1', b'mine'),
+            _answer(b'2', b'next'),
+        ]
+        self._exchange('1')
+        self.assertEqual(b'next', self._exchange('2')[2])
