--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -16,7 +16,7 @@
 # Pause after a failed call, doubling up to the longest; the sum of a few is
 # below the time within which changes must be followed.
 FIRST_PAUSE_SECONDS = 0.15
-LONGEST_PAUSE_SECONDS = 0.8
+LONGEST_PAUSE_SECONDS = 0.4
 
 
 class PrefixWatch:
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -36,7 +36,7 @@
 class GatewayProcess:
     """One router; `run` returns when it has shut down."""
 
-    def __init__(self, cfg, settings_path, adapter):
+    def __init__(self, cfg, settings_path, adapter, metrics_port):
         self.cfg = cfg
         self.loop = Loop()
         self.metrics = Metrics()
@@ -47,7 +47,7 @@
         self._earliest_stop_at = None
         self._reload_due = False
         self._build()
-        self._listen()
+        self._listen(metrics_port)
 
     def run(self):
         """Serve until terminated."""
@@ -132,13 +132,15 @@
         self._links.on_stream = self._on_message
         self._links.on_lost = lambda link: None
 
-    def _listen(self):
+    def _listen(self, metrics_port):
         listen = self.cfg.listen
         readiness = Readiness(
             self._adapter.readiness_path, self.not_ready_reason, self.metrics
         )
         self._links.listen(*listen.peer)
         Listener(self.loop, *listen.readiness, readiness.accept)
+        host = listen.peer[0]
+        Listener(self.loop, host, metrics_port, readiness.accept)
         self._listener = Listener(
             self.loop, *listen.callers, self.entry.accept
         )
--- a/packages/kernel/src/bramleysill_kernel/upstream_directory.py
+++ b/packages/kernel/src/bramleysill_kernel/upstream_directory.py
@@ -142,8 +142,17 @@
         return self._by_service.get(service, ())
 
     def usable(self, service):
-        """Return the entries of a service that may get new work."""
-        return [e for e in self.of_service(service) if self.may_use(e)]
+        """Return the entries of a service that may get new work.
+
+        Entries that may only have lapsed are used if there are no others:
+        after an outage of the store all may be missing, but after a cut of
+        this router alone a missing upstream has left.
+        """
+        found = [e for e in self.of_service(service) if self.may_use(e)]
+        if not self._missing_until:
+            return found
+        sure = [e for e in found if e.upstream not in self._missing_until]
+        return sure or found
 
     def may_use(self, entry):
         """Tell whether an upstream may get new work."""
--- a/packages/net/src/bramleysill_net/http_calls.py
+++ b/packages/net/src/bramleysill_net/http_calls.py
@@ -16,6 +16,11 @@
 SILENT_PEER_MS = 2000
 
 
+# A connection that does not stand by then is given up; a lost first packet
+# would be sent again only after a second.
+CONNECT_TIMEOUT_SECONDS = 0.4
+
+
 class HttpReply:
     """The outcome of a call; `status` 0 means that no answer came.
 
@@ -49,10 +54,22 @@
         conn = self._take()
         self._busy.add(conn)
         deadline = self._loop.now() + timeout
-        timer = self._loop.scheduler.call_at(deadline, conn.abort_exchange)
+        call_at = self._loop.scheduler.call_at
+        timer = call_at(deadline, conn.abort_exchange)
+        connect_timer = None
+        if not conn.connected:
+            connect_by = self._loop.now() + CONNECT_TIMEOUT_SECONDS
+
+            def check_connected():
+                if not conn.connected:
+                    conn.abort_exchange()
+
+            connect_timer = call_at(connect_by, check_connected)
 
         def done(status, headers, body):
             timer.cancel()
+            if connect_timer is not None:
+                connect_timer.cancel()
             self._busy.discard(conn)
             sent = conn.connected
             callback(HttpReply(status, headers, body, sent))
--- /dev/null
+++ b/tests/test_upstream_directory.py
@@ -0,0 +1,80 @@
+"""Tests of the list of upstreams and of who may get work."""
+
+import testtools
+
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.upstream_directory import LEAVING_SECONDS
+from bramleysill_kernel.upstream_directory import RETURN_SECONDS
+from bramleysill_kernel.upstream_directory import UpstreamDirectory
+from tests.range_fakes import SERVICE
+from tests.range_fakes import make_entry
+
+
+class UpstreamDirectoryTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.directory = UpstreamDirectory(self.clock)
+        for name in ('u1', 'u2'):
+            self.directory.put(make_entry(name))
+
+    def _usable(self):
+        return [e.upstream for e in self.directory.usable(SERVICE)]
+
+    def test_a_removed_upstream_gets_no_work(self):
+        """Guards against requests at an upstream that has left."""
+        self.directory.remove('u1')
+        self.assertEqual(['u2'], self._usable())
+
+    def test_lapsed_entries_are_kept_after_an_outage(self):
+        """Replays an outage in which all entries lapse.
+
+        Guards against refusing everything until the upstreams, which live,
+        have registered again.
+        """
+        self.directory.note_store_regained()
+        self.directory.remove('u1')
+        self.directory.remove('u2')
+        self.assertEqual(['u1', 'u2'], self._usable())
+        self.clock.advance(RETURN_SECONDS)
+        self.directory.tick()
+        self.assertEqual([], self._usable())
+
+    def test_an_upstream_that_left_during_a_cut_is_not_preferred(self):
+        """Replays a router that is cut off while an upstream drains.
+
+        Guards against requests at the drained upstream while the others
+        are still registered (DRAIN on mundart-tor scale-2).
+        """
+        self.directory.note_store_regained()
+        self.directory.remove('u1')
+        self.assertEqual(['u2'], self._usable())
+
+    def test_an_owner_is_used_for_a_moment_after_it_left(self):
+        """Guards against refusals while keys move from a leaving owner."""
+        self.directory.put(make_entry('u1', draining=True))
+        self.assertIsNotNone(self.directory.owner_entry('u1', 1))
+        self.clock.advance(LEAVING_SECONDS)
+        self.assertIsNone(self.directory.owner_entry('u1', 1))
+
+    def test_an_evacuated_owner_is_used_for_a_moment(self):
+        """Guards against work in a domain long after it was taken out."""
+        self.directory.set_evacuated({'a'})
+        self.assertEqual([], self._usable())
+        self.assertIsNotNone(self.directory.owner_entry('u1', 1))
+        self.clock.advance(LEAVING_SECONDS)
+        self.assertIsNone(self.directory.owner_entry('u1', 1))
+        self.directory.set_evacuated(set())
+        self.assertIsNotNone(self.directory.owner_entry('u1', 1))
+
+    def test_another_life_is_not_the_owner(self):
+        """Guards against requests for keys at a process that lacks them."""
+        self.directory.put(make_entry('u1', life=2))
+        self.assertIsNone(self.directory.owner_entry('u1', 1))
+
+    def test_a_newer_process_at_an_address_replaces_the_older(self):
+        """Guards against requests for a process whose address was reused."""
+        newer = make_entry('u3', life=5)
+        newer.port = make_entry('u1').port
+        self.directory.put(newer)
+        self.assertEqual(['u2', 'u3'], sorted(self._usable()))
