--- a/packages/kernel/src/bramleysill_kernel/shared_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/shared_limits.py
@@ -7,7 +7,7 @@
 
 import collections
 
-import xxhash
+from bramleysill_kernel.hashing import rendezvous_score
 
 # Part of a common bound that is used; the rest covers routers that don't
 # know of each other yet.
@@ -94,7 +94,7 @@
     total = int(bound * USED_SHARE)
     names = sorted(
         set(routers) | {router},
-        key=lambda name: xxhash.xxh3_64_intdigest(f'{upstream}/{name}'),
+        key=lambda name: rendezvous_score(name, upstream),
     )
     each, rest = divmod(total, len(names))
     return each + (1 if names.index(router) < rest else 0)
