Log one line for each finished request; check layers of the adapter

Cause: answered requests left no line, so a slow one could not be traced; the checks of layers and pages did not cover gateway and platform.

--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -15,7 +15,6 @@
 from bramleysill_kernel.send_policy import Judgement
 from bramleysill_kernel.send_policy import Verdict
 from bramleysill_router.logs import log_event
-from bramleysill_router.logs import log_request
 
 # A body up to this size is collected, so that the request can be sent again;
 # a larger one is passed on as it arrives.
@@ -28,6 +27,8 @@
 CONNECT_SECONDS = 0.5
 # Keys that move are waited for; a move takes this long at most as a rule.
 HOLD_SECONDS = 0.35
+# Ends that are logged here; a refusal has a line of its own.
+LOGGED_ENDS = ('answered', 'answer_broken', 'caller_left')
 # Pause before the same upstream is tried again after it was full.
 FULL_PAUSE_SECONDS = 0.03
 
@@ -61,7 +62,9 @@
         '_pause_timer',
         '_last',
         '_shunned',
-        '_stale_fence',
+        '_owned',
+        '_peer',
+        '_expected',
         '_started',
     )
 
@@ -94,7 +97,10 @@
         self._last = None
         # Upstreams that have failed this request.
         self._shunned = set()
-        self._stale_fence = None
+        # What decided the last send: range, upstream, expected seconds.
+        self._owned = None
+        self._peer = None
+        self._expected = 0.0
         self._started = False
         stream.on_drained = self._on_caller_drained
         self._timer = gateway.loop.scheduler.call_at(
@@ -191,7 +197,8 @@
         if judgement.verdict is not Verdict.SEND:
             self._refuse_judged(peer, judgement)
             return
-        self._stale_fence = owned
+        self._owned = owned
+        self._expected = judgement.expected
         self._send(peer, now)
 
     def _dispatch_shared(self, now):
@@ -213,6 +220,7 @@
         if not self._may_enter_cold(peer, now):
             self._refuse_cold(peer)
             return
+        self._expected = judgement.expected
         self._send(peer, now)
 
     def _may_enter_cold(self, peer, now):
@@ -230,6 +238,7 @@
         self._attempts += 1
         attempt = Attempt(self, peer, self.gateway.adapter, self.gateway.loop)
         self._attempt = attempt
+        self._peer = peer
         self._passing_on = not self._body_done
         attempt.start(self._head(peer.entry, now), self._body)
         if self._attempt is attempt and not attempt.connected:
@@ -284,7 +293,7 @@
         now = self.gateway.loop.now()
         self._log_attempt(attempt)
         if attempt.status == 421 and self.service.keyed:
-            self.gateway.note_stale(self.service.name, self._stale_fence)
+            self.gateway.note_stale(self.service.name, self._owned)
         elif attempt.answered and attempt.fate is Fate.NOT_RUN:
             attempt.peer.load.note_full(now)
         self._shunned.add(attempt.peer.entry.upstream)
@@ -481,13 +490,25 @@
                 timer.cancel()
         now = self.gateway.loop.now()
         self.gateway.on_finished(self, outcome, now - self.received_at)
-        log_request(
+        if outcome in LOGGED_ENDS:
+            self._log_end(outcome, status, now - self.received_at)
+
+    def _log_end(self, outcome, status, seconds):
+        peer = self._peer
+        log_event(
+            'request_done',
             id=self.request_id,
             outcome=outcome,
             status=status,
+            route=self.route.name,
+            service=self.service.name,
+            upstream=peer.entry.upstream if peer else '',
+            key=-1 if self.key is None else self.key,
+            fence=self._owned.fence if self._owned else 0,
             attempts=self._attempts,
+            expected=self._expected,
             config=self._config_version,
-            seconds=now - self.received_at,
+            seconds=seconds,
         )
 
     def _log_attempt(self, attempt):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -5,7 +5,12 @@
 
 import testtools
 
-PACKAGES = pathlib.Path(__file__).resolve().parent.parent / 'packages'
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PACKAGES = ROOT / 'packages'
+# The adapter lies outside packages/: nothing in there may import it.
+SOURCES = sorted(PACKAGES.glob('*/src/*')) + sorted(
+    (ROOT / 'platform' / 'src').glob('*')
+)
 # Each package and those of ours that it may import; docs/architecture.md
 # has the same table.
 ALLOWED = {
@@ -17,6 +22,18 @@
         'bramleysill_wire',
         'bramleysill_net',
     },
+    'bramleysill_gateway': {
+        'bramleysill_kernel',
+        'bramleysill_wire',
+        'bramleysill_net',
+        'bramleysill_router',
+    },
+    'bramleysill_platform': {
+        'bramleysill_kernel',
+        'bramleysill_net',
+        'bramleysill_router',
+        'bramleysill_gateway',
+    },
     'sillctl': {'bramleysill_kernel', 'bramleysill_net'},
     'bramleysill_standins': {'bramleysill_kernel', 'bramleysill_net'},
 }
@@ -48,10 +65,23 @@
     'urllib.request',
 }
 WAITS = {'time.sleep'}
+# Names of the platform's wire, keys and settings.
+PLATFORM_NAMES = (
+    'X-Bramleysill-',
+    '/-/',
+    'op/config',
+    'op/evacuate',
+    'servers/',
+    'BRAMLEYSILL_NODE_FILE',
+    'warmup_left',
+    'traffic_split',
+    'hold_time',
+)
 
 
 def _sources(package):
-    return sorted(PACKAGES.glob(f'*/src/{package}/**/*.py'))
+    (found,) = [path for path in SOURCES if path.name == package]
+    return sorted(found.glob('**/*.py'))
 
 
 def _tree(path):
@@ -112,7 +142,9 @@
 class LayersTest(testtools.TestCase):
     def test_every_package_has_a_layer(self):
         """Guards against a new package that no check covers."""
-        found = {path.parent.name for path in PACKAGES.glob('*/src/*/*.py')}
+        found = {
+            path.name for path in SOURCES if (path / '__init__.py').exists()
+        }
         self.assertEqual(set(ALLOWED), found)
 
     def test_packages_import_only_downward(self):
@@ -127,6 +159,14 @@
         for path in _sources('bramleysill_kernel'):
             self.assertEqual(set(), _io_faults(_tree(path)), str(path))
 
+    def test_only_the_adapter_knows_names_of_the_platform(self):
+        """Guards against the platform's wire spreading through the product."""
+        for package in set(ALLOWED) - {'bramleysill_platform'}:
+            for path in _sources(package):
+                text = path.read_text()
+                for name in PLATFORM_NAMES:
+                    self.assertNotIn(name, text, str(path))
+
     def test_faults_are_found(self):
         """Guards against a check that passes whatever is imported."""
         for text in (
