Let the leader feed its copy of the store to all routers

Upstreams with a long queue reset new connections, and a router that had not sent there for a second took them as idle (1,808 resets).

Ruled out: stale reads in place of watches: they may be seconds old, and configurations must be in force within two.

Change: the leader passes on what its watches read, with the revisions covered; a router that is not fed for a second, or notices a gap, asks the store itself. A leader feeds only while its lease was renewed within a second. The estimate of others' requests at an upstream decays to their average instead of nothing, and a reset new connection counts as a long queue.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -191,6 +191,8 @@
             self.peer.load.note_unreachable(self._loop.now())
         elif isinstance(exc, TimeoutError):
             self.peer.load.note_unreachable(self._loop.now())
+        elif not self._reused and not self.status:
+            self.peer.load.note_crowded(self._loop.now())
         self._end()
         if self._streaming:
             self._exchange.on_stream_broken(self)
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -52,6 +52,10 @@
         """Return the store's key of the leader role."""
         return f'{self._adapter.own_prefix}{LEADER}'
 
+    def renewed_age(self):
+        """Return the seconds since the last renewal that succeeded."""
+        return self._loop.now() - self._renewed_sent_at
+
     def leader_address(self):
         """Return (name, peer address) of the leader, or None."""
         item = self._state.leader
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -2,6 +2,10 @@
 
 The copy starts with a listing and follows a watch. If the store has
 forgotten the history since the last change seen, the keys are listed again.
+
+While the leader feeds its own copy to this router, no watch is needed: each
+feed tells which revisions it covers, so that a gap is noticed and closed with
+one call to the store.
 """
 
 from bramleysill_kernel.store_types import StoredItem
@@ -19,6 +23,11 @@
 LONGEST_PAUSE_SECONDS = 0.4
 
 
+# After the last feed the store is watched again. A few feeds may be lost; the
+# rest of the time in which a change must be followed is left for the watch.
+FEED_SECONDS = 1.0
+
+
 class PrefixWatch:
     """One prefix; `items` maps its keys to StoredItem.
 
@@ -35,7 +44,7 @@
         self._loop = loop
         self._rng = rng
         self._store = store
-        self._prefix = prefix
+        self.prefix = prefix
         self._on_change = on_change
         self._on_regained = on_regained
         self._revision = 0
@@ -43,6 +52,31 @@
         self._listing_revision = 0
         self._failures = 0
         self._stopped = False
+        self._fed_until = 0.0
+        self._cut_watch = None
+        self._watch_timer = None
+        # Called with (base, revision, items) after each answer of a watch.
+        self.on_batch = None
+
+    @property
+    def revision(self):
+        """Return the revision up to which all changes are known."""
+        return self._revision
+
+    def feed(self, base, revision, items):
+        """Take changes that another router has read from the store."""
+        if not self.synced:
+            return
+        if base > self._revision:
+            self._close_gap()
+            return
+        for item in items:
+            if item.revision > self._revision:
+                self._apply(item)
+        self._revision = max(self._revision, revision)
+        self._fed_until = self._loop.now() + FEED_SECONDS
+        if self._cut_watch is not None:
+            self._cut_watch()
 
     def start(self):
         """Begin with a listing."""
@@ -51,6 +85,8 @@
     def stop(self):
         """Send no further calls."""
         self._stopped = True
+        if self._cut_watch is not None:
+            self._cut_watch()
 
     def _list(self, after):
         if self._stopped:
@@ -58,7 +94,7 @@
         if not after:
             self._listing = {}
             self._listing_revision = 0
-        self._store.list(self._prefix, after, self._on_page)
+        self._store.list(self.prefix, after, self._on_page)
 
     def _on_page(self, reply):
         if not reply.ok:
@@ -83,30 +119,54 @@
         for item in listing.values():
             self._apply(item)
         self.synced = True
-        log_event('store_listed', prefix=self._prefix, keys=len(listing))
+        log_event('store_listed', prefix=self.prefix, keys=len(listing))
         self._watch()
 
     def _watch(self):
+        self._watch_timer = None
         if self._stopped:
             return
-        self._store.watch(
-            self._prefix, self._revision, WATCH_SECONDS, self._on_events
+        if self._loop.now() < self._fed_until:
+            self._watch_timer = self._loop.scheduler.call_at(
+                self._fed_until, self._watch
+            )
+            return
+        self._call_watch(WATCH_SECONDS)
+
+    def _call_watch(self, wait):
+        self._cut_watch = self._store.watch(
+            self.prefix, self._revision, wait, self._on_events
         )
 
+    def _close_gap(self):
+        """Fetch at once what the feed has left out."""
+        if self._watch_timer is not None:
+            self._watch_timer.cancel()
+            self._watch_timer = None
+            self._call_watch(0.0)
+
     def _on_events(self, reply):
+        self._cut_watch = None
+        fed = self._loop.now() < self._fed_until
+        if fed and reply.outcome is StoreOutcome.NO_ANSWER:
+            self._watch()
+            return
         if reply.outcome is StoreOutcome.HISTORY_GONE:
             self._answered()
-            log_event('store_history_gone', prefix=self._prefix)
+            log_event('store_history_gone', prefix=self.prefix)
             self._list('')
             return
         if not reply.ok:
             self._failed(reply, self._watch)
             return
         self._answered()
+        base = self._revision
         for item in reply.items:
             self._apply(item)
             self._revision = max(self._revision, item.revision)
         self._revision = max(self._revision, reply.revision)
+        if self.on_batch is not None:
+            self.on_batch(base, self._revision, reply.items)
         pause = BATCH_SECONDS if reply.items else 0.0
         self._later(pause, self._watch)
 
@@ -125,7 +185,7 @@
         self.last_answer_at = self._loop.now()
         if not self.reachable:
             self.reachable = True
-            log_event('store_regained', prefix=self._prefix)
+            log_event('store_regained', prefix=self.prefix)
             self._on_regained()
 
     def _failed(self, reply, again):
@@ -136,7 +196,7 @@
             self.reachable = False
             log_warning(
                 'store_lost',
-                prefix=self._prefix,
+                prefix=self.prefix,
                 outcome=reply.outcome.value,
                 revision=self._revision,
             )
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -9,6 +9,8 @@
 from bramleysill_gateway.leader import Leader
 from bramleysill_gateway.membership import Registration
 from bramleysill_gateway.readiness import Readiness
+from bramleysill_gateway.store_feed import IDLE_SECONDS
+from bramleysill_gateway.store_feed import StoreFeeder
 from bramleysill_gateway.upstreams import Upstreams
 from bramleysill_kernel import messages
 from bramleysill_kernel.exceptions import SillError
@@ -57,6 +59,7 @@
         every(TICK_SECONDS, self._tick)
         every(SWEEP_SECONDS, self._sweep)
         every(REPORT_SECONDS, self._report_keys)
+        every(IDLE_SECONDS, self._feeder.tick)
         every(SETTINGS_CHECK_SECONDS, self._reload)
         self.state.start()
         log_event(
@@ -131,6 +134,9 @@
         self._links.on_control = self._on_message
         self._links.on_stream = self._on_message
         self._links.on_lost = lambda link: None
+        self._feeder = StoreFeeder(
+            self.loop, cfg.name, self._links, self.state, self.leader
+        )
 
     def _listen(self, metrics_port):
         listen = self.cfg.listen
@@ -187,15 +193,18 @@
     def _report_keys(self):
         leader = self.leader.leader_address()
         counts = self.entry.key_counts
-        if leader is None or not counts:
+        if leader is None:
             return
         name, address = leader
+        if name != self.cfg.name:
+            # Opens the link on which the leader feeds this router.
+            self._links.learn({name: address})
+            self._links.get(name)
         for service, keys in counts.items():
             message = self._key_loads(service, keys)
             if name == self.cfg.name:
                 self.leader.note_report(message)
                 continue
-            self._links.learn({name: address})
             self._links.send(name, message)
         counts.clear()
 
@@ -214,6 +223,8 @@
     def _on_message(self, link, message):
         if isinstance(message, messages.KeyLoads):
             self.leader.note_report(message)
+        elif isinstance(message, messages.StoreFeed):
+            self._feeder.take(message)
 
     # Settings.
 
--- /dev/null
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -0,0 +1,84 @@
+"""The leader's copy of the store, passed on to all other routers.
+
+Routers that are fed need no watches of their own, so the calls to the store
+do not grow with the number of routers. A leader feeds only while it has heard
+from the store a moment ago; routers that are no longer fed watch the store
+themselves.
+"""
+
+from bramleysill_kernel import messages
+from bramleysill_kernel.store_types import StoredItem
+
+# Feeds without changes are sent this often, so that the others know that
+# they miss nothing.
+IDLE_SECONDS = 0.35
+# A leader whose last renewed lease was asked for longer ago does not feed.
+FRESH_SECONDS = 1.0
+
+
+class StoreFeeder:
+    """Sends feeds while this router leads and takes them while it doesn't."""
+
+    def __init__(self, loop, name, links, state, leader):
+        self._loop = loop
+        self._name = name
+        self._links = links
+        self._leader = leader
+        self._watches = {
+            watch.prefix: watch
+            for watch in (state.operator, state.upstreams, state.own)
+        }
+        for watch in self._watches.values():
+            watch.on_batch = self._passer(watch)
+
+    def tick(self):
+        """Tell all routers that there was no change; call periodically."""
+        if not self._may_feed():
+            return
+        for watch in self._watches.values():
+            if watch.synced:
+                self._send(watch, watch.revision, watch.revision, ())
+
+    def take(self, message):
+        """Use a feed of the router that leads."""
+        leader = self._leader.leader_address()
+        if leader is None or leader[0] != message.router:
+            return
+        watch = self._watches.get(message.prefix)
+        if watch is None or self._leader.leadership.leading:
+            return
+        items = [
+            StoredItem(
+                i.key, None if i.removed else i.value, i.revision, i.lease
+            )
+            for i in message.items
+        ]
+        watch.feed(message.base, message.revision, items)
+
+    def _passer(self, watch):
+        def pass_on(base, revision, items):
+            if items and self._may_feed():
+                self._send(watch, base, revision, items)
+
+        return pass_on
+
+    def _may_feed(self):
+        if not self._leader.leadership.is_valid():
+            return False
+        return self._leader.renewed_age() < FRESH_SECONDS
+
+    def _send(self, watch, base, revision, items):
+        message = messages.StoreFeed(
+            self._name,
+            watch.prefix,
+            base,
+            revision,
+            [
+                messages.FeedItem(
+                    i.key, i.value or b'', i.revision, i.lease, i.value is None
+                )
+                for i in items
+            ],
+        )
+        for link in self._links.open_links():
+            link.send(message)
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -208,3 +208,29 @@
     upstreams: list = dataclasses.field(default_factory=list)
     answers: list = dataclasses.field(default_factory=list)
     busy_times: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class FeedItem:
+    """A key of the store as it was written; `removed` if it is gone."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease: int = 0
+    removed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class StoreFeed:
+    """Changes below a prefix that the leader has read from the store.
+
+    `items` are all changes after the revision `base` up to `revision`. An
+    empty feed tells that there were none.
+    """
+
+    router: str
+    prefix: str
+    base: int
+    revision: int
+    items: list = dataclasses.field(default_factory=list)
--- a/packages/kernel/src/bramleysill_kernel/upstream_load.py
+++ b/packages/kernel/src/bramleysill_kernel/upstream_load.py
@@ -10,10 +10,16 @@
 # Time constant in which a reported backlog of other routers' requests loses
 # its meaning.
 REPORT_DECAY_SECONDS = 0.25
+# Time constant of the average backlog, to which an older report decays. A
+# router of many sends rarely to an upstream, and must not take one that was
+# full a second ago as idle.
+AVERAGE_DECAY_SECONDS = 1.5
 # Weight of a new sample in the moving average of service times.
 SAMPLE_WEIGHT = 0.15
 FIRST_SERVICE_SECONDS = 0.1
 LEAST_SERVICE_SECONDS = 0.002
+# Requests for each slot at an upstream that takes no more connections.
+CROWDED_PER_SLOT = 4
 # How long an upstream that turned a request away is taken as full.
 FULL_SECONDS = 0.05
 # After a failed connection the next attempt waits this long, doubling up to
@@ -52,6 +58,7 @@
         'busy_time',
         '_others',
         '_others_at',
+        '_average',
     )
 
     def __init__(self, slots):
@@ -67,12 +74,15 @@
         self.busy_time = 0.0
         self._others = 0.0
         self._others_at = 0.0
+        self._average = 0.0
 
     def backlog(self, now):
         """Return the requests that are expected at the upstream now."""
         age = max(0.0, now - self._others_at)
-        decay = math.exp(-age / REPORT_DECAY_SECONDS)
-        return self.in_flight + self._others * decay
+        average = self._average * math.exp(-age / AVERAGE_DECAY_SECONDS)
+        excess = self._others - self._average
+        excess *= math.exp(-age / REPORT_DECAY_SECONDS)
+        return self.in_flight + max(0.0, average + excess)
 
     def expected_wait(self, now):
         """Return the seconds that one more request waits for a slot."""
@@ -92,8 +102,7 @@
         self.slots = max(1, report.slots)
         self.pace = report.pace
         total = report.running + report.waiting
-        self._others = max(0.0, total - max(0, self.in_flight - 1))
-        self._others_at = now
+        self._note_others(now, total - max(0, self.in_flight - 1))
 
     def note_answer(self, seconds, backlog_at_send):
         """Take the time of an answer into the average service time."""
@@ -119,12 +128,26 @@
         """The upstream has turned a request away for want of room."""
         self.full_until = now + FULL_SECONDS
 
+    def note_crowded(self, now):
+        """The upstream has reset a new connection: its queue is long."""
+        self.note_full(now)
+        self._note_others(
+            now, max(self.backlog(now), CROWDED_PER_SLOT * self.slots)
+        )
+
     def note_unreachable(self, now):
         """A connection could not be made or has gone silent."""
         self.failures += 1
         pause = FIRST_DOWN_SECONDS * 2 ** min(self.failures - 1, 4)
         self.down_until = now + min(pause, LONGEST_DOWN_SECONDS)
 
+    def _note_others(self, now, others):
+        age = now - self._others_at
+        weight = 1.0 - math.exp(-age / AVERAGE_DECAY_SECONDS)
+        self._others = max(0.0, others)
+        self._average += weight * (self._others - self._average)
+        self._others_at = now
+
     def is_down(self, now):
         """Tell whether the upstream was unreachable a moment ago."""
         return now < self.down_until
--- a/packages/net/src/bramleysill_net/http_calls.py
+++ b/packages/net/src/bramleysill_net/http_calls.py
@@ -50,7 +50,10 @@
         self._limit = limit
 
     def call(self, data, timeout, callback):
-        """Send the bytes of a request; call back once with an HttpReply."""
+        """Send the bytes of a request; call back once with an HttpReply.
+
+        Returns a function that cuts the call, which then has no answer.
+        """
         conn = self._take()
         self._busy.add(conn)
         deadline = self._loop.now() + timeout
@@ -75,6 +78,7 @@
             callback(HttpReply(status, headers, body, sent))
 
         conn.request(data, WholeAnswer(done, self._limit))
+        return lambda: conn in self._busy and conn.abort_exchange()
 
     def close(self):
         """Close idle connections and cut those in use."""
--- a/packages/router/src/bramleysill_router/peer_links.py
+++ b/packages/router/src/bramleysill_router/peer_links.py
@@ -18,6 +18,8 @@
 MAX_BUFFERED_BYTES = 64 << 20
 HELLO_TIMEOUT_SECONDS = 1.0
 REDIAL_SECONDS = 0.2
+# A peer that acknowledges nothing for so long has vanished.
+SILENT_PEER_MS = 2000
 
 
 class PeerLink:
@@ -191,6 +193,7 @@
         link = PeerLink(self, router=router, dialled=True)
         self._dialling[address] = link
         link.conn = Conn.connect(self._loop, host, int(port), link)
+        link.conn.detect_silence(SILENT_PEER_MS)
         self._loop.scheduler.call_at(
             now + HELLO_TIMEOUT_SECONDS, lambda: self._check_hello(link)
         )
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -104,6 +104,8 @@
 _TABLE = _plain('service', 'block', 'version', 'base', 'data')
 _TABLE.append(_map_field('units', _encode_unit, _decode_unit))
 
+_FEED_ITEM = _plain('key', 'value', 'revision', 'lease', 'removed')
+
 _FIELDS = {
     messages.Hello: _plain(
         'schema_version', 'router', 'cell', 'incarnation', 'address'
@@ -164,6 +166,14 @@
         _Field('answers', 'answers', list, list),
         _Field('busy_times', 'busyTimes', list, list),
     ],
+    messages.StoreFeed: _plain('router', 'prefix', 'base', 'revision')
+    + [
+        _list_field(
+            'items',
+            lambda i: _to_dict(i, _FEED_ITEM),
+            lambda i: _from_struct(messages.FeedItem, i, _FEED_ITEM),
+        ),
+    ],
     streams.StreamOpen: _plain(*streams.StreamOpen.__slots__),
     streams.StreamHead: _plain(*streams.StreamHead.__slots__),
     streams.StreamData: _plain(*streams.StreamData.__slots__),
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -156,6 +156,22 @@
   busyTimes @6 :List(Float32);
 }
 
+struct FeedItem {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  lease @3 :UInt64;
+  removed @4 :Bool;
+}
+
+struct StoreFeed {
+  router @0 :Text;
+  prefix @1 :Text;
+  base @2 :UInt64;
+  revision @3 :UInt64;
+  items @4 :List(FeedItem);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -177,5 +193,6 @@
     streamWindow @16 :StreamWindow;
     streamReset @17 :StreamReset;
     keyLoads @18 :KeyLoads;
+    storeFeed @19 :StoreFeed;
   }
 }
