Notice replaced processes, let strong machines lead, pack the feed

Ruled out: retries within one service (the arrivals were misdirected), and a watch of the leader that lagged.

Change: a 421 that names another upstream marks the process as ended, for requests and for the leader, who need not wait for its hold. Weak machines stand for leadership later. A feed is encoded once for all peers and long values are compressed.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -131,6 +131,7 @@
         signed = value_of(headers, adapter.signature)
         if value_of(headers, adapter.not_run) or status == 421:
             self.reason = f'not_run_{status}'
+            self._check_upstream(headers)
         elif not signed:
             self._conclude_unknown(f'unsigned_{status}')
         elif value_of(headers, 'content-encoding'):
@@ -210,6 +211,12 @@
 
     # Internal.
 
+    def _check_upstream(self, headers):
+        answered = value_of(headers, self._adapter.upstream_id)
+        if answered and answered != self.peer.entry.upstream:
+            self.reason = f'replaced_by_{answered}'
+            self.peer.replaced = True
+
     def _conclude_unknown(self, reason):
         self.fate = Fate.UNKNOWN
         self.reason = reason
--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -39,7 +39,7 @@
         data = self._adapter.encode_grant(entry, part, hold, handover)
 
         def answered(reply):
-            result = _grant_result(reply)
+            result = self._grant_result(reply, entry)
             if result is not CallResult.OK:
                 log_warning(
                     'grant_failed',
@@ -66,6 +66,8 @@
             result = CallResult.NO_ANSWER
             if reply.status == 200:
                 result = CallResult.OK
+            elif self._is_other(reply, entry):
+                result = CallResult.REPLACED
             headers = list(reply.headers.items())
             handover = value_of(headers, self._adapter.handover)
             log_event(
@@ -182,6 +184,20 @@
 
         self._store.read(key, answered)
 
+    def _grant_result(self, reply, entry):
+        if reply.status == 200:
+            return CallResult.OK
+        if self._is_other(reply, entry):
+            return CallResult.REPLACED
+        if reply.status or not reply.sent:
+            return CallResult.REFUSED
+        return CallResult.NO_ANSWER
+
+    def _is_other(self, reply, entry):
+        """Tell whether another process answered at an upstream's address."""
+        name = reply.headers.get(self._adapter.upstream_id, '')
+        return reply.status == 421 and name not in ('', entry.upstream)
+
     def _caller(self, entry):
         key = entry.upstream, entry.life, entry.address
         caller = self._callers.get(key)
@@ -192,14 +208,6 @@
         return caller
 
 
-def _grant_result(reply):
-    if reply.status == 200:
-        return CallResult.OK
-    if reply.status or not reply.sent:
-        return CallResult.REFUSED
-    return CallResult.NO_ANSWER
-
-
 def incarnation():
     """Return a text that names this start of the process."""
     return f'{time.time_ns():x}'
--- a/packages/gateway/src/bramleysill_gateway/entry.py
+++ b/packages/gateway/src/bramleysill_gateway/entry.py
@@ -187,6 +187,7 @@
         """Return the best upstream of a shared service, or None."""
         usable = self.state.directory.usable(service.name)
         peers = [self.upstreams.peer(e) for e in usable]
+        peers = [p for p in peers if not p.replaced]
         fresh = [p for p in peers if p.entry.upstream not in shunned]
         peers = fresh or peers
         warm = [p for p in peers if p.cold_until <= now]
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -190,6 +190,9 @@
             self._hold(now, owned)
             return
         peer = gateway.upstreams.peer(entry)
+        if peer.replaced:
+            self._refuse_lost('another process has the address', now, owned)
+            return
         if not self._may_enter_cold(peer, now):
             self._refuse_cold(peer)
             return
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -8,6 +8,7 @@
 from bramleysill_kernel.key_loads import UpstreamSpeeds
 from bramleysill_kernel.leadership import RENEW_SECONDS
 from bramleysill_kernel.leadership import Leadership
+from bramleysill_kernel.leadership import is_strong
 from bramleysill_kernel.range_coordinator import RangeCoordinator
 from bramleysill_kernel.store_types import Condition
 from bramleysill_kernel.store_types import Put
@@ -26,7 +27,7 @@
     """This router's part in leading the cell."""
 
     def __init__(self, loop, rng, cfg, address, store, state):
-        self.leadership = Leadership(loop, cfg.shortest_lease)
+        self.leadership = Leadership(loop, cfg.shortest_lease, is_strong(cfg))
         self._loop = loop
         self._rng = rng
         self._store = store
@@ -100,7 +101,7 @@
             self._run_coordinators()
             return
         free = self._state.own.synced and self._state.leader is None
-        if not self._standing and leadership.may_stand(free):
+        if leadership.may_stand(free) and not self._standing:
             self._stand()
 
     def retire(self):
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -6,6 +6,8 @@
 themselves.
 """
 
+import zlib
+
 from bramleysill_kernel import messages
 from bramleysill_kernel.store_types import StoredItem
 
@@ -14,6 +16,10 @@
 IDLE_SECONDS = 0.35
 # A leader whose last renewed lease was asked for longer ago does not feed.
 FRESH_SECONDS = 1.0
+# Longer values are compressed: a configuration of some hundred routes goes
+# to all routers over the leader's link, several times a second in a storm.
+PACKED_BYTES = 1024
+PACKING_LEVEL = 1
 
 
 class StoreFeeder:
@@ -47,12 +53,7 @@
         watch = self._watches.get(message.prefix)
         if watch is None or self._leader.leadership.leading:
             return
-        items = [
-            StoredItem(
-                i.key, None if i.removed else i.value, i.revision, i.lease
-            )
-            for i in message.items
-        ]
+        items = [_unpack(item) for item in message.items]
         watch.feed(message.base, message.revision, items)
 
     def _passer(self, watch):
@@ -73,12 +74,28 @@
             watch.prefix,
             base,
             revision,
-            [
-                messages.FeedItem(
-                    i.key, i.value or b'', i.revision, i.lease, i.value is None
-                )
-                for i in items
-            ],
+            [_pack(item) for item in items],
         )
-        for link in self._links.open_links():
-            link.send(message)
+        self._links.broadcast(message)
+
+
+def _pack(item):
+    value = item.value or b''
+    packed = len(value) > PACKED_BYTES
+    return messages.FeedItem(
+        item.key,
+        zlib.compress(value, PACKING_LEVEL) if packed else value,
+        item.revision,
+        item.lease,
+        item.value is None,
+        packed,
+    )
+
+
+def _unpack(item):
+    value = item.value
+    if item.packed:
+        value = zlib.decompress(value)
+    return StoredItem(
+        item.key, None if item.removed else value, item.revision, item.lease
+    )
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -8,13 +8,15 @@
 class UpstreamPeer:
     """One upstream process: its entry, load and connections."""
 
-    __slots__ = ('entry', 'load', 'pool', 'cold_until')
+    __slots__ = ('entry', 'load', 'pool', 'cold_until', 'replaced')
 
     def __init__(self, loop, entry):
         self.entry = entry
         self.load = UpstreamLoad(entry.slots)
         self.pool = UpstreamPool(loop, entry.address)
         self.cold_until = entry.cold_until
+        # Another process has answered at the address: this one has ended.
+        self.replaced = False
 
     @property
     def failure_domain(self):
--- a/packages/kernel/src/bramleysill_kernel/leadership.py
+++ b/packages/kernel/src/bramleysill_kernel/leadership.py
@@ -13,10 +13,20 @@
 RENEW_SECONDS = 0.5
 # Margin for the store's and this machine's clocks running at other rates.
 CLOCK_RATE_ERROR = 0.01
+# A leader passes changes on to all routers and renews all grants. A machine
+# with less than this waits before it stands, so that a stronger one leads.
+STRONG_LINK_MBPS = 50.0
+STRONG_CORES = 0.8
+WEAK_PAUSE_SECONDS = 0.4
 # Pause before a further attempt to take the free key.
 RETRY_SECONDS = 0.25
 
 
+def is_strong(cfg):
+    """Tell whether a machine is among those that should lead."""
+    return cfg.link_mbps >= STRONG_LINK_MBPS and cfg.cores >= STRONG_CORES
+
+
 class Leadership:
     """The state of one router's candidacy; all times in seconds.
 
@@ -34,9 +44,11 @@
         'since',
         '_clock',
         '_lease_seconds',
+        '_free_since',
+        '_pause',
     )
 
-    def __init__(self, clock, shortest_lease):
+    def __init__(self, clock, shortest_lease, is_strong=True):
         self.lease = 0
         self.key_revision = 0
         self.leading = False
@@ -47,6 +59,8 @@
         self.since = 0.0
         self._clock = clock
         self._lease_seconds = max(LEASE_SECONDS, shortest_lease)
+        self._free_since = None
+        self._pause = 0.0 if is_strong else WEAK_PAUSE_SECONDS
 
     @property
     def lease_seconds(self):
@@ -59,9 +73,14 @@
 
     def may_stand(self, key_is_free):
         """Tell whether to try to take the leader key now."""
+        if not key_is_free:
+            self._free_since = None
         if self.barred or self.leading or not key_is_free:
             return False
-        return self._clock.now() >= self.next_try_at
+        now = self._clock.now()
+        if self._free_since is None:
+            self._free_since = now
+        return now >= max(self.next_try_at, self._free_since + self._pause)
 
     def postpone(self, rng):
         """Wait before the next attempt; the spread avoids a stampede."""
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -212,13 +212,17 @@
 
 @dataclasses.dataclass(slots=True)
 class FeedItem:
-    """A key of the store as it was written; `removed` if it is gone."""
+    """A key of the store as it was written; `removed` if it is gone.
+
+    `packed` tells that the value is compressed with zlib.
+    """
 
     key: str
     value: bytes
     revision: int
     lease: int = 0
     removed: bool = False
+    packed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/kernel/src/bramleysill_kernel/node_settings.py
+++ b/packages/kernel/src/bramleysill_kernel/node_settings.py
@@ -72,6 +72,8 @@
         'shortest_lease',
         'heartbeat',
         'bounds',
+        'link_mbps',
+        'cores',
     )
 
     def __init__(
@@ -84,6 +86,8 @@
         shortest_lease,
         heartbeat,
         bounds,
+        link_mbps,
+        cores,
     ):
         self.name = name
         self.failure_domain = failure_domain
@@ -93,6 +97,9 @@
         self.shortest_lease = shortest_lease
         self.heartbeat = heartbeat
         self.bounds = bounds
+        # What the machine offers: its own link and its share of processors.
+        self.link_mbps = link_mbps
+        self.cores = cores
 
     def differences(self, other):
         """Return the names of the settings that differ from another's."""
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -53,13 +53,15 @@
     """How a grant, release or write ended.
 
     `REFUSED` means that nothing was done, `NO_ANSWER` that it may have been
-    or may yet be carried out.
+    or may yet be carried out. `REPLACED` means that another process has the
+    upstream's address, so that the upstream's process has ended.
     """
 
     OK = 'ok'
     REFUSED = 'refused'
     CONFLICT = 'conflict'
     NO_ANSWER = 'no_answer'
+    REPLACED = 'replaced'
 
 
 class _Move:
@@ -119,6 +121,8 @@
         self._handovers = {}
         # Upstreams that did not take a grant, with the end of the pause.
         self._avoid_until = {}
+        # Processes that have ended, as (upstream, life).
+        self._ended = set()
         self._writing = None
         self._fresh_fences_written = False
         self._balance_at = 0.0
@@ -184,6 +188,8 @@
             return False
         if not self._directory.may_use(entry):
             return False
+        if (item.owner, item.life) in self._ended:
+            return False
         renewal = self._renewals.get((item.first, item.last, item.fence))
         return renewal is None or renewal.failures < MOST_FAILURES
 
@@ -252,7 +258,9 @@
             if renewal is not None:
                 renewal.failures = 0
             return
-        if result is CallResult.REFUSED:
+        if result is CallResult.REPLACED:
+            self._ended.add((part.owner, part.life))
+        if result is not CallResult.NO_ANSWER:
             self._ledger.note_refused(holder, call)
         self._avoid_until[part.owner] = now + AVOID_SECONDS
         if renewal is not None:
@@ -280,6 +288,8 @@
         if entry is not None and entry.life > old.life:
             # The process that held the keys has ended.
             return True
+        if (old.owner, old.life) in self._ended:
+            return True
         if move.released:
             return now >= self._ledger.free_after_release(old.holder)
         return now >= self._ledger.free_without_release(old.holder)
@@ -299,6 +309,9 @@
 
     def _on_released(self, move, result, handover):
         move.calling = False
+        if result is CallResult.REPLACED:
+            self._ended.add((move.old.owner, move.old.life))
+            return
         if result is CallResult.OK:
             move.released = True
             move.handover = handover
@@ -355,7 +368,7 @@
         """
         now = self._clock.now()
         usable = self._directory.usable(self.service)
-        reachable = [e for e in usable if self._is_reachable(e)] or usable
+        reachable = [e for e in usable if self._is_reachable(e)]
         warm = [e for e in reachable if e.cold_until <= now]
         return [
             Capacity(e.upstream, e.life, self._capacity_of(e))
@@ -363,6 +376,8 @@
         ]
 
     def _is_reachable(self, entry):
+        if (entry.upstream, entry.life) in self._ended:
+            return False
         until = self._avoid_until.get(entry.upstream)
         return until is None or self._clock.now() >= until
 
--- a/packages/router/src/bramleysill_router/peer_links.py
+++ b/packages/router/src/bramleysill_router/peer_links.py
@@ -69,7 +69,12 @@
         if not self.ready:
             self._waiting.append(message)
             return
-        data = codec.encode(message)
+        self.send_encoded(message, codec.encode(message))
+
+    def send_encoded(self, message, data):
+        """Send the frame of a message that goes to several peers."""
+        if self.conn.closed or not self.ready:
+            return
         self.links.count_sent(message, len(data))
         self.conn.write(data)
         if self.conn.buffered > MAX_BUFFERED_BYTES:
@@ -207,6 +212,12 @@
         link.send(message)
         return True
 
+    def broadcast(self, message):
+        """Send a message to all peers with an open link."""
+        data = codec.encode(message)
+        for link in self.open_links():
+            link.send_encoded(message, data)
+
     def open_links(self):
         """Return the open links."""
         return [link for link in self._links.values() if not link.closed]
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -104,7 +104,7 @@
 _TABLE = _plain('service', 'block', 'version', 'base', 'data')
 _TABLE.append(_map_field('units', _encode_unit, _decode_unit))
 
-_FEED_ITEM = _plain('key', 'value', 'revision', 'lease', 'removed')
+_FEED_ITEM = _plain(*messages.FeedItem.__slots__)
 
 _FIELDS = {
     messages.Hello: _plain(
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -162,6 +162,7 @@
   revision @2 :UInt64;
   lease @3 :UInt64;
   removed @4 :Bool;
+  packed @5 :Bool;
 }
 
 struct StoreFeed {
--- a/tests/range_fakes.py
+++ b/tests/range_fakes.py
@@ -163,6 +163,8 @@
         self.loads = KeyLoads(self.clock)
         self.upstreams = {}
         self.past = []
+        # Upstreams whose address another process has.
+        self.replaced = set()
         self.grants = []
         self.releases = []
         self.late_share = 0.0
@@ -201,6 +203,9 @@
     def call(self, entry, carry_out, done):
         """Send a call to an upstream process, with the faults set."""
         upstream = self.upstreams.get(entry.upstream)
+        if entry.upstream in self.replaced:
+            self.later(0.004, lambda: done(CallResult.REPLACED))
+            return
         delay = self.rng.uniform(0.001, 0.01)
         if upstream is None or not upstream.alive or not upstream.reachable:
             self.later(
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -117,6 +117,17 @@
         self.assertEqual([], _unserved(cell))
         self.assertIn('u1', {name for name, _, _ in cell.releases})
 
+    def test_keys_of_a_replaced_process_move_at_once(self):
+        """Replays an address that another service's process has now.
+
+        Guards against waiting for the hold of a process that has ended.
+        """
+        cell = _cell()
+        cell.upstreams['u1'].alive = False
+        cell.replaced.add('u1')
+        cell.run(1.5, _NoDoubleHold(self))
+        self.assertEqual([], _unserved(cell))
+
     def test_an_unanswered_grant_delays_the_next_owner(self):
         """Guards against an old grant that is carried out after a move."""
         cell = _cell()
