Feed only what is followed, and keep watches short

A watch that was sent to it meanwhile waited up to 20 s for an answer that never came, on routers and on the new leader, which told the others that nothing had changed.

Ruled out: keep-alive probes (the silent store acknowledges bytes), and the size of the configuration (410 routes were applied in 0.1 s).

Change: a watch waits 1.5 s; the first one after a failure or after the last feed returns at once; a leader feeds a prefix only while its own calls for it succeed.

--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -13,7 +13,10 @@
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
-WATCH_SECONDS = 20.0
+# A store that is silent may swallow a watch and never answer it. With the
+# time that the call may take beyond it, this is less than the time after an
+# outage from which changes must be followed again.
+WATCH_SECONDS = 1.5
 # Changes that follow each other closely are fetched together after a pause;
 # a small part of the time within which a configuration must be in force.
 BATCH_SECONDS = 0.1
@@ -55,6 +58,7 @@
         self._fed_until = 0.0
         self._cut_watch = None
         self._watch_timer = None
+        self._was_fed = False
         # Called with (base, revision, items) after each answer of a watch.
         self.on_batch = None
 
@@ -63,6 +67,15 @@
         """Return the revision up to which all changes are known."""
         return self._revision
 
+    @property
+    def following(self):
+        """Tell whether the store's last call for this prefix succeeded.
+
+        A router that does not follow a prefix itself must not tell others
+        that nothing has changed there.
+        """
+        return self.synced and self.reachable and not self._failures
+
     def feed(self, base, revision, items):
         """Take changes that another router has read from the store."""
         if not self.synced:
@@ -75,6 +88,7 @@
                 self._apply(item)
         self._revision = max(self._revision, revision)
         self._fed_until = self._loop.now() + FEED_SECONDS
+        self._was_fed = True
         if self._cut_watch is not None:
             self._cut_watch()
 
@@ -131,7 +145,11 @@
                 self._fed_until, self._watch
             )
             return
-        self._call_watch(WATCH_SECONDS)
+        # After a failure, or a feed that has ended, an answer is wanted at
+        # once, not at the next change.
+        unsure = self._failures or self._was_fed
+        self._was_fed = False
+        self._call_watch(0.0 if unsure else WATCH_SECONDS)
 
     def _call_watch(self, wait):
         self._cut_watch = self._store.watch(
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -42,7 +42,7 @@
         if not self._may_feed():
             return
         for watch in self._watches.values():
-            if watch.synced:
+            if watch.following:
                 self._send(watch, watch.revision, watch.revision, ())
 
     def take(self, message):
--- /dev/null
+++ b/tests/test_prefix_watch.py
@@ -0,0 +1,186 @@
+"""Tests of a router's copy of the store, on a stepped clock."""
+
+import heapq
+import itertools
+import random
+
+import testtools
+
+from bramleysill_gateway.prefix_watch import FEED_SECONDS
+from bramleysill_gateway.prefix_watch import WATCH_SECONDS
+from bramleysill_gateway.prefix_watch import PrefixWatch
+from bramleysill_kernel.store_types import StoredItem
+from bramleysill_kernel.store_types import StoreOutcome
+from bramleysill_kernel.store_types import StoreReply
+
+
+class _Timer:
+    def __init__(self, callback):
+        self.callback = callback
+
+    def cancel(self):
+        self.callback = None
+
+
+class _Loop:
+    """A clock and a scheduler that a test advances."""
+
+    def __init__(self):
+        self.time = 100.0
+        self.scheduler = self
+        self._heap = []
+        self._order = itertools.count()
+
+    def now(self):
+        return self.time
+
+    def call_at(self, deadline, callback):
+        timer = _Timer(callback)
+        heapq.heappush(self._heap, (deadline, next(self._order), timer))
+        return timer
+
+    def advance(self, seconds):
+        end = self.time + seconds
+        while self._heap and self._heap[0][0] <= end:
+            at, _, timer = heapq.heappop(self._heap)
+            self.time = max(self.time, at)
+            if timer.callback is not None:
+                timer.callback()
+        self.time = end
+
+
+class _Store:
+    """Records calls; a test answers them."""
+
+    def __init__(self):
+        self.listing = None
+        self.watches = []
+
+    def list(self, prefix, after, callback):
+        self.listing = callback
+
+    def watch(self, prefix, revision, wait, callback):
+        watch = (revision, wait, callback)
+        self.watches.append(watch)
+
+        def cut():
+            if watch in self.watches:
+                self.watches.remove(watch)
+                callback(StoreReply(StoreOutcome.NO_ANSWER))
+
+        return cut
+
+    def answer(self, reply):
+        self.watches.pop(0)[2](reply)
+
+
+def _item(key, revision, value=b'x'):
+    return StoredItem(key, value, revision)
+
+
+def _events(revision, *items):
+    return StoreReply(StoreOutcome.OK, list(items), revision)
+
+
+FAILED = StoreReply(StoreOutcome.NO_ANSWER)
+
+
+class PrefixWatchTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = _Loop()
+        self.store = _Store()
+        self.changes = []
+        self.regained = 0
+        self.watch = PrefixWatch(
+            self.loop,
+            random.Random(1),
+            self.store,
+            'p/',
+            lambda item: self.changes.append((item.key, item.value)),
+            self._on_regained,
+        )
+        self.watch.start()
+        self.store.listing(_events(5, _item('p/a', 3)))
+
+    def _on_regained(self):
+        self.regained += 1
+
+    def test_changes_are_followed_from_the_listing(self):
+        """Guards against a change between the listing and the watch."""
+        self.assertEqual(5, self.store.watches[0][0])
+        self.store.answer(_events(7, _item('p/a', 7, b'y')))
+        self.assertEqual([('p/a', b'x'), ('p/a', b'y')], self.changes)
+
+    def test_an_older_event_changes_nothing(self):
+        """Guards against a value that goes back after a listing."""
+        self.store.answer(_events(6, _item('p/a', 2, b'old')))
+        self.assertEqual([('p/a', b'x')], self.changes)
+
+    def test_a_forgotten_history_is_listed_again(self):
+        """Guards against keys that were removed in the meantime."""
+        self.store.answer(StoreReply(StoreOutcome.HISTORY_GONE))
+        self.store.listing(_events(9, _item('p/b', 8)))
+        self.assertEqual(['p/b'], list(self.watch.items))
+        self.assertIn(('p/a', None), self.changes)
+
+    def test_a_fed_router_does_not_watch(self):
+        """Guards against calls to the store by every router."""
+        self.watch.feed(5, 6, [_item('p/b', 6)])
+        self.assertEqual([], self.store.watches)
+        self.assertIn(('p/b', b'x'), self.changes)
+        for _ in range(20):
+            self.loop.advance(FEED_SECONDS / 2)
+            self.watch.feed(6, 6, [])
+        self.assertEqual([], self.store.watches)
+
+    def test_a_router_that_is_fed_no_more_watches_itself(self):
+        """Guards against a router that follows nothing."""
+        self.watch.feed(5, 6, [])
+        self.loop.advance(FEED_SECONDS + 0.01)
+        revision, wait, _ = self.store.watches[0]
+        self.assertEqual((6, 0.0), (revision, wait))
+
+    def test_no_watch_waits_longer_than_changes_may(self):
+        """Replays a silent store that swallows a watch (CONFIG).
+
+        Guards against a router that waits for it long after the outage.
+        """
+        _, wait, _ = self.store.watches[0]
+        self.assertLess(wait, 2.0)
+
+    def test_a_gap_in_the_feed_is_closed_at_once(self):
+        """Guards against a change that a lost feed carried."""
+        self.watch.feed(5, 6, [])
+        self.watch.feed(8, 9, [_item('p/c', 9)])
+        self.assertNotIn(('p/c', b'x'), self.changes)
+        revision, wait, _ = self.store.watches[0]
+        self.assertEqual((6, 0.0), (revision, wait))
+
+    def test_a_router_with_a_failed_watch_does_not_follow(self):
+        """Replays a leader whose watch has not returned after an outage.
+
+        Guards against telling all others that nothing has changed: they
+        missed a configuration for more than two seconds (CONFIG on
+        mundart-tor trouble-3).
+        """
+        self.assertTrue(self.watch.following)
+        self.store.answer(FAILED)
+        self.assertFalse(self.watch.following)
+        self.loop.advance(1.0)
+        self.assertFalse(self.watch.following)
+        self.store.answer(_events(5))
+        self.assertTrue(self.watch.following)
+
+    def test_the_first_watch_after_a_failure_returns_at_once(self):
+        """Guards against an outage that seems to last until a change."""
+        self.store.answer(FAILED)
+        self.loop.advance(1.0)
+        self.store.answer(FAILED)
+        self.assertFalse(self.watch.reachable)
+        self.loop.advance(1.0)
+        self.assertEqual(0.0, self.store.watches[0][1])
+        self.store.answer(_events(5))
+        self.assertTrue(self.watch.reachable)
+        self.assertEqual(2, self.regained)
+        self.assertEqual(WATCH_SECONDS, self.store.watches[0][1])
