Give connections of sessions the interface of Conn

Cause: 16 session tests failed: peer links ask their connection to detect silence, which the connections of the stepped sessions did not know.

Change: the fake has the method; connections there end by the script only.

Figures: python -m tests tests.test_sessions tests.sessions.test_mechanisms: 23 passed.

--- a/tests/sessions/network.py
+++ b/tests/sessions/network.py
@@ -37,6 +37,9 @@
         else:
             self._unread.append(data)
 
+    def detect_silence(self, milliseconds):
+        """Connections of a session end only by its script."""
+
     def pause(self):
         self._reading = False
 
