Model the ownership of key ranges on the platform

Cause: the model described units, promises and router leases; ranges, holds, late grants and fresh fences on a takeover had no specification.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -11,6 +11,7 @@
 from minicheck import check_safety
 
 from model import protocol
+from model import range_protocol
 
 MAX_STATES = 900_000
 # A counterexample of a mutation lies within this number of states.
@@ -38,13 +39,27 @@
         if mutation == 'no_version_check':
             scope = 'configuration'
         found.append((MUTATION, scope, mutation))
+    found += range_jobs()
     return list(dict.fromkeys(found))
 
 
+def range_jobs():
+    """Return the checks of the protocol of key ranges."""
+    found = [(SAFETY, scope, '') for scope in range_protocol.SCOPES]
+    found += [
+        (MUTATION, 'range_takeovers', mutation)
+        for mutation in range_protocol.MUTATIONS
+    ]
+    return found
+
+
 def check(job):
     """Run one check; return (job, passed, line)."""
     kind, scope, mutation = job
-    made = protocol.make(scope, mutation)
+    source = protocol
+    if scope in range_protocol.SCOPES:
+        source = range_protocol
+    made = source.make(scope, mutation)
     if kind == LIVENESS:
         live = check_liveness(made)
         passed = live['holds'] is True
@@ -69,6 +84,7 @@
     """Run all checks; return the process's exit code."""
     start = time.monotonic()
     print(f'bounds: terms {protocol.MAX_TERM}; scopes {protocol.SCOPES}')
+    print(f'key ranges: scopes {range_protocol.SCOPES}')
     print('scope: highest fence, lost answers, outages, configurations')
     failed = 0
     with futures.ProcessPoolExecutor(WORKERS) as pool:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -165,3 +165,15 @@
             deep = job[2] == 'stands_despite_promise'
             if job[0] == checks.MUTATION and not deep:
                 self.assertTrue(checks.check(job)[1], str(job))
+
+
+class RangeProtocolTest(testtools.TestCase):
+    def test_keys_have_one_holder_and_every_rule_is_needed(self):
+        """Guards against two owners of keys over moves and takeovers.
+
+        Each mutation leaves one rule of the protocol out; the check has to
+        find the two owners that follow.
+        """
+        for job in checks.range_jobs():
+            _, passed, line = checks.check(job)
+            self.assertTrue(passed, f'{job}: {line}')
