Test the adapter's documents and the way of one request

Change: tests.test_gateway_exchange sends requests through the entry to scripted upstreams; tests.test_platform_documents reads documents of operators, upstreams and settings, good and bad.

--- /dev/null
+++ b/tests/test_gateway_exchange.py
@@ -0,0 +1,313 @@
+"""Tests of one request's way to an upstream and back, over loopback.
+
+Scripted upstreams answer, refuse or break off; what the caller gets must be
+true, and a request that may not be repeated must be sent once.
+"""
+
+import random
+
+import testtools
+
+from bramleysill_gateway.entry import Entry
+from bramleysill_gateway.upstreams import Upstreams
+from bramleysill_kernel.key_ranges import Assignment
+from bramleysill_kernel.key_ranges import RangeTable
+from bramleysill_kernel.node_settings import Bounds
+from bramleysill_kernel.node_settings import NodeSettings
+from bramleysill_kernel.routing_config import Limits
+from bramleysill_kernel.routing_config import Repeatability
+from bramleysill_kernel.routing_config import Route
+from bramleysill_kernel.routing_config import RoutingConfig
+from bramleysill_kernel.routing_config import Service
+from bramleysill_kernel.routing_config import WeightedService
+from bramleysill_kernel.upstream_directory import UpstreamDirectory
+from bramleysill_kernel.upstream_directory import UpstreamEntry
+from bramleysill_net.conn import Listener
+from bramleysill_net.http_client import HttpClientConn
+from bramleysill_net.http_client import WholeAnswer
+from bramleysill_net.http_client import encode_request
+from bramleysill_net.loop import Loop
+from bramleysill_platform.adapter import PlatformAdapter
+from bramleysill_router.metrics import Metrics
+
+TIMEOUT_SECONDS = 10.0
+ID = 'X-Bramleysill-Request-Id'
+SIGNED = 'X-Bramleysill-Response-Signature: s\r\n'
+BOUNDS = Bounds(6.0, 2.0, 2.0, 5.0, 10.0, 0.2, 10.0, 64, 1.5, 5, 2.0)
+
+
+def ok(request_id, body='fine', extra=''):
+    """Return a whole, signed answer to a request."""
+    return (
+        f'HTTP/1.1 200 OK\r\n{ID}: {request_id}\r\n{SIGNED}{extra}'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'
+    ).encode()
+
+
+def bare(status, extra='', body=''):
+    """Return an answer without signature."""
+    return (
+        f'HTTP/1.1 {status} X\r\n{extra}Content-Length: {len(body)}\r\n\r\n'
+        f'{body}'
+    ).encode()
+
+
+NOT_RUN = 'X-Bramleysill-Not-Executed: 1\r\n'
+
+
+class _Upstream:
+    """Answers each request with what `answer(request_id)` returns.
+
+    The answer is bytes, None for a reset, or 'hold' for no answer.
+    """
+
+    def __init__(self, loop, answer):
+        self.answer = answer
+        self.requests = []
+        self.closed = 0
+        self.listener = Listener(loop, '127.0.0.1', 0, self._accept)
+
+    def _accept(self, conn):
+        return _UpstreamConn(self, conn)
+
+
+class _UpstreamConn:
+    def __init__(self, upstream, conn):
+        self.upstream = upstream
+        self.conn = conn
+        self.data = b''
+
+    def on_connect(self):
+        pass
+
+    def on_data(self, data):
+        self.data += data
+        if b'\r\n\r\n' not in self.data:
+            return
+        text, self.data = self.data.decode('latin-1'), b''
+        fields = dict(
+            line.split(': ', 1)
+            for line in text.split('\r\n\r\n')[0].split('\r\n')[1:]
+        )
+        self.upstream.requests.append(text)
+        answer = self.upstream.answer(fields[ID])
+        if answer is None:
+            self.conn.abort()
+        elif answer != 'hold':
+            self.conn.write(answer)
+
+    def on_drain(self):
+        pass
+
+    def on_close(self, exc):
+        self.upstream.closed += 1
+
+
+class _State:
+    def __init__(self, loop, config):
+        self.config = config
+        self.directory = UpstreamDirectory(loop)
+        self.tables = {}
+        self.members = {'router': ''}
+
+
+class ExchangeTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop()
+        self.adapter = PlatformAdapter()
+        self.metrics = Metrics()
+        services = {
+            'shared': Service('shared', '/', 100, False, 0.0, 0.0, 0.0),
+            'keyed': Service('keyed', '/', 100, True, 0.0, 0.0, 0.0),
+        }
+        routes = [
+            self._route('read', Repeatability.IDEMPOTENT, 'shared'),
+            self._route('write', Repeatability.AT_MOST_ONCE, 'shared'),
+            self._route('keyed', Repeatability.AT_MOST_ONCE, 'keyed'),
+        ]
+        config = RoutingConfig(
+            1, routes, services, Limits(16384, 1 << 20, 3.0, 15.0)
+        )
+        self.state = _State(self.loop, config)
+        cfg = NodeSettings(
+            'router', 'a', ('a',), None, None, 1.0, 1.0, BOUNDS, 1000.0, 1.0
+        )
+        self.upstreams = Upstreams(self.loop, self.state.directory)
+        self.entry = Entry(
+            self.loop,
+            random.Random(1),
+            cfg,
+            self.state,
+            self.upstreams,
+            self.adapter,
+            self.metrics,
+        )
+        self.listener = Listener(self.loop, '127.0.0.1', 0, self.entry.accept)
+        self.addCleanup(self.listener.close)
+        self.addCleanup(self.upstreams.close)
+
+    def _route(self, name, kind, service, max_wait=5.0):
+        return Route(
+            name,
+            'h',
+            f'/{name}/',
+            kind,
+            max_wait,
+            2.0,
+            1,
+            2,
+            [WeightedService(service, 1.0)],
+        )
+
+    def _add(self, name, answer, service='shared'):
+        upstream = _Upstream(self.loop, answer)
+        self.addCleanup(upstream.listener.close)
+        port = upstream.listener.address[1]
+        self.state.directory.put(
+            UpstreamEntry(
+                name, 1, service, '127.0.0.1', port, 'a', 4, False, 0.0
+            )
+        )
+        if service == 'keyed':
+            self.state.tables['keyed'] = RangeTable.empty().assign(
+                [Assignment(0, 65535, name, 1)]
+            )
+        return upstream
+
+    def _start(self, path, left=3000, body=None):
+        answers = []
+        conn = HttpClientConn(self.loop, *self.listener.address)
+        self.addCleanup(conn.abort)
+        headers = (
+            (ID, 'r1'),
+            ('X-Bramleysill-Deadline-Ms', str(left)),
+            ('X-Bramleysill-Shard-Key', '7'),
+        )
+        method = 'POST' if body is not None else 'GET'
+        conn.request(
+            encode_request(method, path, 'h', headers, body),
+            WholeAnswer(lambda *answer: answers.append(answer)),
+        )
+        return conn, answers
+
+    def _ask(self, path, left=3000, body=None):
+        _, answers = self._start(path, left, body)
+        self.assertTrue(self.loop.run_until(lambda: answers, TIMEOUT_SECONDS))
+        return answers[0]
+
+    def test_an_answer_is_passed_on_whole(self):
+        """Guards against changed answers and lost signatures."""
+        upstream = self._add('u1', ok)
+        status, headers, body = self._ask('/read/x', body=b'abc')
+        self.assertEqual((200, b'fine'), (status, body))
+        self.assertEqual('s', headers['x-bramleysill-response-signature'])
+        (request,) = upstream.requests
+        self.assertTrue(request.startswith('POST /read/x HTTP/1.1'))
+        self.assertTrue(request.endswith('\r\n\r\nabc'))
+        self.assertIn('X-Bramleysill-Expect-Instance: u1', request)
+
+    def test_a_reset_of_an_unsafe_request_promises_nothing(self):
+        """Guards against a second run, and against "it has not run"."""
+        upstream = self._add('u1', lambda i: None)
+        status, _, _ = self._ask('/write/x', body=b'')
+        self.assertEqual(502, status)
+        self.assertEqual(1, len(upstream.requests))
+
+    def test_a_broken_answer_to_a_safe_request_is_replaced(self):
+        """Guards against a cut answer that looks complete."""
+        broken = self._add('u1', lambda i: bare(200, body='cut'))
+        self._add('u2', ok)
+        statuses = {self._ask('/read/x')[0] for _ in range(4)}
+        self.assertEqual({200}, statuses)
+        self.assertLessEqual(len(broken.requests), 4)
+
+    def test_a_success_without_signature_is_no_answer(self):
+        """Guards against bytes that no upstream has signed."""
+        self._add('u1', lambda i: bare(200, body='forged'))
+        status, _, body = self._ask('/write/x')
+        self.assertEqual(502, status)
+        self.assertNotIn(b'forged', body)
+
+    def test_a_request_that_was_not_run_is_sent_again(self):
+        """Guards against a refusal while another upstream has room."""
+        self._add('u1', lambda i: bare(503, NOT_RUN))
+        self._add('u2', ok)
+        self.assertEqual(200, self._ask('/write/x')[0])
+
+    def test_a_refusal_says_when_to_come_back(self):
+        """Guards against callers that repeat at once."""
+        self._add('u1', lambda i: bare(503, NOT_RUN))
+        status, headers, body = self._ask('/write/x', left=900)
+        self.assertEqual(503, status)
+        self.assertLessEqual(float(headers['retry-after']), 0.3)
+        self.assertIn(b'not_run', body)
+
+    def test_a_signed_503_is_not_turned_into_a_promise(self):
+        """Guards against "has not run" for a request that has run."""
+        answer = ok('r1').replace(b'200 OK', b'503 Busy')
+        self._add('u1', lambda i: answer)
+        self.assertEqual(502, self._ask('/write/x')[0])
+
+    def test_a_caller_that_leaves_ends_the_work(self):
+        """Guards against work for nobody."""
+        upstream = self._add('u1', lambda i: 'hold')
+        conn, _ = self._start('/read/x')
+        self.loop.run_until(lambda: upstream.requests, TIMEOUT_SECONDS)
+        conn.abort()
+        self.assertTrue(
+            self.loop.run_until(lambda: upstream.closed, TIMEOUT_SECONDS)
+        )
+        self.assertEqual(set(), self.entry.active)
+
+    def test_the_deadline_ends_a_request_that_was_sent(self):
+        """Guards against a caller that waits for ever."""
+        self._add('u1', lambda i: 'hold')
+        self.assertEqual(504, self._ask('/write/x', left=100)[0])
+
+    def test_the_upstream_is_told_the_time_that_is_left(self):
+        """Guards against work that goes on after the deadline."""
+        upstream = self._add('u1', ok)
+        self._ask('/read/x', left=700)
+        line = upstream.requests[0].split('X-Bramleysill-Deadline-Ms: ')[1]
+        self.assertLessEqual(int(line.split('\r\n')[0]), 700)
+
+    def test_a_replaced_process_gets_nothing_more(self):
+        """Guards against repeated sends to another service's process."""
+        other = 'X-Bramleysill-Instance-Id: u9\r\n'
+        upstream = self._add('u1', lambda i: bare(421, other), 'keyed')
+        self.assertEqual(503, self._ask('/keyed/x')[0])
+        self.assertEqual(503, self._ask('/keyed/x')[0])
+        self.assertEqual(1, len(upstream.requests))
+
+    def test_a_key_that_its_owner_lacks_waits_for_the_table(self):
+        """Guards against a refusal while keys arrive at their new owner."""
+        old = self._add('u1', lambda i: bare(421, NOT_RUN), 'keyed')
+        _, answers = self._start('/keyed/x')
+        self.loop.run_until(lambda: old.requests, TIMEOUT_SECONDS)
+        self._add('u2', ok, 'keyed')
+        self.loop.scheduler.call_at(
+            self.loop.now(), self.entry.on_state_changed
+        )
+        self.loop.run_until(lambda: answers, TIMEOUT_SECONDS)
+        self.assertEqual(200, answers[0][0])
+
+    def test_an_unknown_path_is_not_found(self):
+        """Guards against requests at a service that no route names."""
+        self.assertEqual(404, self._ask('/other/x')[0])
+
+    def test_without_a_configuration_nothing_is_denied(self):
+        """Guards against a 404 of a router that has just started."""
+        self.state.config = None
+        status, headers, _ = self._ask('/read/x')
+        self.assertEqual(503, status)
+        self.assertIn('retry-after', headers)
+
+    def test_a_router_that_ends_refuses_truthfully(self):
+        """Guards against requests that are cut when the grace is over."""
+        self._add('u1', ok)
+        self.entry.leaving = True
+        status, headers, _ = self._ask('/read/x')
+        self.assertEqual((200, 'close'), (status, headers['connection']))
+        self.entry.refusing = True
+        self.assertEqual(503, self._ask('/read/x')[0])
--- /dev/null
+++ b/tests/test_platform_documents.py
@@ -0,0 +1,260 @@
+"""Tests of the adapter: what is read from the platform's documents."""
+
+import json
+import tomllib
+
+import testtools
+
+from bramleysill_kernel.exceptions import SettingsError
+from bramleysill_kernel.key_ranges import KeyRange
+from bramleysill_kernel.routing_config import Repeatability
+from bramleysill_platform import documents
+from bramleysill_platform import fields
+from bramleysill_platform import settings
+from bramleysill_platform import upstream_calls
+from tests.range_fakes import make_entry
+
+NOW = 100.0
+
+CONFIG = {
+    'version': 'r7',
+    'routes': {
+        'lookup': {
+            'host': 'A.example',
+            'prefix': '/ledger/',
+            'kind': 'idempotent',
+            'timeout': '1200ms',
+            'slo_latency': '400ms',
+            'priority': 2,
+            'traffic_split': [
+                {'service': 'ledger', 'weight': 90},
+                {'service': 'intake', 'weight': 10},
+            ],
+            'max_attempts': 2,
+        },
+        'record': {
+            'host': 'a.example',
+            'prefix': '/ledger/record/',
+            'kind': 'non_idempotent',
+            'timeout': '1.5s',
+            'service': 'ledger',
+        },
+    },
+    'services': {
+        'ledger': {
+            'health_check_path': '/health',
+            'max_connections': 130,
+            'warmup': '3s',
+            'warmup_per_s': 10.0,
+            'sharded': True,
+            'warm': '5s',
+        },
+        'intake': {'health_check_path': '/health', 'max_connections': 130},
+    },
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 67108864,
+        'header_timeout': '3000ms',
+        'idle_timeout': '15000ms',
+    },
+}
+
+ENTRY = {
+    'service': 'ledger',
+    'address': '10.0.0.9:8080',
+    'zone': 'tw-a',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'warmup_left': '1500ms',
+    'sequence': 4,
+    'born': 1764800000000,
+}
+
+SETTINGS = """
+[self]
+node = "front-1"
+ip = "10.1.0.35"
+zone = "tw-a"
+[self.limits]
+cpu_share = 0.5
+cores = 2
+link_mbps = 100.0
+[network]
+internal_port_range = [7660, 7675]
+[network.listen]
+front = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+[network.zones]
+tw-a = "tw"
+[provider]
+heartbeat = "870ms"
+[provider.provider]
+address = "10.200.1.7:8142"
+ttl_min = "1000ms"
+[terms.bounds]
+reuse_after = "2s"
+drain = "2000ms"
+grace = "6s"
+config_apply = "2000ms"
+retry_budget_ratio = 0.2
+budget_window = "10s"
+retry_budget_extra = 64
+cold_over = 1.5
+cold_slack = 5
+evacuation = "5000ms"
+hold_max = "10000ms"
+"""
+
+
+def _encode(document):
+    return json.dumps(document).encode()
+
+
+def _config(**changes):
+    return documents.decode_config(_encode({**CONFIG, **changes}))
+
+
+def _entry(**changes):
+    document = {**ENTRY, **changes}
+    document = {k: v for k, v in document.items() if v is not None}
+    return documents.decode_upstream('i-1', _encode(document), NOW)
+
+
+class ConfigTest(testtools.TestCase):
+    def test_the_longest_prefix_is_matched(self):
+        """Guards against a record that is handled as a lookup."""
+        config = _config()
+        self.assertEqual(
+            'record', config.match('a.example', '/ledger/record/1').name
+        )
+        self.assertEqual(
+            'lookup', config.match('A.example:80', '/ledger/1?x=/').name
+        )
+        self.assertIsNone(config.match('a.example', '/ledger'))
+        self.assertIsNone(config.match('b.example', '/ledger/1'))
+
+    def test_fields_have_units(self):
+        """Guards against milliseconds that are read as seconds."""
+        config = _config()
+        route = config.match('a.example', '/ledger/1')
+        self.assertEqual((1.2, 0.4), (route.max_wait, route.objective))
+        self.assertIs(Repeatability.IDEMPOTENT, route.kind)
+        self.assertEqual([90.0, 10.0], [s.weight for s in route.services])
+        ledger = config.services['ledger']
+        self.assertTrue(ledger.keyed)
+        self.assertEqual((3.0, 5.0), (ledger.cold_time, ledger.warm_time))
+        self.assertEqual(15.0, config.limits.idle_time)
+
+    def test_an_unreadable_configuration_is_refused_as_a_whole(self):
+        """Guards against half of a configuration in force."""
+        for changes in (
+            {'version': 7},
+            {'version': 'x7'},
+            {'routes': []},
+            {'limits': None},
+            {'routes': {'r': {**CONFIG['routes']['record'], 'kind': 'x'}}},
+            {'routes': {'r': {**CONFIG['routes']['record'], 'service': 'x'}}},
+            {
+                'routes': {
+                    'r': {**CONFIG['routes']['record'], 'timeout': '-1s'}
+                }
+            },
+            {'routes': {'r': {**CONFIG['routes']['record'], 'timeout': 1500}}},
+        ):
+            self.assertRaises(fields.FieldError, _config, **changes)
+        for data in (b'', b'[1]', b'\xff', b'{"version":'):
+            self.assertRaises(fields.FieldError, documents.decode_config, data)
+
+
+class UpstreamEntryTest(testtools.TestCase):
+    def test_the_slow_start_is_kept_as_a_deadline(self):
+        """Guards against a slow start that ends when it is read again."""
+        entry = _entry()
+        self.assertEqual(NOW + 1.5, entry.cold_until)
+        self.assertEqual(('10.0.0.9', 8080), entry.address)
+        self.assertEqual(1764800000000, entry.life)
+
+    def test_entries_of_other_writers_name_no_upstream(self):
+        """Guards against work for what isn't an upstream."""
+        for changes in (
+            {'service': None},
+            {'address': '10.0.0.9'},
+            {'address': 8080},
+            {'address': '10.0.0.9:99999'},
+            {'slots': True},
+            {'slots': 0},
+            {'slots': '4'},
+            {'state': 'sleeping'},
+            {'sequence': None},
+            {'born': '1764800000000'},
+            {'born': 1.5},
+            {'warmup_left': 1500},
+            {'zone': ''},
+        ):
+            self.assertRaises(fields.FieldError, _entry, **changes)
+
+
+class UpstreamCallsTest(testtools.TestCase):
+    def test_a_load_header_is_read(self):
+        """Guards against a pace that is taken for a percentage."""
+        report = upstream_calls.parse_load('3,1,8,250')
+        self.assertEqual(
+            (3, 1, 8, 2.5),
+            (report.running, report.waiting, report.slots, report.pace),
+        )
+        self.assertEqual(1.0, upstream_calls.parse_load('3,0,8').pace)
+
+    def test_an_unreadable_load_header_tells_nothing(self):
+        """Guards against an idle upstream that only seems so."""
+        for value in ('', '1,2', 'a,b,c', '-1,0,4', '1,0,0', '1,0,4,0'):
+            self.assertIsNone(upstream_calls.parse_load(value))
+
+    def test_keys_are_read(self):
+        """Guards against a key beyond the key space."""
+        self.assertEqual(65535, upstream_calls.parse_key('65535'))
+        for value in ('', '65536', '-1', '1e3', '0000001', '²'):
+            self.assertIsNone(upstream_calls.parse_key(value), value)
+
+    def test_a_grant_names_its_upstream(self):
+        """Guards against a grant that another process takes."""
+        data = upstream_calls.encode_grant(
+            make_entry('u1'), KeyRange(5, 9, 12, 'u1', 1), 3.0, 'h'
+        ).decode()
+        self.assertIn('X-Bramleysill-Expect-Instance: u1\r\n', data)
+        body = json.loads(data.partition('\r\n\r\n')[2])
+        self.assertEqual(
+            {
+                'from': 5,
+                'to': 9,
+                'fence': 12,
+                'hold_time': '3000ms',
+                'handover': 'h',
+            },
+            body,
+        )
+
+
+class SettingsTest(testtools.TestCase):
+    def test_settings_are_read(self):
+        """Guards against a process that listens at another address."""
+        cfg = settings.decode_settings(tomllib.loads(SETTINGS))
+        self.assertEqual(('10.1.0.35', 8144), cfg.listen.callers)
+        self.assertEqual(('10.1.0.35', 7660), cfg.listen.peer)
+        self.assertEqual(1.0, cfg.cores)
+        self.assertEqual(6.0, cfg.bounds.shutdown_grace)
+        self.assertEqual([], cfg.differences(cfg))
+
+    def test_a_missing_bound_is_an_error(self):
+        """Guards against a bound that is silently zero."""
+        text = SETTINGS.replace('grace = "6s"\n', '')
+        exc = self.assertRaises(
+            fields.FieldError, settings.decode_settings, tomllib.loads(text)
+        )
+        self.assertIn('grace', str(exc))
+
+    def test_an_unreadable_file_is_an_error(self):
+        """Guards against a start with no settings."""
+        self.assertRaises(
+            SettingsError, settings.read_settings, '/nonexistent'
+        )
