--- a/Makefile
+++ b/Makefile
@@ -4,16 +4,16 @@
 BIN := $(VENV)/bin
 PACKAGES := kernel wire net router gateway ctl standins
 STAMP := $(VENV)/.installed
-SOURCES := packages tests bench model demo
+SOURCES := packages platform tests bench model demo
 
 .PHONY: setup demo test lint format check-model bench capacity mutate golden-update
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt 'setuptools>=68' -r requirements-dev.txt
-	$(BIN)/pip install -q -c constraints.txt $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(BIN)/pip install -q -c constraints.txt $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 	touch $@
 
 demo: setup
