Split long modules and keep one copy of header fields and start-up

Cause: exchange.py (526 lines) also built every refusal, range_coordinator (476) also kept moves; hop-by-hop fields and the start of a process stood twice; some names needed explaining.

Change: request_refusals, range_moves, http_headers (in net, for both routers) and starting; note_connection_limit in place of note_crowded; table_written tells the time of the write. Behaviour is unchanged, but for a key with digits beyond ASCII, which is refused.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -6,10 +6,10 @@
 by another attempt; larger answers are passed on as they arrive.
 """
 
-from bramleysill_gateway.headers import end_to_end
-from bramleysill_gateway.headers import keep_alive_seconds
-from bramleysill_gateway.headers import value_of
 from bramleysill_kernel.retry_rules import Fate
+from bramleysill_net.http_headers import end_to_end
+from bramleysill_net.http_headers import keep_alive_seconds
+from bramleysill_net.http_headers import value_of
 
 # Answers up to this size are collected before they are passed on.
 COLLECTED_BYTES = 128 << 10
@@ -193,7 +193,7 @@
         elif isinstance(exc, TimeoutError):
             self.peer.load.note_unreachable(self._loop.now())
         elif not self._reused and not self.status:
-            self.peer.load.note_crowded(self._loop.now())
+            self.peer.load.note_connection_limit(self._loop.now())
         self._end()
         if self._streaming:
             self._exchange.on_stream_broken(self)
--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -4,7 +4,6 @@
 
 from bramleysill_gateway.cell_state import KEYS
 from bramleysill_gateway.cell_state import LEADER
-from bramleysill_gateway.headers import value_of
 from bramleysill_kernel.exceptions import SillError
 from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
 from bramleysill_kernel.key_ranges import RangeTable
@@ -13,6 +12,7 @@
 from bramleysill_kernel.store_types import Put
 from bramleysill_kernel.store_types import StoreOutcome
 from bramleysill_net.http_calls import HttpCaller
+from bramleysill_net.http_headers import value_of
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
@@ -92,6 +92,7 @@
         """
         key = f'{self._adapter.own_prefix}{KEYS}{service}'
         value = table.encode()
+        started = self._loop.now()
         conditions = [
             Condition(
                 f'{self._adapter.own_prefix}{LEADER}',
@@ -108,6 +109,7 @@
                     ranges=len(table.ranges),
                     fence=table.next_fence,
                     revision=reply.revision,
+                    seconds=self._loop.now() - started,
                 )
                 self._state.adopt_table(service, table, reply.revision)
                 done(CallResult.OK, table, reply.revision)
--- a/packages/gateway/src/bramleysill_gateway/entry.py
+++ b/packages/gateway/src/bramleysill_gateway/entry.py
@@ -183,12 +183,12 @@
         left = exchange.time_left(now)
         return send_policy.judge(peer.load, now, left, exchange.route)
 
-    def choose(self, service, now, shunned):
+    def choose(self, service, now, excluded):
         """Return the best upstream of a shared service, or None."""
         usable = self.state.directory.usable(service.name)
         peers = [self.upstreams.peer(e) for e in usable]
         peers = [p for p in peers if not p.replaced]
-        fresh = [p for p in peers if p.entry.upstream not in shunned]
+        fresh = [p for p in peers if p.entry.upstream not in excluded]
         peers = fresh or peers
         warm = [p for p in peers if p.cold_until <= now]
         found = None
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -5,15 +5,15 @@
 one answer, refusal or closed connection, with one log line.
 """
 
+from bramleysill_gateway import request_refusals
 from bramleysill_gateway.attempt import PROMISES_NOT_RUN
 from bramleysill_gateway.attempt import Attempt
-from bramleysill_gateway.headers import end_to_end
 from bramleysill_kernel import refusals
 from bramleysill_kernel.problems import to_problem
 from bramleysill_kernel.retry_rules import Fate
 from bramleysill_kernel.retry_rules import may_repeat
-from bramleysill_kernel.send_policy import Judgement
 from bramleysill_kernel.send_policy import Verdict
+from bramleysill_net.http_headers import end_to_end
 from bramleysill_router.logs import log_event
 
 # A body up to this size is collected, so that the request can be sent again;
@@ -61,7 +61,7 @@
         '_connect_timer',
         '_pause_timer',
         '_last',
-        '_shunned',
+        '_failed_upstreams',
         '_owned',
         '_peer',
         '_expected',
@@ -96,7 +96,7 @@
         # The failed attempt before, which decides the final answer.
         self._last = None
         # Upstreams that have failed this request.
-        self._shunned = set()
+        self._failed_upstreams = set()
         # What decided the last send: range, upstream, expected seconds.
         self._owned = None
         self._peer = None
@@ -179,19 +179,19 @@
             gateway.note_key(self)
         table = gateway.state.tables.get(self.service.name)
         if table is None:
-            self._refuse_lost('no table of owners', now)
+            self._refuse_lost('no table of owners')
             return
         owned = table.find(self.key)
         entry = gateway.state.directory.owner_entry(owned.owner, owned.life)
         if entry is None:
-            self._refuse_lost('the owner is gone', now, owned)
+            self._refuse_lost('the owner is gone', owned)
             return
         if gateway.is_stale(self.service.name, owned):
             self._hold(now, owned)
             return
         peer = gateway.upstreams.peer(entry)
         if peer.replaced:
-            self._refuse_lost('another process has the address', now, owned)
+            self._refuse_lost('another process has the address', owned)
             return
         if not self._may_enter_cold(peer, now):
             self._refuse_cold(peer)
@@ -206,15 +206,13 @@
 
     def _dispatch_shared(self, now):
         gateway = self.gateway
-        peer = gateway.choose(self.service, now, self._shunned)
+        peer = gateway.choose(self.service, now, self._failed_upstreams)
         if peer is None:
-            refusal = refusals.OwnerLost(
-                'no upstream of the service can be used',
-                'choose',
-                self.service.name,
-                retry_after=self._retry_after(0.3),
+            self._give_up(
+                request_refusals.no_upstream(
+                    self.service.name, self._retry_after
+                )
             )
-            self._give_up(refusal)
             return
         judgement = gateway.judge(peer, now, self)
         if judgement.verdict is not Verdict.SEND:
@@ -299,7 +297,7 @@
             self.gateway.note_stale(self.service.name, self._owned)
         elif attempt.answered and attempt.fate is Fate.NOT_RUN:
             attempt.peer.load.note_full(now)
-        self._shunned.add(attempt.peer.entry.upstream)
+        self._failed_upstreams.add(attempt.peer.entry.upstream)
         left = self._deadline - now
         if self._passing_on or not may_repeat(
             self.route, attempt.fate, self._attempts, left
@@ -371,35 +369,15 @@
         self._give_up(self._refusal_of_last('deadline', timed_out=True))
 
     def _refusal_of_last(self, step, timed_out=False):
-        last = self._last
-        if last is None or last.fate is Fate.NOT_RUN:
-            peer = last.peer.entry.upstream if last else self.service.name
-            reason = last.reason if last else 'no upstream was found in time'
-            return refusals.UpstreamShed(
-                f'not run: {reason}',
-                step,
-                peer,
-                retry_after=self._retry_after(0.15),
-            )
-        kind = refusals.ConnectionLost
-        if timed_out:
-            kind = refusals.DeadlineUnknown
-        return kind(
-            f'the outcome is unknown: {last.reason}',
-            step,
-            last.peer.entry.upstream,
+        return request_refusals.after_attempts(
+            self._last, self.service.name, step, timed_out, self._retry_after
         )
 
     def _hold(self, now, owned):
         """Wait for the keys to arrive at their new owner."""
         if now >= min(self._held_until, self._deadline):
             self._give_up(
-                refusals.OwnerMoving(
-                    f'keys {owned.first}-{owned.last} are on the move',
-                    'hold',
-                    owned.owner,
-                    retry_after=self._retry_after(0.15),
-                )
+                request_refusals.keys_moving(owned, self._retry_after)
             )
             return
         self._waiting = True
@@ -412,36 +390,21 @@
         if self._waiting:
             self.dispatch()
 
-    def _refuse_lost(self, message, now, owned=None):
+    def _refuse_lost(self, message, owned=None):
         peer = owned.owner if owned else self.service.name
         self._give_up(
-            refusals.OwnerLost(
-                message, 'find_owner', peer, retry_after=self._retry_after(0.5)
-            )
+            request_refusals.owner_gone(message, peer, self._retry_after)
         )
 
     def _refuse_cold(self, peer):
         self._give_up(
-            refusals.Overloaded(
-                'the upstream is in slow start',
-                'slow_start',
-                peer.entry.upstream,
-                retry_after=self._retry_after(0.4),
-            )
+            request_refusals.slow_start(peer.entry.upstream, self._retry_after)
         )
 
-    def _refuse_judged(self, peer, judgement: Judgement):
-        kind = refusals.Overloaded
-        message = f'the wait would be {judgement.expected:.2f} s'
-        if judgement.verdict is Verdict.REFUSE_DOWN:
-            kind = refusals.UpstreamUnreachable
-            message = 'the upstream was unreachable a moment ago'
+    def _refuse_judged(self, peer, judgement):
         self._give_up(
-            kind(
-                message,
-                'admit',
-                peer.entry.upstream,
-                retry_after=self._retry_after(judgement.retry_after),
+            request_refusals.not_admitted(
+                peer.entry.upstream, judgement, self._retry_after
             )
         )
 
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -13,9 +13,9 @@
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
-# A store that is silent may swallow a watch and never answer it. With the
-# time that the call may take beyond it, this is less than the time after an
-# outage from which changes must be followed again.
+# A store that is silent may accept a watch and never answer it. Including
+# the time that the call may take beyond it, this is less than the time after
+# an outage from which changes must be followed again.
 WATCH_SECONDS = 1.5
 # Changes that follow each other closely are fetched together after a pause;
 # a small part of the time within which a configuration must be in force.
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -20,6 +20,10 @@
 from bramleysill_kernel.hold_ledger import HoldLedger
 from bramleysill_kernel.key_ranges import Assignment
 from bramleysill_kernel.key_ranges import RangeTable
+from bramleysill_kernel.range_moves import Move
+from bramleysill_kernel.range_moves import Renewal
+from bramleysill_kernel.range_moves import cut_out
+from bramleysill_kernel.range_moves import is_carried_out
 from bramleysill_kernel.range_planner import Capacity
 from bramleysill_kernel.range_planner import plan_balance
 from bramleysill_kernel.range_planner import plan_newcomers
@@ -64,44 +68,6 @@
     REPLACED = 'replaced'
 
 
-class _Move:
-    """Keys that leave their owner and have no new one yet."""
-
-    __slots__ = (
-        'first',
-        'last',
-        'old',
-        'target',
-        'released',
-        'handover',
-        'calling',
-        'repeat_at',
-        'ready_at',
-    )
-
-    def __init__(self, part, target=None):
-        self.first = part.first
-        self.last = part.last
-        self.old = part
-        self.target = target
-        self.released = False
-        self.handover = ''
-        self.calling = False
-        self.repeat_at = 0.0
-        self.ready_at = None
-
-
-class _Renewal:
-    """When a piece of a range is granted next."""
-
-    __slots__ = ('due_at', 'calling', 'failures')
-
-    def __init__(self):
-        self.due_at = 0.0
-        self.calling = 0
-        self.failures = 0
-
-
 class RangeCoordinator:
     """Owners of the keys of one service, while this router leads."""
 
@@ -176,7 +142,7 @@
             if self._may_keep(item):
                 continue
             for part in self._free_parts(item):
-                self._moves.append(_Move(part))
+                self._moves.append(Move(part))
 
     def _may_keep(self, item):
         if not item.owner:
@@ -200,7 +166,7 @@
             parts = [
                 piece
                 for first, last in parts
-                for piece in _without(first, last, move.first, move.last)
+                for piece in cut_out(first, last, move.first, move.last)
             ]
         return [item.part(first, last) for first, last in parts]
 
@@ -220,7 +186,7 @@
                 seen.add(key)
                 renewal = self._renewals.get(key)
                 if renewal is None:
-                    renewal = self._renewals[key] = _Renewal()
+                    renewal = self._renewals[key] = Renewal()
                 if now >= renewal.due_at:
                     self._grant(part, entry, renewal)
         for key in set(self._renewals) - seen:
@@ -407,7 +373,7 @@
         for item in plan:
             old = self.table.find(item.first)
             part = old.part(item.first, item.last)
-            self._moves.append(_Move(part, item))
+            self._moves.append(Move(part, item))
 
     def _movable(self, item):
         now = self._clock.now()
@@ -439,7 +405,7 @@
         if table is None or revision <= self.revision:
             return
         if result is CallResult.CONFLICT:
-            moves = [m for m in self._moves if _is_carried_out(m, table)]
+            moves = [m for m in self._moves if is_carried_out(m, table)]
         self._fresh_fences_written = True
         self.table = table
         self.revision = revision
@@ -457,20 +423,3 @@
     def _keep_handover(self, move):
         for item in self.table.overlapping(move.first, move.last):
             self._handovers[item.fence] = move.handover
-
-
-def _is_carried_out(move, table):
-    parts = table.overlapping(move.first, move.last)
-    return all(part.fence != move.old.fence for part in parts)
-
-
-def _without(first, last, cut_first, cut_last):
-    """Return what is left of `first` to `last` after a cut, as pairs."""
-    if cut_last < first or cut_first > last:
-        return [(first, last)]
-    left = []
-    if first < cut_first:
-        left.append((first, cut_first - 1))
-    if last > cut_last:
-        left.append((cut_last + 1, last))
-    return left
--- a/packages/kernel/src/bramleysill_kernel/upstream_load.py
+++ b/packages/kernel/src/bramleysill_kernel/upstream_load.py
@@ -19,7 +19,7 @@
 FIRST_SERVICE_SECONDS = 0.1
 LEAST_SERVICE_SECONDS = 0.002
 # Requests for each slot at an upstream that takes no more connections.
-CROWDED_PER_SLOT = 4
+BACKLOG_PER_SLOT_AT_LIMIT = 4
 # How long an upstream that turned a request away is taken as full.
 FULL_SECONDS = 0.05
 # After a failed connection the next attempt waits this long, doubling up to
@@ -128,11 +128,11 @@
         """The upstream has turned a request away for want of room."""
         self.full_until = now + FULL_SECONDS
 
-    def note_crowded(self, now):
+    def note_connection_limit(self, now):
         """The upstream has reset a new connection: its queue is long."""
         self.note_full(now)
         self._note_others(
-            now, max(self.backlog(now), CROWDED_PER_SLOT * self.slots)
+            now, max(self.backlog(now), BACKLOG_PER_SLOT_AT_LIMIT * self.slots)
         )
 
     def note_unreachable(self, now):
--- a/packages/gateway/src/bramleysill_gateway/headers.py
+++ b/packages/net/src/bramleysill_net/http_headers.py
@@ -1,4 +1,4 @@
-"""Header fields that are added, removed or passed on."""
+"""Header fields of HTTP messages, as (lower-case name, value) pairs."""
 
 # Fields of one hop, which are never forwarded (RFC 9110, section 7.6.1).
 HOP_BY_HOP = frozenset(
--- a/packages/router/src/bramleysill_router/headers.py
+++ b/packages/router/src/bramleysill_router/headers.py
@@ -1,25 +1,13 @@
 """Header fields that are added, removed or passed on by a router."""
 
+from bramleysill_net.http_headers import end_to_end
+
 REQUEST_ID = 'sill-request-id'
 TIMEOUT_MS = 'sill-timeout-ms'
 IDEMPOTENCY_KEY = 'idempotency-key'
 REPEATABLE = 'sill-repeatable'
 NOT_RUN = 'sill-not-run'
 
-# Fields of one hop, which are never forwarded (RFC 9110, section 7.6.1).
-_HOP_BY_HOP = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
 _REPLACED = frozenset(
     (
         'content-length',
@@ -32,8 +20,7 @@
         'sill-fence',
     )
 )
-_DROP_REQUEST = _HOP_BY_HOP | _REPLACED
-_DROP_RESPONSE = _HOP_BY_HOP | {
+_DROP_RESPONSE = {
     'content-length',
     'sill-clock-ms',
     'sill-load',
@@ -44,26 +31,14 @@
 }
 
 
-def _named_by_connection(headers):
-    for name, value in headers:
-        if name == 'connection':
-            return {part.strip().lower() for part in value.split(',')}
-    return ()
-
-
 def forwarded_request(headers):
     """Return the caller's fields that go on to the upstream."""
-    extra = _named_by_connection(headers)
-    return [
-        pair
-        for pair in headers
-        if pair[0] not in _DROP_REQUEST and pair[0] not in extra
-    ]
+    return end_to_end(headers, _REPLACED)
 
 
 def forwarded_response(headers):
     """Return the upstream's fields that go on to the caller."""
-    return [pair for pair in headers if pair[0] not in _DROP_RESPONSE]
+    return end_to_end(headers, _DROP_RESPONSE)
 
 
 def upstream_request(head, host, timeout_ms):
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -213,7 +213,7 @@
     def test_keys_are_read(self):
         """Guards against a key beyond the key space."""
         self.assertEqual(65535, upstream_calls.parse_key('65535'))
-        for value in ('', '65536', '-1', '1e3', '0000001', '²'):
+        for value in ('', '65536', '-1', '1e3', '0000001', '²', '٣'):
             self.assertIsNone(upstream_calls.parse_key(value), value)
 
     def test_a_grant_names_its_upstream(self):
--- a/tests/test_prefix_watch.py
+++ b/tests/test_prefix_watch.py
@@ -142,7 +142,7 @@
         self.assertEqual((6, 0.0), (revision, wait))
 
     def test_no_watch_waits_longer_than_changes_may(self):
-        """Replays a silent store that swallows a watch (CONFIG).
+        """Replays a silent store that never answers a watch (CONFIG).
 
         Guards against a router that waits for it long after the outage.
         """
