Count routers through an outage, and wait for them before slow starts

In an outage all registrations of routers lapse, so each router took the whole bound for itself until the others had registered again.

Ruled out: the ranking (the shares of a full list stay within the bound) and requests to keyed upstreams.

Change: a router whose registration is gone is counted for 30 s; after its start, or an outage, a router sends nothing to cold upstreams for 3 s.

--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -8,6 +8,7 @@
 from bramleysill_gateway.prefix_watch import PrefixWatch
 from bramleysill_kernel.exceptions import SillError
 from bramleysill_kernel.key_ranges import RangeTable
+from bramleysill_kernel.shared_limits import RouterCount
 from bramleysill_kernel.upstream_directory import UpstreamDirectory
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
@@ -26,8 +27,7 @@
         # Tables by service, and the leader key, as StoredItem or None.
         self.tables = {}
         self.leader = None
-        # Names of the routers that have registered, with their addresses.
-        self.members = {}
+        self.routers = RouterCount(loop)
         self.on_changed = lambda: None
         self.adapter = adapter
         self._loop = loop
@@ -86,6 +86,7 @@
 
     def _on_regained(self):
         self.directory.note_store_regained()
+        self.routers.note_store_regained()
 
     def _on_operator(self, item):
         if item.key == self._adapter.config_key:
@@ -180,9 +181,9 @@
 
     def _on_node(self, name, item):
         if item.value is None:
-            self.members.pop(name, None)
-            return
-        self.members[name] = item.value.decode('utf-8', 'replace')
+            self.routers.remove(name)
+        else:
+            self.routers.add(name)
 
     def _on_table(self, service, item):
         if item.revision <= self._revisions.get(service, 0):
--- a/packages/gateway/src/bramleysill_gateway/entry.py
+++ b/packages/gateway/src/bramleysill_gateway/entry.py
@@ -210,10 +210,15 @@
 
     def take_cold(self, peer, service):
         """Return whether an upstream in slow start may get a request."""
+        if not self.state.routers.is_settled():
+            return False
         bounds = self._cfg.bounds
         bound = service.cold_rate * bounds.cold_factor + bounds.cold_extra
         return self._cold.take(
-            peer.entry.upstream, bound, self._cfg.name, self.state.members
+            peer.entry.upstream,
+            bound,
+            self._cfg.name,
+            self.state.routers.names(),
         )
 
     def note_request(self, exchange):
@@ -226,7 +231,7 @@
 
     def take_retry(self, service):
         """Return whether a request may be sent once more."""
-        routers = max(1, len(self.state.members))
+        routers = max(1, len(self.state.routers.names()))
         return self._allowance(service.name).take(routers)
 
     def _allowance(self, service):
--- a/packages/kernel/src/bramleysill_kernel/shared_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/shared_limits.py
@@ -15,6 +15,52 @@
 COLD_WINDOW_SECONDS = 1.0
 
 
+# A router whose registration has lapsed is counted for this time; in an outage
+# of the store all registrations may lapse at once while the routers go on.
+REMEMBER_SECONDS = 30.0
+# After its start, or an outage of the store, a router waits for the others to
+# register again before it takes a part of a small limit.
+SETTLE_SECONDS = 3.0
+
+
+class RouterCount:
+    """The routers that share the limits, as far as this one knows."""
+
+    __slots__ = ('_clock', '_seen', '_settled_at')
+
+    def __init__(self, clock):
+        self._clock = clock
+        # The end of the time for which each router is counted; None while
+        # it is registered.
+        self._seen = {}
+        self._settled_at = float('inf')
+
+    def note_store_regained(self):
+        """The store answers (again); registrations may be missing."""
+        self._settled_at = self._clock.now() + SETTLE_SECONDS
+
+    def add(self, router):
+        """A router has registered."""
+        self._seen[router] = None
+
+    def remove(self, router):
+        """The registration of a router is gone."""
+        if router in self._seen:
+            self._seen[router] = self._clock.now() + REMEMBER_SECONDS
+
+    def is_settled(self):
+        """Tell whether the others have had time to register."""
+        return self._clock.now() >= self._settled_at
+
+    def names(self):
+        """Return the routers that are counted."""
+        now = self._clock.now()
+        for router, end in list(self._seen.items()):
+            if end is not None and now >= end:
+                del self._seen[router]
+        return list(self._seen)
+
+
 class RetryAllowance:
     """The retries of one service that this router may send.
 
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -20,6 +20,7 @@
 from bramleysill_kernel.routing_config import RoutingConfig
 from bramleysill_kernel.routing_config import Service
 from bramleysill_kernel.routing_config import WeightedService
+from bramleysill_kernel.shared_limits import RouterCount
 from bramleysill_kernel.upstream_directory import UpstreamDirectory
 from bramleysill_kernel.upstream_directory import UpstreamEntry
 from bramleysill_net.conn import Listener
@@ -108,7 +109,8 @@
         self.config = config
         self.directory = UpstreamDirectory(loop)
         self.tables = {}
-        self.members = {'router': ''}
+        self.routers = RouterCount(loop)
+        self.routers.add('router')
 
 
 class ExchangeTest(testtools.TestCase):
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -3,8 +3,11 @@
 import testtools
 
 from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.shared_limits import REMEMBER_SECONDS
+from bramleysill_kernel.shared_limits import SETTLE_SECONDS
 from bramleysill_kernel.shared_limits import ColdGate
 from bramleysill_kernel.shared_limits import RetryAllowance
+from bramleysill_kernel.shared_limits import RouterCount
 from bramleysill_kernel.shared_limits import cold_share
 
 ROUTERS = [f'router-{n}' for n in range(12)]
@@ -30,6 +33,44 @@
         self.assertNotEqual(first, second)
 
 
+class RouterCountTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.count = RouterCount(self.clock)
+
+    def test_routers_whose_registration_lapsed_are_counted(self):
+        """Replays an outage of the store in which all registrations lapse.
+
+        Guards against routers that each take the whole bound of a cold
+        upstream (FAILBACK on store-and-leader, seed 366093641197).
+        """
+        self.count.note_store_regained()
+        for router in ROUTERS:
+            self.count.add(router)
+        for router in ROUTERS:
+            self.count.remove(router)
+        self.assertEqual(set(ROUTERS), set(self.count.names()))
+        self.clock.advance(REMEMBER_SECONDS)
+        self.assertEqual([], self.count.names())
+
+    def test_a_router_that_starts_waits_for_the_others(self):
+        """Guards against a share that ignores routers not yet registered."""
+        self.assertFalse(self.count.is_settled())
+        self.count.note_store_regained()
+        self.assertFalse(self.count.is_settled())
+        self.clock.advance(SETTLE_SECONDS)
+        self.assertTrue(self.count.is_settled())
+
+    def test_a_router_that_returns_stays(self):
+        """Guards against forgetting a router that registered again."""
+        self.count.add('a')
+        self.count.remove('a')
+        self.count.add('a')
+        self.clock.advance(2 * REMEMBER_SECONDS)
+        self.assertEqual(['a'], self.count.names())
+
+
 class ColdGateTest(testtools.TestCase):
     def test_a_second_has_at_most_the_share(self):
         """Guards against a burst at the turn of a second."""
