--- a/packages/gateway/src/bramleysill_gateway/upstream_pool.py
+++ b/packages/gateway/src/bramleysill_gateway/upstream_pool.py
@@ -64,10 +64,5 @@
             conn.close()
         self._idle.clear()
 
-    @property
-    def idle_count(self):
-        """Return the number of idle connections."""
-        return len(self._idle)
-
     def _on_idle(self, conn):
         self._idle.append((conn, self._loop.now() + self._idle_seconds))
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -111,11 +111,6 @@
             # Upstreams that start together register one after the other.
             self._place_at = now + SETTLE_SECONDS
 
-    @property
-    def moving(self):
-        """Return the number of ranges on their way to another owner."""
-        return len(self._moves)
-
     def tick(self):
         """Renew grants, go on with moves and start new ones."""
         if not self._fresh_fences_written:
--- a/packages/kernel/src/bramleysill_kernel/retry_rules.py
+++ b/packages/kernel/src/bramleysill_kernel/retry_rules.py
@@ -25,14 +25,3 @@
     if time_left < LEAST_TIME_FOR_ATTEMPT:
         return False
     return fate is Fate.NOT_RUN or route.repeatable
-
-
-def final_status(fate, repeatable, timed_out):
-    """Return the status of the answer when no further attempt is made.
-
-    503 promises that the request has not run, so it is used only when that
-    is certain.
-    """
-    if fate is Fate.NOT_RUN:
-        return 503
-    return 504 if timed_out else 502
--- a/packages/kernel/src/bramleysill_kernel/send_policy.py
+++ b/packages/kernel/src/bramleysill_kernel/send_policy.py
@@ -1,8 +1,8 @@
-"""Whether a request is sent, held or refused, and where it is sent.
+"""Whether a request is sent or refused, and where it is sent.
 
 These decisions do no I/O. The load patterns that they answer:
 
-- `judge_owner`: a busy key sends more than its owner's slots can take. A
+- `judge`: a busy key sends more than its owner's slots can take. A
   request that can't be finished in time is refused before it waits, and
   the less urgent kind is refused at a shorter queue, so that the urgent
   kind still finds room.
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,170 @@
+"""Tests of a gateway's shutdown and of the configuration in force."""
+
+import json
+import random
+
+import testtools
+
+from bramleysill_gateway.cell_state import CellState
+from bramleysill_gateway.process import GRACE_RESERVE_SECONDS
+from bramleysill_gateway.process import LINGER_SECONDS
+from bramleysill_gateway.process import GatewayProcess
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.store_types import StoredItem
+from bramleysill_platform.adapter import PlatformAdapter
+from bramleysill_router.metrics import Metrics
+from tests.test_platform_documents import CONFIG
+
+GRACE = 6.0
+
+
+class _Listener:
+    def __init__(self):
+        self.closed = False
+
+    def close(self):
+        self.closed = True
+
+
+class _Entry:
+    """The callers' side, with a number of requests in progress."""
+
+    def __init__(self):
+        self.active = {'request'}
+        self.leaving = False
+        self.refusing = False
+        self.connections = 1
+        self.unsent = 0
+
+    def close_idle(self):
+        pass
+
+    def unsent_answers(self):
+        return self.unsent
+
+
+class _Part:
+    """Records the calls of any method."""
+
+    def __init__(self):
+        self.calls = []
+
+    def __getattr__(self, name):
+        return lambda *args: self.calls.append(name)
+
+
+class _Loop(ManualClock):
+    __slots__ = ('stopped',)
+
+    def __init__(self):
+        super().__init__(100.0)
+        self.stopped = False
+
+    def stop(self):
+        self.stopped = True
+
+
+class _Settings:
+    name = 'router'
+
+    class bounds:
+        shutdown_grace = GRACE
+
+
+class ShutdownTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        process = GatewayProcess.__new__(GatewayProcess)
+        process.cfg = _Settings
+        process.loop = self.loop = _Loop()
+        process.entry = self.entry = _Entry()
+        process.leader = self.leader = _Part()
+        process.state = process._store = process._links = _Part()
+        process._registration = _Part()
+        process._listener = self.listener = _Listener()
+        process._stop_at = None
+        process._earliest_stop_at = None
+        self.process = process
+        process.shut_down()
+
+    def _check_at(self, seconds):
+        self.loop.advance(100.0 + seconds - self.loop.now())
+        self.process._check_shutdown()
+
+    def test_requests_are_taken_until_the_balancer_knows(self):
+        """Guards against callers that are turned away too early."""
+        self._check_at(LINGER_SECONDS - 0.1)
+        self.assertTrue(self.entry.leaving)
+        self.assertFalse(self.entry.refusing or self.listener.closed)
+        self.assertTrue(self.process.not_ready_reason())
+
+    def test_no_request_is_taken_late_in_the_grace_period(self):
+        """Guards against requests that are cut when the process ends.
+
+        On hhcr-gate trouble-3 they were taken 5.4 s after SIGTERM (LOST).
+        """
+        self._check_at(LINGER_SECONDS)
+        self.assertTrue(self.entry.refusing and self.listener.closed)
+        self.assertFalse(self.loop.stopped)
+
+    def test_running_requests_are_waited_for(self):
+        """Guards against cutting what an upstream still works on."""
+        self._check_at(LINGER_SECONDS + 1.0)
+        self.assertFalse(self.loop.stopped)
+        self.entry.active = set()
+        self.entry.unsent = 1
+        self._check_at(LINGER_SECONDS + 1.1)
+        self.assertFalse(self.loop.stopped)
+        self.entry.unsent = 0
+        self._check_at(LINGER_SECONDS + 1.2)
+        self.assertTrue(self.loop.stopped)
+
+    def test_the_process_ends_before_it_is_killed(self):
+        """Guards against a kill with answers in the send buffer."""
+        self._check_at(GRACE - GRACE_RESERVE_SECONDS)
+        self.assertTrue(self.loop.stopped)
+
+    def test_the_leader_role_is_given_back_at_once(self):
+        """Guards against waiting for the lease of a router that ends."""
+        self.assertIn('retire', self.leader.calls)
+
+
+class ConfigurationTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.metrics = Metrics()
+        self.state = CellState(
+            ManualClock(100.0),
+            random.Random(1),
+            None,
+            PlatformAdapter(),
+            self.metrics,
+        )
+
+    def _write(self, version, revision, data=None):
+        if data is None:
+            data = json.dumps({**CONFIG, 'version': version}).encode()
+        self.state.operator._apply(StoredItem('op/config', data, revision))
+
+    def test_a_configuration_never_reverts(self):
+        """Guards against an older version that a late answer brings."""
+        self._write('r7', 10)
+        self._write('r5', 11)
+        self.assertEqual(7, self.state.config.version)
+        self._write('r9', 9)
+        self.assertEqual(7, self.state.config.version)
+        self._write('r9', 12)
+        self.assertEqual(9, self.state.config.version)
+
+    def test_an_unreadable_configuration_leaves_the_last_one(self):
+        """Guards against a router without routes after a faulty write."""
+        self._write('r7', 10)
+        self._write('', 11, b'{"version":')
+        self.assertEqual(7, self.state.config.version)
+        self.assertEqual(1, self.metrics.events['document_rejected'])
+
+    def test_a_removed_configuration_stays_in_force(self):
+        """Guards against 404 for what the operators allow."""
+        self._write('r7', 10)
+        self.state.operator._apply(StoredItem('op/config', None, 11))
+        self.assertEqual(7, self.state.config.version)
