Take any 421 to a grant or release as another process's answer

Ruled out: lost calls (each release was answered in 2 ms); an owner that lives on (grants and releases name the upstream, which never answers them so).

Change: a 421 to a call that names its upstream is REPLACED, with or without an id. Tests in test_control_calls, which fail without it.

Conclusion: keys at reused addresses move at once.

--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -18,6 +18,9 @@
 
 # A release is answered when the work on its keys has ended.
 RELEASE_TIMEOUT_SECONDS = 1.5
+# Grants and releases name the upstream that they are for. Only another
+# process at its address answers so; the answer may lack that one's id.
+REPLACED_STATUS = 421
 
 
 class ControlCalls:
@@ -39,7 +42,7 @@
         data = self._adapter.encode_grant(entry, part, hold, handover)
 
         def answered(reply):
-            result = self._grant_result(reply, entry)
+            result = _grant_result(reply)
             if result is not CallResult.OK:
                 log_warning(
                     'grant_failed',
@@ -66,7 +69,7 @@
             result = CallResult.NO_ANSWER
             if reply.status == 200:
                 result = CallResult.OK
-            elif self._is_other(reply, entry):
+            elif reply.status == REPLACED_STATUS:
                 result = CallResult.REPLACED
             headers = list(reply.headers.items())
             handover = value_of(headers, self._adapter.handover)
@@ -186,20 +189,6 @@
 
         self._store.read(key, answered)
 
-    def _grant_result(self, reply, entry):
-        if reply.status == 200:
-            return CallResult.OK
-        if self._is_other(reply, entry):
-            return CallResult.REPLACED
-        if reply.status or not reply.sent:
-            return CallResult.REFUSED
-        return CallResult.NO_ANSWER
-
-    def _is_other(self, reply, entry):
-        """Tell whether another process answered at an upstream's address."""
-        name = reply.headers.get(self._adapter.upstream_id, '')
-        return reply.status == 421 and name not in ('', entry.upstream)
-
     def _caller(self, entry):
         key = entry.upstream, entry.life, entry.address
         caller = self._callers.get(key)
@@ -210,6 +199,16 @@
         return caller
 
 
+def _grant_result(reply):
+    if reply.status == 200:
+        return CallResult.OK
+    if reply.status == REPLACED_STATUS:
+        return CallResult.REPLACED
+    if reply.status or not reply.sent:
+        return CallResult.REFUSED
+    return CallResult.NO_ANSWER
+
+
 def incarnation():
     """Return a text that names this start of the process."""
     return f'{time.time_ns():x}'
--- /dev/null
+++ b/tests/test_control_calls.py
@@ -0,0 +1,119 @@
+"""Tests of grants and releases over loopback, as answers are understood."""
+
+import testtools
+
+from bramleysill_gateway.control_calls import ControlCalls
+from bramleysill_kernel.key_ranges import KeyRange
+from bramleysill_kernel.range_coordinator import CallResult
+from bramleysill_kernel.upstream_directory import UpstreamDirectory
+from bramleysill_kernel.upstream_directory import UpstreamEntry
+from bramleysill_net.conn import Listener
+from bramleysill_net.loop import Loop
+from bramleysill_platform.adapter import PlatformAdapter
+from tests.bounds import make_timings
+
+TIMEOUT_SECONDS = 10.0
+
+
+class _Answerer:
+    """Gives the same answer to every call on a connection."""
+
+    def __init__(self, conn, answer):
+        self.conn = conn
+        self.answer = answer
+
+    def on_connect(self):
+        pass
+
+    def on_data(self, data):
+        self.conn.write(self.answer)
+
+    def on_drain(self):
+        pass
+
+    def on_close(self, exc):
+        pass
+
+
+class _Leadership:
+    def is_valid(self):
+        return True
+
+
+class _State:
+    def __init__(self, loop):
+        self.directory = UpstreamDirectory(loop, make_timings())
+
+
+class ControlCallsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop()
+        self.calls = ControlCalls(
+            self.loop,
+            None,
+            PlatformAdapter(),
+            _Leadership(),
+            _State(self.loop),
+        )
+        self.addCleanup(self.calls.close)
+
+    def _entry(self, status, fields=''):
+        answer = f'HTTP/1.1 {status} -\r\n{fields}Content-Length: 0\r\n\r\n'
+        listener = Listener(
+            self.loop,
+            '127.0.0.1',
+            0,
+            lambda conn: _Answerer(conn, answer.encode()),
+        )
+        self.addCleanup(listener.close)
+        port = listener.address[1]
+        return UpstreamEntry(
+            'u1', 1, 'ledger', '127.0.0.1', port, 'a', 4, False, 0.0
+        )
+
+    def _part(self):
+        return KeyRange(0, 9, 3, 'u1', 1)
+
+    def _grant(self, status):
+        results = []
+        self.calls.grant(
+            self._entry(status), self._part(), 3.0, '', results.append
+        )
+        self.loop.run_until(lambda: results, TIMEOUT_SECONDS)
+        return results[0]
+
+    def _release(self, status, fields=''):
+        results = []
+        self.calls.release(
+            self._entry(status, fields),
+            self._part(),
+            lambda result, handover: results.append((result, handover)),
+        )
+        self.loop.run_until(lambda: results, TIMEOUT_SECONDS)
+        return results[0]
+
+    def test_a_release_at_a_reused_address_ends_the_wait(self):
+        """Replays a new process at the address of an owner that has ended.
+
+        Its answer does not tell its id. Guards against keys without an
+        owner until the old hold has run out.
+        """
+        self.assertEqual((CallResult.REPLACED, ''), self._release(421))
+
+    def test_a_grant_at_a_reused_address_ends_the_wait(self):
+        """Guards against an owner that is taken for silent."""
+        self.assertIs(CallResult.REPLACED, self._grant(421))
+
+    def test_a_handover_is_passed_on(self):
+        """Guards against keys that arrive cold."""
+        fields = 'X-Bramleysill-Handover: h7\r\n'
+        self.assertEqual((CallResult.OK, 'h7'), self._release(200, fields))
+
+    def test_a_refused_grant_is_not_held(self):
+        """Guards against waiting for a hold that was never given."""
+        self.assertIs(CallResult.REFUSED, self._grant(409))
+
+    def test_an_unclear_release_may_have_been_carried_out(self):
+        """Guards against a release that is taken for done."""
+        self.assertIs(CallResult.NO_ANSWER, self._release(500)[0])
