Let one prefix try a store that is down, the others rest

Ruled out: a longer pause for all prefixes, which delays the return of service; calls of fed routers, which make none.

Change: a lost prefix rests for up to 1.5 s while another one tries; the first answer wakes all. Tests in test_gateway_process.StoreOutageTest, one of which fails without it.

--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -36,7 +36,7 @@
         self._revisions = {}
 
         def watch(prefix, on_change):
-            return PrefixWatch(
+            watch = PrefixWatch(
                 loop,
                 rng,
                 timings,
@@ -45,19 +45,22 @@
                 on_change,
                 self._on_regained,
             )
+            watch.may_rest = lambda: self._another_tries(watch)
+            return watch
 
         self.operator = watch(adapter.operator_prefix, self._on_operator)
         self.upstreams = watch(adapter.upstream_prefix, self._on_upstream)
         self.own = watch(adapter.own_prefix, self._on_own)
+        self._watches = (self.operator, self.upstreams, self.own)
 
     def start(self):
         """Begin to follow the store."""
-        for watch in (self.operator, self.upstreams, self.own):
+        for watch in self._watches:
             watch.start()
 
     def stop(self):
         """Send no further calls to the store."""
-        for watch in (self.operator, self.upstreams, self.own):
+        for watch in self._watches:
             watch.stop()
 
     def tick(self):
@@ -68,8 +71,7 @@
     @property
     def synced(self):
         """Tell whether every part was read at least once."""
-        parts = (self.operator, self.upstreams, self.own)
-        return all(p.synced for p in parts)
+        return all(watch.synced for watch in self._watches)
 
     def missing(self):
         """Return what is needed to serve and not known yet, or ''."""
@@ -93,6 +95,13 @@
     def _on_regained(self):
         self.directory.note_store_regained()
         self.routers.note_store_regained()
+        for watch in self._watches:
+            watch.wake()
+
+    def _another_tries(self, watch):
+        """Tell whether a prefix before this one finds out when to go on."""
+        lost = [w for w in self._watches if not w.reachable]
+        return lost[0] is not watch
 
     def _on_operator(self, item):
         if item.key == self._adapter.config_key:
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -17,6 +17,10 @@
 # below the time within which changes must be followed.
 FIRST_PAUSE_SECONDS = 0.15
 LONGEST_PAUSE_SECONDS = 0.4
+# Pause of a prefix while another one of this router tries the store, which
+# takes as many calls in an outage as one prefix needs. It is short enough to
+# follow the store in time if the other one is answered and this one is not.
+REST_SECONDS = 1.5
 
 
 class PrefixWatch:
@@ -50,6 +54,10 @@
         self._cut_watch = None
         self._watch_timer = None
         self._was_fed = False
+        self._retry_timer = None
+        self._retry = None
+        # Tells whether another prefix tries the store meanwhile.
+        self.may_rest = lambda: False
         # Called with (base, revision, items) after each answer of a watch.
         self.on_batch = None
 
@@ -211,7 +219,25 @@
             )
         longest = FIRST_PAUSE_SECONDS * 2 ** min(self._failures - 1, 4)
         longest = min(longest, LONGEST_PAUSE_SECONDS)
-        self._later(longest * self._rng.uniform(0.5, 1.0), again)
+        if not self.reachable and self.may_rest():
+            longest = REST_SECONDS
+        self._retry_after(longest * self._rng.uniform(0.5, 1.0), again)
+
+    def wake(self):
+        """Try the store now: another prefix has been answered."""
+        if self._retry_timer is not None:
+            self._retry_timer.cancel()
+            self._retry_timer = None
+            self._retry()
+
+    def _retry_after(self, pause, again):
+        def retry():
+            self._retry_timer = None
+            again()
+
+        self._retry = again
+        at = self._loop.now() + pause
+        self._retry_timer = self._loop.scheduler.call_at(at, retry)
 
     def _later(self, pause, action):
         if pause <= 0.0:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -14,6 +14,10 @@
 from bramleysill_platform.adapter import PlatformAdapter
 from bramleysill_router.metrics import Metrics
 from tests.bounds import make_timings
+from tests.store_fakes import FAILED
+from tests.store_fakes import ScriptedStore
+from tests.store_fakes import StepLoop
+from tests.store_fakes import make_events
 from tests.test_platform_documents import CONFIG
 
 GRACE = 6.0
@@ -170,3 +174,57 @@
         self._write('r7', 10)
         self.state.operator._apply(StoredItem('op/config', None, 11))
         self.assertEqual(7, self.state.config.version)
+
+
+class StoreOutageTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = StepLoop()
+        self.store = ScriptedStore()
+        self.state = CellState(
+            self.loop,
+            random.Random(1),
+            make_timings(),
+            self.store,
+            PlatformAdapter(),
+            Metrics(),
+        )
+        self.watches = (
+            self.state.operator,
+            self.state.upstreams,
+            self.state.own,
+        )
+        for watch in self.watches:
+            watch.start()
+            self.store.listing(make_events(5))
+
+    def _fail_for(self, seconds):
+        """Fail all calls for a time; return how many there were."""
+        end = self.loop.now() + seconds
+        calls = 0
+        while self.loop.now() < end:
+            while self.store.watches:
+                self.store.answer(FAILED)
+                calls += 1
+            self.loop.advance(0.05)
+        return calls
+
+    def test_one_prefix_tries_a_store_that_is_down(self):
+        """Replays an outage of eight seconds.
+
+        Guards against three calls of each router for every attempt; each
+        call is priced, also one that fails.
+        """
+        self._fail_for(1.0)
+        self.assertLess(self._fail_for(8.0), 50)
+
+    def test_all_prefixes_are_followed_once_one_is_answered(self):
+        """Guards against changes that are seen seconds after an outage."""
+        self._fail_for(4.0)
+        while not self.store.watches:
+            self.loop.advance(0.05)
+        self.store.answer(make_events(5))
+        self.assertEqual(3, len(self.store.watches))
+        while any(wait == 0.0 for _, wait, _ in self.store.watches):
+            self.store.answer(make_events(5))
+        self.assertTrue(all(watch.following for watch in self.watches))
