Let a leader take its role up again when its lease was paused

Cause: the store pauses leases while it is down.

Ruled out: longer holds, which cost as much whenever an owner is silent; a slow listing (the leader key was still there, bound to the paused lease).

Change: after 'lease_over' the lease is kept and renewed. If the store renews it, the key is still bound to it and the role goes on with fresh fences; if it has ended, the router stands like all others. Tests in test_leader, one of which fails without it.

--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -103,6 +103,7 @@
             self._renew()
             self._run_coordinators()
             return
+        self._renew_lapsed()
         free = self._state.own.synced and self._state.leader is None
         if leadership.may_stand(free) and not self._standing:
             self._stand()
@@ -181,9 +182,11 @@
             if item is not None and item.revision > leadership.key_revision:
                 self._step_down('replaced')
             return
-        # The answer to the write was lost, but the key is ours.
+        # The key is ours though the answer to the write was lost, or though
+        # the lease was not renewed in an outage.
         ours = item is not None and self._lease and item.lease == self._lease
-        if ours and self._loop.now() < leadership.valid_until:
+        valid = self._loop.now() < leadership.valid_until
+        if ours and valid and not leadership.barred:
             self._lead(item.lease, item.revision)
 
     def _step_down(self, reason):
@@ -193,7 +196,8 @@
             revision=self.leadership.key_revision,
         )
         lease = self.leadership.resign()
-        self._lease = 0
+        # The store may have paused the lease while it was down.
+        self._lease = lease if reason == 'lease_over' else 0
         self._coordinators.clear()
         self._starting.clear()
         self._calls.close()
@@ -236,6 +240,31 @@
                 left=self._left(),
             )
 
+    def _renew_lapsed(self):
+        """Try to take the role up again after an outage of the store.
+
+        Only a lease that the store has paused can be renewed then; the key
+        is still bound to it, so no other router has led meanwhile.
+        """
+        item = self._state.leader
+        now = self._loop.now()
+        if not self._lease or self._standing or now < self._renew_at:
+            return
+        if item is None or item.lease != self._lease:
+            return
+        self._renew_at = now + RENEW_SECONDS
+        lease = self._lease
+
+        def renewed(reply):
+            if lease != self._lease or self.leadership.barred:
+                return
+            if reply.ok:
+                self.leadership.extend(now, reply.lease_seconds)
+            elif reply.outcome is StoreOutcome.MISSING:
+                self._lease = 0
+
+        self._store.renew_lease(lease, renewed)
+
     def _left(self):
         return self.leadership.valid_until - self._loop.now()
 
--- /dev/null
+++ b/tests/test_leader.py
@@ -0,0 +1,148 @@
+"""Tests of how a router takes, loses and regains the leader role."""
+
+import random
+
+import testtools
+
+from bramleysill_gateway.leader import Leader
+from bramleysill_kernel.node_settings import NodeSettings
+from bramleysill_kernel.store_types import StoredItem
+from bramleysill_kernel.store_types import StoreOutcome
+from bramleysill_kernel.store_types import StoreReply
+from bramleysill_platform.adapter import PlatformAdapter
+from tests.bounds import make_bounds
+from tests.store_fakes import StepLoop
+
+LEASE_SECONDS = 2.0
+STEP_SECONDS = 0.05
+
+
+class _Store:
+    """Leases and the leader key; silent while `down`."""
+
+    def __init__(self, loop):
+        self.down = False
+        self.leases = {}
+        self.key = None
+        self.revision = 10
+        self._loop = loop
+
+    def _answer(self, callback, reply):
+        if not self.down:
+            callback(reply)
+            return
+        failed = StoreReply(StoreOutcome.NO_ANSWER)
+        at = self._loop.now() + 0.5
+        self._loop.call_at(at, lambda: callback(failed))
+
+    def open_lease(self, seconds, callback):
+        lease = len(self.leases) + 1
+        if not self.down:
+            self.leases[lease] = True
+        reply = StoreReply(StoreOutcome.OK, lease=lease, lease_seconds=seconds)
+        self._answer(callback, reply)
+
+    def renew_lease(self, lease, callback):
+        outcome = StoreOutcome.OK
+        if not self.leases.get(lease):
+            outcome = StoreOutcome.MISSING
+        self._answer(
+            callback, StoreReply(outcome, lease_seconds=LEASE_SECONDS)
+        )
+
+    def end_lease(self, lease, callback):
+        self.leases[lease] = False
+
+    def write(self, conditions, puts, deletes, callback):
+        self.revision += 1
+        put = puts[0]
+        self.key = StoredItem(put.key, put.value, self.revision, put.lease)
+        self._answer(
+            callback, StoreReply(StoreOutcome.OK, revision=self.revision)
+        )
+
+
+class _State:
+    """What the router knows of the store; no service has keys."""
+
+    def __init__(self):
+        self.adapter = PlatformAdapter()
+        self.config = None
+        self.leader = None
+        self.own = self
+        self.synced = True
+
+
+class LeaderTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = StepLoop()
+        self.store = _Store(self.loop)
+        self.state = _State()
+        cfg = NodeSettings(
+            'r1',
+            'a',
+            ('a',),
+            None,
+            None,
+            1.0,
+            1.0,
+            make_bounds(),
+            1000.0,
+            1.0,
+        )
+        self.leader = Leader(
+            self.loop,
+            random.Random(1),
+            cfg,
+            '10.0.0.1:7000',
+            self.store,
+            self.state,
+        )
+        self._run(1.0)
+
+    def _run(self, seconds):
+        end = self.loop.now() + seconds
+        while self.loop.now() < end:
+            if not self.store.down:
+                self.state.leader = self.store.key
+            self.leader.tick()
+            self.loop.advance(STEP_SECONDS)
+
+    def _fail_for(self, seconds):
+        self.store.down = True
+        self._run(seconds)
+        self.store.down = False
+
+    @property
+    def _leads(self):
+        return self.leader.leadership.is_valid()
+
+    def test_a_leader_goes_on_after_an_outage(self):
+        """Replays an outage of eight seconds in which leases pause.
+
+        Guards against two more seconds without a leader, until the paused
+        lease of the former one has ended: holds run out meanwhile.
+        """
+        self.assertTrue(self._leads)
+        self._fail_for(8.0)
+        self.assertFalse(self._leads)
+        self._run(0.7)
+        self.assertTrue(self._leads)
+
+    def test_a_lease_that_has_ended_is_not_taken_up(self):
+        """Guards against two leaders after a lease lapsed in an outage."""
+        self.store.down = True
+        self._run(4.0)
+        self.store.leases[1] = False
+        self.store.key = StoredItem(self.leader.key, b'{}', 99, 77)
+        self.store.down = False
+        self._run(3.0)
+        self.assertFalse(self._leads)
+
+    def test_a_router_that_shuts_down_does_not_lead_again(self):
+        """Guards against a leader that ends a moment later."""
+        self._fail_for(4.0)
+        self.leader.retire()
+        self._run(3.0)
+        self.assertFalse(self._leads)
