Double the pause between releases that fail

Ruled out: giving up after some failures, since an owner that is reachable again gives its keys back seconds earlier than its hold ends.

Change: pauses of 0.1, 0.2, 0.4 and then 0.8 s. Test test_an_owner_that_has_ended_is_asked_few_times.

--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -31,6 +31,9 @@
 
 # Pause before a grant or release that failed is sent again.
 REPEAT_SECONDS = 0.1
+# Longest pause between releases, which doubles: an owner that has ended
+# answers none of them, and its hold runs out after some seconds.
+LONGEST_REPEAT_SECONDS = 0.8
 # After so many grants without an answer the keys are taken away; further
 # grants would only prolong the time for which they may be held.
 MOST_FAILURES = 2
@@ -273,7 +276,9 @@
             move.released = True
             move.handover = handover
             return
-        move.repeat_at = self._clock.now() + REPEAT_SECONDS
+        pause = min(REPEAT_SECONDS * 2**move.failures, LONGEST_REPEAT_SECONDS)
+        move.failures += 1
+        move.repeat_at = self._clock.now() + pause
 
     def _finish_moves(self):
         if self._writing is not None:
--- a/packages/kernel/src/bramleysill_kernel/range_moves.py
+++ b/packages/kernel/src/bramleysill_kernel/range_moves.py
@@ -12,6 +12,7 @@
         'released',
         'handover',
         'calling',
+        'failures',
         'repeat_at',
         'ready_at',
     )
@@ -24,6 +25,7 @@
         self.released = False
         self.handover = ''
         self.calling = False
+        self.failures = 0
         self.repeat_at = 0.0
         self.ready_at = None
 
--- a/tests/range_fakes.py
+++ b/tests/range_fakes.py
@@ -173,6 +173,8 @@
         self.grants = []
         self.releases = []
         self.late_share = 0.0
+        # Whether processes that have ended refuse connections at once.
+        self.refuses_connections = False
         # Longer grants are refused, in seconds.
         self.longest_hold = 10.0
         self.lost_share = 0.0
@@ -215,7 +217,11 @@
             self.later(0.004, lambda: done(CallResult.REPLACED))
             return
         delay = self.rng.uniform(0.001, 0.01)
-        if upstream is None or not upstream.alive or not upstream.reachable:
+        dead = upstream is None or not upstream.alive
+        if dead and self.refuses_connections:
+            self.later(0.001, lambda: done(CallResult.REFUSED))
+            return
+        if dead or not upstream.reachable:
             self.later(
                 CALL_TIMEOUT_SECONDS, lambda: done(CallResult.NO_ANSWER)
             )
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -99,6 +99,20 @@
         cell.run(TIMINGS.hold + 2.5, _NoDoubleHold(self))
         self.assertEqual([], _unserved(cell))
 
+    def test_an_owner_that_has_ended_is_asked_few_times(self):
+        """Replays owners that end around a change of leader.
+
+        Guards against ten releases a second for each of their ranges, which
+        took most of the leader's processor time.
+        """
+        cell = _cell()
+        cell.upstreams['u1'].alive = False
+        cell.refuses_connections = True
+        ranges = [r for r in cell.store.table.ranges if r.owner == 'u1']
+        cell.run(TIMINGS.hold + 1.0, _NoDoubleHold(self))
+        self.assertLess(len(cell.releases), 8 * len(ranges))
+        self.assertEqual([], _unserved(cell))
+
     def test_a_new_process_gets_a_new_fence_at_once(self):
         """Guards against waiting for a hold that ended with its process."""
         cell = _cell()
