Let the leader close the gaps of its feed

Ruled out: a leader that did not feed (42 others followed within 0.1 s); late messages (no router lagged by more than 0.9 s unless it was refused).

Change: a router that misses a change asks the leader for what came after its revision, and the store only if there is no answer. PrefixWatch remembers removed keys for that. Tests in test_store_feed.FeedGapTest.

--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -21,6 +21,10 @@
 # takes as many calls in an outage as one prefix needs. It is short enough to
 # follow the store in time if the other one is answered and this one is not.
 REST_SECONDS = 1.5
+# The leader answers in milliseconds; the store is called after this time.
+ASK_SECONDS = 0.25
+# Removed keys that are remembered, so that the others can ask for them.
+MOST_REMOVED = 1000
 
 
 class PrefixWatch:
@@ -60,6 +64,12 @@
         self.may_rest = lambda: False
         # Called with (base, revision, items) after each answer of a watch.
         self.on_batch = None
+        # Asks the leader for what its feed left out; tells if it could.
+        self.ask_leader = lambda: False
+        self._asked_until = 0.0
+        # Revisions at which keys were removed, complete after a revision.
+        self._removed = {}
+        self._removed_after = 0
 
     @property
     def revision(self):
@@ -86,11 +96,24 @@
             if item.revision > self._revision:
                 self._apply(item)
         self._revision = max(self._revision, revision)
+        self._asked_until = 0.0
         self._fed_until = self._loop.now() + self._timings.feed
         self._was_fed = True
         if self._cut_watch is not None:
             self._cut_watch()
 
+    def changes_since(self, revision):
+        """Return the changes after a revision, or None if unknown."""
+        if not self.synced or revision < self._removed_after:
+            return None
+        found = [i for i in self.items.values() if i.revision > revision]
+        found += [
+            StoredItem(key, None, at)
+            for key, at in self._removed.items()
+            if at > revision
+        ]
+        return sorted(found, key=lambda item: item.revision)
+
     def start(self):
         """Begin with a listing."""
         self._list('')
@@ -132,6 +155,7 @@
         for item in listing.values():
             self._apply(item)
         self.synced = True
+        self._removed_after = reply.revision
         log_event('store_listed', prefix=self.prefix, keys=len(listing))
         self._watch()
 
@@ -156,7 +180,18 @@
         )
 
     def _close_gap(self):
-        """Fetch at once what the feed has left out."""
+        """Fetch at once what the feed has left out.
+
+        The leader is asked first: it has the changes in memory, and a router
+        that the store refuses has no other way to learn them.
+        """
+        now = self._loop.now()
+        if now < self._asked_until:
+            return
+        if not self._asked_until and self.ask_leader():
+            self._asked_until = now + ASK_SECONDS
+            return
+        self._asked_until = 0.0
         if self._watch_timer is not None:
             self._watch_timer.cancel()
             self._watch_timer = None
@@ -193,10 +228,18 @@
             return
         if item.value is None:
             self.items.pop(item.key, None)
+            self._note_removed(item)
         else:
             self.items[item.key] = item
         self._on_change(item)
 
+    def _note_removed(self, item):
+        self._removed[item.key] = item.revision
+        if len(self._removed) <= MOST_REMOVED:
+            return
+        oldest = min(self._removed, key=self._removed.get)
+        self._removed_after = self._removed.pop(oldest)
+
     def _answered(self):
         self._failures = 0
         self.last_answer_at = self._loop.now()
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -229,6 +229,8 @@
             self.leader.note_report(message)
         elif isinstance(message, messages.StoreFeed):
             self._feeder.take(message)
+        elif isinstance(message, messages.FeedRequest):
+            self._feeder.answer(link, message)
 
     # Settings.
 
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -10,6 +10,7 @@
 
 from bramleysill_kernel import messages
 from bramleysill_kernel.store_types import StoredItem
+from bramleysill_router.logs import log_event
 
 # A leader whose last renewed lease was asked for longer ago does not feed.
 FRESH_SECONDS = 1.0
@@ -60,6 +61,7 @@
         for watch in self._watches.values():
             self._spans[watch.prefix] = FeedSpan()
             watch.on_batch = self._passer(watch)
+            watch.ask_leader = self._asker(watch)
 
     def tick(self):
         """Tell all routers that there was no change; call periodically."""
@@ -82,6 +84,38 @@
         items = [_unpack(item) for item in message.items]
         watch.feed(message.base, message.revision, items)
 
+    def answer(self, link, message):
+        """Send a router the changes that it has missed, if they are known."""
+        watch = self._watches.get(message.prefix)
+        if watch is None or not watch.following or not self._may_feed():
+            return
+        items = watch.changes_since(message.revision)
+        if items is None or message.revision > watch.revision:
+            return
+        log_event(
+            'feed_gap_closed',
+            peer=message.router,
+            prefix=message.prefix,
+            base=message.revision,
+            revision=watch.revision,
+            items=len(items),
+        )
+        link.send(
+            self._message(watch, message.revision, watch.revision, items)
+        )
+
+    def _asker(self, watch):
+        def ask():
+            leader = self._leader.leader_address()
+            if leader is None:
+                return False
+            return self._links.send(
+                leader[0],
+                messages.FeedRequest(self._name, watch.prefix, watch.revision),
+            )
+
+        return ask
+
     def _passer(self, watch):
         span = self._spans[watch.prefix]
 
@@ -102,15 +136,19 @@
         return self._leader.renewed_age() < FRESH_SECONDS
 
     def _send(self, watch, span, items):
-        message = messages.StoreFeed(
+        self._links.broadcast(
+            self._message(watch, span.base, span.revision, items)
+        )
+        span.restart()
+
+    def _message(self, watch, base, revision, items):
+        return messages.StoreFeed(
             self._name,
             watch.prefix,
-            span.base,
-            span.revision,
+            base,
+            revision,
             [_pack(item) for item in items],
         )
-        self._links.broadcast(message)
-        span.restart()
 
 
 def _pack(item):
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -225,6 +225,15 @@
     packed: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class FeedRequest:
+    """Asks the leader for the changes below a prefix after a revision."""
+
+    router: str
+    prefix: str
+    revision: int
+
+
 @dataclasses.dataclass(slots=True)
 class StoreFeed:
     """Changes below a prefix that the leader has read from the store.
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -166,6 +166,7 @@
         _Field('answers', 'answers', list, list),
         _Field('busy_times', 'busyTimes', list, list),
     ],
+    messages.FeedRequest: _plain('router', 'prefix', 'revision'),
     messages.StoreFeed: _plain('router', 'prefix', 'base', 'revision')
     + [
         _list_field(
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -173,6 +173,12 @@
   items @4 :List(FeedItem);
 }
 
+struct FeedRequest {
+  router @0 :Text;
+  prefix @1 :Text;
+  revision @2 :UInt64;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -195,5 +201,6 @@
     streamReset @17 :StreamReset;
     keyLoads @18 :KeyLoads;
     storeFeed @19 :StoreFeed;
+    feedRequest @20 :FeedRequest;
   }
 }
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -1,11 +1,13 @@
 """Tests of the feed from the leader's copy of the store to the others'."""
 
 import random
+import types
 
 import testtools
 
 from bramleysill_gateway.prefix_watch import PrefixWatch
 from bramleysill_gateway.store_feed import StoreFeeder
+from bramleysill_kernel.store_types import StoredItem
 from tests.bounds import make_timings
 from tests.store_fakes import ScriptedStore
 from tests.store_fakes import StepLoop
@@ -57,13 +59,23 @@
     def __init__(self):
         self.receiver = None
         self.lost = False
+        self.connected = False
+        self.requests = []
 
     def broadcast(self, message):
         if not self.lost:
             self.receiver.take(message)
 
+    def send(self, router, message):
+        if not self.connected:
+            return False
+        self.requests.append(message)
+        return True
+
+
+class _FeedCase(testtools.TestCase):
+    """A leader that feeds one other router."""
 
-class StoreFeedTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.loop = StepLoop()
@@ -88,6 +100,8 @@
         watch.start()
         store.listing(make_events(5, make_item('operator/a', 3)))
 
+
+class StoreFeedTest(_FeedCase):
     def test_answers_without_changes_are_no_gap(self):
         """Replays a calm time in which the store's revision rises.
 
@@ -130,3 +144,49 @@
         self.store.listing(make_events(12, make_item('operator/c', 11)))
         self.feeder.tick()
         self.assertEqual((5, 0.0), self.asked.watches[0][:2])
+
+
+class FeedGapTest(_FeedCase):
+    def setUp(self):
+        super().setUp()
+        self.links.connected = True
+        self.links.lost = True
+        self.store.answer(make_events(9, make_item('operator/b', 9)))
+        self.loop.advance(TIMINGS.batch)
+        removed = StoredItem('operator/a', None, 11)
+        self.store.answer(make_events(11, removed))
+        self.links.lost = False
+        self.feeder.tick()
+
+    def _answer(self):
+        replies = []
+        link = types.SimpleNamespace(send=replies.append)
+        self.feeder.answer(link, self.links.requests[-1])
+        for reply in replies:
+            self.links.receiver.take(reply)
+        return replies
+
+    def test_the_leader_closes_a_gap(self):
+        """Replays a router that the store refuses when the leader changes.
+
+        Guards against seven seconds without changes: it owned a table and a
+        configuration that the others had left behind.
+        """
+        self._answer()
+        self.assertEqual(['operator/b'], list(self.copy.operator.items))
+        self.assertEqual(11, self.copy.operator.revision)
+        self.assertEqual([], self.asked.watches)
+        self.feeder.tick()
+        self.assertEqual([], self.asked.watches)
+
+    def test_the_store_is_called_if_the_leader_does_not_answer(self):
+        """Guards against a gap that stays open."""
+        self.loop.advance(TIMINGS.feed_pause)
+        self.feeder.tick()
+        self.assertEqual((5, 0.0), self.asked.watches[0][:2])
+
+    def test_what_the_leader_has_forgotten_is_not_made_up(self):
+        """Guards against a removed key that a router keeps for ever."""
+        self.watch.start()
+        self.store.listing(make_events(20))
+        self.assertEqual([], self._answer())
