Divide vacated keys by the share of all keys

Each piece is granted once in 0.9 s, so a new leader on a machine of 0.7 cores fell behind: 2,532 grants failed in six seconds and 5,686 requests were refused owner_lost between 20 and 25 s.

Ruled out: the balance of load (it adds at most 24 ranges a plan and stays below its bound), evacuations (they divide each range in two at most).

Change: a piece is at most half of an upstream's share of all keys wide; the bound of ranges for the balance is 4 an upstream, in place of 8.

Conclusion: the leader's work follows the number of upstreams.

--- a/packages/kernel/src/bramleysill_kernel/range_planner.py
+++ b/packages/kernel/src/bramleysill_kernel/range_planner.py
@@ -25,8 +25,11 @@
 WHOLE_PIECE_FACTOR = 1.2
 # Moves of one plan; each costs one release and one grant.
 MOST_MOVES = 24
-# More ranges than this for each upstream cost too many renewals.
-MOST_RANGES_PER_UPSTREAM = 8
+# A lost owner's keys are divided between so many others at least.
+PIECES_PER_SHARE = 2
+# Each range is granted about once a second by the leader, whose processor
+# is the limit: twice as many keep it busy at 240 upstreams.
+MOST_RANGES_PER_UPSTREAM = 4
 
 
 class Capacity:
@@ -317,9 +320,13 @@
 
 
 def _divide(vacant, count):
-    """Split ranges so that no piece is wider than an upstream's share."""
-    total = sum(r.width for r in vacant)
-    widest = max(1, -(-total // count))
+    """Split ranges into pieces of at most half an upstream's share.
+
+    The share is of all keys, so that narrow ranges stay whole: every upstream
+    that leaves would multiply the number of ranges otherwise.
+    """
+    parts = count * PIECES_PER_SHARE if vacant[0].owner else count
+    widest = max(1, -(-KEY_SPACE // parts))
     for item in vacant:
         first = item.first
         while first <= item.last:
--- a/tests/test_range_planner.py
+++ b/tests/test_range_planner.py
@@ -54,6 +54,30 @@
         plan = plan_vacant([lost], table, rest, rates)
         self.assertNotIn(busy, {a.owner for a in plan})
 
+    def test_lost_owners_do_not_multiply_the_ranges(self):
+        """Replays a release: one upstream after the other leaves.
+
+        Guards against one narrow range in as many pieces as there are
+        upstreams: the leader grants each of them once a second and could
+        not keep up (1,960 ranges for 244 upstreams on hhcr-gate-grown
+        trouble-1).
+        """
+        capacities = _capacities(24)
+        table = _even_table(24)
+        for number in range(24):
+            rest = [c for c in capacities if c.upstream != f'u{number}']
+            lost = [r for r in table.ranges if r.owner == f'u{number}']
+            table = table.assign(plan_vacant(lost, table, rest, []))
+        self.assertLess(len(table.ranges), 4 * 24)
+
+    def test_the_keys_of_a_lost_owner_go_to_several(self):
+        """Guards against one upstream that takes all of a lost one's load."""
+        table = _even_table(8)
+        lost = table.find(0)
+        rest = [c for c in _capacities(8) if c.upstream != lost.owner]
+        plan = plan_vacant([lost], table, rest, [])
+        self.assertGreater(len({a.owner for a in plan}), 1)
+
     def test_nothing_is_planned_without_upstreams(self):
         """Guards against an assignment to nobody."""
         table = RangeTable.empty()
