Add a fault soak of the real programs on loopback

Real routers run as processes of their own against stand-ins of the store and of upstreams that speak the platform's protocol and check grants themselves. Each router reaches the store, and each upstream is reached, through a proxy that delays, resets, cuts one way or silences; processes are killed, stopped, terminated in series and restarted by signals; the store refuses, falls silent, loses answers or applies calls late. Eight promises are checked from what callers and upstreams have seen. make soak SEED=n; a short seeded run is part of the tests. It ends only processes that it has started.

The links between routers are not disturbed: they have no proxy.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := packages platform tests bench model demo
 
-.PHONY: setup demo test lint format check-model bench capacity mutate golden-update
+.PHONY: setup demo test lint format check-model bench capacity mutate soak golden-update
 
 setup: $(STAMP)
 
@@ -43,5 +43,10 @@
 mutate: setup
 	$(BIN)/python -m bench.mutate
 
+SEED ?= 1
+
+soak: setup
+	PYTHONPATH=platform/soak $(BIN)/python -m bramleysill_soak --seed=$(SEED)
+
 golden-update: setup
 	GOLDEN_UPDATE=1 $(BIN)/python -m tests tests.test_sessions.GoldenTest
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,177 @@
+"""Tests of the soak's checks: each one finds what it is there for."""
+
+import pathlib
+import subprocess
+import sys
+
+import testtools
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+SOAK = ROOT / 'platform' / 'soak'
+if str(SOAK) not in sys.path:
+    sys.path.append(str(SOAK))
+
+from bramleysill_soak.callers import Outcome  # noqa: E402
+from bramleysill_soak.checks import Evidence  # noqa: E402
+from bramleysill_soak.checks import run_checks  # noqa: E402
+from bramleysill_soak.upstream_server import answer_body  # noqa: E402
+
+FAULTS_END = 100.0
+SHORT_RUN_SECONDS = 3
+LONGEST_RUN_SECONDS = 180
+
+
+class _Process:
+    """An upstream process with its ledger."""
+
+    def __init__(self, name, *ledger, ended_at=float('inf')):
+        self.name = name
+        self.ledger = ledger
+        self.ended_at = ended_at
+
+
+class _Router:
+    def __init__(self, *disturbed):
+        self.disturbed = disturbed
+        self.unexpected = []
+
+
+def _grant(at, fence, hold=3.0, first=0, last=9):
+    return {
+        'event': 'grant',
+        'at': at,
+        'first': first,
+        'last': last,
+        'fence': fence,
+        'end': at + hold,
+    }
+
+
+def _release(at):
+    return {'event': 'release', 'at': at, 'first': 0, 'last': 9, 'fence': 1}
+
+
+def _run(request_id):
+    return {'event': 'run', 'at': 1.0, 'id': request_id, 'key': 5}
+
+
+def _outcome(status=200, request_id='c-1', route='keyed', sent=120.0):
+    outcome = Outcome(request_id, route, 'router-1', sent)
+    outcome.ended = sent + 0.1
+    outcome.status = status
+    outcome.signature = f's.{request_id}'
+    outcome.body = answer_body(request_id)
+    return outcome
+
+
+class SoakChecksTest(testtools.TestCase):
+    def _broken(self, *processes, outcomes=None, router=None):
+        evidence = Evidence(
+            outcomes or [_outcome()],
+            processes,
+            {'router-1': router or _Router()},
+            FAULTS_END,
+        )
+        return {name for name, _ in run_checks(evidence)}
+
+    def test_a_sound_run_breaks_nothing(self):
+        """Guards against a soak that is always red."""
+        self.assertEqual(
+            set(),
+            self._broken(
+                _Process('u1', _grant(1.0, 1), _grant(2.0, 1), _release(3.0)),
+                _Process('u2', _grant(3.5, 2)),
+            ),
+        )
+
+    def test_two_owners_are_found(self):
+        """Guards against a soak that misses a second holder."""
+        broken = self._broken(
+            _Process('u1', _grant(1.0, 1)), _Process('u2', _grant(3.5, 2))
+        )
+        self.assertEqual({'one owner for each key'}, broken)
+
+    def test_a_hold_ends_with_its_process(self):
+        """Guards against a red run for an owner that was killed."""
+        self.assertEqual(
+            set(),
+            self._broken(
+                _Process('u1', _grant(1.0, 1), ended_at=2.0),
+                _Process('u2', _grant(2.5, 2)),
+            ),
+        )
+
+    def test_a_fence_that_does_not_rise_is_found(self):
+        """Guards against a soak that does not look at fences."""
+        broken = self._broken(
+            _Process('u1', _grant(1.0, 7), _release(2.0)),
+            _Process('u2', _grant(3.0, 7)),
+        )
+        self.assertEqual({'fences rise with each owner'}, broken)
+
+    def test_a_second_run_is_found(self):
+        """Guards against a soak that counts no runs."""
+        broken = self._broken(
+            _Process('u1', _run('c-1')), _Process('u2', _run('c-1'))
+        )
+        self.assertEqual({'requests run at most once'}, broken)
+
+    def test_a_false_refusal_is_found(self):
+        """Guards against a soak that believes refusals."""
+        outcomes = [_outcome(503, 'c-2')] + [
+            _outcome(request_id=f'd-{n}') for n in range(20)
+        ]
+        broken = self._broken(_Process('u1', _run('c-2')), outcomes=outcomes)
+        self.assertEqual({'a refusal that says "not run" is true'}, broken)
+
+    def test_a_cut_answer_is_found(self):
+        """Guards against a soak that looks at the status only."""
+        outcome = _outcome()
+        outcome.body = outcome.body[:10]
+        self.assertEqual(
+            {'answers are whole and belong to the request'},
+            self._broken(outcomes=[outcome]),
+        )
+
+    def test_a_closed_connection_is_found(self):
+        """Guards against requests that are dropped by a sound router."""
+        outcomes = [_outcome(0, 'c-2')] + [
+            _outcome(request_id=f'd-{n}') for n in range(20)
+        ]
+        self.assertEqual(
+            {'a sound router answers each request'},
+            self._broken(outcomes=outcomes),
+        )
+        self.assertEqual(
+            set(),
+            self._broken(outcomes=outcomes, router=_Router((119.0, 121.0))),
+        )
+
+    def test_a_cell_that_does_not_recover_is_found(self):
+        """Guards against a soak that ends with nothing served."""
+        self.assertEqual(
+            {'requests are served again after the faults'},
+            self._broken(outcomes=[_outcome(503)]),
+        )
+
+
+class ShortSoakTest(testtools.TestCase):
+    def test_a_short_run_with_a_fixed_seed(self):
+        """Guards against broken promises under a few faults."""
+        path = [str(SOAK), str(ROOT / 'platform' / 'src')]
+        path += [str(p) for p in (ROOT / 'packages').glob('*/src')]
+        done = subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'bramleysill_soak',
+                '--seed=1',
+                f'--seconds={SHORT_RUN_SECONDS}',
+            ],
+            capture_output=True,
+            text=True,
+            timeout=LONGEST_RUN_SECONDS,
+            env={'PATH': '', 'PYTHONPATH': ':'.join(path)},
+            check=False,
+        )
+        self.assertEqual(0, done.returncode, done.stdout + done.stderr)
