Move the choice of possible owners out of the coordinator

range_coordinator.py had a second job: who may be given keys. OwnerPool keeps the upstreams that have ended and those to avoid. incarnation() moves to the process that it names. No change of behaviour; the tests are the same.

--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -1,7 +1,5 @@
 """Carries out the coordinator's grants, releases and table writes."""
 
-import time
-
 from bramleysill_gateway.cell_state import KEYS
 from bramleysill_gateway.cell_state import LEADER
 from bramleysill_kernel.exceptions import SillError
@@ -207,8 +205,3 @@
     if reply.status or not reply.sent:
         return CallResult.REFUSED
     return CallResult.NO_ANSWER
-
-
-def incarnation():
-    """Return a text that names this start of the process."""
-    return f'{time.time_ns():x}'
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -2,9 +2,9 @@
 
 import random
 import signal
+import time
 
 from bramleysill_gateway.cell_state import CellState
-from bramleysill_gateway.control_calls import incarnation
 from bramleysill_gateway.entry import Entry
 from bramleysill_gateway.leader import Leader
 from bramleysill_gateway.membership import Registration
@@ -248,3 +248,8 @@
         if changed:
             self.cfg.take_bounds(cfg)
             log_event('settings_reloaded', changed=','.join(changed))
+
+
+def incarnation():
+    """Return a text that names this start of the process."""
+    return f'{time.time_ns():x}'
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -20,6 +20,7 @@
 from bramleysill_kernel.hold_ledger import HoldLedger
 from bramleysill_kernel.key_ranges import Assignment
 from bramleysill_kernel.key_ranges import RangeTable
+from bramleysill_kernel.owner_pool import OwnerPool
 from bramleysill_kernel.range_moves import Move
 from bramleysill_kernel.range_moves import Renewal
 from bramleysill_kernel.range_moves import cut_out
@@ -37,9 +38,6 @@
 # After so many grants without an answer the keys are taken away; further
 # grants would only prolong the time for which they may be held.
 MOST_FAILURES = 2
-# An upstream that answered no grant gets no keys for this time, unless it
-# answers one before.
-AVOID_SECONDS = 6.0
 # Changes that become ready within this time go into one write.
 BATCH_SECONDS = 0.03
 # Before keys are placed for the first time; longer than a heartbeat, in
@@ -79,15 +77,11 @@
         self._timings = timings
         self._calls = calls
         self._directory = directory
-        self._capacity_of = capacity_of
+        self._pool = OwnerPool(service, clock, directory, capacity_of)
         self._ledger = None
         self._moves = []
         self._renewals = {}
         self._handovers = {}
-        # Upstreams that did not take a grant, with the end of the pause.
-        self._avoid_until = {}
-        # Processes that have ended, as (upstream, life).
-        self._ended = set()
         self._writing = None
         self._fresh_fences_written = False
         self._balance_at = 0.0
@@ -148,7 +142,7 @@
             return False
         if not self._directory.may_use(entry):
             return False
-        if (item.owner, item.life) in self._ended:
+        if self._pool.has_ended(item):
             return False
         renewal = self._renewals.get((item.first, item.last, item.fence))
         return renewal is None or renewal.failures < MOST_FAILURES
@@ -214,15 +208,15 @@
         if result is CallResult.OK:
             self._ledger.note_granted(holder, call, hold)
             self._handovers.pop(part.fence, None)
-            self._avoid_until.pop(part.owner, None)
+            self._pool.note_granted(part.owner)
             if renewal is not None:
                 renewal.failures = 0
             return
         if result is CallResult.REPLACED:
-            self._ended.add((part.owner, part.life))
+            self._pool.note_ended(part)
         if result is not CallResult.NO_ANSWER:
             self._ledger.note_refused(holder, call)
-        self._avoid_until[part.owner] = now + AVOID_SECONDS
+        self._pool.note_failed(part.owner)
         if renewal is not None:
             renewal.failures += 1
             renewal.due_at = now + REPEAT_SECONDS
@@ -248,7 +242,7 @@
         if entry is not None and entry.life > old.life:
             # The process that held the keys has ended.
             return True
-        if (old.owner, old.life) in self._ended:
+        if self._pool.has_ended(old):
             return True
         if move.released:
             return now >= self._ledger.free_after_release(old.holder)
@@ -270,7 +264,7 @@
     def _on_released(self, move, result, handover):
         move.calling = False
         if result is CallResult.REPLACED:
-            self._ended.add((move.old.owner, move.old.life))
+            self._pool.note_ended(move.old)
             return
         if result is CallResult.OK:
             move.released = True
@@ -310,7 +304,7 @@
                 Assignment(move.first, move.last, target.upstream, target.life)
             )
         if open_parts:
-            capacities = self._capacities()
+            capacities = self._pool.capacities()
             rates = self.loads.sorted_rates()
             chosen += plan_vacant(open_parts, self.table, capacities, rates)
         return chosen
@@ -323,26 +317,6 @@
             return None
         return Capacity(entry.upstream, entry.life, 1.0)
 
-    def _capacities(self):
-        """Return the upstreams that may take keys.
-
-        Upstreams in slow start are used only if there is no other.
-        """
-        now = self._clock.now()
-        usable = self._directory.usable(self.service)
-        reachable = [e for e in usable if self._is_reachable(e)]
-        warm = [e for e in reachable if e.cold_until <= now]
-        return [
-            Capacity(e.upstream, e.life, self._capacity_of(e))
-            for e in (warm or reachable)
-        ]
-
-    def _is_reachable(self, entry):
-        if (entry.upstream, entry.life) in self._ended:
-            return False
-        until = self._avoid_until.get(entry.upstream)
-        return until is None or self._clock.now() >= until
-
     # Balance.
 
     def _balance(self):
@@ -353,13 +327,9 @@
             return
         self._balance_at = now + BALANCE_SECONDS
         self.loads.decay()
-        self._avoid_until = {
-            upstream: until
-            for upstream, until in self._avoid_until.items()
-            if until > now
-        }
+        self._pool.sweep()
         self._ledger.keep_only({r.holder for r in self.table.ranges})
-        capacities = self._capacities()
+        capacities = self._pool.capacities()
         rates = self.loads.sorted_rates()
         # What is on its way counts for the upstream that will have it.
         table = self.table.assign([move.target for move in self._moves])
