--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -8,6 +8,7 @@
 from bramleysill_gateway import request_refusals
 from bramleysill_gateway.attempt import PROMISES_NOT_RUN
 from bramleysill_gateway.attempt import Attempt
+from bramleysill_gateway.request_body import RequestBody
 from bramleysill_kernel import refusals
 from bramleysill_kernel.problems import to_problem
 from bramleysill_kernel.retry_rules import Fate
@@ -16,9 +17,6 @@
 from bramleysill_net.http_headers import end_to_end
 from bramleysill_router.logs import log_event
 
-# A body up to this size is collected, so that the request can be sent again;
-# a larger one is passed on as it arrives.
-COLLECTED_BODY_BYTES = 1 << 20
 # What an upstream may leave unread before the caller is held back.
 MAX_UNSENT_BYTES = 256 << 10
 # An answer that is on its way at the deadline still counts.
@@ -50,8 +48,6 @@
         '_config_version',
         '_deadline',
         '_body',
-        '_body_bytes',
-        '_body_done',
         '_passing_on',
         '_attempt',
         '_attempts',
@@ -83,9 +79,7 @@
         self.received_at = now
         self._config_version = version
         self._deadline = now + self._time_limit()
-        self._body = []
-        self._body_bytes = 0
-        self._body_done = not req.has_body
+        self._body = RequestBody(req)
         self._passing_on = False
         self._attempt = None
         self._attempts = 0
@@ -121,8 +115,8 @@
         """Take a piece of the request's body."""
         if self.finished:
             return
-        self._body_bytes += len(data)
-        if self._body_bytes > self.gateway.body_limit:
+        self._body.count(data)
+        if self._body.size > self.gateway.body_limit:
             self.refuse(
                 refusals.BodyTooLarge('the body is too large', 'receive')
             )
@@ -132,14 +126,14 @@
             if self._attempt.unsent > MAX_UNSENT_BYTES:
                 self.stream.pause()
             return
-        self._body.append(data)
-        if self._body_bytes > COLLECTED_BODY_BYTES and not self._started:
+        self._body.keep(data)
+        if self._body.is_large and not self._started:
             self._started = True
             self.dispatch()
 
     def on_end(self):
         """The request is complete."""
-        self._body_done = True
+        self._body.complete = True
         if not self.finished and not self._started:
             self._started = True
             self.dispatch()
@@ -242,8 +236,8 @@
         attempt = Attempt(self, peer, self.gateway.adapter, self.gateway.loop)
         self._attempt = attempt
         self._peer = peer
-        self._passing_on = not self._body_done
-        attempt.start(self._head(peer.entry, now), self._body)
+        self._passing_on = not self._body.complete
+        attempt.start(self._head(peer.entry, now), self._body.pieces)
         if self._attempt is attempt and not attempt.connected:
             at = min(now + CONNECT_SECONDS, self._deadline)
             self._connect_timer = self.gateway.loop.scheduler.call_at(
@@ -261,13 +255,7 @@
             lines.append(f'{adapter.write_request_id}: {self.request_id}')
         lines.append(f'{adapter.write_time_left_ms}: {left}')
         lines.append(f'{adapter.write_expected_upstream}: {entry.upstream}')
-        if self._body_done:
-            if self._body_bytes or req.has_body or req.length_given:
-                lines.append(f'Content-Length: {self._body_bytes}')
-        elif req.chunked:
-            lines.append('Transfer-Encoding: chunked')
-        else:
-            lines.append(f'Content-Length: {req.length}')
+        lines += self._body.framing()
         return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
 
     def _check_connected(self, attempt):
@@ -452,7 +440,7 @@
 
     def _close(self, outcome, status):
         self.finished = True
-        self._body = []
+        self._body.drop()
         for timer in (self._timer, self._connect_timer, self._pause_timer):
             if timer is not None:
                 timer.cancel()
