Estimate upstreams by the pace that they report

Nearly all callers of a slow upstream leave before they are answered, so the average of answers stayed at 0.25 to 0.66 s while work took 4 s: the owner kept its keys and got requests that could not be finished. Each router also learned each upstream's service time by itself, from 0.1 s on, though it sends to one upstream every few seconds only.

Change: the usual service time is shared by all upstreams of a service, each one's pace comes on top and decays in 3 s. Requests that a slow upstream would answer after their deadline are refused at once.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -164,7 +164,9 @@
         seconds = self._loop.now() - self._sent_at
         self.answered = True
         if self._usable:
-            self.peer.load.note_answer(seconds, self._backlog)
+            self.peer.load.note_answer(
+                self._loop.now(), seconds, self._backlog
+            )
         idle = keep_alive_seconds(self._headers)
         if idle is not None:
             self.peer.pool.note_idle_timeout(idle)
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -1,6 +1,9 @@
 """Load and connections of the upstream processes that this router uses."""
 
+import collections
+
 from bramleysill_gateway.upstream_pool import UpstreamPool
+from bramleysill_kernel.upstream_load import ServiceTime
 from bramleysill_kernel.upstream_load import UpstreamLoad
 from bramleysill_router.logs import log_event
 
@@ -10,9 +13,9 @@
 
     __slots__ = ('entry', 'load', 'pool', 'cold_until', 'replaced')
 
-    def __init__(self, loop, entry):
+    def __init__(self, loop, entry, usual):
         self.entry = entry
-        self.load = UpstreamLoad(entry.slots)
+        self.load = UpstreamLoad(entry.slots, usual)
         self.pool = UpstreamPool(loop, entry.address)
         self.cold_until = entry.cold_until
         # Another process has answered at the address: this one has ended.
@@ -31,13 +34,17 @@
         self._loop = loop
         self._directory = directory
         self._peers = {}
+        # Usual service times by service.
+        self._usual = collections.defaultdict(ServiceTime)
 
     def peer(self, entry):
         """Return the peer of an entry, created at its first use."""
         key = entry.upstream, entry.life
         peer = self._peers.get(key)
         if peer is None or peer.entry.address != entry.address:
-            peer = self._peers[key] = UpstreamPeer(self._loop, entry)
+            peer = self._peers[key] = UpstreamPeer(
+                self._loop, entry, self._usual[entry.service]
+            )
         if peer.entry is not entry:
             peer.entry = entry
             peer.cold_until = entry.cold_until
--- a/packages/kernel/src/bramleysill_kernel/key_loads.py
+++ b/packages/kernel/src/bramleysill_kernel/key_loads.py
@@ -11,7 +11,7 @@
 # within seconds.
 HALF_LIFE_SECONDS = 1.5
 # Weight of one answer in the average service time of an upstream.
-ANSWER_WEIGHT = 0.04
+ANSWER_WEIGHT = 0.1
 # Rates below this, in requests/s, are dropped.
 LEAST_RATE = 0.02
 
--- a/packages/kernel/src/bramleysill_kernel/send_policy.py
+++ b/packages/kernel/src/bramleysill_kernel/send_policy.py
@@ -6,6 +6,8 @@
   request that can't be finished in time is refused before it waits, and
   the less urgent kind is refused at a shorter queue, so that the urgent
   kind still finds room.
+- `judge`: an upstream becomes many times slower. Requests that it would
+  answer after their deadline are refused at once, while its keys move.
 - `choose`: some of the upstreams of a shared service are slow, full or
   down. A request goes where it will be finished first.
 """
@@ -61,7 +63,10 @@
     expected = load.expected_finish(now)
     allowed = longest_stay(route, time_left)
     has_queue = load.expected_wait(now) > 0.0
-    if has_queue and (expected > allowed or now < load.full_until):
+    is_hopeless = expected > time_left and load.is_slow(now)
+    is_late = has_queue and expected > allowed
+    is_full = has_queue and now < load.full_until
+    if is_late or is_full or is_hopeless:
         excess = max(load.full_until - now, expected - allowed)
         return Judgement(Verdict.REFUSE_BUSY, _bounded(excess), expected)
     return Judgement(Verdict.SEND, expected=expected)
@@ -85,7 +90,7 @@
         if entry.failure_domain != own_domain:
             cost += distance
         if now < load.full_until:
-            cost += load.service_time
+            cost += load.service_time(now)
         if best is None or cost < best_cost:
             best = (entry, load)
             best_cost = cost
