--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -14,6 +14,7 @@
 from bramleysill_soak.callers import Outcome  # noqa: E402
 from bramleysill_soak.checks import Evidence  # noqa: E402
 from bramleysill_soak.checks import run_checks  # noqa: E402
+from bramleysill_soak.key_gaps import KeyGaps  # noqa: E402
 from bramleysill_soak.upstream_server import answer_body  # noqa: E402
 
 FAULTS_END = 100.0
@@ -155,6 +156,25 @@
         )
 
 
+class KeyGapsTest(testtools.TestCase):
+    def test_times_without_a_holder_are_found(self):
+        """Guards against a figure that leaves out the start or the end."""
+        evidence = Evidence(
+            [],
+            [
+                _Process('u1', _grant(2.0, 1, first=0, last=65535)),
+                _Process('u2', _grant(6.0, 2, first=0, last=65535)),
+            ],
+            {},
+            FAULTS_END,
+        )
+        gaps = KeyGaps(evidence.holds, 1.0, 12.0)
+        count = len(gaps.lengths) // 3
+        self.assertEqual([1.0] * 2 * count + [3.0] * count, gaps.lengths)
+        self.assertEqual(1.0, gaps.quantile(0.5))
+        self.assertEqual(3.0, gaps.quantile(1.0))
+
+
 class ShortSoakTest(testtools.TestCase):
     def test_a_short_run_with_a_fixed_seed(self):
         """Guards against broken promises under a few faults."""
