--- a/packages/kernel/src/bramleysill_kernel/timings.py
+++ b/packages/kernel/src/bramleysill_kernel/timings.py
@@ -23,9 +23,9 @@
 # What the owner of keys may still be used after it has begun to leave is what
 # remains of the time allowed then.
 LEARN_SECONDS = 0.3
-# A store that is silent may accept a watch and never answer it. Including
-# the call's own allowance a watch takes half of the time after a disturbance
-# from which all bounds hold again.
+# A store that is silent may accept a watch and never answer it. The watch is
+# given up, with the call's own allowance on top, before all bounds hold again
+# after a disturbance.
 WATCH_SHARE = 0.5
 # After the last feed the store is watched again: a feed is trusted for this
 # part of the shortest time in which a change must be followed.
