--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -148,6 +148,24 @@
             self._broken(outcomes=outcomes, router=_Router((119.0, 121.0))),
         )
 
+    def test_a_router_that_is_being_loaded_may_refuse_connections(self):
+        """Guards against a red run for a process that has just begun.
+
+        A refused connection counts if its router has run for a while.
+        """
+        outcomes = [_outcome(0, 'c-2')] + [
+            _outcome(request_id=f'd-{n}') for n in range(20)
+        ]
+        outcomes[0].connected = False
+        self.assertEqual(
+            set(),
+            self._broken(outcomes=outcomes, router=_Router((116.0, 118.0))),
+        )
+        self.assertEqual(
+            {'a sound router answers each request'},
+            self._broken(outcomes=outcomes, router=_Router((110.0, 112.0))),
+        )
+
     def test_a_cell_that_does_not_recover_is_found(self):
         """Guards against a soak that ends with nothing served."""
         self.assertEqual(
