Read the leader key once for each change

Cause: since routers link to the leader at once, every tick and every feed parsed the leader key anew, some thirty times a second; a key that can't be read would write a warning each time, beyond any bound on the volume of logs.

Ruled out: calling less often, which delays the link.

Change: the address is decoded when the key changes. Test test_an_unreadable_leader_key_is_told_once (20 lines before, 1 now).

Conclusion: the same addresses, decoded once.

--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -50,6 +50,9 @@
         self._renew_at = 0.0
         self._renewed_sent_at = 0.0
         self._lease = 0
+        # The leader key that was read last, and what it says.
+        self._known_leader = None
+        self._leader_address = None
 
     @property
     def key(self):
@@ -63,6 +66,12 @@
     def leader_address(self):
         """Return (name, peer address) of the leader, or None."""
         item = self._state.leader
+        if item is not self._known_leader:
+            self._known_leader = item
+            self._leader_address = self._decode_address(item)
+        return self._leader_address
+
+    def _decode_address(self, item):
         if item is None:
             return None
         try:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -146,3 +146,11 @@
         self.leader.retire()
         self._run(3.0)
         self.assertFalse(self._leads)
+
+    def test_an_unreadable_leader_key_is_told_once(self):
+        """Guards against a log line for every tick and every feed."""
+        self.state.leader = StoredItem(self.leader.key, b'{', 99, 7)
+        with self.assertLogs('absl', 'WARNING') as logs:
+            for _ in range(20):
+                self.assertIsNone(self.leader.leader_address())
+        self.assertEqual(1, len(logs.output))
