Drop settings and a time that nothing reads

NodeSettings.heartbeat, Bounds.address_reuse and PrefixWatch.last_answer_at came with the gateway and were never used.

--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -86,7 +86,6 @@
             None,
             None,
             1.0,
-            1.0,
             make_bounds(),
             1000.0,
             1.0,
