--- a/packages/kernel/src/bramleysill_kernel/node_settings.py
+++ b/packages/kernel/src/bramleysill_kernel/node_settings.py
@@ -29,6 +29,7 @@
         'retry_extra',
         'cold_factor',
         'cold_extra',
+        'address_reuse',
     )
 
     def __init__(
@@ -44,6 +45,7 @@
         retry_extra,
         cold_factor,
         cold_extra,
+        address_reuse,
     ):
         self.shutdown_grace = shutdown_grace
         # After a disturbance all bounds hold again from this time on.
@@ -57,6 +59,7 @@
         self.retry_extra = retry_extra
         self.cold_factor = cold_factor
         self.cold_extra = cold_extra
+        self.address_reuse = address_reuse
 
 
 class NodeSettings:
@@ -73,6 +76,7 @@
         'listen',
         'store',
         'shortest_lease',
+        'heartbeat',
         'bounds',
         'timings',
         'link_mbps',
@@ -87,6 +91,7 @@
         listen,
         store,
         shortest_lease,
+        heartbeat,
         bounds,
         link_mbps,
         cores,
@@ -97,6 +102,7 @@
         self.listen = listen
         self.store = store
         self.shortest_lease = shortest_lease
+        self.heartbeat = heartbeat
         self.bounds = bounds
         self.timings = Timings(bounds, shortest_lease)
         # What the machine offers: its own link and its share of processors.
--- a/tests/bounds.py
+++ b/tests/bounds.py
@@ -20,6 +20,7 @@
         'retry_extra': 64,
         'cold_factor': 1.5,
         'cold_extra': 5,
+        'address_reuse': 2.0,
     }
     return Bounds(**{**values, **changes})
 
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -134,7 +134,7 @@
         )
         self.state = _State(self.loop, config)
         cfg = NodeSettings(
-            'router', 'a', ('a',), None, None, 1.0, BOUNDS, 1000.0, 1.0
+            'router', 'a', ('a',), None, None, 1.0, 1.0, BOUNDS, 1000.0, 1.0
         )
         self.upstreams = Upstreams(self.loop, self.state.directory)
         self.entry = Entry(
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -86,6 +86,7 @@
             None,
             None,
             1.0,
+            1.0,
             make_bounds(),
             1000.0,
             1.0,
