--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -44,7 +44,6 @@
         self.items = {}
         self.synced = False
         self.reachable = False
-        self.last_answer_at = 0.0
         self._loop = loop
         self._rng = rng
         self._timings = timings
@@ -245,7 +244,6 @@
 
     def _answered(self):
         self._failures = 0
-        self.last_answer_at = self._loop.now()
         if not self.reachable:
             self.reachable = True
             log_event('store_regained', prefix=self.prefix)
