--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -10,7 +10,6 @@
 from bramleysill_kernel.store_types import Put
 from bramleysill_kernel.store_types import StoreOutcome
 from bramleysill_net.http_calls import HttpCaller
-from bramleysill_net.http_headers import value_of
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
@@ -69,8 +68,7 @@
                 result = CallResult.OK
             elif reply.status == REPLACED_STATUS:
                 result = CallResult.REPLACED
-            headers = list(reply.headers.items())
-            handover = value_of(headers, self._adapter.handover)
+            handover = reply.headers.get(self._adapter.handover, '')
             log_event(
                 'keys_released',
                 upstream=entry.upstream,
