--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -33,12 +33,12 @@
         'reason',
         'status',
         'response_complete',
+        'sent_at',
         '_exchange',
         '_adapter',
         '_loop',
         '_conn',
         '_reused',
-        '_sent_at',
         '_backlog',
         '_headers',
         '_chunks',
@@ -61,7 +61,8 @@
         self._loop = loop
         self._conn = None
         self._reused = False
-        self._sent_at = 0.0
+        # When the attempt was started, in seconds of the loop's clock.
+        self.sent_at = 0.0
         self._backlog = 0.0
         self._headers = []
         self._chunks = []
@@ -74,7 +75,7 @@
     def start(self, head, body):
         """Send the header and the chunks of the body received so far."""
         now = self._loop.now()
-        self._sent_at = now
+        self.sent_at = now
         self._backlog = self.peer.load.backlog(now)
         self.peer.load.in_flight += 1
         self._conn, self._reused = self.peer.pool.acquire()
@@ -166,7 +167,7 @@
 
     def on_end(self):
         """Report the complete response to the exchange."""
-        seconds = self._loop.now() - self._sent_at
+        seconds = self._loop.now() - self.sent_at
         self.response_complete = True
         if self._usable:
             self.peer.load.note_response(
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -150,6 +150,7 @@
         self._finish('caller_left', 0)
         if self._attempt is not None:
             self._attempt.cancel('caller_left')
+            self._log_cancelled(self._attempt)
 
     def time_left(self, now):
         """Return the seconds until the deadline."""
@@ -509,6 +510,15 @@
             seconds=seconds,
         )
 
+    def _log_cancelled(self, attempt):
+        log_event(
+            'attempt_cancelled',
+            id=self.request_id,
+            upstream=attempt.peer.entry.upstream,
+            sent_seconds=self.frontend.loop.now() - attempt.sent_at,
+            caller_read=self.stream.reading,
+        )
+
     def _log_attempt(self, attempt):
         log_event(
             'attempt_failed',
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -22,6 +22,8 @@
 
 TICK_INTERVAL_SECONDS = 0.05
 SWEEP_INTERVAL_SECONDS = 1.0
+# A loop that is later than this is logged; callers notice such a delay.
+LATE_LOOP_SECONDS = 0.25
 KEY_REPORT_INTERVAL_SECONDS = 0.4
 # The settings file is read at this interval as well as on SIGHUP.
 SETTINGS_CHECK_INTERVAL_SECONDS = 5.0
@@ -48,6 +50,9 @@
         self._stop_at = None
         self._refuse_at = None
         self._reload_due = False
+        # In seconds, of the last complete sweep interval.
+        self._loop_lateness = 0.0
+        self.metrics.add_gauge(self._loop_gauges)
         self._build()
         self._listen(metrics_port)
 
@@ -180,7 +185,21 @@
             self._reload_due = False
             self._reload_settings()
 
+    def _loop_gauges(self):
+        yield 'bramleysill_loop_lateness_seconds', {}, self._loop_lateness
+
+    def _note_loop_lateness(self):
+        self._loop_lateness = self.loop.scheduler.take_max_lateness()
+        if self._loop_lateness > LATE_LOOP_SECONDS:
+            log_warning(
+                'loop_late',
+                seconds=self._loop_lateness,
+                requests=len(self.frontend.active_exchanges),
+                connections=self.frontend.connection_count,
+            )
+
     def _sweep(self):
+        self._note_loop_lateness()
         self.frontend.sweep()
         self._upstreams.sweep()
         self.leader.sweep()
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -100,6 +100,11 @@
         """Start reading."""
         self.loop.poller.watch(self, self._reading, self._awaiting_writable)
 
+    @property
+    def reading(self):
+        """Return whether received data is read; false after `pause`."""
+        return self._reading
+
     def set_unacknowledged_timeout(self, milliseconds):
         """Fail the connection if sent data stays unacknowledged this long.
 
--- a/packages/net/src/bramleysill_net/http_server.py
+++ b/packages/net/src/bramleysill_net/http_server.py
@@ -280,6 +280,11 @@
         """Return the number of bytes that the kernel has not accepted yet."""
         return self._server_conn.conn.buffered
 
+    @property
+    def reading(self):
+        """Return whether data from the caller is read."""
+        return self._server_conn.conn.reading
+
     def disable_keep_alive(self):
         """Close the connection after this response."""
         self._keep_alive = False
--- a/packages/net/src/bramleysill_net/loop.py
+++ b/packages/net/src/bramleysill_net/loop.py
@@ -126,6 +126,7 @@
         self._now = now
         self._heap = []
         self._order = itertools.count()
+        self._max_lateness = 0.0
 
     def call_at(self, deadline, callback):
         """Call `callback` once when the clock reaches `deadline` seconds."""
@@ -136,6 +137,15 @@
         deadline = self._now() + interval_seconds
         return self._push(TimerHandle(deadline, callback, interval_seconds))
 
+    def take_max_lateness(self):
+        """Return by how many seconds timers ran late since the last call.
+
+        This is the longest time that the loop spent on other callbacks, and
+        so the delay of an event that arrived meanwhile.
+        """
+        seconds, self._max_lateness = self._max_lateness, 0.0
+        return seconds
+
     def _push(self, timer):
         # Timers with the same deadline run in the order of insertion.
         entry = (timer.deadline, next(self._order), timer)
@@ -155,6 +165,9 @@
     def run_due(self):
         """Run the callbacks that are due; return whether there were any."""
         now = self._now()
+        if self._heap:
+            lateness = now - self._heap[0][0]
+            self._max_lateness = max(self._max_lateness, lateness)
         ran = False
         while self._heap and self._heap[0][0] <= now:
             _, _, timer = heapq.heappop(self._heap)
--- a/packages/router/src/bramleysill_router/metrics.py
+++ b/packages/router/src/bramleysill_router/metrics.py
@@ -59,6 +59,10 @@
         Gauge,
         'Seconds until the router lease expires.',
     ),
+    'bramleysill_loop_lateness_seconds': (
+        Gauge,
+        'Longest delay of a timer within the last second.',
+    ),
     'bramleysill_manifest_version': (Gauge, 'Version of the manifest in use.'),
     'bramleysill_units': (Gauge, 'Units by condition.'),
 }
