--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -67,6 +67,8 @@
 
     def accept(self, conn):
         """Return the protocol of a new caller connection."""
+        # Nothing is started for a caller that has left.
+        conn.close_with_peer()
         server = HttpServerConn(conn, self)
         self._conns[server] = self.loop.now()
         return server
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -49,6 +49,7 @@
         '_connecting',
         '_closing',
         '_lingering',
+        '_closes_with_peer',
     )
 
     def __init__(self, loop, sock, peer, protocol=None):
@@ -65,6 +66,7 @@
         self._connecting = False
         self._closing = False
         self._lingering = False
+        self._closes_with_peer = False
 
     @classmethod
     def connect(cls, loop, host, port, protocol):
@@ -83,7 +85,7 @@
             loop.scheduler.call_at(loop.now(), lambda: conn._close_socket(exc))
             return conn
         conn._awaiting_writable = True
-        loop.poller.watch(conn, True, True)
+        conn._watch()
         return conn
 
     @classmethod
@@ -98,7 +100,16 @@
 
     def start(self):
         """Start reading."""
-        self.loop.poller.watch(self, self._reading, self._awaiting_writable)
+        self._watch()
+
+    def close_with_peer(self):
+        """Close as soon as the peer has closed its side; call before `start`.
+
+        Received data that was not read yet is discarded then. This also works
+        while reading is paused. Without it, a close is noticed after the data
+        before it has been read and handled.
+        """
+        self._closes_with_peer = True
 
     @property
     def reading(self):
@@ -143,13 +154,13 @@
         """Stop reading, which applies backpressure to the peer."""
         if self._reading and not self.closed:
             self._reading = False
-            self.loop.poller.watch(self, False, self._awaiting_writable)
+            self._watch()
 
     def resume(self):
         """Resume reading after `pause`."""
         if not self._reading and not self.closed:
             self._reading = True
-            self.loop.poller.watch(self, True, self._awaiting_writable)
+            self._watch()
 
     def close(self):
         """Close after the buffered bytes have been sent."""
@@ -205,6 +216,10 @@
         else:
             self.protocol.on_drain()
 
+    def on_peer_close(self):
+        """Close: the peer has closed, and expects nothing more."""
+        self._close_socket(None)
+
     def on_hangup(self):
         """Close after the poller reported an error or hangup."""
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -212,6 +227,14 @@
             OSError(code or errno.ECONNRESET, 'connection failed')
         )
 
+    def _watch(self):
+        self.loop.poller.watch(
+            self,
+            self._reading,
+            self._awaiting_writable,
+            self._closes_with_peer,
+        )
+
     def _read_once(self):
         """Return whether more data may be available."""
         if self.closed or not self._reading or self._connecting:
@@ -269,7 +292,7 @@
     def _set_awaiting_writable(self, writing):
         if writing != self._awaiting_writable and not self.closed:
             self._awaiting_writable = writing
-            self.loop.poller.watch(self, self._reading, writing)
+            self._watch()
 
     def _finish_connect(self):
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/packages/net/src/bramleysill_net/loop.py
+++ b/packages/net/src/bramleysill_net/loop.py
@@ -21,7 +21,8 @@
     """An epoll poller that calls connections directly, without events.
 
     A connection has the methods `fileno()`, `on_readable()`,
-    `on_writable()` and `on_hangup()`.
+    `on_writable()` and `on_hangup()`, and `on_peer_close()` if it is watched
+    for that event.
     """
 
     channel = 'poller'
@@ -34,14 +35,21 @@
         # connection whose descriptor was reused, and is dropped.
         self._newly_watched = set()
 
-    def watch(self, conn, readable, writable):
-        """Set the events to watch for; replaces the earlier setting."""
+    def watch(self, conn, readable, writable, peer_close=False):
+        """Set the events to watch for; replaces the earlier setting.
+
+        With `peer_close` the poller reports that the peer has closed its side
+        before it reports the data that precedes the close, and also while the
+        connection is not watched for readable data.
+        """
         fileno = conn.fileno()
         mask = 0
         if readable:
             mask |= select.EPOLLIN
         if writable:
             mask |= select.EPOLLOUT
+        if peer_close:
+            mask |= select.EPOLLRDHUP
         if fileno in self._conns:
             self._poller.modify(fileno, mask)
         else:
@@ -74,6 +82,9 @@
                 conn.on_hangup()
 
     def _notify(self, conn, fileno, event):
+        if event & select.EPOLLRDHUP:
+            conn.on_peer_close()
+            return
         if event & select.EPOLLIN:
             conn.on_readable()
         if event & select.EPOLLOUT and self._conns.get(fileno) is conn:
--- a/packages/router/src/bramleysill_router/entry.py
+++ b/packages/router/src/bramleysill_router/entry.py
@@ -54,6 +54,8 @@
 
     def accept(self, conn):
         """Return the HTTP protocol object of a new caller connection."""
+        # Nothing is started for a caller that has left.
+        conn.close_with_peer()
         server = HttpServerConn(conn, self)
         self.conns.add(server)
         return server
--- a/packages/standins/src/bramleysill_standins/stepped.py
+++ b/packages/standins/src/bramleysill_standins/stepped.py
@@ -79,6 +79,9 @@
         if not self.closed:
             self.sent += bytes(data)
 
+    def close_with_peer(self):
+        """Do nothing: the peer of this connection never closes."""
+
     def pause(self):
         """Record that reading is paused."""
         self.reading = False
--- a/tests/sessions/network.py
+++ b/tests/sessions/network.py
@@ -40,6 +40,9 @@
     def set_unacknowledged_timeout(self, milliseconds):
         """Do nothing: only the script ends connections or processes."""
 
+    def close_with_peer(self):
+        """Do nothing: no data waits on a connection when its peer closes."""
+
     def pause(self):
         self._reading = False
 
--- a/tests/test_conn.py
+++ b/tests/test_conn.py
@@ -151,6 +151,51 @@
         self._run_until(lambda: self.client.data == b'ok')
 
 
+class PeerCloseTest(testtools.TestCase):
+    """A connection that closes with its peer, over a socket pair."""
+
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop()
+        near, self.peer = socket.socketpair()
+        self.addCleanup(self.peer.close)
+        near.setblocking(False)
+        self.protocol = RecordingProtocol()
+        self.conn = Conn(self.loop, near, 'near', self.protocol)
+        self.addCleanup(self.conn.abort)
+
+    def _run_until_closed(self):
+        self.assertTrue(
+            self.loop.run_until(lambda: self.protocol.closes, TIMEOUT_SECONDS)
+        )
+        self.assertEqual([None], self.protocol.closes)
+
+    def test_data_before_a_close_is_not_delivered(self):
+        """Guards against work that is started for a peer that has left."""
+        self.conn.close_with_peer()
+        self.conn.start()
+        self.peer.sendall(b'request')
+        self.peer.close()
+        self._run_until_closed()
+        self.assertEqual(b'', bytes(self.protocol.data))
+
+    def test_a_close_is_noticed_while_reading_is_paused(self):
+        """Guards against work that goes on because nothing is read."""
+        self.conn.close_with_peer()
+        self.conn.start()
+        self.conn.pause()
+        self.peer.close()
+        self._run_until_closed()
+
+    def test_other_connections_deliver_the_data_before_a_close(self):
+        """Guards against the loss of a response that ends with a close."""
+        self.conn.start()
+        self.peer.sendall(b'response')
+        self.peer.close()
+        self._run_until_closed()
+        self.assertEqual(b'response', bytes(self.protocol.data))
+
+
 class PollerTest(testtools.TestCase):
     def test_event_of_a_closed_connection_is_dropped(self):
         """Guards against a stale event on a reused file descriptor.
