--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -9,7 +9,11 @@
 
 from bramleysill_net.conn import Conn
 
+# Also limits chunk extensions, trailers and interim responses: anything that
+# is received without a byte of the response's body.
 MAX_RESPONSE_HEAD_BYTES = 65536
+# Limit for the bodies of responses that belong to earlier requests.
+MAX_DISCARDED_BODY_BYTES = 1 << 20
 
 
 class HttpClientConn:
@@ -33,7 +37,8 @@
         '_sink',
         '_parser',
         '_headers',
-        '_head_bytes',
+        '_unparsed_bytes',
+        '_discarded_bytes',
         '_on_idle',
         '_on_closed',
         '_head_only',
@@ -61,7 +66,9 @@
         self._sink = None
         self._parser = None
         self._headers = []
-        self._head_bytes = 0
+        # Bytes received since the last complete head or byte of a body.
+        self._unparsed_bytes = 0
+        self._discarded_bytes = 0
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._head_only = False
@@ -95,7 +102,8 @@
         self.busy = True
         self._sink = sink
         self._headers = []
-        self._head_bytes = 0
+        self._unparsed_bytes = 0
+        self._discarded_bytes = 0
         self._head_only = head_only
         self._response_complete = False
         self._read_until_close = False
@@ -157,8 +165,10 @@
             # The server sent data without a request in progress.
             self.conn.abort()
             return
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            self._check_unparsed_bytes()
         except httptools.HttpParserError as exc:
             self._fail_exchange(exc)
             self.conn.abort()
@@ -196,9 +206,6 @@
         """Collect a header field."""
         if self._has_extra_response:
             return
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
-            raise httptools.HttpParserError('the response head is too large')
         self._headers.append(
             (name.decode('latin-1').lower(), value.decode('latin-1'))
         )
@@ -212,6 +219,7 @@
             self._discarding = True
             return
         self._in_body = True
+        self._unparsed_bytes = 0
         length = None
         for name, value in self._headers:
             if name == 'content-length' and value.isdecimal():
@@ -225,8 +233,12 @@
 
     def on_body(self, data):
         """Pass part of the body to the sink."""
-        if self._has_extra_response or self._discarding:
+        if self._has_extra_response:
+            return
+        if self._discarding:
+            self._discard_body(data)
             return
+        self._unparsed_bytes = 0
         if self._sink is not None:
             self._sink.on_body(data)
 
@@ -244,6 +256,24 @@
 
     # Internal.
 
+    def _check_unparsed_bytes(self):
+        # The parser buffers a status line or header field of any size before
+        # it reports it, so the bytes are counted as they arrive.
+        if self._response_complete:
+            return
+        if self._unparsed_bytes > MAX_RESPONSE_HEAD_BYTES:
+            raise httptools.HttpParserError(
+                'the response head or trailer is too large'
+            )
+
+    def _discard_body(self, data):
+        self._unparsed_bytes -= len(data)
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BODY_BYTES:
+            raise httptools.HttpParserError(
+                'the responses to earlier requests are too large'
+            )
+
     def _is_accepted(self, status):
         accepts = getattr(self._sink, 'accepts', None)
         return accepts is None or accepts(status, self._headers)
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -170,6 +170,11 @@
     def add_upstream(self, name, make_response, service='shared'):
         upstream = ScriptedUpstream(self.loop, make_response)
         self.addCleanup(upstream.listener.close)
+        self.register_upstream(name, upstream, service)
+        return upstream
+
+    def register_upstream(self, name, upstream, service='shared'):
+        """Add an upstream that listens already to the directory."""
         port = upstream.listener.address[1]
         self.state.directory.put(
             UpstreamEntry(
@@ -180,7 +185,6 @@
             self.state.tables['keyed'] = RangeTable.empty().assign(
                 [Assignment(0, 65535, name, 1)]
             )
-        return upstream
 
     def start(self, path, left_ms=3000, body=None):
         responses = []
