--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -155,6 +155,7 @@
     def on_body(self, data):
         """Buffer or forward a chunk of the response."""
         if not self._usable:
+            self._skip_body(data)
             return
         if self._streaming:
             if self._exchange.on_stream_data(data) > MAX_UNREAD_RESPONSE_BYTES:
@@ -225,6 +226,15 @@
             self.reason = f'replaced_by_{upstream_id}'
             self.peer.replaced = True
 
+    def _skip_body(self, data):
+        """Skip the body of an unusable response, unless it is too large."""
+        self._size += len(data)
+        if self._size <= MAX_BUFFERED_RESPONSE_BYTES or self._ended:
+            return
+        self._end()
+        self._conn.abort()
+        self._exchange.on_failed(self)
+
     def _mark_unknown(self, reason):
         self.outcome = AttemptOutcome.UNKNOWN
         self.reason = reason
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -50,6 +50,7 @@
         'received_at',
         '_config_version',
         '_deadline',
+        '_caller_deadline',
         '_body',
         '_streaming_request',
         '_attempt',
@@ -81,7 +82,11 @@
         self.finished = False
         self.received_at = now
         self._config_version = version
-        self._deadline = now + self._time_limit_seconds()
+        # Until when the caller waits; None if it has not told.
+        self._caller_deadline = self._read_caller_deadline(now)
+        self._deadline = now + route.max_wait
+        if self._caller_deadline is not None:
+            self._deadline = min(self._deadline, self._caller_deadline)
         self._body = RequestBody(req)
         self._streaming_request = False
         self._attempt = None
@@ -104,13 +109,11 @@
             self._deadline + DEADLINE_SLACK_SECONDS, self._on_deadline
         )
 
-    def _time_limit_seconds(self):
-        """Return the time limit: the caller's or the route's, if lower."""
+    def _read_caller_deadline(self, now):
         text = self.req.header(self.frontend.adapter.time_left_ms)
-        limit = self.route.max_wait
-        if text.isdecimal():
-            limit = min(limit, int(text) / 1000)
-        return limit
+        if not text.isdecimal():
+            return None
+        return now + int(text) / 1000
 
     # Events from the caller.
 
@@ -371,7 +374,7 @@
         attempt = self._attempt
         if attempt is not None:
             if attempt.streaming:
-                # A streamed response may end after the deadline.
+                self._limit_stream()
                 return
             attempt.cancel('deadline')
             self._attempt = None
@@ -379,6 +382,24 @@
             self._log_attempt(attempt)
         self._give_up(self._refusal_after_attempts('deadline', timed_out=True))
 
+    def _limit_stream(self):
+        """Let a streamed response go on while the caller waits for it.
+
+        It may outlast the route's time limit, but not the caller's.
+        """
+        if self._caller_deadline is None:
+            return
+        end = self._caller_deadline + DEADLINE_SLACK_SECONDS
+        now = self.frontend.loop.now()
+        if now < end:
+            self._deadline_timer = self.frontend.loop.scheduler.call_at(
+                end, self._on_deadline
+            )
+            return
+        attempt = self._attempt
+        attempt.cancel('deadline')
+        self.on_stream_broken(attempt)
+
     def _refusal_after_attempts(self, step, timed_out=False):
         return request_refusals.after_attempts(
             self._last_failure,
--- a/tests/test_endless_response.py
+++ b/tests/test_endless_response.py
@@ -136,3 +136,56 @@
         ]
         self.assertEqual([200] * 8, statuses)
         self.run_until(lambda: endless.closed == endless.requests)
+
+
+class EndlessBodyTest(EndlessTestCase):
+    def _check_broken_off(self, head, filler):
+        """The caller gets no complete response, at the latest at its deadline.
+
+        Another caller is served meanwhile.
+        """
+        upstream = self.add_endless(head, filler)
+        _, responses = self.start('/write/x', left_ms=1000, body=b'')
+        self.run_until(lambda: upstream.sent_bytes > FILLER_BYTES)
+        self.state.directory.remove('u1')
+        self.add_upstream('u2', signed_response)
+        self.assertEqual(200, self.request('/write/x', LONG_DEADLINE_MS)[0])
+        self.run_until(lambda: upstream.closed and responses)
+        ((status, _, _),) = responses
+        self.assertIn(status, (0, 502, 504))
+        self.assertEqual(set(), self.frontend.active_exchanges)
+
+    def test_body_without_length(self):
+        """Guards against a streamed response that outlives its caller."""
+        self._check_broken_off(SIGNED_HEAD + b'\r\n', b'a')
+
+    def test_chunks_without_end(self):
+        """Guards against a streamed response that outlives its caller."""
+        head = SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+        self._check_broken_off(head, b'1\r\na\r\n')
+
+    def test_trailers_without_end(self):
+        """Guards against a trailer field that fills the memory."""
+        head = SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+        self._check_broken_off(head + b'1\r\na\r\n0\r\nX-Long: ', b'a')
+
+    def test_chunk_extension_without_end(self):
+        """Guards against a chunk that never begins."""
+        head = SIGNED_HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+        self._check_broken_off(head + b'1;', b'a')
+
+    def test_unsigned_body_without_end(self):
+        """Guards against reading an unusable response until the deadline."""
+        upstream = self.add_endless(b'HTTP/1.1 200 OK\r\n\r\n', b'a')
+        status, _, body = self.request('/write/x', LONG_DEADLINE_MS, b'')
+        self.assertEqual(502, status)
+        self.run_until(lambda: upstream.closed)
+        self.assertLess(upstream.sent_bytes, MAX_SENT_BYTES)
+
+    def test_slow_caller_bounds_what_is_read(self):
+        """Guards against a body that fills the memory of the router."""
+        upstream = self.add_endless(SIGNED_HEAD + b'\r\n', b'a')
+        conn, _ = self.start('/write/x', left_ms=1000, body=b'')
+        conn.pause()
+        self.run_until(lambda: upstream.closed)
+        self.assertLess(upstream.sent_bytes, MAX_SENT_BYTES)
