--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -177,4 +177,25 @@
         'if True:',
         _MECHANISM_TESTS + 'DepartureTest',
     ),
+    Mutation(
+        'a release waits for a grant of its keys in progress',
+        KERNEL + 'range_coordinator.py',
+        'if self._holds.has_grant_in_progress(move.old_range):',
+        'if False:',
+        'tests.test_range_coordinator.MovesTest',
+    ),
+    Mutation(
+        'an unanswered grant counts from the end of its call',
+        KERNEL + 'hold_ledger.py',
+        '            call.until = _latest_end(self._clock.now(), hold)\n',
+        '',
+        'tests.test_range_coordinator.HoldLedgerTest',
+    ),
+    Mutation(
+        'a caller that closes is noticed before its data',
+        NET + 'loop.py',
+        'if event & select.EPOLLRDHUP:',
+        'if False:',
+        'tests.test_caller_leaves',
+    ),
 )
--- a/model/range_protocol.py
+++ b/model/range_protocol.py
@@ -24,6 +24,7 @@
     'lease_not_checked',
     'grant_before_write',
     'no_release',
+    'release_during_grant',
     'no_fence_check',
     'no_fresh_fence',
     'write_without_conditions',
@@ -214,13 +215,15 @@
     def _end_hold(self, s, i, owner, fence):
         """End the owner's hold by a release or by expiry.
 
-        A leader waits until none of its own grants can arrive any more. It
-        does not know which grants an earlier leader sent. A release is
+        A leader waits until none of its own grants can arrive any more, since
+        a grant may arrive after a release that was sent later. It does not
+        know which grants an earlier leader sent. A release is
         therefore valid only after the owner has applied a grant of this
         leader, since it then refuses the grants of earlier leaders. Without
         a release, no grant to the owner may still be in flight.
         """
-        if (owner, fence, i) in s.grants_in_flight:
+        in_flight = (owner, fence, i) in s.grants_in_flight
+        if in_flight and self.mutation != 'release_during_grant':
             return
         if s.highest_fence[owner] == fence:
             yield (
--- a/packages/kernel/src/bramleysill_kernel/hold_ledger.py
+++ b/packages/kernel/src/bramleysill_kernel/hold_ledger.py
@@ -3,9 +3,11 @@
 A hold is a time-limited grant. It starts when the grant arrives and is
 measured by the upstream's clock. The leader knows only when it sent the grant
 and when the response came back, so it assumes the latest possible arrival: the
-time of the response or, without one, the end of the call. An unanswered grant
-may also take effect after a release that was sent later, so a release ends
-only the grants that have been responded to.
+time of the response or, without one, the end of the call.
+
+Calls use several connections, so a grant may arrive after a release that was
+sent later, and give the keys back to their former owner. A release therefore
+ends only the grants whose responses were received before it was sent.
 """
 
 # An upstream's clock may run 2% slow while it measures a hold.
@@ -22,15 +24,35 @@
     return hold * (1 + MAX_UPSTREAM_CLOCK_RATE_ERROR)
 
 
+class _GrantCall:
+    """A grant of the keys `first` to `last` without a response.
+
+    `until` is the latest possible end of its hold; while the call is in
+    progress, that is an estimate.
+    """
+
+    __slots__ = ('first', 'last', 'until', 'in_progress')
+
+    def __init__(self, item, until):
+        self.first = item.first
+        self.last = item.last
+        self.until = until
+        self.in_progress = True
+
+    def overlaps(self, item):
+        """Return whether the grant has keys in common with a range."""
+        return self.first <= item.last and item.first <= self.last
+
+
 class HoldLedger:
     """Tracks the latest possible end of each holder's holds.
 
-    A holder is `(upstream, incarnation, fence)`. `takeover_at` is when this
-    process became leader and `longest_hold` the longest hold that its
-    predecessor may have granted. Until these holds have expired, a holder that
-    has not confirmed a grant of this leader may still hold its keys. A holder
-    that has confirmed one refuses late grants of earlier leaders, because
-    their fences are lower.
+    Its methods take a KeyRange with the owner that holds it. A holder is
+    `(upstream, incarnation, fence)`. `takeover_at` is when this process became
+    leader and `longest_hold` the longest hold that its predecessor may have
+    granted. Until these holds have expired, a holder that has not confirmed a
+    grant of this leader may still hold its keys. A holder that has confirmed
+    one refuses late grants of earlier leaders, because their fences are lower.
 
     `call_number` tells the grant calls of a holder apart, and `hold` is the
     length of a granted hold in seconds.
@@ -39,7 +61,7 @@
     __slots__ = (
         '_clock',
         '_confirmed_until',
-        '_unanswered_until',
+        '_calls',
         '_inherited_until',
     )
 
@@ -47,8 +69,8 @@
         self._clock = clock
         # Latest end of the confirmed grants: {holder: end}.
         self._confirmed_until = {}
-        # Latest ends of unanswered grants: {holder: {call number: end}}.
-        self._unanswered_until = {}
+        # Grants without a response: {holder: {call number: _GrantCall}}.
+        self._calls = {}
         self._inherited_until = (
             takeover_at
             + CALL_TIMEOUT_SECONDS
@@ -60,60 +82,93 @@
         """Record that no earlier leader has granted anything."""
         self._inherited_until = 0.0
 
-    def record_grant_sent(self, holder, call_number, hold):
-        """Record a grant that is sent now and has no response yet."""
-        now = self._clock.now()
-        latest_arrival = now + CALL_TIMEOUT_SECONDS + MAX_TRANSIT_SECONDS
-        calls = self._unanswered_until.setdefault(holder, {})
-        calls[call_number] = latest_arrival + max_hold_seconds(hold)
+    def record_grant_sent(self, item, call_number, hold):
+        """Record a grant that is sent now."""
+        call_end = self._clock.now() + CALL_TIMEOUT_SECONDS
+        calls = self._calls.setdefault(item.holder, {})
+        calls[call_number] = _GrantCall(item, _latest_end(call_end, hold))
 
-    def record_grant_confirmed(self, holder, call_number, hold):
+    def record_grant_confirmed(self, item, call_number, hold):
         """Record a confirmed grant; it arrived at the upstream before now."""
         end = self._clock.now() + max_hold_seconds(hold)
-        self._confirmed_until[holder] = max(
-            end, self._confirmed_until.get(holder, 0.0)
+        self._confirmed_until[item.holder] = max(
+            end, self._confirmed_until.get(item.holder, 0.0)
         )
-        self.record_grant_refused(holder, call_number)
+        self.record_grant_refused(item, call_number)
 
-    def record_grant_refused(self, holder, call_number):
+    def record_grant_refused(self, item, call_number):
         """Record that the upstream responded without accepting the grant."""
-        calls = self._unanswered_until.get(holder)
+        calls = self._calls.get(item.holder)
         if calls is not None:
             calls.pop(call_number, None)
             if not calls:
-                del self._unanswered_until[holder]
+                del self._calls[item.holder]
+
+    def record_grant_unanswered(self, item, call_number, hold):
+        """Record that a call has ended now without a response.
+
+        It may have ended later than its timeout if the loop was late, and its
+        bytes may have been sent until then.
+        """
+        call = self._calls.get(item.holder, {}).get(call_number)
+        if call is not None:
+            call.in_progress = False
+            call.until = _latest_end(self._clock.now(), hold)
+
+    def has_grant_in_progress(self, item):
+        """Return whether a grant of these keys may still get a response.
+
+        A release that is sent meanwhile may arrive before the grant.
+        """
+        return any(call.in_progress for call in self._calls_of(item))
 
     def has_confirmed(self, holder):
         """Return whether the holder has confirmed a grant of this leader."""
         return holder in self._confirmed_until
 
-    def expiry_after_release(self, holder):
-        """Return when the keys may be reassigned if the holder released them.
+    def expiry_after_release(self, item):
+        """Return when the keys may be reassigned if the owner released them.
 
-        Grants that are still unanswered may take effect after the release.
+        The release must have been sent while no grant was in progress. Grants
+        that are still unanswered may take effect after it.
         """
         unanswered_end = max(
-            self._unanswered_until.get(holder, {}).values(), default=0.0
+            (call.until for call in self._calls_of(item)), default=0.0
         )
-        if self.has_confirmed(holder):
+        if self.has_confirmed(item.holder):
             return unanswered_end
         return max(self._inherited_until, unanswered_end)
 
-    def expiry_without_release(self, holder):
+    def expiry_without_release(self, item):
         """Return when the keys may be reassigned without a release."""
-        confirmed_end = self._confirmed_until.get(holder, 0.0)
+        confirmed_end = self._confirmed_until.get(item.holder, 0.0)
         return max(
             self._inherited_until,
             confirmed_end,
-            self.expiry_after_release(holder),
+            self.expiry_after_release(item),
         )
 
-    def prune(self, holders):
-        """Remove expired holds of all but the given holders."""
+    def prune(self, items):
+        """Remove the expired holds of all but the holders of these ranges."""
         now = self._clock.now()
-        for holder in set(self._confirmed_until) - holders:
-            if self.expiry_without_release(holder) < now:
+        current = {item.holder for item in items}
+        for holder in set(self._calls) - current:
+            calls = self._calls[holder].values()
+            if max(call.until for call in calls) < now:
+                del self._calls[holder]
+        if self._inherited_until >= now:
+            return
+        for holder in set(self._confirmed_until) - current - set(self._calls):
+            if self._confirmed_until[holder] < now:
                 del self._confirmed_until[holder]
-        for holder in set(self._unanswered_until) - holders:
-            if max(self._unanswered_until[holder].values()) < now:
-                del self._unanswered_until[holder]
+
+    def _calls_of(self, item):
+        calls = self._calls.get(item.holder)
+        if not calls:
+            return ()
+        return [call for call in calls.values() if call.overlaps(item)]
+
+
+def _latest_end(call_end, hold):
+    """Return the latest end of a hold whose call ends at `call_end`."""
+    return call_end + MAX_TRANSIT_SECONDS + max_hold_seconds(hold)
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -182,8 +182,7 @@
             hold = self._timings.outage_hold
         self._last_call_number += 1
         call = self._last_call_number
-        holder = part.holder
-        self._holds.record_grant_sent(holder, call, hold)
+        self._holds.record_grant_sent(part, call, hold)
         renewal.pending_call = call
         renewal.due_at = self._clock.now() + self._timings.renew_interval
         handover = self._handovers.get(part.fence, '')
@@ -194,13 +193,12 @@
         self._calls.grant(entry, part, hold, handover, done)
 
     def _on_granted(self, part, call, hold, result):
-        holder = part.holder
         now = self._clock.now()
         renewal = self._renewals.get((part.first, part.last, part.fence))
         if renewal is not None and renewal.pending_call == call:
             renewal.pending_call = 0
         if result is CallOutcome.OK:
-            self._holds.record_grant_confirmed(holder, call, hold)
+            self._holds.record_grant_confirmed(part, call, hold)
             self._handovers.pop(part.fence, None)
             self._pool.record_grant_success(part.owner)
             if renewal is not None:
@@ -208,8 +206,10 @@
             return
         if result is CallOutcome.REPLACED:
             self._pool.record_process_end(part)
-        if result is not CallOutcome.NO_RESPONSE:
-            self._holds.record_grant_refused(holder, call)
+        if result is CallOutcome.NO_RESPONSE:
+            self._holds.record_grant_unanswered(part, call, hold)
+        else:
+            self._holds.record_grant_refused(part, call)
         self._pool.record_grant_failure(part.owner)
         if renewal is not None:
             renewal.failures += 1
@@ -239,8 +239,8 @@
         if self._pool.has_ended(old_range):
             return True
         if move.released:
-            return now >= self._holds.expiry_after_release(old_range.holder)
-        return now >= self._holds.expiry_without_release(old_range.holder)
+            return now >= self._holds.expiry_after_release(old_range)
+        return now >= self._holds.expiry_without_release(old_range)
 
     def _release(self, move, now):
         entry = self._directory.last_known(move.old_range.owner)
@@ -248,6 +248,9 @@
             return
         if now < move.retry_at:
             return
+        if self._holds.has_grant_in_progress(move.old_range):
+            # The release could overtake the grant, which would then undo it.
+            return
         move.release_pending = True
 
         def done(result, handover):
@@ -326,7 +329,7 @@
         self._next_balance_at = now + BALANCE_INTERVAL_SECONDS
         self.loads.decay()
         self._pool.discard_expired_backoffs()
-        self._holds.prune({r.holder for r in self.table.ranges})
+        self._holds.prune(self.table.ranges)
         capacities = self._pool.capacities()
         rates = self.loads.sorted_rates()
         # Keys of planned moves already count as load of the target. Moves from
@@ -345,7 +348,7 @@
         now = self._clock.now()
         if self._moves.overlapping(item.first, item.last):
             return False
-        return self._holds.expiry_after_release(item.holder) <= now
+        return self._holds.expiry_after_release(item) <= now
 
     # Table writes.
 
--- a/tests/range_fakes.py
+++ b/tests/range_fakes.py
@@ -181,6 +181,9 @@
         self.grants = []
         self.releases = []
         self.late_probability = 0.0
+        # Longest time of a call or a response on its way. Calls use several
+        # connections, so that a later one may arrive first.
+        self.max_delay_seconds = 0.01
         # Whether connections to ended processes are refused at once.
         self.refuses_connections = False
         # In seconds; upstreams refuse longer grants.
@@ -224,7 +227,7 @@
         if entry.upstream in self.replaced:
             self.schedule(0.004, lambda: done(CallOutcome.REPLACED))
             return
-        delay = self.rng.uniform(0.001, 0.01)
+        delay = self.rng.uniform(0.001, self.max_delay_seconds)
         dead = upstream is None or not upstream.alive
         if dead and self.refuses_connections:
             self.schedule(0.001, lambda: done(CallOutcome.REFUSED))
@@ -242,14 +245,16 @@
                 CALL_TIMEOUT_SECONDS, lambda: done(CallOutcome.NO_RESPONSE)
             )
             return
+        back = self.rng.uniform(0.001, self.max_delay_seconds)
         lost = self.rng.random() < self.loss_probability
+        lost = lost or delay + back >= CALL_TIMEOUT_SECONDS
 
         def arrive():
             accepted = upstream.alive and carry_out(upstream, arrived)
             if lost:
                 return
             result = CallOutcome.OK if accepted else CallOutcome.REFUSED
-            self.schedule(delay, lambda: done(result))
+            self.schedule(back, lambda: done(result))
 
         self.schedule(delay, arrive)
         if lost:
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -6,7 +6,9 @@
 
 from bramleysill_kernel.clock import ManualClock
 from bramleysill_kernel.hold_ledger import HoldLedger
+from bramleysill_kernel.key_ranges import KeyRange
 from tests.bounds import make_timings
+from tests.range_fakes import STEP_SECONDS
 from tests.range_fakes import FakeCell
 from tests.range_fakes import make_entry
 
@@ -152,6 +154,22 @@
         cell.run(16.0, _AtMostOneHolder(self))
         self.assertEqual([], _unserved(cell))
 
+    def test_a_grant_that_a_release_overtakes_delays_the_next_owner(self):
+        """Guards against a second owner after a release.
+
+        A grant and a later release are on their way at once. The grant arrives
+        last and gives the keys back to the owner that has released them.
+        """
+        for seed in range(20):
+            cell = _cell(seed)
+            cell.max_delay_seconds = 0.19
+            cell.grants.clear()
+            while not any(name == 'u1' for name, _, _ in cell.grants):
+                cell.run(STEP_SECONDS)
+            cell.directory.put(make_entry('u1', draining=True))
+            cell.run(5.0, _AtMostOneHolder(self))
+            self.assertEqual([], _unserved(cell))
+
 
 class BalanceTest(testtools.TestCase):
     def test_a_busy_owner_is_relieved_while_another_is_unresponsive(self):
@@ -227,6 +245,7 @@
         for _ in range(12):
             cell.late_probability = rng.choice((0.0, 0.0, 0.2))
             cell.loss_probability = rng.choice((0.0, 0.0, 0.2))
+            cell.max_delay_seconds = rng.choice((0.01, 0.01, 0.19, 0.3))
             action = rng.randrange(6)
             name = rng.choice(sorted(cell.upstreams))
             if action == 0:
@@ -251,7 +270,7 @@
 
 
 class HoldLedgerTest(testtools.TestCase):
-    HOLDER = ('u1', 1, 5)
+    RANGE = KeyRange(0, 99, 5, 'u1', 1)
 
     def _ledger(self):
         clock = ManualClock(100.0)
@@ -262,32 +281,54 @@
     def test_a_confirmed_grant_counts_from_its_confirmation(self):
         """Guards against a hold that lasts longer than the leader assumes."""
         clock, ledger = self._ledger()
-        ledger.record_grant_sent(self.HOLDER, 1, 3.0)
+        ledger.record_grant_sent(self.RANGE, 1, 3.0)
         clock.advance(0.4)
-        ledger.record_grant_confirmed(self.HOLDER, 1, 3.0)
-        end = ledger.expiry_without_release(self.HOLDER)
+        ledger.record_grant_confirmed(self.RANGE, 1, 3.0)
+        end = ledger.expiry_without_release(self.RANGE)
         self.assertAlmostEqual(100.4 + 3.06, end)
-        self.assertEqual(0.0, ledger.expiry_after_release(self.HOLDER))
+        self.assertEqual(0.0, ledger.expiry_after_release(self.RANGE))
 
     def test_an_unanswered_grant_outlives_a_release(self):
         """Guards against a late grant that renews a released hold."""
         _, ledger = self._ledger()
-        ledger.record_grant_sent(self.HOLDER, 1, 3.0)
-        self.assertGreater(ledger.expiry_after_release(self.HOLDER), 103.0)
+        ledger.record_grant_sent(self.RANGE, 1, 3.0)
+        self.assertGreater(ledger.expiry_after_release(self.RANGE), 103.0)
 
     def test_a_later_confirmation_does_not_end_an_earlier_call(self):
         """Guards against ignoring a call that is still in flight."""
         clock, ledger = self._ledger()
-        ledger.record_grant_sent(self.HOLDER, 1, 3.0)
-        ledger.record_grant_sent(self.HOLDER, 2, 3.0)
-        ledger.record_grant_confirmed(self.HOLDER, 2, 3.0)
-        self.assertGreater(ledger.expiry_after_release(self.HOLDER), 103.0)
+        ledger.record_grant_sent(self.RANGE, 1, 3.0)
+        ledger.record_grant_sent(self.RANGE, 2, 3.0)
+        ledger.record_grant_confirmed(self.RANGE, 2, 3.0)
+        self.assertGreater(ledger.expiry_after_release(self.RANGE), 103.0)
 
     def test_a_new_leader_waits_for_holders_it_has_not_reached(self):
         """Guards against a predecessor's grant that has not expired."""
         clock = ManualClock(100.0)
         ledger = HoldLedger(clock, 100.0, 7.0)
-        self.assertGreater(ledger.expiry_after_release(self.HOLDER), 107.0)
-        ledger.record_grant_sent(self.HOLDER, 1, 3.0)
-        ledger.record_grant_confirmed(self.HOLDER, 1, 3.0)
-        self.assertEqual(0.0, ledger.expiry_after_release(self.HOLDER))
+        self.assertGreater(ledger.expiry_after_release(self.RANGE), 107.0)
+        ledger.record_grant_sent(self.RANGE, 1, 3.0)
+        ledger.record_grant_confirmed(self.RANGE, 1, 3.0)
+        self.assertEqual(0.0, ledger.expiry_after_release(self.RANGE))
+
+    def test_a_call_that_ends_late_may_have_arrived_late(self):
+        """Guards against a hold that is counted from the call's timeout.
+
+        A late loop aborts the call late, and its bytes may leave until then.
+        """
+        clock, ledger = self._ledger()
+        ledger.record_grant_sent(self.RANGE, 1, 3.0)
+        clock.advance(1.4)
+        ledger.record_grant_unanswered(self.RANGE, 1, 3.0)
+        end = ledger.expiry_after_release(self.RANGE)
+        self.assertGreater(end, 101.4 + 3.06)
+
+    def test_grants_of_other_keys_do_not_delay_a_release(self):
+        """Guards against releases that wait for renewals without end."""
+        _, ledger = self._ledger()
+        ledger.record_grant_sent(self.RANGE.subrange(50, 99), 1, 3.0)
+        other = self.RANGE.subrange(0, 49)
+        self.assertFalse(ledger.has_grant_in_progress(other))
+        self.assertTrue(ledger.has_grant_in_progress(self.RANGE))
+        ledger.record_grant_unanswered(self.RANGE, 1, 3.0)
+        self.assertFalse(ledger.has_grant_in_progress(self.RANGE))
