--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -141,6 +141,7 @@
 
     def abort_exchange(self):
         """Reset the connection and fail the exchange in progress."""
+        self._fail_exchange(TimeoutError('the call was aborted'))
         self.conn.abort()
 
     def close(self):
@@ -170,9 +171,13 @@
             self._parser.feed_data(data)
             self._check_unparsed_bytes()
         except httptools.HttpParserError as exc:
-            self._fail_exchange(exc)
-            self.conn.abort()
-            return
+            if self._response_complete:
+                # The bytes after the response belong to no request.
+                self._has_extra_response = True
+            else:
+                self._fail_exchange(exc)
+                self.conn.abort()
+                return
         if self._response_complete and not self.conn.closed:
             self._finish_exchange()
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -3,6 +3,7 @@
 import testtools
 
 from bramleysill_net.conn import Listener
+from bramleysill_net.http_calls import HttpCallClient
 from bramleysill_net.http_client import HttpClientConn
 from bramleysill_net.http_client import ResponseCollector
 from bramleysill_net.http_client import encode_request
@@ -205,6 +206,13 @@
         )
         self.assertTrue(self.conn.closed)
 
+    def test_bytes_after_a_response_do_not_void_it(self):
+        """Guards against losing a complete response to bytes that follow."""
+        self.script += [_encode_response(b'1', b'mine') + b'\x00no response']
+        status, _, body = self._exchange('1')
+        self.assertEqual((200, b'mine'), (status, body))
+        self.assertTrue(self.conn.closed)
+
     def test_response_to_an_earlier_request_is_dropped(self):
         """Guards against a late response passed to a later request."""
         self.script += [
@@ -223,3 +231,24 @@
         ]
         self._exchange('1')
         self.assertEqual(b'next', self._exchange('2')[2])
+
+
+class TimeoutTest(testtools.TestCase):
+    def test_timeout_does_not_complete_a_response_without_length(self):
+        """Guards against a partial response that looks complete.
+
+        The end of such a response is the close of its connection, which the
+        timeout of the call causes too.
+        """
+        loop = Loop()
+        script = [b'HTTP/1.1 200 OK\r\n\r\npartial']
+        listener = Listener(
+            loop, '127.0.0.1', 0, lambda conn: _ScriptedServer(conn, script)
+        )
+        self.addCleanup(listener.close)
+        client = HttpCallClient(loop, *listener.address)
+        self.addCleanup(client.close)
+        results = []
+        client.call(encode_request('GET', '/', 'x'), 0.1, results.append)
+        self.assertTrue(loop.run_until(lambda: results, TIMEOUT_SECONDS))
+        self.assertEqual(0, results[0].status)
