--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -24,6 +24,23 @@
 IDLE_CLOSE_MARGIN_SECONDS = 1.0
 
 
+class _IdleTime:
+    """Since when a caller connection is idle, as seen by periodic checks."""
+
+    __slots__ = ('_since', '_request_count')
+
+    def __init__(self, now):
+        self._since = now
+        self._request_count = 0
+
+    def since(self, server, now):
+        """Return since when the connection is idle; `now` if it was used."""
+        if not server.idle or server.request_count != self._request_count:
+            self._request_count = server.request_count
+            self._since = now
+        return self._since
+
+
 class Frontend:
     """Handler of the callers' port; starts an exchange for each request."""
 
@@ -60,7 +77,7 @@
         self._exchanges_awaiting_table = []
         # By service, first key and fence of the range.
         self._stale_until = {}
-        # Caller connections with the time when each was last seen in use.
+        # The _IdleTime of each caller connection.
         self._conns = {}
 
     # Callers' connections.
@@ -70,7 +87,7 @@
         # Nothing is started for a caller that has left.
         conn.close_with_peer()
         server = HttpServerConn(conn, self)
-        self._conns[server] = self.loop.now()
+        self._conns[server] = _IdleTime(self.loop.now())
         return server
 
     def on_disconnect(self, server):
@@ -83,14 +100,9 @@
         if limits is None:
             return
         now = self.loop.now()
-        for server, since in list(self._conns.items()):
-            if not server.idle:
-                self._conns[server] = now
-                continue
-            if (
-                now - since
-                > limits.idle_timeout_seconds + IDLE_CLOSE_MARGIN_SECONDS
-            ):
+        timeout = limits.idle_timeout_seconds + IDLE_CLOSE_MARGIN_SECONDS
+        for server, idle_time in list(self._conns.items()):
+            if now >= idle_time.since(server, now) + timeout:
                 server.conn.close()
 
     def close_idle(self):
--- a/packages/net/src/bramleysill_net/http_server.py
+++ b/packages/net/src/bramleysill_net/http_server.py
@@ -64,13 +64,14 @@
     `handler.on_bad_request(stream, status, reason)` must send a response,
     after which the connection is closed. `handler.on_disconnect(server)`
     is called when the connection has closed. `idle` is false while a request
-    or its response is in progress.
+    or its response is in progress; `request_count` counts the requests.
     """
 
     __slots__ = (
         'conn',
         'handler',
         'idle',
+        'request_count',
         '_parser',
         '_sink',
         '_stream',
@@ -83,6 +84,7 @@
         self.conn = conn
         self.handler = handler
         self.idle = True
+        self.request_count = 0
         self._parser = RequestParser()
         self._stream = None
         self._sink = None
@@ -197,6 +199,7 @@
         stream = ResponseStream(self, req)
         self._stream = stream
         self._body_complete = False
+        self.request_count += 1
         if req.header('expect').lower() == '100-continue':
             self.conn.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         sink = self.handler.on_request(stream, req)
