--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -25,10 +25,11 @@
 class _FakeProcess:
     """An upstream process with a given ledger."""
 
-    def __init__(self, name, *ledger, ended_at=float('inf')):
+    def __init__(self, name, *ledger, ended_at=float('inf'), fault_spans=()):
         self.name = name
         self.ledger = ledger
         self.ended_at = ended_at
+        self.fault_spans = fault_spans
 
 
 class _FakeRouter:
@@ -113,6 +114,31 @@
         )
         self.assertEqual({'fences rise with each owner'}, violated)
 
+    def _work_after_leaving(self, seconds, **kwargs):
+        """Return the violations of a run that begins after its caller left."""
+        left = _outcome(0, sent=0.2)
+        left.left_at = 1.0 - seconds
+        process = _FakeProcess('u1', _run('c-1'), **kwargs)
+        return self._violated(process, outcomes=[left, _outcome(sent=121.0)])
+
+    def test_work_for_a_caller_that_has_left_is_found(self):
+        """Guards against a check that misses late work."""
+        self.assertEqual(
+            {'no work begins for a caller that has left'},
+            self._work_after_leaving(0.6),
+        )
+
+    def test_work_that_crosses_with_the_close_is_allowed(self):
+        """Guards against a violation for a close that is in transit."""
+        self.assertEqual(set(), self._work_after_leaving(0.3))
+
+    def test_work_of_an_upstream_with_a_fault_is_allowed(self):
+        """Guards against a violation for a request that a fault held up."""
+        spans = [(0.1, 0.9)]
+        self.assertEqual(
+            set(), self._work_after_leaving(0.6, fault_spans=spans)
+        )
+
     def test_a_second_run_is_found(self):
         """Guards against a check that misses a request that ran twice."""
         violated = self._violated(
