--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -9,6 +9,7 @@
 from bramleysill_gateway import request_refusals
 from bramleysill_gateway.attempt import NOT_RUN_STATUSES
 from bramleysill_gateway.attempt import Attempt
+from bramleysill_gateway.exchange_log import ExchangeLog
 from bramleysill_gateway.request_body import RequestBody
 from bramleysill_kernel import refusals
 from bramleysill_kernel.problems import to_problem
@@ -16,7 +17,6 @@
 from bramleysill_kernel.retry_rules import may_retry
 from bramleysill_kernel.send_policy import Action
 from bramleysill_net.http_headers import end_to_end_fields
-from bramleysill_router.logs import log_event
 
 # Reading from the caller pauses while more request bytes than this wait to be
 # sent to the upstream.
@@ -48,11 +48,15 @@
         'dropped_response_headers',
         'finished',
         'received_at',
-        '_config_version',
+        'config_version',
+        'owned_range',
+        'peer',
+        'expected_seconds',
         '_deadline',
         '_caller_deadline',
         '_body',
         '_streaming_request',
+        '_log',
         '_attempt',
         '_attempt_count',
         '_owner_wait_deadline',
@@ -62,9 +66,6 @@
         '_dispatch_timer',
         '_last_failure',
         '_failed_upstreams',
-        '_owned_range',
-        '_peer',
-        '_expected_seconds',
         '_dispatched',
     )
 
@@ -81,7 +82,7 @@
         self.dropped_response_headers = frontend.dropped_response_headers
         self.finished = False
         self.received_at = now
-        self._config_version = version
+        self.config_version = version
         # Until when the caller waits; None if it has not told.
         self._caller_deadline = self._read_caller_deadline(now)
         self._deadline = now + route.max_wait
@@ -89,6 +90,7 @@
             self._deadline = min(self._deadline, self._caller_deadline)
         self._body = RequestBody(req)
         self._streaming_request = False
+        self._log = ExchangeLog(self)
         self._attempt = None
         self._attempt_count = 0
         self._owner_wait_deadline = now + OWNER_WAIT_TIMEOUT_SECONDS
@@ -100,9 +102,9 @@
         # Upstreams that have failed this request.
         self._failed_upstreams = set()
         # Key range, upstream and estimated response time of the last attempt.
-        self._owned_range = None
-        self._peer = None
-        self._expected_seconds = 0.0
+        self.owned_range = None
+        self.peer = None
+        self.expected_seconds = 0.0
         self._dispatched = False
         stream.on_drained = self._on_caller_drained
         self._deadline_timer = frontend.loop.scheduler.call_at(
@@ -153,7 +155,7 @@
         self._finish('caller_left', 0)
         if self._attempt is not None:
             self._attempt.cancel('caller_left')
-            self._log_cancelled(self._attempt)
+            self._log.cancelled(self._attempt)
 
     def time_left(self, now):
         """Return the seconds until the deadline."""
@@ -209,8 +211,8 @@
         if decision.action is not Action.SEND:
             self._refuse_not_admitted(peer, decision)
             return
-        self._owned_range = owned_range
-        self._expected_seconds = decision.expected_seconds
+        self.owned_range = owned_range
+        self.expected_seconds = decision.expected_seconds
         self._send(peer, now)
 
     def _dispatch_shared(self, now):
@@ -232,7 +234,7 @@
         if not self._passes_slow_start(peer, now):
             self._refuse_slow_start(peer)
             return
-        self._expected_seconds = decision.expected_seconds
+        self.expected_seconds = decision.expected_seconds
         self._send(peer, now)
 
     def _passes_slow_start(self, peer, now):
@@ -252,7 +254,7 @@
             self, peer, self.frontend.adapter, self.frontend.loop
         )
         self._attempt = attempt
-        self._peer = peer
+        self.peer = peer
         self._streaming_request = not self._body.complete
         attempt.start(self._encode_head(peer.entry, now), self._body.chunks)
         if self._attempt is attempt and not attempt.connected:
@@ -301,11 +303,9 @@
         if self.finished:
             return
         now = self.frontend.loop.now()
-        self._log_attempt(attempt)
+        self._log.failed(attempt, self._attempt_count)
         if attempt.status == 421 and self.service.keyed:
-            self.frontend.note_stale_owner(
-                self.service.name, self._owned_range
-            )
+            self.frontend.note_stale_owner(self.service.name, self.owned_range)
         elif (
             attempt.response_complete
             and attempt.outcome is AttemptOutcome.NOT_RUN
@@ -353,7 +353,7 @@
         self._attempt = None
         if self.finished:
             return
-        self._log_attempt(attempt)
+        self._log.failed(attempt, self._attempt_count)
         self._finish('answer_broken', attempt.status)
         self.stream.abort()
 
@@ -379,7 +379,7 @@
             attempt.cancel('deadline')
             self._attempt = None
             self._last_failure = attempt
-            self._log_attempt(attempt)
+            self._log.failed(attempt, self._attempt_count)
         self._give_up(self._refusal_after_attempts('deadline', timed_out=True))
 
     def _limit_stream(self):
@@ -478,20 +478,7 @@
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             attempt.cancel(refusal.code)
-        log_event(
-            'request_refused',
-            id=self.request_id,
-            code=refusal.code,
-            status=refusal.status,
-            step=refusal.step,
-            peer=refusal.peer,
-            reason=refusal.message,
-            retry_after=refusal.retry_after or 0.0,
-            attempts=self._attempt_count,
-            config=self._config_version,
-            key=-1 if self.key is None else self.key,
-            age=self.frontend.loop.now() - self.received_at,
-        )
+        self._log.refused(refusal, self._attempt_count)
         self._finish(refusal.code, refusal.status)
         status, headers, body = to_problem(
             refusal, self.request_id, whole_seconds=False
@@ -511,42 +498,4 @@
         now = self.frontend.loop.now()
         self.frontend.on_finished(self, outcome, now - self.received_at)
         if outcome in LOGGED_OUTCOMES:
-            self._log_outcome(outcome, status, now - self.received_at)
-
-    def _log_outcome(self, outcome, status, seconds):
-        peer = self._peer
-        log_event(
-            'request_done',
-            id=self.request_id,
-            outcome=outcome,
-            status=status,
-            route=self.route.name,
-            service=self.service.name,
-            upstream=peer.entry.upstream if peer else '',
-            key=-1 if self.key is None else self.key,
-            fence=self._owned_range.fence if self._owned_range else 0,
-            attempts=self._attempt_count,
-            expected=self._expected_seconds,
-            config=self._config_version,
-            seconds=seconds,
-        )
-
-    def _log_cancelled(self, attempt):
-        log_event(
-            'attempt_cancelled',
-            id=self.request_id,
-            upstream=attempt.peer.entry.upstream,
-            sent_seconds=self.frontend.loop.now() - attempt.sent_at,
-            caller_read=self.stream.reading,
-        )
-
-    def _log_attempt(self, attempt):
-        log_event(
-            'attempt_failed',
-            id=self.request_id,
-            upstream=attempt.peer.entry.upstream,
-            outcome=attempt.outcome.value,
-            reason=attempt.reason,
-            attempt=self._attempt_count,
-            backlog=attempt.peer.load.backlog(self.frontend.loop.now()),
-        )
+            self._log.done(outcome, status, self._attempt_count)
