--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -18,6 +18,9 @@
 # Grants and releases name their upstream. Only another process that uses its
 # address responds with this status, possibly without its own id.
 REPLACED_STATUS = 421
+# Only these statuses mean that an upstream has not accepted a grant. After
+# another one, such as 500, it may hold the keys.
+GRANT_REFUSED_STATUSES = (400, 409)
 
 
 class ControlCalls:
@@ -203,6 +206,6 @@
         return CallOutcome.OK
     if response.status == REPLACED_STATUS:
         return CallOutcome.REPLACED
-    if response.status or not response.sent:
+    if response.status in GRANT_REFUSED_STATUSES or not response.sent:
         return CallOutcome.REFUSED
     return CallOutcome.NO_RESPONSE
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -114,6 +114,11 @@
         """Guards against waiting for a hold that was never granted."""
         self.assertIs(CallOutcome.REFUSED, self._grant(409))
 
+    def test_failed_grant_may_have_been_accepted(self):
+        """Guards against a second owner after an error of the first."""
+        for status in (500, 502, 503, 504):
+            self.assertIs(CallOutcome.NO_RESPONSE, self._grant(status))
+
     def test_failed_release_may_have_been_carried_out(self):
         """Guards against treating a failed release as complete."""
         self.assertIs(CallOutcome.NO_RESPONSE, self._release(500)[0])
