--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -187,8 +187,8 @@
     Mutation(
         'an unanswered grant counts from the end of its call',
         KERNEL + 'hold_ledger.py',
-        '            call.until = _latest_end(self._clock.now(), hold)\n',
-        '',
+        'self._clock.now()\n                + MAX_TRANSIT_SECONDS',
+        'self._clock.now()\n                - 1.0',
         'tests.test_range_coordinator.HoldLedgerTest',
     ),
     Mutation(
--- a/packages/kernel/src/bramleysill_kernel/hold_ledger.py
+++ b/packages/kernel/src/bramleysill_kernel/hold_ledger.py
@@ -3,13 +3,16 @@
 A hold is a time-limited grant. It starts when the grant arrives and is
 measured by the upstream's clock. The leader knows only when it sent the grant
 and when the response came back, so it assumes the latest possible arrival: the
-time of the response or, without one, the end of the call.
+time of the response or, without one, the end of the call. While a call is in
+progress, no end is known.
 
 Calls use several connections, so a grant may arrive after a release that was
 sent later, and give the keys back to their former owner. A release therefore
 ends only the grants whose responses were received before it was sent.
 """
 
+import math
+
 # An upstream's clock may run 2% slow while it measures a hold.
 MAX_UPSTREAM_CLOCK_RATE_ERROR = 0.02
 # An unanswered grant call is aborted after this time. Its connection is
@@ -27,17 +30,21 @@
 class _GrantCall:
     """A grant of the keys `first` to `last` without a response.
 
-    `until` is the latest possible end of its hold; while the call is in
-    progress, that is an estimate.
+    `until` is the latest possible end of its hold, infinite while the call is
+    in progress.
     """
 
-    __slots__ = ('first', 'last', 'until', 'in_progress')
+    __slots__ = ('first', 'last', 'until')
 
-    def __init__(self, item, until):
+    def __init__(self, item):
         self.first = item.first
         self.last = item.last
-        self.until = until
-        self.in_progress = True
+        self.until = math.inf
+
+    @property
+    def in_progress(self):
+        """Return whether the call may still get a response."""
+        return self.until == math.inf
 
     def overlaps(self, item):
         """Return whether the grant has keys in common with a range."""
@@ -82,11 +89,10 @@
         """Record that no earlier leader has granted anything."""
         self._inherited_until = 0.0
 
-    def record_grant_sent(self, item, call_number, hold):
+    def record_grant_sent(self, item, call_number):
         """Record a grant that is sent now."""
-        call_end = self._clock.now() + CALL_TIMEOUT_SECONDS
         calls = self._calls.setdefault(item.holder, {})
-        calls[call_number] = _GrantCall(item, _latest_end(call_end, hold))
+        calls[call_number] = _GrantCall(item)
 
     def record_grant_confirmed(self, item, call_number, hold):
         """Record a confirmed grant; it arrived at the upstream before now."""
@@ -112,8 +118,11 @@
         """
         call = self._calls.get(item.holder, {}).get(call_number)
         if call is not None:
-            call.in_progress = False
-            call.until = _latest_end(self._clock.now(), hold)
+            call.until = (
+                self._clock.now()
+                + MAX_TRANSIT_SECONDS
+                + max_hold_seconds(hold)
+            )
 
     def has_grant_in_progress(self, item):
         """Return whether a grant of these keys may still get a response.
@@ -167,8 +176,3 @@
         if not calls:
             return ()
         return [call for call in calls.values() if call.overlaps(item)]
-
-
-def _latest_end(call_end, hold):
-    """Return the latest end of a hold whose call ends at `call_end`."""
-    return call_end + MAX_TRANSIT_SECONDS + max_hold_seconds(hold)
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -182,7 +182,7 @@
             hold = self._timings.outage_hold
         self._last_call_number += 1
         call = self._last_call_number
-        self._holds.record_grant_sent(part, call, hold)
+        self._holds.record_grant_sent(part, call)
         renewal.pending_call = call
         renewal.due_at = self._clock.now() + self._timings.renew_interval
         handover = self._handovers.get(part.fence, '')
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -281,7 +281,7 @@
     def test_a_confirmed_grant_counts_from_its_confirmation(self):
         """Guards against a hold that lasts longer than the leader assumes."""
         clock, ledger = self._ledger()
-        ledger.record_grant_sent(self.RANGE, 1, 3.0)
+        ledger.record_grant_sent(self.RANGE, 1)
         clock.advance(0.4)
         ledger.record_grant_confirmed(self.RANGE, 1, 3.0)
         end = ledger.expiry_without_release(self.RANGE)
@@ -291,14 +291,14 @@
     def test_an_unanswered_grant_outlives_a_release(self):
         """Guards against a late grant that renews a released hold."""
         _, ledger = self._ledger()
-        ledger.record_grant_sent(self.RANGE, 1, 3.0)
+        ledger.record_grant_sent(self.RANGE, 1)
         self.assertGreater(ledger.expiry_after_release(self.RANGE), 103.0)
 
     def test_a_later_confirmation_does_not_end_an_earlier_call(self):
         """Guards against ignoring a call that is still in flight."""
         clock, ledger = self._ledger()
-        ledger.record_grant_sent(self.RANGE, 1, 3.0)
-        ledger.record_grant_sent(self.RANGE, 2, 3.0)
+        ledger.record_grant_sent(self.RANGE, 1)
+        ledger.record_grant_sent(self.RANGE, 2)
         ledger.record_grant_confirmed(self.RANGE, 2, 3.0)
         self.assertGreater(ledger.expiry_after_release(self.RANGE), 103.0)
 
@@ -307,7 +307,7 @@
         clock = ManualClock(100.0)
         ledger = HoldLedger(clock, 100.0, 7.0)
         self.assertGreater(ledger.expiry_after_release(self.RANGE), 107.0)
-        ledger.record_grant_sent(self.RANGE, 1, 3.0)
+        ledger.record_grant_sent(self.RANGE, 1)
         ledger.record_grant_confirmed(self.RANGE, 1, 3.0)
         self.assertEqual(0.0, ledger.expiry_after_release(self.RANGE))
 
@@ -317,16 +317,29 @@
         A late loop aborts the call late, and its bytes may leave until then.
         """
         clock, ledger = self._ledger()
-        ledger.record_grant_sent(self.RANGE, 1, 3.0)
+        ledger.record_grant_sent(self.RANGE, 1)
         clock.advance(1.4)
         ledger.record_grant_unanswered(self.RANGE, 1, 3.0)
         end = ledger.expiry_after_release(self.RANGE)
         self.assertGreater(end, 101.4 + 3.06)
 
+    def test_a_call_in_progress_has_no_end(self):
+        """Guards against moving keys while a stopped loop holds a grant back.
+
+        After a stop the coordinator may run before the call is aborted, and
+        the grant is sent once its connection opens.
+        """
+        clock, ledger = self._ledger()
+        ledger.record_grant_sent(self.RANGE, 1)
+        clock.advance(60.0)
+        now = clock.now()
+        self.assertGreater(ledger.expiry_after_release(self.RANGE), now)
+        self.assertGreater(ledger.expiry_without_release(self.RANGE), now)
+
     def test_grants_of_other_keys_do_not_delay_a_release(self):
         """Guards against releases that wait for renewals without end."""
         _, ledger = self._ledger()
-        ledger.record_grant_sent(self.RANGE.subrange(50, 99), 1, 3.0)
+        ledger.record_grant_sent(self.RANGE.subrange(50, 99), 1)
         other = self.RANGE.subrange(0, 49)
         self.assertFalse(ledger.has_grant_in_progress(other))
         self.assertTrue(ledger.has_grant_in_progress(self.RANGE))
