--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -33,8 +33,9 @@
 
 
 class _FakeRouter:
-    def __init__(self, *fault_spans):
+    def __init__(self, *fault_spans, pause_spans=()):
         self.fault_spans = fault_spans
+        self.pause_spans = pause_spans
         self.unexpected_exits = []
 
 
@@ -96,6 +97,38 @@
         )
         self.assertEqual({'one owner for each key'}, violated)
 
+    def _two_owners(self, router):
+        return self._violated(
+            _FakeProcess('u1', _grant(1.0, 1)),
+            _FakeProcess('u2', _grant(3.5, 2)),
+            router=router,
+        )
+
+    def test_a_fault_of_a_router_does_not_hide_two_owners(self):
+        """Guards against a check that is blind after any fault."""
+        self.assertEqual(
+            {'one owner for each key'},
+            self._two_owners(_FakeRouter((1.0, 3.4))),
+        )
+
+    def test_a_late_grant_of_a_paused_router_is_allowed(self):
+        """Guards against a violation for a grant that a pause held up."""
+        spans = [(1.0, 3.4)]
+        router = _FakeRouter(*spans, pause_spans=spans)
+        self.assertEqual(set(), self._two_owners(router))
+
+    def test_an_unexpected_exit_of_an_upstream_is_found(self):
+        """Guards against a check that looks at routers only."""
+        upstream = _FakeRouter()
+        upstream.unexpected_exits.append(1)
+        history = History(
+            [_outcome()], [], {}, FAULTS_END_AT, {'upstream-1': upstream}
+        )
+        self.assertEqual(
+            ['processes end only when they are told to'],
+            [name for name, _ in run_checks(history)],
+        )
+
     def test_a_hold_ends_with_its_process(self):
         """Guards against a violation for a hold of a killed process."""
         self.assertEqual(
