--- a/packages/ctl/src/sillctl/report_output.py
+++ b/packages/ctl/src/sillctl/report_output.py
@@ -8,6 +8,8 @@
 from sillctl.plots import service_plots
 
 NO_DATA = 'no data'
+# Shares above this one and below 1 would be rounded to 100%.
+MAX_SHARE_BELOW_ALL = 0.9999
 # Units of time in seconds, the longest first.
 _TIME_UNITS = ((86400, 'days'), (3600, 'h'), (60, 'min'), (1, 's'))
 
@@ -28,8 +30,12 @@
 
 
 def percent(value):
-    """Format a ratio as a percentage."""
-    return NO_DATA if value is None else f'{value * 100:.4g}%'
+    """Format a ratio as a percentage; only 1 gives 100%."""
+    if value is None:
+        return NO_DATA
+    if value < 1.0:
+        value = min(value, MAX_SHARE_BELOW_ALL)
+    return f'{value * 100:.4g}%'
 
 
 def utc_time(seconds):
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -10,6 +10,7 @@
 from sillctl import snapshots
 from sillctl.alert_rules import alert_rules
 from sillctl.burn_report import make_report
+from sillctl.report_output import percent
 from sillctl.report_output import to_html
 from sillctl.report_output import to_text
 from sillctl.snapshots import Snapshot
@@ -231,3 +232,19 @@
 
 def _coverage(window):
     return window['covered_s'], window['is_full']
+
+
+class PercentTest(testtools.TestCase):
+    def test_a_share_below_one_is_not_reported_as_all(self):
+        """Guards against 99.995% that reads as 100%."""
+        for share in (0.99995, 0.999999, 1 - 1e-12):
+            self.assertEqual('99.99%', percent(share))
+        self.assertEqual('100%', percent(1.0))
+
+    def test_other_shares_are_rounded(self):
+        """Guards against a change of the shares that are reported."""
+        shares = (0.99994, 0.91666, 0.5, 0.00012345, 0.0)
+        self.assertEqual(
+            ['99.99%', '91.67%', '50%', '0.01234%', '0%'],
+            [percent(share) for share in shares],
+        )
