--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -184,6 +184,13 @@
         'if False:',
         'tests.test_range_coordinator.MovesTest',
     ),
+    Mutation(
+        'a restarted upstream may hold keys of its former process',
+        KERNEL + 'range_coordinator.py',
+        'if self._pool.has_ended(old_range):',
+        'if self._pool.has_ended(old_range) or self._restarted_owner(move):',
+        'tests.test_range_coordinator.RestartTest',
+    ),
     Mutation(
         'an unanswered grant counts from the end of its call',
         KERNEL + 'hold_ledger.py',
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -224,6 +224,10 @@
                 continue
             if self._can_reassign(move):
                 move.ready_at = now
+            elif self._can_return_to_restarted(move):
+                move.target = self._restarted_owner(move)
+                move.target_required = True
+                move.ready_at = now
             elif not move.released and not move.release_pending:
                 self._release(move, now)
 
@@ -232,19 +236,38 @@
         old_range = move.old_range
         if not old_range.owner:
             return True
-        entry = self._directory.get(old_range.owner)
-        if entry is not None and entry.incarnation > old_range.incarnation:
-            # A newer process has registered, so the old owner has ended.
-            return True
         if self._pool.has_ended(old_range):
             return True
         if move.released:
             return now >= self._holds.expiry_after_release(old_range)
         return now >= self._holds.expiry_without_release(old_range)
 
+    def _can_return_to_restarted(self, move):
+        """Return whether the keys must go to the owner's next process.
+
+        A grant of an earlier leader may reach that process as long as it has
+        confirmed none of this leader, and a release does not prevent it.
+        """
+        if self._holds.has_confirmed(move.old_range.holder):
+            return False
+        return self._restarted_owner(move) is not None
+
+    def _restarted_owner(self, move):
+        """Return the Assignment to the owner's next process, or None."""
+        entry = self._directory.get(move.old_range.owner)
+        if entry is None or entry.incarnation <= move.old_range.incarnation:
+            return None
+        if not self._directory.accepts_new_work(entry):
+            return None
+        return Assignment(
+            move.first, move.last, entry.upstream, entry.incarnation
+        )
+
     def _release(self, move, now):
+        # After a restart under the same id the next process is asked: until it
+        # registered, it accepted the grants that were meant for the former.
         entry = self._directory.last_known(move.old_range.owner)
-        if entry is None or entry.incarnation != move.old_range.incarnation:
+        if entry is None or entry.incarnation < move.old_range.incarnation:
             return
         if now < move.retry_at:
             return
@@ -298,6 +321,12 @@
         vacant = []
         for move in ready:
             target = self._current_target(move.target)
+            if target is None and move.target_required:
+                # The process has restarted again.
+                move.target = None
+                move.target_required = False
+                move.ready_at = None
+                continue
             if target is None:
                 vacant.append(move.old_range)
                 continue
--- a/packages/kernel/src/bramleysill_kernel/range_moves.py
+++ b/packages/kernel/src/bramleysill_kernel/range_moves.py
@@ -7,7 +7,8 @@
     """A range that is leaving its owner and has no new owner yet.
 
     `target` is the planned assignment, or None if the new owner is chosen
-    when the keys may be reassigned; that is possible from `ready_at`.
+    when the keys may be reassigned; that is possible from `ready_at`. With
+    `target_required` they may be reassigned to the target only.
     """
 
     __slots__ = (
@@ -15,6 +16,7 @@
         'last',
         'old_range',
         'target',
+        'target_required',
         'released',
         'handover',
         'release_pending',
@@ -28,6 +30,7 @@
         self.last = part.last
         self.old_range = part
         self.target = target
+        self.target_required = False
         self.released = False
         self.handover = ''
         self.release_pending = False
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -10,6 +10,7 @@
 from tests.bounds import make_timings
 from tests.range_fakes import STEP_SECONDS
 from tests.range_fakes import FakeCell
+from tests.range_fakes import FakeUpstream
 from tests.range_fakes import make_entry
 
 TIMINGS = make_timings()
@@ -171,6 +172,43 @@
             self.assertEqual([], _unserved(cell))
 
 
+class RestartTest(testtools.TestCase):
+    def test_a_grant_that_reached_the_next_process_delays_the_next_owner(self):
+        """Guards against a second owner after a restart under the same id.
+
+        Until the new process has registered, it accepts the grants that were
+        meant for the former one, and holds the keys (soak seed 321).
+        """
+        cell = _cell()
+        cell.ended_upstreams.append(cell.upstreams['u1'])
+        cell.upstreams['u1'].alive = False
+        cell.upstreams['u1'] = FakeUpstream(cell.clock, 'u1', 2)
+        cell.run(1.0, _AtMostOneHolder(self))
+        # In slow start it is given no keys, so they go to the others.
+        cold_until = cell.clock.now() + 10.0
+        cell.directory.put(
+            make_entry('u1', incarnation=2, cold_until=cold_until)
+        )
+        cell.run(4.0, _AtMostOneHolder(self))
+        self.assertEqual([], _unserved(cell))
+
+    def test_keys_of_a_restarted_owner_return_after_a_change_of_leader(self):
+        """Guards against keys without an owner for all of a former hold.
+
+        Late grants of the former leader may reach the next process, so the
+        keys can't go to another upstream at once, but to that process.
+        """
+        cell = _cell()
+        cell.late_probability = 1.0
+        cell.run(1.0)
+        cell.late_probability = 0.0
+        cell.elect()
+        cell.add('u1', incarnation=2)
+        cell.run(0.5, _AtMostOneHolder(self))
+        self.assertEqual([], _unserved(cell))
+        cell.run(12.0, _AtMostOneHolder(self))
+
+
 class BalanceTest(testtools.TestCase):
     def test_a_busy_owner_is_relieved_while_another_is_unresponsive(self):
         """A range is busy during a rollout, while some owner is always down.
