--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -78,6 +78,7 @@
         self.sent_at = now
         self._backlog = self.peer.load.backlog(now)
         self.peer.load.in_flight += 1
+        self.peer.requests_sent += 1
         self._conn, self._reused = self.peer.pool.acquire()
         data = b''.join((head, *body))
         self._conn.request(data, self)
@@ -260,11 +261,28 @@
             report = adapter.parse_load(value)
             if report is not None:
                 self.peer.load.note_report(self._loop.now(), report)
+        self._note_limit(first_value(headers, adapter.limit))
         cold_ms = first_value(headers, adapter.cold_ms)
         if cold_ms.isdecimal() and int(cold_ms):
             until = self._loop.now() + int(cold_ms) / 1000
             self.peer.cold_until = max(self.peer.cold_until, until)
 
+    def _note_limit(self, value):
+        """Record the limit that the upstream names, or that it names none.
+
+        Only a response to a request that ran shows that there is none; a
+        malformed value shows nothing.
+        """
+        rate = None
+        if value:
+            rate = self._adapter.parse_limit(value)
+            if rate is None:
+                self.peer.note_malformed_limit(value)
+                return
+        elif not first_value(self._headers, self._adapter.signature):
+            return
+        self.peer.note_limit(rate)
+
     def _end(self):
         self._ended = True
         self.peer.load.in_flight -= 1
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -26,7 +26,7 @@
 class LeaderElection:
     """One router's candidacy for the leader key, and its work as leader."""
 
-    def __init__(self, loop, rng, cfg, address, store, state):
+    def __init__(self, loop, rng, cfg, address, store, state, limits):
         self.leadership = Leadership(
             loop, cfg.timings.leader_lease, is_preferred_leader(cfg)
         )
@@ -40,7 +40,7 @@
             {'router': cfg.name, 'address': address}
         ).encode()
         self._calls = ControlCalls(
-            loop, store, state.adapter, self.leadership, state
+            loop, store, state.adapter, self.leadership, state, limits
         )
         self._coordinators = {}
         self._key_loads = {}
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -133,6 +133,7 @@
             address,
             self._store,
             self.state,
+            self._upstreams.limits,
         )
         self._registration = Registration(
             self.loop, self._store, self._adapter, cfg, address
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -3,17 +3,32 @@
 import collections
 
 from bramleysill_gateway.upstream_pool import UpstreamPool
+from bramleysill_kernel.named_limits import NamedLimits
 from bramleysill_kernel.upstream_load import ServiceTime
 from bramleysill_kernel.upstream_load import UpstreamLoad
 from bramleysill_router.logs import log_event
+from bramleysill_router.logs import log_warning
+
+# A malformed header value is logged up to this length.
+MAX_LOGGED_VALUE_CHARS = 40
 
 
 class UpstreamPeer:
     """One upstream process with its directory entry, load and pool."""
 
-    __slots__ = ('entry', 'load', 'pool', 'cold_until', 'replaced')
+    __slots__ = (
+        'entry',
+        'load',
+        'pool',
+        'cold_until',
+        'replaced',
+        'requests_sent',
+        '_limits',
+        '_malformed_limit',
+        '_logged_sent',
+    )
 
-    def __init__(self, loop, entry, service_time):
+    def __init__(self, loop, entry, service_time, limits):
         self.entry = entry
         self.load = UpstreamLoad(entry.slots, service_time)
         self.pool = UpstreamPool(loop, entry.address)
@@ -21,6 +36,54 @@
         # Whether another process has responded at the address, which means
         # that this one has ended.
         self.replaced = False
+        # Requests of callers that this router has sent, repeated ones too.
+        self.requests_sent = 0
+        self._limits = limits
+        self._malformed_limit = False
+        self._logged_sent = 0
+
+    @property
+    def limit(self):
+        """Return the limit that the process has named, or None.
+
+        It is in requests per second from all routers together.
+        """
+        entry = self.entry
+        return self._limits.rate(entry.upstream, entry.incarnation)
+
+    def note_limit(self, rate):
+        """Record the limit in a response; None if it named none."""
+        entry = self.entry
+        if self._limits.observe(entry.upstream, entry.incarnation, rate):
+            log_event(
+                'upstream_limit_changed',
+                upstream=entry.upstream,
+                incarnation=entry.incarnation,
+                limit=-1.0 if rate is None else rate,
+            )
+
+    def note_malformed_limit(self, value):
+        """Log the first malformed limit of the process; none applies."""
+        if not self._malformed_limit:
+            self._malformed_limit = True
+            log_warning(
+                'upstream_limit_malformed',
+                upstream=self.entry.upstream,
+                value=value[:MAX_LOGGED_VALUE_CHARS],
+            )
+
+    def log_limited_sends(self):
+        """Log what was sent since the last call, if a limit is named."""
+        sent = self.requests_sent - self._logged_sent
+        self._logged_sent = self.requests_sent
+        limit = self.limit
+        if limit is not None and sent:
+            log_event(
+                'upstream_limit_use',
+                upstream=self.entry.upstream,
+                limit=limit,
+                requests=sent,
+            )
 
     @property
     def failure_domain(self):
@@ -32,6 +95,7 @@
     """Peers by upstream id and incarnation, kept while their entries exist."""
 
     def __init__(self, loop, directory):
+        self.limits = NamedLimits(loop)
         self._loop = loop
         self._directory = directory
         self._peers = {}
@@ -44,7 +108,10 @@
         peer = self._peers.get(key)
         if peer is None or peer.entry.address != entry.address:
             peer = self._peers[key] = UpstreamPeer(
-                self._loop, entry, self._service_times[entry.service]
+                self._loop,
+                entry,
+                self._service_times[entry.service],
+                self.limits,
             )
         if peer.entry is not entry:
             peer.entry = entry
@@ -64,8 +131,10 @@
 
     def sweep(self):
         """Remove processes that have ended and close idle connections."""
+        self.limits.sweep()
         for key, peer in list(self._peers.items()):
             peer.pool.sweep()
+            peer.log_limited_sends()
             known = self._directory.last_known(key[0])
             ended = known is None or known.incarnation != key[1]
             if ended and peer.load.in_flight == 0:
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -4,6 +4,7 @@
 
 from bramleysill_gateway.control_calls import ControlCalls
 from bramleysill_kernel.key_ranges import KeyRange
+from bramleysill_kernel.named_limits import NamedLimits
 from bramleysill_kernel.range_coordinator import CallOutcome
 from bramleysill_kernel.upstream_directory import UpstreamDirectory
 from bramleysill_kernel.upstream_directory import UpstreamEntry
@@ -55,6 +56,7 @@
             PlatformAdapter(),
             _Leadership(),
             _State(self.loop),
+            NamedLimits(self.loop),
         )
         self.addCleanup(self.calls.close)
 
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -5,6 +5,7 @@
 import testtools
 
 from bramleysill_gateway.leader import LeaderElection
+from bramleysill_kernel.named_limits import NamedLimits
 from bramleysill_kernel.node_settings import NodeSettings
 from bramleysill_kernel.store_types import StoredItem
 from bramleysill_kernel.store_types import StoreOutcome
@@ -96,6 +97,7 @@
             '10.0.0.1:7000',
             self.store,
             self.state,
+            NamedLimits(self.loop),
         )
         self._run(1.0)
 
