Keep the limit that an upstream names over all routers together

Cause: no router read the limit, and nothing divides a rate over routers but the slow-start shares, whole requests for each router.

One router, the first for the upstream by rendezvous hash among the registered ones, paces the requests to it: the others ask it before they send, and it replies when to send or that it would take too long. A request that can't be sent in time is refused at once, with the time until there is room as Retry-After; one for a shared service goes to another upstream. Without a reply a router uses a share of what the pacing router leaves over. Reports of limits go to the leader and from it to all, so that a router applies a limit before it is told itself.

--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -215,7 +215,7 @@
         if item.value is None:
             self.routers.remove(name)
         else:
-            self.routers.add(name)
+            self.routers.add(name, item.value.decode(errors='replace'))
 
     def _on_table_item(self, service, item):
         if item.revision <= self._table_revisions.get(service, 0):
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -16,6 +16,7 @@
 from bramleysill_kernel.retry_rules import AttemptOutcome
 from bramleysill_kernel.retry_rules import may_retry
 from bramleysill_kernel.send_policy import Action
+from bramleysill_kernel.send_policy import max_upstream_seconds
 from bramleysill_net.http_headers import end_to_end_fields
 
 # Reading from the caller pauses while more request bytes than this wait to be
@@ -67,6 +68,8 @@
         '_last_failure',
         '_failed_upstreams',
         '_dispatched',
+        '_permitted_peer',
+        '_limited_peers',
     )
 
     def __init__(self, frontend, stream, req, route, service, version):
@@ -106,6 +109,10 @@
         self.peer = None
         self.expected_seconds = 0.0
         self._dispatched = False
+        # The upstream whose pacing router has permitted the next attempt.
+        self._permitted_peer = None
+        # Upstreams whose limit leaves no room for this request.
+        self._limited_peers = set()
         stream.on_drained = self._on_caller_drained
         self._deadline_timer = frontend.loop.scheduler.call_at(
             self._deadline + DEADLINE_SLACK_SECONDS, self._on_deadline
@@ -204,22 +211,31 @@
                 'another process uses the address of the owner', owned_range
             )
             return
-        if not self._passes_slow_start(peer, now):
-            self._refuse_slow_start(peer)
-            return
         decision = frontend.check_admission(peer, now, self)
         if decision.action is not Action.SEND:
             self._refuse_not_admitted(peer, decision)
             return
+        if not self._passes_limit(peer, now, decision):
+            return
+        if not self._passes_slow_start(peer, now):
+            self._refuse_slow_start(peer)
+            return
         self.owned_range = owned_range
         self.expected_seconds = decision.expected_seconds
         self._send(peer, now)
 
     def _dispatch_shared(self, now):
         frontend = self.frontend
-        peer = frontend.choose_upstream(
-            self.service, now, self._failed_upstreams, self.route.objective
+        peer = self._usable_permitted_peer() or frontend.choose_upstream(
+            self.service,
+            now,
+            self._failed_upstreams,
+            self._limited_peers,
+            self.route.objective,
         )
+        if peer is None and self._limited_peers:
+            self._refuse_limited(now, self._limited_peers)
+            return
         if peer is None:
             self._give_up(
                 request_refusals.no_upstream(
@@ -231,12 +247,82 @@
         if decision.action is not Action.SEND:
             self._refuse_not_admitted(peer, decision)
             return
+        if not self._passes_limit(peer, now, decision):
+            return
         if not self._passes_slow_start(peer, now):
             self._refuse_slow_start(peer)
             return
         self.expected_seconds = decision.expected_seconds
         self._send(peer, now)
 
+    def _usable_permitted_peer(self):
+        """Return the upstream with room, unless it has left since."""
+        peer = self._permitted_peer
+        usable = self.frontend.state.directory.usable(self.service.name)
+        return peer if peer is not None and peer.entry in usable else None
+
+    def _passes_limit(self, peer, now, decision):
+        """Return whether the limit of the upstream has room now.
+
+        Otherwise the request waits for it, is sent to another upstream of a
+        shared service, or is refused.
+        """
+        if peer.limit is None or self._permitted_peer is peer:
+            self._permitted_peer = None
+            return True
+        self._permitted_peer = None
+        allowed = max_upstream_seconds(self.route, self.time_left(now))
+        max_wait = max(0.0, allowed - decision.expected_seconds)
+        if peer.limit_room_at - now > max_wait:
+            self._on_limit_reached(peer)
+            return False
+        if self._body.exceeds_buffer:
+            self.stream.pause()
+        self.frontend.pacing.ask(
+            peer.entry,
+            max_wait,
+            lambda decision: self._on_paced(peer, decision),
+        )
+        return False
+
+    def _on_paced(self, peer, decision):
+        """Send the request when its upstream has room, or give up."""
+        if self.finished:
+            return
+        if self._body.exceeds_buffer:
+            self.stream.resume()
+        now = self.frontend.loop.now()
+        if not decision.permitted:
+            peer.limit_room_at = now + decision.delay
+            self._on_limit_reached(peer)
+            return
+        self._permitted_peer = peer
+        if decision.delay <= 0.0:
+            self.dispatch()
+            return
+        self._dispatch_timer = self.frontend.loop.scheduler.call_at(
+            now + decision.delay, self.dispatch
+        )
+
+    def _on_limit_reached(self, peer):
+        now = self.frontend.loop.now()
+        if self.service.keyed:
+            self._refuse_limited(now, (peer,))
+            return
+        self._limited_peers.add(peer)
+        self.dispatch()
+
+    def _refuse_limited(self, now, peers):
+        """Refuse the request until the first of the upstreams has room."""
+        peer = min(peers, key=lambda peer: peer.limit_room_at)
+        self._give_up(
+            request_refusals.limit_reached(
+                peer.entry.upstream,
+                peer.limit_room_at - now,
+                self._bound_retry_after,
+            )
+        )
+
     def _passes_slow_start(self, peer, now):
         if peer.cold_until <= now:
             return True
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -44,10 +44,13 @@
 class Frontend:
     """Handler of the callers' port; starts an exchange for each request."""
 
-    def __init__(self, loop, rng, cfg, state, upstreams, adapter, metrics):
+    def __init__(
+        self, loop, rng, cfg, state, upstreams, pacing, adapter, metrics
+    ):
         self.loop = loop
         self.state = state
         self.upstreams = upstreams
+        self.pacing = pacing
         self.adapter = adapter
         self.active_exchanges = set()
         # Phases of a shutdown: while draining, each connection closes after
@@ -214,17 +217,17 @@
         left = exchange.time_left(now)
         return send_policy.decide(peer.load, now, left, exchange.route)
 
-    def choose_upstream(self, service, now, excluded, objective):
+    def choose_upstream(self, service, now, failed, excluded, objective):
         """Return the upstream of a shared service to send to, or None.
 
-        Upstreams that have failed the request (`excluded`) and upstreams in
-        slow start are used only if there are no others. `objective` is the
-        route's latency objective in seconds.
+        Upstreams that have failed the request and upstreams in slow start
+        are used only if there are no others; the peers in `excluded` are not
+        used. `objective` is the route's latency objective in seconds.
         """
         usable = self.state.directory.usable(service.name)
         peers = [self.upstreams.peer(e) for e in usable]
-        peers = [p for p in peers if not p.replaced]
-        untried = [p for p in peers if p.entry.upstream not in excluded]
+        peers = [p for p in peers if not p.replaced and p not in excluded]
+        untried = [p for p in peers if p.entry.upstream not in failed]
         peers = untried or peers
         warm = [p for p in peers if p.cold_until <= now]
         found = None
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -10,6 +10,7 @@
 from bramleysill_kernel.leadership import Leadership
 from bramleysill_kernel.leadership import is_preferred_leader
 from bramleysill_kernel.range_coordinator import RangeCoordinator
+from bramleysill_kernel.rate_pacer import callers_rate
 from bramleysill_kernel.store_types import Condition
 from bramleysill_kernel.store_types import Put
 from bramleysill_kernel.store_types import StoreOutcome
@@ -30,6 +31,7 @@
         self.leadership = Leadership(
             loop, cfg.timings.leader_lease, is_preferred_leader(cfg)
         )
+        self._limits = limits
         self._timings = cfg.timings
         self._loop = loop
         self._rng = rng
@@ -102,7 +104,23 @@
         seconds = self._service_times.service_time(entry.upstream)
         if seconds is None:
             seconds = self._service_times.mean() or INITIAL_SERVICE_SECONDS
-        return entry.slots / max(seconds, MIN_SERVICE_SECONDS)
+        capacity = entry.slots / max(seconds, MIN_SERVICE_SECONDS)
+        report = self._limits.report(entry.upstream, entry.incarnation)
+        if report is None:
+            return capacity
+        return min(capacity, callers_rate(report.rate, report.control_rate))
+
+    def _limit(self, entry):
+        """Return the limit of an upstream in requests/s, or None."""
+        return self._limits.rate(entry.upstream, entry.incarnation)
+
+    def set_control_rates(self):
+        """Note how often this leader calls the upstreams with a limit."""
+        for coordinator in self._coordinators.values():
+            for item, rate in coordinator.renewal_rates():
+                self._limits.set_control_rate(
+                    item.owner, item.incarnation, rate
+                )
 
     def tick(self):
         """Renew, campaign or coordinate; called every tick of the process."""
@@ -324,6 +342,7 @@
                 self._state.directory,
                 self._key_loads_of(service),
                 self._capacity,
+                self._limit,
             )
             coordinator.start(table, revision)
             self._coordinators[service] = coordinator
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -7,6 +7,7 @@
 from bramleysill_gateway.cell_state import CellState
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.leader import LeaderElection
+from bramleysill_gateway.pacing import Pacing
 from bramleysill_gateway.readiness import Readiness
 from bramleysill_gateway.registration import Registration
 from bramleysill_gateway.store_feed import StoreFeeder
@@ -25,6 +26,7 @@
 # A loop that is later than this is logged; callers notice such a delay.
 LATE_LOOP_SECONDS = 0.25
 KEY_REPORT_INTERVAL_SECONDS = 0.4
+LIMIT_REPORT_INTERVAL_SECONDS = 0.2
 # The settings file is read at this interval as well as on SIGHUP.
 SETTINGS_CHECK_INTERVAL_SECONDS = 5.0
 # The load balancer stops opening connections after two failed readiness
@@ -64,6 +66,7 @@
         every(TICK_INTERVAL_SECONDS, self._tick)
         every(SWEEP_INTERVAL_SECONDS, self._sweep)
         every(KEY_REPORT_INTERVAL_SECONDS, self._report_key_loads)
+        every(LIMIT_REPORT_INTERVAL_SECONDS, self._exchange_limit_reports)
         every(self.cfg.timings.feed_interval, self._feeder.tick)
         every(SETTINGS_CHECK_INTERVAL_SECONDS, self._reload_settings)
         self.state.start()
@@ -116,12 +119,16 @@
             self.metrics,
         )
         self._upstreams = Upstreams(self.loop, self.state.directory)
+        self._pacing = Pacing(
+            self.loop, cfg.name, self.state.routers, self._upstreams.limits
+        )
         self.frontend = Frontend(
             self.loop,
             self._rng,
             cfg,
             self.state,
             self._upstreams,
+            self._pacing,
             self._adapter,
             self.metrics,
         )
@@ -146,6 +153,7 @@
             address,
         )
         self._links = PeerLinks(self.loop, hello, self.metrics)
+        self._pacing.links = self._links
         self._links.on_control = self._on_message
         self._links.on_stream = self._on_message
         self._links.on_lost = lambda link: None
@@ -203,6 +211,7 @@
         self._note_loop_lateness()
         self.frontend.sweep()
         self._upstreams.sweep()
+        self._pacing.sweep()
         self.leader.sweep()
 
     def _check_shutdown(self):
@@ -251,6 +260,14 @@
             self._links.send(name, message)
         counts.clear()
 
+    def _exchange_limit_reports(self):
+        self.leader.set_control_rates()
+        self._pacing.exchange_reports(self._leader_name())
+
+    def _leader_name(self):
+        leader = self.leader.current_leader()
+        return None if leader is None else leader[0]
+
     def _make_key_loads(self, service, keys):
         observations = self._upstreams.take_observations(service)
         return messages.KeyLoads(
@@ -270,6 +287,12 @@
             self._feeder.on_feed(message)
         elif isinstance(message, messages.FeedRequest):
             self._feeder.on_feed_request(link, message)
+        elif isinstance(message, messages.UpstreamLimits):
+            self._pacing.on_reports(message, self._leader_name())
+        elif isinstance(message, messages.PaceRequest):
+            self._pacing.on_request(link, message)
+        elif isinstance(message, messages.PaceReply):
+            self._pacing.on_reply(message)
 
     # Settings.
 
--- a/packages/gateway/src/bramleysill_gateway/request_refusals.py
+++ b/packages/gateway/src/bramleysill_gateway/request_refusals.py
@@ -59,6 +59,19 @@
     )
 
 
+def limit_reached(upstream, seconds, bound):
+    """Refuse a request for which the limit of an upstream has no room.
+
+    There should be room in `seconds`.
+    """
+    return refusals.Overloaded(
+        'the limit that the upstream has named is reached',
+        'limit',
+        upstream,
+        retry_after=bound(seconds),
+    )
+
+
 def not_admitted(upstream, decision, bound):
     """Refuse a request to a busy or unreachable upstream."""
     refusal_class = refusals.Overloaded
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -23,6 +23,7 @@
         'cold_until',
         'replaced',
         'requests_sent',
+        'limit_room_at',
         '_limits',
         '_malformed_limit',
         '_logged_sent',
@@ -38,6 +39,8 @@
         self.replaced = False
         # Requests of callers that this router has sent, repeated ones too.
         self.requests_sent = 0
+        # Until when the limit of the process has no room, in seconds.
+        self.limit_room_at = 0.0
         self._limits = limits
         self._malformed_limit = False
         self._logged_sent = 0
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -254,3 +254,52 @@
     base: int
     revision: int
     items: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class LimitRow:
+    """A report on the limit of one upstream process.
+
+    `rate` is in requests/s, or negative if the process named no limit. `age`
+    is the number of seconds since its response, and `control_rate` the
+    number of calls per second that the leader makes there.
+    """
+
+    upstream: str
+    incarnation: int
+    rate: float
+    age: float
+    control_rate: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamLimits:
+    """Reports on limits, from a router to the leader or from it to all."""
+
+    router: str
+    rows: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class PaceRequest:
+    """Asks the pacing router of an upstream when a request may be sent.
+
+    The request may wait for up to `max_wait` seconds.
+    """
+
+    number: int
+    report: LimitRow
+    max_wait: float
+
+
+@dataclasses.dataclass(slots=True)
+class PaceReply:
+    """Whether the request of a PaceRequest may be sent.
+
+    If `permitted` is set it may be sent after `delay` seconds; otherwise there
+    should be room after this time.
+    """
+
+    number: int
+    permitted: bool
+    delay: float
--- a/packages/kernel/src/bramleysill_kernel/named_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/named_limits.py
@@ -19,16 +19,20 @@
     """What a response has told about the limit of an upstream process.
 
     `rate` is in requests/s, or None if the response named no limit, and
-    `heard_at` is the time of the response in seconds.
+    `heard_at` is the time of the response in seconds. `control_rate` is the
+    number of calls per second with which the leader renews grants there.
     """
 
-    __slots__ = ('upstream', 'incarnation', 'rate', 'heard_at')
+    __slots__ = ('upstream', 'incarnation', 'rate', 'heard_at', 'control_rate')
 
-    def __init__(self, upstream, incarnation, rate, heard_at):
+    def __init__(
+        self, upstream, incarnation, rate, heard_at, control_rate=0.0
+    ):
         self.upstream = upstream
         self.incarnation = incarnation
         self.rate = rate
         self.heard_at = heard_at
+        self.control_rate = control_rate
 
     @property
     def valid_until(self):
@@ -64,24 +68,43 @@
         if rate is None and known is None:
             return False
         report = LimitReport(upstream, incarnation, rate, self._clock.now())
+        if known is not None:
+            report.control_rate = known.control_rate
         changed = self.rate(upstream, incarnation) != rate
         self._reports[upstream, incarnation] = report
         self._unsent[upstream, incarnation] = report
         return changed
 
     def merge(self, report):
-        """Use another router's report if it is newer than the known one."""
+        """Use another router's report if it is newer than the known one.
+
+        The control rate of the known one stays.
+        """
         key = report.upstream, report.incarnation
         known = self._reports.get(key)
-        if known is None or known.heard_at < report.heard_at:
+        if known is None:
+            self._reports[key] = report
+        elif known.heard_at < report.heard_at:
+            report.control_rate = known.control_rate
             self._reports[key] = report
 
-    def rate(self, upstream, incarnation):
-        """Return the limit of a process in requests/s, or None without one."""
+    def set_control_rate(self, upstream, incarnation, control_rate):
+        """Set the leader's calls per second to a process with a limit."""
+        report = self.report(upstream, incarnation)
+        if report is not None:
+            report.control_rate = control_rate
+
+    def report(self, upstream, incarnation):
+        """Return the report on the limit of a process, or None without one."""
         report = self._reports.get((upstream, incarnation))
         if report is None or self._clock.now() >= report.valid_until:
             return None
-        return report.rate
+        return None if report.rate is None else report
+
+    def rate(self, upstream, incarnation):
+        """Return the limit of a process in requests/s, or None without one."""
+        report = self.report(upstream, incarnation)
+        return None if report is None else report.rate
 
     def reports(self):
         """Return the latest reports that are still valid."""
--- a/packages/kernel/src/bramleysill_kernel/shared_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/shared_limits.py
@@ -27,23 +27,34 @@
 class KnownRouters:
     """The routers that share the limits, as far as this one knows."""
 
-    __slots__ = ('_clock', '_counted_until', '_settled_at')
+    __slots__ = (
+        '_clock',
+        '_counted_until',
+        '_addresses',
+        '_settled_at',
+        '_first_settled_at',
+    )
 
     def __init__(self, clock):
         self._clock = clock
         # The time until which each router is counted; None while it is
         # registered.
         self._counted_until = {}
+        # By router, its address for links between routers.
+        self._addresses = {}
         # Set when the store is reached for the first time.
         self._settled_at = float('inf')
+        self._first_settled_at = float('inf')
 
     def note_store_recovered(self):
         """Record that the store is reachable; entries may still be missing."""
         self._settled_at = self._clock.now() + REGISTRATION_WAIT_SECONDS
+        self._first_settled_at = min(self._first_settled_at, self._settled_at)
 
-    def add(self, router):
-        """Count a router that has registered."""
+    def add(self, router, address=''):
+        """Count a router that has registered with its peer address."""
         self._counted_until[router] = None
+        self._addresses[router] = address
 
     def remove(self, router):
         """Record that the registration of a router has expired."""
@@ -56,12 +67,29 @@
         """Return whether the others have had time to register."""
         return self._clock.now() >= self._settled_at
 
+    def has_settled(self):
+        """Return whether the others have had this time since the start."""
+        return self._clock.now() >= self._first_settled_at
+
+    def address(self, router):
+        """Return the peer address of a counted router."""
+        return self._addresses[router]
+
+    def registered_names(self):
+        """Return the names of the routers whose registration is in force."""
+        return [
+            router
+            for router, until in self._counted_until.items()
+            if until is None
+        ]
+
     def names(self):
         """Return the names of the routers that are counted."""
         now = self._clock.now()
         for router, until in list(self._counted_until.items()):
             if until is not None and now >= until:
                 del self._counted_until[router]
+                del self._addresses[router]
         return list(self._counted_until)
 
 
@@ -152,6 +180,15 @@
     shares add up to at most the bound.
     """
     total = int(bound * USED_SHARE_OF_LIMIT)
+    return share_of_total(total, upstream, router, routers)
+
+
+def share_of_total(total, upstream, router, routers):
+    """Return a router's share of a number of requests to an upstream.
+
+    The routers that rank first for the upstream get one more than the others
+    if the number can't be divided evenly.
+    """
     names = sorted(
         set(routers) | {router},
         key=lambda name: rendezvous_score(name, upstream),
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -106,6 +106,7 @@
 _TABLE_FIELDS.append(_map_field('units', _encode_unit, _decode_unit))
 
 _FEED_ITEM_FIELDS = _plain_fields(*messages.FeedItem.__slots__)
+_LIMIT_ROW_FIELDS = _plain_fields(*messages.LimitRow.__slots__)
 
 _FIELDS_BY_CLASS = {
     messages.Hello: _plain_fields(
@@ -178,6 +179,25 @@
             lambda i: _from_struct(messages.FeedItem, i, _FEED_ITEM_FIELDS),
         ),
     ],
+    messages.UpstreamLimits: _plain_fields('router')
+    + [
+        _list_field(
+            'rows',
+            lambda r: _to_dict(r, _LIMIT_ROW_FIELDS),
+            lambda r: _from_struct(messages.LimitRow, r, _LIMIT_ROW_FIELDS),
+        ),
+    ],
+    messages.PaceRequest: [
+        *_plain_fields('number'),
+        _Field(
+            'report',
+            'report',
+            lambda r: _to_dict(r, _LIMIT_ROW_FIELDS),
+            lambda r: _from_struct(messages.LimitRow, r, _LIMIT_ROW_FIELDS),
+        ),
+        *_plain_fields('max_wait'),
+    ],
+    messages.PaceReply: _plain_fields(*messages.PaceReply.__slots__),
     streams.StreamOpen: _plain_fields(*streams.StreamOpen.__slots__),
     streams.StreamHead: _plain_fields(*streams.StreamHead.__slots__),
     streams.StreamData: _plain_fields(*streams.StreamData.__slots__),
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -181,6 +181,31 @@
   revision @2 :UInt64;
 }
 
+struct LimitRow {
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+  rate @2 :Float64;
+  age @3 :Float64;
+  controlRate @4 :Float64;
+}
+
+struct UpstreamLimits {
+  router @0 :Text;
+  rows @1 :List(LimitRow);
+}
+
+struct PaceRequest {
+  number @0 :UInt32;
+  report @1 :LimitRow;
+  maxWait @2 :Float64;
+}
+
+struct PaceReply {
+  number @0 :UInt32;
+  permitted @1 :Bool;
+  delay @2 :Float64;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -204,5 +229,8 @@
     keyLoads @18 :KeyLoads;
     storeFeed @19 :StoreFeed;
     feedRequest @20 :FeedRequest;
+    upstreamLimits @21 :UpstreamLimits;
+    paceRequest @22 :PaceRequest;
+    paceReply @23 :PaceReply;
   }
 }
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -5,6 +5,7 @@
 import testtools
 
 from bramleysill_gateway.frontend import Frontend
+from bramleysill_gateway.pacing import Pacing
 from bramleysill_gateway.upstreams import Upstreams
 from bramleysill_kernel.key_ranges import Assignment
 from bramleysill_kernel.key_ranges import RangeTable
@@ -105,12 +106,21 @@
         self.upstream.closed += 1
 
 
+class SettledRouters(KnownRouters):
+    """Routers that have all had time to register."""
+
+    __slots__ = ()
+
+    def has_settled(self):
+        return True
+
+
 class _State:
     def __init__(self, loop, config):
         self.config = config
         self.directory = UpstreamDirectory(loop, make_timings())
         self.tables = {}
-        self.routers = KnownRouters(loop)
+        self.routers = SettledRouters(loop)
         self.routers.add('router')
 
 
@@ -139,12 +149,16 @@
             'router', 'a', ('a',), None, None, 1.0, 1.0, BOUNDS, 1000.0, 1.0
         )
         self.upstreams = Upstreams(self.loop, self.state.directory)
+        self.pacing = Pacing(
+            self.loop, 'router', self.state.routers, self.upstreams.limits
+        )
         self.frontend = Frontend(
             self.loop,
             random.Random(1),
             cfg,
             self.state,
             self.upstreams,
+            self.pacing,
             self.adapter,
             self.metrics,
         )
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,212 @@
+"""Tests of the routers' agreement on the limit of an upstream."""
+
+import testtools
+
+from bramleysill_gateway.pacing import REPLY_TIMEOUT_SECONDS
+from bramleysill_gateway.pacing import Pacing
+from bramleysill_kernel import messages
+from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.named_limits import NamedLimits
+from bramleysill_kernel.rate_pacer import RatePacer
+from bramleysill_kernel.rate_pacer import callers_rate
+from bramleysill_kernel.rate_pacer import pacing_router
+from tests.gateway_helpers import SettledRouters
+from tests.store_fakes import ManualLoop
+
+LIMIT = 5.0
+WINDOW_SECONDS = 4.0
+LINK_DELAY_SECONDS = 0.001
+
+
+class _Entry:
+    upstream = 'u1'
+    incarnation = 1
+
+
+class _Links:
+    """Links of one router in memory; a cut router gets no messages."""
+
+    def __init__(self, cell, name):
+        self.cell = cell
+        self.name = name
+
+    def update_addresses(self, members):
+        pass
+
+    def send(self, router, message):
+        self.cell.deliver(self.name, router, message)
+        return True
+
+    def broadcast(self, message):
+        for router in self.cell.pacings:
+            if router != self.name:
+                self.cell.deliver(self.name, router, message)
+
+
+class _Link:
+    def __init__(self, links, router):
+        self.links = links
+        self.router = router
+
+    def send(self, message):
+        self.links.send(self.router, message)
+
+
+class _Cell:
+    """Several routers with links in memory, and one upstream."""
+
+    def __init__(self, count):
+        self.loop = ManualLoop()
+        self.names = [f'r{i}' for i in range(count)]
+        self.cut = set()
+        self.pacings = {}
+        self.limits = {}
+        self.sent_at = []
+        self.messages = 0
+        for name in self.names:
+            routers = SettledRouters(self.loop)
+            for other in self.names:
+                routers.add(other, other)
+            self.limits[name] = NamedLimits(self.loop)
+            pacing = Pacing(self.loop, name, routers, self.limits[name])
+            pacing.links = _Links(self, name)
+            self.pacings[name] = pacing
+
+    def deliver(self, sender, receiver, message):
+        self.messages += 1
+        if sender in self.cut or receiver in self.cut:
+            return
+
+        def arrive():
+            pacing = self.pacings[receiver]
+            if isinstance(message, messages.PaceRequest):
+                link = _Link(_Links(self, receiver), sender)
+                pacing.on_request(link, message)
+            elif isinstance(message, messages.PaceReply):
+                pacing.on_reply(message)
+            else:
+                pacing.on_reports(message, self.names[0])
+
+        self.loop.call_at(self.loop.now() + LINK_DELAY_SECONDS, arrive)
+
+    def tell(self, *names):
+        for name in names:
+            self.limits[name].observe('u1', 1, LIMIT)
+
+    def request(self, name, max_wait=0.0):
+        decisions = []
+
+        def decide(decision):
+            decisions.append(decision)
+            if decision.permitted:
+                self.sent_at.append(self.loop.now() + decision.delay)
+
+        self.pacings[name].ask(_Entry, max_wait, decide)
+        return decisions
+
+    def most_in_window(self):
+        times = sorted(self.sent_at)
+        return max(
+            sum(1 for t in times if start <= t < start + WINDOW_SECONDS)
+            for start in times
+        )
+
+
+class RatePacerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.pacer = RatePacer(self.clock)
+
+    def test_requests_that_may_wait_are_spread_evenly(self):
+        """Guards against bursts after the first request."""
+        delays = [self.pacer.take(4.0, 1.0).delay for _ in range(4)]
+        self.assertEqual([0.0, 0.25, 0.5, 0.75], delays)
+
+    def test_a_request_that_would_wait_too_long_takes_no_place(self):
+        """Guards against refused requests that delay later ones."""
+        self.pacer.take(4.0, 0.0)
+        for _ in range(5):
+            decision = self.pacer.take(4.0, 0.1)
+            self.assertFalse(decision.permitted)
+            self.assertEqual(0.25, decision.delay)
+        self.clock.advance(0.25)
+        self.assertTrue(self.pacer.take(4.0, 0.0).permitted)
+
+    def test_a_limit_of_zero_permits_nothing(self):
+        """Guards against a division by a limit of 0."""
+        self.assertFalse(self.pacer.take(0.0, 9.0).permitted)
+
+    def test_renewals_leave_room_for_callers(self):
+        """Guards against a limit that renewals use up."""
+        self.assertAlmostEqual(3.0, callers_rate(5.0, 1.0))
+        self.assertAlmostEqual(1.25, callers_rate(5.0, 20.0))
+
+
+class PacingTest(testtools.TestCase):
+    def _load(self, cell, seconds, per_second=20, max_wait=0.0):
+        step = 1.0 / per_second
+        for index in range(int(seconds * per_second)):
+            cell.request(cell.names[index % len(cell.names)], max_wait)
+            cell.loop.advance(step)
+
+    def test_all_routers_together_keep_the_limit(self):
+        """Guards against LIMIT by routers that each apply the whole limit."""
+        for count in (1, 12, 64):
+            cell = _Cell(count)
+            cell.tell(*cell.names)
+            self._load(cell, 9.0)
+            self.assertLessEqual(cell.most_in_window(), LIMIT * WINDOW_SECONDS)
+
+    def test_most_of_the_limit_is_used_by_any_number_of_routers(self):
+        """Guards against shares so small that callers are refused."""
+        for count in (1, 12, 64):
+            cell = _Cell(count)
+            cell.tell(*cell.names)
+            self._load(cell, 8.0, max_wait=0.2)
+            self.assertGreaterEqual(len(cell.sent_at), 0.75 * 8.0 * LIMIT)
+
+    def test_the_limit_holds_without_the_pacing_router(self):
+        """Guards against LIMIT while the pacing router is cut off."""
+        cell = _Cell(12)
+        cell.tell(*cell.names)
+        cell.cut.add(pacing_router('u1', cell.names))
+        self._load(cell, 9.0)
+        self.assertLessEqual(cell.most_in_window(), LIMIT * WINDOW_SECONDS)
+        self.assertGreaterEqual(len(cell.sent_at), 3)
+
+    def test_a_silent_pacing_router_delays_few_requests(self):
+        """Guards against requests that all wait for the reply timeout."""
+        cell = _Cell(12)
+        cell.tell(*cell.names)
+        pacer = pacing_router('u1', cell.names)
+        other = next(n for n in cell.names if n != pacer)
+        cell.cut.add(pacer)
+        first = cell.request(other)
+        self.assertEqual([], first)
+        cell.loop.advance(REPLY_TIMEOUT_SECONDS)
+        self.assertEqual(1, len(first))
+        self.assertEqual(1, len(cell.request(other)))
+
+    def test_a_new_pacing_router_keeps_the_limit(self):
+        """Guards against two full rates when the pacing router changes."""
+        cell = _Cell(12)
+        cell.tell(*cell.names)
+        self._load(cell, 3.0)
+        pacer = pacing_router('u1', cell.names)
+        for name, pacing in cell.pacings.items():
+            if name != pacer:
+                pacing._routers.remove(pacer)
+        self._load(cell, 3.0)
+        self.assertLessEqual(cell.most_in_window(), LIMIT * WINDOW_SECONDS)
+
+    def test_the_leader_tells_all_routers(self):
+        """Guards against routers that send more until they are told."""
+        cell = _Cell(5)
+        cell.tell('r3')
+        for _ in range(2):
+            for pacing in cell.pacings.values():
+                pacing.exchange_reports('r0')
+            cell.loop.advance(0.1)
+        for name in cell.names:
+            self.assertEqual(LIMIT, cell.limits[name].rate('u1', 1))
