--- a/tests/test_upstream_limit.py
+++ b/tests/test_upstream_limit.py
@@ -12,7 +12,7 @@
 
 class NamedLimitTest(GatewayTestCase):
     def _limited(self, request_id):
-        line = f'X-Bramleysill-Server-Limit: {LIMIT_PER_SECOND}\r\n'
+        line = f'Server-Limit: {LIMIT_PER_SECOND}\r\n'
         return signed_response(request_id, extra=line)
 
     def _send_burst(self, path):
