--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -70,6 +70,61 @@
     return outcome
 
 
+def _arrivals(*times):
+    return [
+        {'event': 'arrive', 'at': at, 'id': f'r-{number}'}
+        for number, at in enumerate(times)
+    ]
+
+
+class LimitCheckTest(testtools.TestCase):
+    """A limit of 2/s allows 17 requests in 4 s, from 3 s after it is named."""
+
+    def _violated(self, lines, outcomes=(), router=None):
+        limit = {'event': 'limit', 'at': 10.0, 'rate': 2.0}
+        process = _FakeProcess('u1', limit, *lines)
+        history = History(
+            [_outcome(), *outcomes],
+            [process],
+            {'router-1': router or _FakeRouter()},
+            FAULTS_END_AT,
+        )
+        return {name for name, _ in run_checks(history)}
+
+    def test_as_many_requests_as_allowed_are_no_violation(self):
+        """Guards against a violation at the bound."""
+        times = [13.5 + 0.2 * i for i in range(17)]
+        self.assertEqual(set(), self._violated(_arrivals(*times)))
+
+    def test_one_request_more_is_found(self):
+        """Guards against a check that misses an excess."""
+        times = [13.5 + 0.2 * i for i in range(18)]
+        violated = self._violated(_arrivals(*times))
+        self.assertEqual(
+            {'an upstream gets no more requests than its limit allows'},
+            violated,
+        )
+
+    def test_an_excess_before_the_routers_are_told_is_allowed(self):
+        """Guards against a violation while the limit is still news."""
+        times = [9.0 + 0.1 * i for i in range(40)]
+        self.assertEqual(set(), self._violated(_arrivals(*times)))
+
+    def test_a_router_with_a_fault_is_excused(self):
+        """Guards against a violation by a router that was cut off."""
+        times = [13.5 + 0.2 * i for i in range(18)]
+        outcomes = [_outcome(request_id=f'r-{i}', sent=1.0) for i in range(18)]
+        self.assertEqual(
+            set(),
+            self._violated(
+                _arrivals(*times),
+                outcomes,
+                _FakeRouter((13.0, 17.0)),
+            )
+            - {'requests are served again after the faults'},
+        )
+
+
 class SoakChecksTest(testtools.TestCase):
     def _violated(self, *processes, outcomes=None, router=None):
         history = History(
