--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -1,7 +1,5 @@
 """Sends grants and releases to upstreams, and tables to the store."""
 
-import collections
-
 from bramleysill_gateway.cell_state import LEADER_KEY
 from bramleysill_gateway.cell_state import TABLES_PREFIX
 from bramleysill_kernel.exceptions import SillError
@@ -28,15 +26,12 @@
 class ControlCalls:
     """Does the I/O of all range coordinators while this router leads."""
 
-    def __init__(self, loop, store, adapter, leadership, state, limits):
+    def __init__(self, loop, store, adapter, leadership, state):
         self._loop = loop
         self._store = store
         self._adapter = adapter
         self._leadership = leadership
         self._state = state
-        self._limits = limits
-        # Grants, renewals and releases by upstream since the last sweep.
-        self._calls_sent = collections.Counter()
         self._clients = {}
 
     def grant(self, entry, key_range, hold, handover, done):
@@ -45,7 +40,6 @@
             done(CallOutcome.REFUSED)
             return
         data = self._adapter.encode_grant(entry, key_range, hold, handover)
-        self._calls_sent[entry.upstream] += 1
 
         def on_response(response):
             result = _grant_result(response)
@@ -69,7 +63,6 @@
             done(CallOutcome.REFUSED, '')
             return
         data = self._adapter.encode_release(entry, key_range)
-        self._calls_sent[entry.upstream] += 1
         started_at = self._loop.now()
 
         def on_response(response):
@@ -168,20 +161,7 @@
         self._clients.clear()
 
     def sweep(self):
-        """Close the connections to upstreams that are no longer known.
-
-        Also logs the calls to upstreams that have named a limit.
-        """
-        for report in self._limits.reports():
-            calls = self._calls_sent[report.upstream]
-            if report.rate is not None and calls:
-                log_event(
-                    'upstream_limit_calls',
-                    upstream=report.upstream,
-                    limit=report.rate,
-                    calls=calls,
-                )
-        self._calls_sent.clear()
+        """Close the connections to upstreams that are no longer known."""
         known = {
             (e.upstream, e.incarnation, e.address)
             for e in self._state.directory.entries.values()
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -10,7 +10,7 @@
 from bramleysill_kernel.leadership import Leadership
 from bramleysill_kernel.leadership import is_preferred_leader
 from bramleysill_kernel.range_coordinator import RangeCoordinator
-from bramleysill_kernel.rate_pacer import callers_rate
+from bramleysill_kernel.rate_pacer import paced_rate
 from bramleysill_kernel.store_types import Condition
 from bramleysill_kernel.store_types import Put
 from bramleysill_kernel.store_types import StoreOutcome
@@ -42,7 +42,7 @@
             {'router': cfg.name, 'address': address}
         ).encode()
         self._calls = ControlCalls(
-            loop, store, state.adapter, self.leadership, state, limits
+            loop, store, state.adapter, self.leadership, state
         )
         self._coordinators = {}
         self._key_loads = {}
@@ -105,22 +105,8 @@
         if seconds is None:
             seconds = self._service_times.mean() or INITIAL_SERVICE_SECONDS
         capacity = entry.slots / max(seconds, MIN_SERVICE_SECONDS)
-        report = self._limits.report(entry.upstream, entry.incarnation)
-        if report is None:
-            return capacity
-        return min(capacity, callers_rate(report.rate, report.control_rate))
-
-    def _limit(self, entry):
-        """Return the limit of an upstream in requests/s, or None."""
-        return self._limits.rate(entry.upstream, entry.incarnation)
-
-    def set_control_rates(self):
-        """Note how often this leader calls the upstreams with a limit."""
-        for coordinator in self._coordinators.values():
-            for item, rate in coordinator.renewal_rates():
-                self._limits.set_control_rate(
-                    item.owner, item.incarnation, rate
-                )
+        limit = self._limits.rate(entry.upstream, entry.incarnation)
+        return capacity if limit is None else min(capacity, paced_rate(limit))
 
     def tick(self):
         """Renew, campaign or coordinate; called every tick of the process."""
@@ -342,7 +328,6 @@
                 self._state.directory,
                 self._key_loads_of(service),
                 self._capacity,
-                self._limit,
             )
             coordinator.start(table, revision)
             self._coordinators[service] = coordinator
--- a/packages/gateway/src/bramleysill_gateway/pacing.py
+++ b/packages/gateway/src/bramleysill_gateway/pacing.py
@@ -86,14 +86,10 @@
         if rows:
             self.links.send(leader, messages.UpstreamLimits(self._name, rows))
 
-    def on_reports(self, message, leader):
+    def on_reports(self, message):
         """Use the reports of another router."""
         for row in message.rows:
             self._limits.merge(self._read_row(row))
-            if message.router == leader:
-                self._limits.set_control_rate(
-                    row.upstream, row.incarnation, row.control_rate
-                )
 
     def on_request(self, link, message):
         """Reply to a router that asks for a request of its caller."""
@@ -179,7 +175,6 @@
             report.incarnation,
             NO_LIMIT if report.rate is None else report.rate,
             max(0.0, self._loop.now() - report.heard_at),
-            report.control_rate,
         )
 
     def _read_row(self, row):
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -261,7 +261,6 @@
         counts.clear()
 
     def _exchange_limit_reports(self):
-        self.leader.set_control_rates()
         self._pacing.exchange_reports(self._leader_name())
 
     def _leader_name(self):
@@ -288,7 +287,7 @@
         elif isinstance(message, messages.FeedRequest):
             self._feeder.on_feed_request(link, message)
         elif isinstance(message, messages.UpstreamLimits):
-            self._pacing.on_reports(message, self._leader_name())
+            self._pacing.on_reports(message)
         elif isinstance(message, messages.PaceRequest):
             self._pacing.on_request(link, message)
         elif isinstance(message, messages.PaceReply):
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -260,16 +260,14 @@
 class LimitRow:
     """A report on the limit of one upstream process.
 
-    `rate` is in requests/s, or negative if the process named no limit. `age`
-    is the number of seconds since its response, and `control_rate` the
-    number of calls per second that the leader makes there.
+    `rate` is in requests/s, or negative if the process named no limit, and
+    `age` the number of seconds since its response.
     """
 
     upstream: str
     incarnation: int
     rate: float
     age: float
-    control_rate: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/kernel/src/bramleysill_kernel/named_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/named_limits.py
@@ -19,20 +19,16 @@
     """What a response has told about the limit of an upstream process.
 
     `rate` is in requests/s, or None if the response named no limit, and
-    `heard_at` is the time of the response in seconds. `control_rate` is the
-    number of calls per second with which the leader renews grants there.
+    `heard_at` is the time of the response in seconds.
     """
 
-    __slots__ = ('upstream', 'incarnation', 'rate', 'heard_at', 'control_rate')
+    __slots__ = ('upstream', 'incarnation', 'rate', 'heard_at')
 
-    def __init__(
-        self, upstream, incarnation, rate, heard_at, control_rate=0.0
-    ):
+    def __init__(self, upstream, incarnation, rate, heard_at):
         self.upstream = upstream
         self.incarnation = incarnation
         self.rate = rate
         self.heard_at = heard_at
-        self.control_rate = control_rate
 
     @property
     def valid_until(self):
@@ -68,32 +64,18 @@
         if rate is None and known is None:
             return False
         report = LimitReport(upstream, incarnation, rate, self._clock.now())
-        if known is not None:
-            report.control_rate = known.control_rate
         changed = self.rate(upstream, incarnation) != rate
         self._reports[upstream, incarnation] = report
         self._unsent[upstream, incarnation] = report
         return changed
 
     def merge(self, report):
-        """Use another router's report if it is newer than the known one.
-
-        The control rate of the known one stays.
-        """
+        """Use another router's report if it is newer than the known one."""
         key = report.upstream, report.incarnation
         known = self._reports.get(key)
-        if known is None:
-            self._reports[key] = report
-        elif known.heard_at < report.heard_at:
-            report.control_rate = known.control_rate
+        if known is None or known.heard_at < report.heard_at:
             self._reports[key] = report
 
-    def set_control_rate(self, upstream, incarnation, control_rate):
-        """Set the leader's calls per second to a process with a limit."""
-        report = self.report(upstream, incarnation)
-        if report is not None:
-            report.control_rate = control_rate
-
     def report(self, upstream, incarnation):
         """Return the report on the limit of a process, or None without one."""
         report = self._reports.get((upstream, incarnation))
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -18,7 +18,6 @@
 `write_table`.
 """
 
-import collections
 import enum
 
 from bramleysill_kernel.hold_ledger import HoldLedger
@@ -43,12 +42,6 @@
 # After this many failed grants in a row the range is moved away. Further
 # grants would only extend the time for which the owner may hold the keys.
 MAX_GRANT_FAILURES = 2
-# Renewals use at most this share of the limit that an upstream has named, as
-# long as they are frequent enough to keep its grants.
-MAX_RENEWALS_SHARE = 0.2
-MIN_RENEWAL_RATE = 0.01
-# Longest interval between renewals as a fraction of a hold: one may fail.
-MAX_RENEWAL_FRACTION = 0.45
 # Moves that become ready within this time share one write of the table.
 WRITE_BATCH_SECONDS = 0.03
 # Delay before the first placement. It is longer than a heartbeat interval,
@@ -77,15 +70,7 @@
     """Manages the owners of one service's keys while this router leads."""
 
     def __init__(
-        self,
-        service,
-        clock,
-        timings,
-        calls,
-        directory,
-        loads,
-        capacity_of,
-        limit_of,
+        self, service, clock, timings, calls, directory, loads, capacity_of
     ):
         self.service = service
         self.table = None
@@ -96,13 +81,10 @@
         self._timings = timings
         self._calls = calls
         self._directory = directory
-        self._limit_of = limit_of
         self._pool = OwnerPool(service, clock, directory, capacity_of)
         self._holds = None
         self._moves = MoveList()
         self._renewals = {}
-        # Number of ranges by owner.
-        self._range_counts = collections.Counter()
         self._handovers = {}
         self._pending_write = None
         self._fences_renewed = False
@@ -175,9 +157,6 @@
     def _renew(self):
         now = self._clock.now()
         seen = set()
-        self._range_counts = collections.Counter(
-            item.owner for item in self.table.ranges
-        )
         for item in self.table.ranges:
             if not item.owner:
                 continue
@@ -205,7 +184,7 @@
         call = self._last_call_number
         self._holds.record_grant_sent(part, call)
         renewal.pending_call = call
-        renewal.due_at = self._clock.now() + self._renewal_interval(entry)
+        renewal.due_at = self._clock.now() + self._timings.renew_interval
         handover = self._handovers.get(part.fence, '')
 
         def done(result):
@@ -213,36 +192,6 @@
 
         self._calls.grant(entry, part, hold, handover, done)
 
-    def _renewal_interval(self, entry):
-        """Return the seconds between two renewals of an owner's grants.
-
-        An upstream counts renewals as requests. With a limit it gets fewer, so
-        that callers can use more of the limit.
-        """
-        interval = self._timings.renew_interval
-        limit = self._limit_of(entry)
-        if limit is None:
-            return interval
-        ranges = self._range_counts[entry.upstream]
-        wanted = ranges / max(limit * MAX_RENEWALS_SHARE, MIN_RENEWAL_RATE)
-        longest = self._timings.hold * MAX_RENEWAL_FRACTION
-        return min(max(interval, wanted), max(interval, longest))
-
-    def renewal_rates(self):
-        """Yield (KeyRange, renewals per second) for the limited owners.
-
-        There is one row for each owner, with one of its ranges.
-        """
-        seen = set()
-        for item in self.table.ranges:
-            entry = self._directory.get(item.owner) if item.owner else None
-            if entry is None or item.owner in seen:
-                continue
-            seen.add(item.owner)
-            if self._limit_of(entry) is not None:
-                count = self._range_counts[item.owner]
-                yield item, count / self._renewal_interval(entry)
-
     def _on_granted(self, part, call, hold, result):
         now = self._clock.now()
         renewal = self._renewals.get((part.first, part.last, part.fence))
--- a/packages/kernel/src/bramleysill_kernel/rate_pacer.py
+++ b/packages/kernel/src/bramleysill_kernel/rate_pacer.py
@@ -19,9 +19,6 @@
 
 # The pacing router permits this much of a second's requests at once.
 BURST_SECONDS = 0.25
-# Renewals of grants count as requests. However many there are, this share of
-# the limit is left to callers.
-MIN_CALLERS_SHARE = 0.25
 # The share of routers that get no reply is counted in whole requests per this
 # time: most limits are a few requests per second.
 FALLBACK_WINDOW_SECONDS = 4.0
@@ -71,14 +68,9 @@
         return PaceDecision(True, delay)
 
 
-def callers_rate(limit, control_rate):
-    """Return the requests/s of a limit that callers may use.
-
-    `control_rate` is the number of control calls per second.
-    """
-    return max(
-        limit * MIN_CALLERS_SHARE, limit * USED_SHARE_OF_LIMIT - control_rate
-    )
+def paced_rate(limit):
+    """Return the requests/s of a limit that the pacing router permits."""
+    return limit * USED_SHARE_OF_LIMIT
 
 
 def pacing_router(upstream, routers):
@@ -107,8 +99,7 @@
         if pacer is None:
             pacer = RatePacer(self._clock)
             self._pacers[upstream, incarnation] = pacer
-        rate = callers_rate(report.rate, report.control_rate)
-        return pacer.take(rate, max_wait)
+        return pacer.take(paced_rate(report.rate), max_wait)
 
     def take_fallback(self, upstream, incarnation, router, routers):
         """Return the PaceDecision of a router that gets no reply.
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -186,7 +186,6 @@
   incarnation @1 :UInt64;
   rate @2 :Float64;
   age @3 :Float64;
-  controlRate @4 :Float64;
 }
 
 struct UpstreamLimits {
