Agree on the pacing router after an outage of the store

After an outage all registrations may be gone for some seconds. A router that knew only its own would have paced each upstream by itself, so that the sum was a multiple of the limit. Until the others have had time to register again, those that were registered before still rank. Found by reading; tests.test_shared_limits fails without it.

--- a/packages/gateway/src/bramleysill_gateway/pacing.py
+++ b/packages/gateway/src/bramleysill_gateway/pacing.py
@@ -58,7 +58,7 @@
         if not self._routers.has_settled():
             callback(self._take_fallback(entry))
             return
-        names = self._routers.registered_names() or [self._name]
+        names = self._routers.running_names() or [self._name]
         router = pacing_router(entry.upstream, names)
         if router == self._name:
             callback(
--- a/packages/kernel/src/bramleysill_kernel/shared_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/shared_limits.py
@@ -75,8 +75,14 @@
         """Return the peer address of a counted router."""
         return self._addresses[router]
 
-    def registered_names(self):
-        """Return the names of the routers whose registration is in force."""
+    def running_names(self):
+        """Return the names of the routers that should be running.
+
+        After an outage of the store these include the routers that have not
+        had time to register again.
+        """
+        if not self.is_settled():
+            return self.names()
         return [
             router
             for router, until in self._counted_until.items()
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -114,6 +114,9 @@
     def has_settled(self):
         return True
 
+    def is_settled(self):
+        return True
+
 
 class _State:
     def __init__(self, loop, config):
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -67,6 +67,24 @@
         self.clock.advance(REGISTRATION_WAIT_SECONDS)
         self.assertTrue(self.routers.is_settled())
 
+    def test_a_router_that_has_left_does_not_run(self):
+        """Guards against asking a router that has shut down."""
+        self.routers.note_store_recovered()
+        self.clock.advance(REGISTRATION_WAIT_SECONDS)
+        self.routers.add('a')
+        self.routers.add('b')
+        self.routers.remove('a')
+        self.assertEqual(['b'], self.routers.running_names())
+
+    def test_routers_run_on_after_a_store_outage(self):
+        """Guards against routers that each pace an upstream by themselves."""
+        for router in ROUTERS:
+            self.routers.add(router)
+        self.routers.note_store_recovered()
+        for router in ROUTERS:
+            self.routers.remove(router)
+        self.assertEqual(set(ROUTERS), set(self.routers.running_names()))
+
     def test_a_router_that_returns_stays(self):
         """Guards against removing a router that registered again."""
         self.routers.add('a')
