--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -33,6 +33,9 @@
         self.leader_item = None
         self.routers = KnownRouters(loop)
         self.on_changed = lambda: None
+        # The number of the store's present past, or None before its first
+        # reply. It rises when the store comes back from an older copy.
+        self.store_era = None
         self.adapter = adapter
         self._loop = loop
         self._adapter = adapter
@@ -101,6 +104,18 @@
                 return 'no owner table was received'
         return ''
 
+    def note_store_era(self, era):
+        """Record the era that a reply of the store names."""
+        if self.store_era is not None and era <= self.store_era:
+            return
+        log_event(
+            'store_era_changed',
+            era=era,
+            previous=self.store_era or 0,
+            revisions=','.join(str(w.revision) for w in self._watches),
+        )
+        self.store_era = era
+
     def adopt_table(self, service, table, revision):
         """Use a table if its revision is newer than the known one."""
         if revision <= self._table_revisions.get(service, 0):
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -230,6 +230,13 @@
     def _apply(self, item):
         known = self.items.get(item.key)
         if known is not None and known.revision >= item.revision:
+            if known.revision > item.revision:
+                log_event(
+                    'store_item_ignored',
+                    key=item.key,
+                    revision=item.revision,
+                    known_revision=known.revision,
+                )
             return
         if item.value is None:
             self.items.pop(item.key, None)
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -118,6 +118,7 @@
             self._adapter,
             self.metrics,
         )
+        self._store.on_era = self.state.note_store_era
         self._upstreams = Upstreams(self.loop, self.state.directory)
         self._pacing = Pacing(
             self.loop, cfg.name, self.state.routers, self._upstreams.limits
