--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -8,10 +8,11 @@
 
 import testtools
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-SOAK = ROOT / 'platform' / 'soak'
-if str(SOAK) not in sys.path:
-    sys.path.append(str(SOAK))
+from tests.soak_path import ROOT
+from tests.soak_path import SOAK_PATH
+from tests.soak_path import add_soak_path
+
+add_soak_path()
 
 from bramleysill_soak.callers import Outcome  # noqa: E402
 from bramleysill_soak.cell import ChildProcess  # noqa: E402
@@ -352,7 +353,7 @@
 class ShortSoakTest(testtools.TestCase):
     def test_a_short_run_with_a_fixed_seed(self):
         """Guards against violations under a few faults."""
-        path = [str(SOAK), str(ROOT / 'platform' / 'src')]
+        path = [str(SOAK_PATH), str(ROOT / 'platform' / 'src')]
         path += [str(p) for p in (ROOT / 'packages').glob('*/src')]
         done = subprocess.run(
             [
