Read the store anew when it was restored from an older copy

Cause: items of the store were compared by revision, but a restored store gives revisions out again. Class: an order that holds within one past of the store was used across two.

A router keeps the era that the store names. In a new one it reads all keys anew, replaces items whatever their revision, and ignores replies and feeds of the former era; feeds name their era. What was known before stays true until it is written again: a newer configuration, an evacuation (3 s), an upstream that drains or has left, which else would get requests again.

--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -16,6 +16,10 @@
 LEADER_KEY = 'leader'
 TABLES_PREFIX = 'keys/'
 ROUTERS_PREFIX = 'nodes/'
+UNKNOWN_ERA = 0
+# After the store was restored, the operator has written again within this
+# time what the store has lost.
+OPERATOR_REWRITE_SECONDS = 3.0
 
 
 class CellState:
@@ -33,14 +37,17 @@
         self.leader_item = None
         self.routers = KnownRouters(loop)
         self.on_changed = lambda: None
-        # The number of the store's present past, or None before its first
-        # reply. It rises when the store comes back from an older copy.
-        self.store_era = None
+        # The era that the store names in its replies; 0 before the first one.
+        # It rises when the store comes back from an older copy of itself.
+        self.store_era = UNKNOWN_ERA
         self.adapter = adapter
         self._loop = loop
         self._adapter = adapter
         self._metrics = metrics
         self._table_revisions = {}
+        # Evacuations that a restored store has lost, until they are written
+        # again: {domain: until}.
+        self._lost_evacuations = {}
 
         def watch(prefix, on_change):
             watch = PrefixWatch(
@@ -87,6 +94,8 @@
             log_event(
                 'upstream_removed', upstream=upstream, reason='no_return'
             )
+        if self._lost_evacuations:
+            self._apply_evacuations()
 
     @property
     def synced(self):
@@ -105,16 +114,32 @@
         return ''
 
     def note_store_era(self, era):
-        """Record the era that a reply of the store names."""
-        if self.store_era is not None and era <= self.store_era:
+        """Record the era that a reply of the store names.
+
+        In a new era, what the store has is older than what is known. It is
+        read anew, and the known state stays in use until then.
+        """
+        if era <= self.store_era:
             return
         log_event(
             'store_era_changed',
             era=era,
-            previous=self.store_era or 0,
+            previous=self.store_era,
             revisions=','.join(str(w.revision) for w in self._watches),
         )
+        was_restored = self.store_era != UNKNOWN_ERA
         self.store_era = era
+        if was_restored:
+            self._read_restored_store()
+
+    def _read_restored_store(self):
+        self.leader_item = None
+        until = self._loop.now() + OPERATOR_REWRITE_SECONDS
+        self._lost_evacuations = dict.fromkeys(self.directory.evacuated, until)
+        self.directory.note_store_recovered()
+        self.routers.note_store_recovered()
+        for watch in self._watches:
+            watch.restart()
 
     def adopt_table(self, service, table, revision):
         """Use a table if its revision is newer than the known one."""
@@ -140,19 +165,31 @@
             if item.value is not None:
                 self._apply_config(item)
         elif item.key.startswith(self._adapter.evacuation_prefix):
-            prefix = self._adapter.evacuation_prefix
-            domains = {
-                key[len(prefix) :]
-                for key in self.operator_watch.items
-                if key.startswith(prefix)
-            }
-            if domains != self.directory.evacuated:
-                log_event(
-                    'evacuation_changed',
-                    domains=','.join(sorted(domains)) or 'none',
-                    revision=item.revision,
-                )
-            self.directory.set_evacuated(domains)
+            if self.operator_watch.listed:
+                domain = item.key[len(self._adapter.evacuation_prefix) :]
+                self._lost_evacuations.pop(domain, None)
+            self._apply_evacuations()
+        self.on_changed()
+
+    def _apply_evacuations(self):
+        prefix = self._adapter.evacuation_prefix
+        domains = {
+            key[len(prefix) :]
+            for key in self.operator_watch.items
+            if key.startswith(prefix)
+        }
+        now = self._loop.now()
+        domains.update(
+            d for d, at in self._lost_evacuations.items() if now < at
+        )
+        if domains == self.directory.evacuated:
+            return
+        log_event(
+            'evacuation_changed',
+            domains=','.join(sorted(domains)) or 'none',
+            revision=self.operator_watch.revision,
+        )
+        self.directory.set_evacuated(domains)
         self.on_changed()
 
     def _apply_config(self, item):
@@ -189,7 +226,10 @@
             self._remove_upstream(upstream, item, 'unreadable')
             return
         old = self.directory.get(upstream)
-        self.directory.put(entry)
+        if self.upstream_watch.listed:
+            self.directory.put(entry)
+        else:
+            self.directory.put_from_copy(entry)
         if old is None or (old.incarnation, old.draining) != (
             entry.incarnation,
             entry.draining,
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -120,7 +120,7 @@
             return
         self._renew_paused_lease()
         key_is_free = (
-            self._state.own_watch.synced and self._state.leader_item is None
+            self._state.own_watch.listed and self._state.leader_item is None
         )
         if leadership.may_campaign(key_is_free) and not self._campaigning:
             self._campaign()
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -6,6 +6,10 @@
 While the leader sends feeds of its own copy, this router does not watch the
 store. Each feed names the range of revisions that it covers, so that a gap is
 detected and closed with one call to the leader or the store.
+
+A store that was restored from an older copy of itself gives out revisions
+again, so that they can't be compared with those of before. The copy is then
+read anew, and its items replace the known ones whatever their revision.
 """
 
 from bramleysill_kernel.store_types import StoredItem
@@ -42,7 +46,9 @@
         self, loop, rng, timings, store, prefix, on_change, on_recovered
     ):
         self.items = {}
+        # Whether all keys were listed at least once, and in this era.
         self.synced = False
+        self.listed = False
         self.reachable = False
         self._loop = loop
         self._rng = rng
@@ -62,6 +68,8 @@
         self._feed_received = False
         self._retry_timer = None
         self._retry_action = None
+        # Rises with each restart; replies to earlier calls are ignored.
+        self._generation = 0
         # Returns whether another watch retries often during an outage.
         self.another_watch_retries = lambda: False
         # Called with (base, revision, items) after each reply to a watch.
@@ -87,11 +95,11 @@
 
         Otherwise this router must not tell others that nothing has changed.
         """
-        return self.synced and self.reachable and not self._failures
+        return self.listed and self.reachable and not self._failures
 
     def apply_feed(self, base, revision, items):
         """Apply changes that the leader has read from the store."""
-        if not self.synced:
+        if not self.listed:
             return
         if base > self._revision:
             self._fetch_missed()
@@ -108,7 +116,7 @@
 
     def changes_since(self, revision):
         """Return the changes after a revision, None if some are unknown."""
-        if not self.synced or revision < self._removed_after:
+        if not self.listed or revision < self._removed_after:
             return None
         found = [i for i in self.items.values() if i.revision > revision]
         found += [
@@ -122,6 +130,39 @@
         """Start with a listing of the prefix."""
         self._list('')
 
+    def restart(self):
+        """Read all keys anew: the store was restored from an older copy."""
+        self._generation += 1
+        self.listed = False
+        self._revision = 0
+        self._removed.clear()
+        self._failures = 0
+        self._feed_valid_until = 0.0
+        self._feed_received = False
+        self._leader_reply_deadline = 0.0
+        self._cancel_timers()
+        cancel_watch, self._cancel_watch = self._cancel_watch, None
+        if cancel_watch is not None:
+            cancel_watch()
+        self._list('')
+
+    def _cancel_timers(self):
+        for timer in (self._retry_timer, self._watch_timer):
+            if timer is not None:
+                timer.cancel()
+        self._retry_timer = None
+        self._watch_timer = None
+
+    def _if_current(self, action):
+        """Return a callback that does nothing after a restart."""
+        generation = self._generation
+
+        def call(*args):
+            if generation == self._generation:
+                action(*args)
+
+        return call
+
     def stop(self):
         """Cancel the watch and send no more calls."""
         self._stopped = True
@@ -134,7 +175,7 @@
         if not after:
             self._listing = {}
             self._listing_revision = 0
-        self._store.list(self.prefix, after, self._on_page)
+        self._store.list(self.prefix, after, self._if_current(self._on_page))
 
     def _on_page(self, reply):
         if not reply.ok:
@@ -156,10 +197,11 @@
         listing = self._listing
         self._revision = self._listing_revision
         for key in set(self.items) - set(listing):
-            self._apply(StoredItem(key, None, reply.revision))
+            self._apply_listed(StoredItem(key, None, reply.revision))
         for item in listing.values():
-            self._apply(item)
+            self._apply_listed(item)
         self.synced = True
+        self.listed = True
         self._removed_after = reply.revision
         log_event('store_listed', prefix=self.prefix, keys=len(listing))
         self._call_after(FIRST_WATCH_DELAY_SECONDS, self._watch)
@@ -181,7 +223,10 @@
 
     def _call_watch(self, wait):
         self._cancel_watch = self._store.watch(
-            self.prefix, self._revision, wait, self._on_events
+            self.prefix,
+            self._revision,
+            wait,
+            self._if_current(self._on_events),
         )
 
     def _fetch_missed(self):
@@ -227,6 +272,13 @@
         delay = self._timings.batch_delay if reply.items else 0.0
         self._call_after(delay, self._watch)
 
+    def _apply_listed(self, item):
+        """Apply an item of a listing, the first of an era without a check."""
+        if self.listed:
+            self._apply(item)
+        else:
+            self._replace(item)
+
     def _apply(self, item):
         known = self.items.get(item.key)
         if known is not None and known.revision >= item.revision:
@@ -238,6 +290,9 @@
                     known_revision=known.revision,
                 )
             return
+        self._replace(item)
+
+    def _replace(self, item):
         if item.value is None:
             self.items.pop(item.key, None)
             self._note_removed(item)
@@ -297,4 +352,6 @@
         if delay <= 0.0:
             action()
             return
-        self._loop.scheduler.call_at(self._loop.now() + delay, action)
+        self._loop.scheduler.call_at(
+            self._loop.now() + delay, self._if_current(action)
+        )
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -49,6 +49,11 @@
         """Start a new range after revisions that were sent or skipped."""
         self.base = self.revision
 
+    def reset(self):
+        """Forget the revisions, as the store gives them out again."""
+        self.base = 0
+        self.revision = 0
+
 
 class StoreFeeder:
     """Sends feeds while this router leads, else applies the leader's."""
@@ -59,6 +64,9 @@
         self._name = name
         self._links = links
         self._leader = leader
+        self._state = state
+        # The era of the store that the spans belong to.
+        self._era = state.store_era
         self._spans = {}
         self._last_tick_at = loop.now()
         self._watches = {
@@ -90,12 +98,19 @@
             return
         for watch in self._watches.values():
             if watch.up_to_date:
-                span = self._spans[watch.prefix]
+                span = self._span_of(watch)
                 span.extend(watch.revision, watch.revision)
                 self._broadcast(watch, span, ())
 
     def on_feed(self, message):
-        """Apply a feed, if it comes from the current leader."""
+        """Apply a feed, if it comes from the current leader.
+
+        A feed also tells of a new era of the store; feeds of another era than
+        the known one are not applied.
+        """
+        if message.era != self._state.store_era:
+            self._state.note_store_era(message.era)
+            return
         leader = self._leader.current_leader()
         if leader is None or leader[0] != message.router:
             return
@@ -110,6 +125,8 @@
         watch = self._watches.get(message.prefix)
         if watch is None or not watch.up_to_date or not self._may_feed():
             return
+        if message.era != self._state.store_era:
+            return
         items = watch.changes_since(message.revision)
         if items is None or message.revision > watch.revision:
             return
@@ -132,15 +149,19 @@
                 return False
             return self._links.send(
                 leader[0],
-                messages.FeedRequest(self._name, watch.prefix, watch.revision),
+                messages.FeedRequest(
+                    self._name,
+                    watch.prefix,
+                    watch.revision,
+                    self._state.store_era,
+                ),
             )
 
         return request_feed
 
     def _make_forwarder(self, watch):
-        span = self._spans[watch.prefix]
-
         def forward(base, revision, items):
+            span = self._span_of(watch)
             span.extend(base, revision)
             if not items:
                 return
@@ -151,6 +172,13 @@
 
         return forward
 
+    def _span_of(self, watch):
+        if self._era != self._state.store_era:
+            self._era = self._state.store_era
+            for span in self._spans.values():
+                span.reset()
+        return self._spans[watch.prefix]
+
     def _may_feed(self):
         if not self._leader.leadership.is_valid():
             return False
@@ -168,6 +196,7 @@
             watch.prefix,
             base,
             revision,
+            self._state.store_era,
             [_encode_item(item) for item in items],
         )
 
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -234,11 +234,15 @@
 
 @dataclasses.dataclass(slots=True)
 class FeedRequest:
-    """Asks the leader for the changes below a prefix after a revision."""
+    """Asks the leader for the changes below a prefix after a revision.
+
+    `era` is the era of the store that the revision belongs to.
+    """
 
     router: str
     prefix: str
     revision: int
+    era: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -246,13 +250,15 @@
     """Changes below a prefix that the leader has read from the store.
 
     `items` are all changes after the revision `base` up to `revision`. It is
-    empty if there were none.
+    empty if there were none. `era` is the era of the store that the revisions
+    belong to.
     """
 
     router: str
     prefix: str
     base: int
     revision: int
+    era: int
     items: list = dataclasses.field(default_factory=list)
 
 
--- a/packages/kernel/src/bramleysill_kernel/upstream_directory.py
+++ b/packages/kernel/src/bramleysill_kernel/upstream_directory.py
@@ -9,6 +9,9 @@
 # Upstreams whose entries expired during an outage register again within about
 # two seconds of its end. After that, a missing upstream has left.
 REREGISTRATION_SECONDS = 2.2
+# After this time of silence the store removes the entry of an upstream: three
+# heartbeat intervals.
+SILENT_ENTRY_SECONDS = 4.0
 # The entry of an upstream that has left is kept for releases, because it has
 # the address. The time is longer than any hold of keys.
 LEFT_ENTRY_RETENTION_SECONDS = 15.0
@@ -76,6 +79,7 @@
         '_leaving',
         '_missing_until',
         '_store_recovered_at',
+        '_unconfirmed',
     )
 
     def __init__(self, clock, timings):
@@ -92,6 +96,9 @@
         self._leaving = {}
         self._missing_until = {}
         self._store_recovered_at = None
+        # Entries of a restored store whose processes had left, and when they
+        # count if they are still there: {upstream: (entry, at)}.
+        self._unconfirmed = {}
 
     def note_store_recovered(self):
         """Keep entries that disappear shortly after a store outage."""
@@ -100,6 +107,7 @@
     def put(self, entry):
         """Add or replace an entry."""
         self._missing_until.pop(entry.upstream, None)
+        self._unconfirmed.pop(entry.upstream, None)
         self._drop_older_process(entry)
         if entry.draining:
             self._note_leaving(entry)
@@ -108,8 +116,29 @@
         self.entries[entry.upstream] = entry
         self._rebuild_index()
 
+    def put_from_copy(self, entry):
+        """Add an entry of a store that was restored from an older copy.
+
+        What was known of the same process stays true: that it drains, or that
+        it has left. An entry that has left counts only if the store still has
+        it when entries of ended processes have been removed.
+        """
+        known = self.last_known(entry.upstream)
+        if known is None or known.incarnation < entry.incarnation:
+            self.put(entry)
+            return
+        if known.incarnation > entry.incarnation:
+            return
+        entry.draining = entry.draining or known.draining
+        if entry.upstream in self.entries:
+            self.put(entry)
+            return
+        at = self._clock.now() + SILENT_ENTRY_SECONDS
+        self._unconfirmed[entry.upstream] = entry, at
+
     def remove(self, upstream):
         """Remove an entry, with a delay shortly after an outage."""
+        self._unconfirmed.pop(upstream, None)
         if upstream not in self.entries:
             return
         now = self._clock.now()
@@ -125,6 +154,9 @@
         Returns their ids.
         """
         now = self._clock.now()
+        for entry, at in list(self._unconfirmed.values()):
+            if now >= at:
+                self.put(entry)
         expired = [u for u, at in self._missing_until.items() if now >= at]
         for upstream in expired:
             self._drop(upstream)
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -170,8 +170,10 @@
         _Field('answers', 'answers', list, list),
         _Field('busy_times', 'busyTimes', list, list),
     ],
-    messages.FeedRequest: _plain_fields('router', 'prefix', 'revision'),
-    messages.StoreFeed: _plain_fields('router', 'prefix', 'base', 'revision')
+    messages.FeedRequest: _plain_fields('router', 'prefix', 'revision', 'era'),
+    messages.StoreFeed: _plain_fields(
+        'router', 'prefix', 'base', 'revision', 'era'
+    )
     + [
         _list_field(
             'items',
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -173,12 +173,14 @@
   base @2 :UInt64;
   revision @3 :UInt64;
   items @4 :List(FeedItem);
+  era @5 :UInt64;
 }
 
 struct FeedRequest {
   router @0 :Text;
   prefix @1 :Text;
   revision @2 :UInt64;
+  era @3 :UInt64;
 }
 
 struct LimitRow {
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -49,12 +49,17 @@
     messages.ProbeRequest(1, 'u'),
     messages.ProbeResult('u', True),
     messages.KeyLoads('r1', 's', [4, 9], [2, 1], ['u'], [3], [0.25]),
-    messages.FeedRequest('r1', 'p/', 7),
+    messages.FeedRequest('r1', 'p/', 7, 2),
     messages.UpstreamLimits('r1', [messages.LimitRow('u1', 12, 5.5, 0.25)]),
     messages.PaceRequest(7, messages.LimitRow('u1', 12, 5.5, 0.25), 0.5),
     messages.PaceReply(7, True, 0.125),
     messages.StoreFeed(
-        'r1', 'p/', 7, 9, [messages.FeedItem('p/k', b'x', 8, 5, False, True)]
+        'r1',
+        'p/',
+        7,
+        9,
+        2,
+        [messages.FeedItem('p/k', b'x', 8, 5, False, True)],
     ),
     streams.StreamOpen(
         1, 'id\nu\ns', 3, b'a: b', -1, 500, True, 1, b'body', True
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -70,6 +70,7 @@
         self.leader_item = None
         self.own_watch = self
         self.synced = True
+        self.listed = True
 
 
 class LeaderTest(testtools.TestCase):
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -36,6 +36,12 @@
             for prefix in ('operator/', 'upstreams/', 'own/')
         ]
         self.operator_watch, self.upstream_watch, self.own_watch = watches
+        self.store_era = 1
+
+    def note_store_era(self, era):
+        if era > self.store_era:
+            self.store_era = era
+            self.operator_watch.restart()
 
 
 class _Leader:
@@ -169,6 +175,42 @@
         self.assertEqual((5, 0.0), self.receiver_store.watches[0][:2])
 
 
+class RestoredStoreTest(_FeedCase):
+    """The store comes back from an older copy; the leader knows it first."""
+
+    def setUp(self):
+        super().setUp()
+        self.leader_state = self.feeder._state
+        self.leader_state.note_store_era(2)
+        self.store.reply_to_list(make_reply(4, make_item('operator/a', 4)))
+        self.loop.advance(FIRST_WATCH_DELAY_SECONDS)
+
+    def test_a_feed_tells_of_the_new_era(self):
+        """Guards against revisions of two pasts that are compared."""
+        self.feeder.tick()
+        self.assertEqual(2, self.receiver_state.store_era)
+        self.assertFalse(self.receiver_state.operator_watch.listed)
+
+    def test_a_feed_of_the_former_era_is_ignored(self):
+        """Guards against items that a late feed brings back."""
+        self.receiver_state.note_store_era(3)
+        self.receiver_store.reply_to_list(make_reply(4))
+        self.store.reply_to_watch(make_reply(9, make_item('operator/b', 9)))
+        self.assertEqual({}, self.receiver_state.operator_watch.items)
+
+    def test_changes_of_the_new_era_are_applied(self):
+        """Guards against a lower revision that is taken for an old one."""
+        self.feeder.tick()
+        self.receiver_store.reply_to_list(
+            make_reply(4, make_item('operator/a', 4))
+        )
+        item = make_item('operator/a', 5, b'new')
+        self.store.reply_to_watch(make_reply(5, item))
+        self.feeder.tick()
+        items = self.receiver_state.operator_watch.items
+        self.assertEqual(b'new', items['operator/a'].value)
+
+
 class FeedGapTest(_FeedCase):
     def setUp(self):
         super().setUp()
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -83,6 +83,35 @@
         cell.run(CONFIG_APPLY_SECONDS)
         self.assertEqual({7}, self._versions())
 
+    def _evacuated(self):
+        return [r.state.directory.evacuated for r in self.cell.routers]
+
+    def test_a_lost_evacuation_holds_until_it_is_written_again(self):
+        """Guards against requests to a failure domain that is evacuated."""
+        cell = self.cell
+        cell.store.write((), [('op/evacuate/a', b'{}', 0)], ())
+        cell.run(0.5)
+        cell.restore(COPY_AGE_SECONDS)
+
+        def check(cell):
+            self.assertEqual([{'a'}] * 3, self._evacuated())
+
+        cell.run(1.0, check)
+        cell.store.write((), [('op/evacuate/a', b'{}', 0)], ())
+        cell.run(5.0, check)
+        cell.store.write((), (), ['op/evacuate/a'])
+        cell.run(0.5)
+        self.assertEqual([set()] * 3, self._evacuated())
+
+    def test_an_evacuation_that_is_not_written_again_ends(self):
+        """Guards against a failure domain that stays unused."""
+        cell = self.cell
+        cell.store.write((), [('op/evacuate/a', b'{}', 0)], ())
+        cell.run(0.5)
+        cell.restore(COPY_AGE_SECONDS)
+        cell.run(5.0)
+        self.assertEqual([set()] * 3, self._evacuated())
+
 
 class OwnersAfterRestoreTest(testtools.TestCase):
     def setUp(self):
--- a/tests/test_upstream_directory.py
+++ b/tests/test_upstream_directory.py
@@ -4,6 +4,7 @@
 
 from bramleysill_kernel.clock import ManualClock
 from bramleysill_kernel.upstream_directory import REREGISTRATION_SECONDS
+from bramleysill_kernel.upstream_directory import SILENT_ENTRY_SECONDS
 from bramleysill_kernel.upstream_directory import UpstreamDirectory
 from tests.bounds import make_timings
 from tests.range_fakes import SERVICE
@@ -80,3 +81,56 @@
         newer.port = make_entry('u1').port
         self.directory.put(newer)
         self.assertEqual(['u2', 'u3'], sorted(self._usable()))
+
+
+class RestoredStoreTest(testtools.TestCase):
+    """Entries of a store that was restored from an older copy."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.directory = UpstreamDirectory(self.clock, TIMINGS)
+
+    def _usable(self):
+        return [e.upstream for e in self.directory.usable(SERVICE)]
+
+    def test_a_draining_upstream_gets_no_work_again(self):
+        """Guards against requests to an upstream that is about to end."""
+        self.directory.put(make_entry('u0', draining=True))
+        self.directory.put_from_copy(make_entry('u0'))
+        self.assertEqual([], self._usable())
+
+    def test_an_upstream_that_has_left_is_not_used(self):
+        """Guards against requests to a process that has ended."""
+        self.directory.put(make_entry('u0'))
+        self.directory.remove('u0')
+        self.directory.put_from_copy(make_entry('u0'))
+        self.directory.tick()
+        self.assertEqual([], self._usable())
+        self.directory.remove('u0')
+        self.clock.advance(2 * SILENT_ENTRY_SECONDS)
+        self.directory.tick()
+        self.assertEqual([], self._usable())
+
+    def test_an_upstream_that_registers_again_is_used(self):
+        """Guards against an upstream that stays unused after a cut."""
+        self.directory.put(make_entry('u0'))
+        self.directory.remove('u0')
+        self.directory.put_from_copy(make_entry('u0'))
+        self.directory.put(make_entry('u0'))
+        self.assertEqual(['u0'], self._usable())
+
+    def test_an_entry_that_outlasts_its_heartbeats_is_used(self):
+        """Guards against an upstream that stays unused after a cut."""
+        self.directory.put(make_entry('u0'))
+        self.directory.remove('u0')
+        self.directory.put_from_copy(make_entry('u0'))
+        self.clock.advance(SILENT_ENTRY_SECONDS)
+        self.directory.tick()
+        self.assertEqual(['u0'], self._usable())
+
+    def test_a_newer_process_stays(self):
+        """Guards against requests to the former process of an upstream."""
+        self.directory.put(make_entry('u0', incarnation=2))
+        self.directory.put_from_copy(make_entry('u0', incarnation=1))
+        self.assertEqual(2, self.directory.get('u0').incarnation)
