Keep the owners of keys when the store was restored from an older copy

Cause: the former leader resumed the lease that the copy still had, read the table of the copy and granted keys to their owners of before, with fences that had been given out already (17.40 s: leader_elected with the lease of -9.50 s, ranges 102 to 70, next fence 132 to 149 on; key 1012 with fence 80 after 87). Class: a lease, a revision and a fence of the store were taken for facts that outlast its past.

- The leader key and the tables have keys of their own in each era after the first, so that what the copy has of them counts for nothing and no late write can meet its conditions by chance.
Each era has its own fences, above those of all eras before.
- The last leader goes on with the table that it knows, if nobody else can have moved keys since its lease: a new leader moves none for 1 s.
Keys in writes of unknown outcome are unsettled: granted to nobody until all holds of earlier leaders have expired.
- Any other router waits for the lease of the era before, and then all keys are unsettled.
- A leader plans no moves while a write is unconfirmed or the store silent.

--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -5,8 +5,11 @@
 removed.
 """
 
+import typing
+
 from bramleysill_gateway.prefix_watch import PrefixWatch
 from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.key_ranges import FIRST_ERA
 from bramleysill_kernel.key_ranges import RangeTable
 from bramleysill_kernel.shared_limits import KnownRouters
 from bramleysill_kernel.upstream_directory import UpstreamDirectory
@@ -22,6 +25,16 @@
 OPERATOR_REWRITE_SECONDS = 3.0
 
 
+class TableVersion(typing.NamedTuple):
+    """The order of the tables of a service, over all eras of the store."""
+
+    era: int
+    revision: int
+
+
+NO_VERSION = TableVersion(UNKNOWN_ERA, 0)
+
+
 class CellState:
     """The latest state of the cell: all routers and upstreams of the store.
 
@@ -37,14 +50,18 @@
         self.leader_item = None
         self.routers = KnownRouters(loop)
         self.on_changed = lambda: None
+        # Called when the store was restored from an older copy.
+        self.on_restored = lambda: None
         # The era that the store names in its replies; 0 before the first one.
         # It rises when the store comes back from an older copy of itself.
         self.store_era = UNKNOWN_ERA
+        # When the first reply of this era was received, in seconds.
+        self.era_seen_at = 0.0
         self.adapter = adapter
         self._loop = loop
         self._adapter = adapter
         self._metrics = metrics
-        self._table_revisions = {}
+        self._table_versions = {}
         # Evacuations that a restored store has lost, until they are written
         # again: {domain: until}.
         self._lost_evacuations = {}
@@ -129,6 +146,7 @@
         )
         was_restored = self.store_era != UNKNOWN_ERA
         self.store_era = era
+        self.era_seen_at = self._loop.now()
         if was_restored:
             self._read_restored_store()
 
@@ -140,12 +158,50 @@
         self.routers.note_store_recovered()
         for watch in self._watches:
             watch.restart()
+        self.on_restored()
+
+    @property
+    def was_restored(self):
+        """Return whether the store has ever lost what it had confirmed."""
+        return self.store_era > FIRST_ERA
 
-    def adopt_table(self, service, table, revision):
-        """Use a table if its revision is newer than the known one."""
-        if revision <= self._table_revisions.get(service, 0):
+    @property
+    def own_era(self):
+        """Return the era of this router's keys in the store."""
+        return max(self.store_era, FIRST_ERA)
+
+    def own_key(self, name):
+        """Return the store key of the leader or of a table in this era.
+
+        Each era has keys of its own. A restored store gives revisions out
+        again, so that a late write of a former leader could meet its
+        conditions by chance.
+        """
+        if not self.was_restored:
+            return f'{self._adapter.own_prefix}{name}'
+        return f'{self._adapter.own_prefix}{self.own_era}/{name}'
+
+    def former_keys(self):
+        """Return the keys of the leader and of tables of earlier eras."""
+        return [
+            key
+            for key in self.own_watch.items
+            if self._parse_own_key(key)[0] < self.own_era
+            and not self._parse_own_key(key)[1].startswith(ROUTERS_PREFIX)
+        ]
+
+    def has_table_of_this_era(self):
+        """Return whether a leader of this era has written a table."""
+        return any(
+            version.era == self.own_era
+            for version in self._table_versions.values()
+        )
+
+    def adopt_table(self, service, table, version):
+        """Use a table if its TableVersion is newer than the known one."""
+        if version <= self._table_versions.get(service, NO_VERSION):
             return
-        self._table_revisions[service] = revision
+        self._table_versions[service] = version
         self.tables[service] = table
         self.on_changed()
 
@@ -256,14 +312,24 @@
         self.directory.remove(upstream)
         self.on_changed()
 
+    def _parse_own_key(self, key):
+        """Return (era, name) of a key; the first era isn't in its keys."""
+        name = key[len(self._adapter.own_prefix) :]
+        era, _, rest = name.partition('/')
+        if era.isascii() and era.isdecimal():
+            return int(era), rest
+        return FIRST_ERA, name
+
     def _on_own_item(self, item):
-        name = item.key[len(self._adapter.own_prefix) :]
+        era, name = self._parse_own_key(item.key)
         if name == LEADER_KEY:
-            self.leader_item = None if item.value is None else item
+            if item.key == self.own_key(LEADER_KEY):
+                self.leader_item = None if item.value is None else item
         elif name.startswith(ROUTERS_PREFIX):
             self._on_router_item(name[len(ROUTERS_PREFIX) :], item)
         elif name.startswith(TABLES_PREFIX) and item.value is not None:
-            self._on_table_item(name[len(TABLES_PREFIX) :], item)
+            version = TableVersion(era, item.revision)
+            self._on_table_item(name[len(TABLES_PREFIX) :], item, version)
         self.on_changed()
 
     def _on_router_item(self, name, item):
@@ -272,15 +338,15 @@
         else:
             self.routers.add(name, item.value.decode(errors='replace'))
 
-    def _on_table_item(self, service, item):
-        if item.revision <= self._table_revisions.get(service, 0):
+    def _on_table_item(self, service, item, version):
+        if version <= self._table_versions.get(service, NO_VERSION):
             return
         try:
             table = RangeTable.decode(item.value)
         except SillError as exc:
             self._reject_document(item, exc)
             return
-        self.adopt_table(service, table, item.revision)
+        self.adopt_table(service, table, version)
 
     def _reject_document(self, item, exc):
         self._metrics.events['document_rejected'] += 1
--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -2,6 +2,7 @@
 
 from bramleysill_gateway.cell_state import LEADER_KEY
 from bramleysill_gateway.cell_state import TABLES_PREFIX
+from bramleysill_gateway.cell_state import TableVersion
 from bramleysill_kernel.exceptions import SillError
 from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
 from bramleysill_kernel.key_ranges import RangeTable
@@ -92,18 +93,22 @@
         Calls `done(result, table, revision)` with the table that is stored
         afterwards; after a conflict it is the one of another writer.
         """
-        key = f'{self._adapter.own_prefix}{TABLES_PREFIX}{service}'
+        era = self._state.own_era
+        key = self._state.own_key(f'{TABLES_PREFIX}{service}')
         value = table.encode()
         started_at = self._loop.now()
         conditions = [
             Condition(
-                f'{self._adapter.own_prefix}{LEADER_KEY}',
+                self._state.own_key(LEADER_KEY),
                 self._leadership.key_revision,
             ),
             Condition(key, revision),
         ]
 
         def on_written(reply):
+            if era != self._state.own_era:
+                done(CallOutcome.NO_RESPONSE, None, 0)
+                return
             if reply.ok:
                 log_event(
                     'table_written',
@@ -113,7 +118,9 @@
                     revision=reply.revision,
                     seconds=self._loop.now() - started_at,
                 )
-                self._state.adopt_table(service, table, reply.revision)
+                self._state.adopt_table(
+                    service, table, TableVersion(era, reply.revision)
+                )
                 done(CallOutcome.OK, table, reply.revision)
                 return
             log_warning(
@@ -134,7 +141,7 @@
 
         The table is None if none is stored.
         """
-        key = f'{self._adapter.own_prefix}{TABLES_PREFIX}{service}'
+        key = self._state.own_key(f'{TABLES_PREFIX}{service}')
 
         def on_reply(reply):
             if reply.outcome is StoreOutcome.MISSING:
@@ -172,9 +179,10 @@
 
     def _read_back(self, service, key, value, done):
         """Read the stored table after a write that was not confirmed."""
+        era = self._state.own_era
 
         def on_reply(reply):
-            if not reply.ok:
+            if not reply.ok or era != self._state.own_era:
                 done(CallOutcome.NO_RESPONSE, None, 0)
                 return
             item = reply.items[0]
@@ -184,7 +192,9 @@
                 log_warning('document_rejected', key=key, error=exc)
                 done(CallOutcome.NO_RESPONSE, None, 0)
                 return
-            self._state.adopt_table(service, stored, item.revision)
+            self._state.adopt_table(
+                service, stored, TableVersion(era, item.revision)
+            )
             is_written = item.value == value
             result = CallOutcome.OK if is_written else CallOutcome.CONFLICT
             done(result, stored, item.revision)
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -3,9 +3,14 @@
 import json
 
 from bramleysill_gateway.cell_state import LEADER_KEY
+from bramleysill_gateway.cell_state import TableVersion
 from bramleysill_gateway.control_calls import ControlCalls
+from bramleysill_kernel.former_term import FormerTerm
 from bramleysill_kernel.key_loads import KeyLoads
 from bramleysill_kernel.key_loads import UpstreamServiceTimes
+from bramleysill_kernel.key_ranges import ALL_KEYS
+from bramleysill_kernel.key_ranges import RangeTable
+from bramleysill_kernel.key_ranges import first_fence
 from bramleysill_kernel.leadership import RENEW_INTERVAL_SECONDS
 from bramleysill_kernel.leadership import Leadership
 from bramleysill_kernel.leadership import is_preferred_leader
@@ -19,6 +24,8 @@
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
+# A write to the store may delete this many keys.
+MAX_DELETED_KEYS = 32
 # If the last confirmed renewal was sent longer ago, the store counts as down.
 # The rest of the leader lease is used to extend the holds.
 RENEWAL_TIMEOUT_SECONDS = 0.9
@@ -54,6 +61,9 @@
         # Lease of the leader key, or 0. It is kept after it has expired, since
         # the store may pause leases while it is down.
         self._lease = 0
+        # The FormerTerm of this router, None if another has led since.
+        self._former_term = None
+        self._former_keys_removed = False
         # The StoredItem decoded last, and the address from it.
         self._decoded_item = None
         self._leader_address = None
@@ -61,7 +71,7 @@
     @property
     def key(self):
         """Return the name of the leader key in the store."""
-        return f'{self._adapter.own_prefix}{LEADER_KEY}'
+        return self._state.own_key(LEADER_KEY)
 
     def seconds_since_renewal(self):
         """Return the seconds since the last confirmed renewal was sent."""
@@ -117,14 +127,43 @@
         if leadership.leading:
             self._renew()
             self._run_coordinators()
+            self._remove_former_keys()
             return
         self._renew_paused_lease()
         key_is_free = (
-            self._state.own_watch.listed and self._state.leader_item is None
+            self._state.own_watch.listed
+            and self._state.leader_item is None
+            and self._loop.now() >= self._first_campaign_at()
         )
         if leadership.may_campaign(key_is_free) and not self._campaigning:
             self._campaign()
 
+    def on_store_restored(self):
+        """Stop leading: the lease and the leader key belong to the past."""
+        if self.leadership.leading:
+            self._step_down('store_restored')
+        self.leadership.resign()
+        self._lease = 0
+        self._campaigning = False
+
+    def _first_campaign_at(self):
+        """Return when this router may campaign in this era of the store.
+
+        A leader of the era before may not know of its end until its lease is
+        over. Only the last leader itself need not wait.
+        """
+        state = self._state
+        if not state.was_restored or state.has_table_of_this_era():
+            return 0.0
+        if self._knows_owners():
+            return 0.0
+        return state.era_seen_at + self._timings.leader_lease
+
+    def _knows_owners(self):
+        return self._former_term is not None and (
+            self._former_term.knows_owners(self._state.era_seen_at)
+        )
+
     def resign(self):
         """Give up the leader key and campaign no more; for shutdown."""
         self.leadership.campaigning_disabled = True
@@ -142,8 +181,11 @@
         self._campaigning = True
         sent_at = self._loop.now()
         seconds = self.leadership.lease_seconds
+        era = self._state.own_era
 
         def on_lease(reply):
+            if era != self._state.own_era:
+                return
             if not reply.ok:
                 self._campaign_failed(reply)
                 return
@@ -154,7 +196,11 @@
         self._store.open_lease(seconds, on_lease)
 
     def _write_key(self, lease):
+        era = self._state.own_era
+
         def on_written(reply):
+            if era != self._state.own_era:
+                return
             if not reply.ok:
                 self._campaign_failed(reply)
                 return
@@ -195,6 +241,8 @@
         """Step down, or resume leading, according to the leader key."""
         item = self._state.leader_item
         leadership = self.leadership
+        if item is not None and item.lease not in (self._lease, 0):
+            self._former_term = None
         if leadership.leading:
             if item is not None and item.revision > leadership.key_revision:
                 self._step_down('replaced')
@@ -212,6 +260,8 @@
             reason=reason,
             revision=self.leadership.key_revision,
         )
+        self._former_term = self._make_former_term(reason)
+        self._former_keys_removed = False
         lease = self.leadership.resign()
         # Keep an expired lease: the store may have paused it.
         self._lease = lease if reason == 'lease_over' else 0
@@ -222,6 +272,18 @@
         if lease and reason == 'shutdown':
             self._store.end_lease(lease, _ignore_reply)
 
+    def _make_former_term(self, reason):
+        """Return the FormerTerm, or None if another may lead already."""
+        if reason not in ('lease_over', 'store_restored'):
+            return None
+        return FormerTerm(
+            self.leadership.valid_until,
+            {
+                service: sorted(coordinator.unconfirmed_spans)
+                for service, coordinator in self._coordinators.items()
+            },
+        )
+
     # Renewal.
 
     def _renew(self):
@@ -276,8 +338,11 @@
             return
         self._renew_at = now + RENEW_INTERVAL_SECONDS
         lease = self._lease
+        era = self._state.own_era
 
         def on_renewed(reply):
+            if era != self._state.own_era:
+                return
             if lease != self._lease or self.leadership.campaigning_disabled:
                 return
             if reply.ok:
@@ -320,22 +385,72 @@
             self._starting_services.discard(service)
             if not ok:
                 return
-            coordinator = RangeCoordinator(
-                service,
-                self._loop,
-                self._timings,
-                self._calls,
-                self._state.directory,
-                self._key_loads_of(service),
-                self._capacity,
-            )
-            coordinator.start(table, revision)
-            self._coordinators[service] = coordinator
             if table is not None:
-                self._state.adopt_table(service, table, revision)
+                version = TableVersion(self._state.own_era, revision)
+                self._state.adopt_table(service, table, version)
+            elif self._state.was_restored:
+                table = self._remembered_table(service)
+            self._coordinators[service] = self._make_coordinator(
+                service, table, revision
+            )
 
         self._calls.read_table(service, on_table)
 
+    def _make_coordinator(self, service, table, revision):
+        coordinator = RangeCoordinator(
+            service,
+            self._loop,
+            self._timings,
+            self._calls,
+            self._state.directory,
+            self._key_loads_of(service),
+            self._capacity,
+        )
+        former_leader_until = 0.0
+        if self._state.was_restored:
+            former_leader_until = (
+                self._state.era_seen_at + self._timings.leader_lease
+            )
+        coordinator.start(
+            table,
+            revision,
+            first_fence(self._state.own_era),
+            former_leader_until,
+        )
+        return coordinator
+
+    def _remembered_table(self, service):
+        """Return the table that this router knows from before the restore.
+
+        The keys whose owner may have changed since are unsettled in it.
+        """
+        table = self._state.tables.get(service)
+        unsettled = [ALL_KEYS]
+        if table is None:
+            table = RangeTable.empty()
+        elif self._knows_owners():
+            unsettled = self._former_term.unconfirmed.get(service, [])
+        log_event(
+            'table_remembered',
+            service=service,
+            ranges=len(table.ranges),
+            unsettled=sum(last - first + 1 for first, last in unsettled),
+        )
+        return table.with_unsettled(unsettled)
+
+    def _remove_former_keys(self):
+        """Remove the keys of earlier eras once all tables are in this one."""
+        coordinators = self._coordinators.values()
+        if self._former_keys_removed or not coordinators:
+            return
+        if not all(c.has_renewed_fences for c in coordinators):
+            return
+        keys = self._state.former_keys()[:MAX_DELETED_KEYS]
+        self._former_keys_removed = True
+        if keys:
+            condition = Condition(self.key, self.leadership.key_revision)
+            self._store.write([condition], (), keys, _ignore_reply)
+
     def _key_loads_of(self, service):
         loads = self._key_loads.get(service)
         if loads is None:
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -143,6 +143,7 @@
             self.state,
             self._upstreams.limits,
         )
+        self.state.on_restored = self._on_store_restored
         self._registration = Registration(
             self.loop, self._store, self._adapter, cfg, address
         )
@@ -180,6 +181,10 @@
             self.loop, *listen.callers, self.frontend.accept
         )
 
+    def _on_store_restored(self):
+        self.leader.on_store_restored()
+        self._registration.restart()
+
     # Periodic work and shutdown.
 
     def _tick(self):
--- a/packages/gateway/src/bramleysill_gateway/registration.py
+++ b/packages/gateway/src/bramleysill_gateway/registration.py
@@ -28,6 +28,8 @@
         self._next_call_at = 0.0
         self._call_pending = False
         self._stopped = False
+        # Replies to the calls of an earlier attempt are ignored.
+        self._attempt = 0
 
     def tick(self):
         """Register or renew the registration when due."""
@@ -39,9 +41,19 @@
             return
         self._call_pending = True
         if self._lease:
-            self._store.renew_lease(self._lease, self._on_renewed)
+            self._store.renew_lease(
+                self._lease, self._if_current(self._on_renewed)
+            )
         else:
-            self._store.open_lease(self._lease_seconds, self._on_opened)
+            self._store.open_lease(
+                self._lease_seconds, self._if_current(self._on_opened)
+            )
+
+    def restart(self):
+        """Register again: a restored store may have lost the registration."""
+        self._lease = 0
+        self._attempt += 1
+        self._schedule_next(0.0)
 
     def stop(self):
         """End the registration at shutdown."""
@@ -55,7 +67,16 @@
             return
         self._lease = reply.lease
         put = Put(self._key, self._value, reply.lease)
-        self._store.write((), [put], (), self._on_written)
+        self._store.write((), [put], (), self._if_current(self._on_written))
+
+    def _if_current(self, action):
+        attempt = self._attempt
+
+        def call(reply):
+            if attempt == self._attempt:
+                action(reply)
+
+        return call
 
     def _on_written(self, reply):
         if not reply.ok:
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/former_term.py
@@ -0,0 +1,31 @@
+"""What a router knows of its last term as the leader.
+
+After the store was restored from an older copy, the last leader may know all
+owners although the store has lost them. That is certain if nobody else can
+have moved keys since: another leader can have been elected only after the
+lease of this one, and moves no keys for some time.
+"""
+
+from bramleysill_kernel.range_coordinator import FIRST_MOVE_DELAY_SECONDS
+
+
+class FormerTerm:
+    """The end of a term as the leader.
+
+    `valid_until` is when the lease ended by this router's clock, and
+    `unconfirmed` has the spans of keys by service in writes of the table whose
+    outcome is unknown.
+    """
+
+    __slots__ = ('valid_until', 'unconfirmed')
+
+    def __init__(self, valid_until, unconfirmed):
+        self.valid_until = valid_until
+        self.unconfirmed = unconfirmed
+
+    def knows_owners(self, era_seen_at):
+        """Return whether no other leader can have moved keys since.
+
+        `era_seen_at` is when the store was first seen to be restored.
+        """
+        return era_seen_at < self.valid_until + FIRST_MOVE_DELAY_SECONDS
--- a/packages/kernel/src/bramleysill_kernel/hold_ledger.py
+++ b/packages/kernel/src/bramleysill_kernel/hold_ledger.py
@@ -85,6 +85,10 @@
             + max_hold_seconds(longest_hold)
         )
 
+    def may_inherit(self):
+        """Return whether holds of earlier leaders may not have expired."""
+        return self._clock.now() < self._inherited_until
+
     def discard_inherited_holds(self):
         """Record that no earlier leader has granted anything."""
         self._inherited_until = 0.0
--- a/packages/kernel/src/bramleysill_kernel/key_ranges.py
+++ b/packages/kernel/src/bramleysill_kernel/key_ranges.py
@@ -17,7 +17,13 @@
 from bramleysill_kernel.exceptions import SillError
 
 KEY_SPACE = 65536
+ALL_KEYS = (0, KEY_SPACE - 1)
 FORMAT_VERSION = 1
+# The era of a store that was never restored from an older copy of itself.
+FIRST_ERA = 1
+# An era of the store may use this many bits of the fences; the rest of 64 bits
+# counts the eras.
+FENCE_BITS_PER_ERA = 40
 
 
 class TableError(SillError):
@@ -31,17 +37,29 @@
     """Keys `first` to `last`, both inclusive, and their owner.
 
     `owner` is the id of an upstream, or '' while the range is vacant.
-    `incarnation` is the start time of the owner's process.
+    `incarnation` is the start time of the owner's process. `unsettled` means
+    that another upstream may hold the keys by a later table, which the store
+    has lost, so that they must not be granted yet.
     """
 
-    __slots__ = ('first', 'last', 'fence', 'owner', 'incarnation')
-
-    def __init__(self, first, last, fence=0, owner='', incarnation=0):
+    __slots__ = (
+        'first',
+        'last',
+        'fence',
+        'owner',
+        'incarnation',
+        'unsettled',
+    )
+
+    def __init__(
+        self, first, last, fence=0, owner='', incarnation=0, unsettled=False
+    ):
         self.first = first
         self.last = last
         self.fence = fence
         self.owner = owner
         self.incarnation = incarnation
+        self.unsettled = unsettled
 
     @property
     def width(self):
@@ -55,7 +73,14 @@
 
     def subrange(self, first, last):
         """Return a subrange with the same owner and fence."""
-        return KeyRange(first, last, self.fence, self.owner, self.incarnation)
+        return KeyRange(
+            first,
+            last,
+            self.fence,
+            self.owner,
+            self.incarnation,
+            self.unsettled,
+        )
 
 
 class Assignment:
@@ -105,35 +130,49 @@
             table = table._assign_one(item)
         return table
 
-    def renew_fences(self):
+    def renew_fences(self, lowest=0):
         """Return a table with the same owners and a new fence per range.
 
-        Adjacent ranges of the same owner are merged.
+        Adjacent ranges of the same owner are merged. All new fences are at
+        least `lowest`.
         """
         merged = []
-        fence = self.next_fence
+        fence = max(self.next_fence, lowest)
         for item in self.ranges:
             last = merged[-1] if merged else None
-            if last and (last.owner, last.incarnation) == (
-                item.owner,
-                item.incarnation,
-            ):
+            if last and _may_merge(last, item):
                 last.last = item.last
                 continue
-            merged.append(
-                KeyRange(
-                    item.first, item.last, fence, item.owner, item.incarnation
-                )
-            )
+            part = item.subrange(item.first, item.last)
+            part.fence = fence
+            merged.append(part)
             fence += 1
         return RangeTable(merged, fence)
 
+    def with_unsettled(self, spans):
+        """Return a table in which the keys of these spans are unsettled.
+
+        A span is (first, last).
+        """
+        ranges = self.ranges
+        for first, last in spans:
+            ranges = _mark_unsettled(ranges, first, last)
+        return RangeTable(ranges, self.next_fence)
+
+    def settled(self):
+        """Return a table without unsettled keys."""
+        ranges = [item.subrange(item.first, item.last) for item in self.ranges]
+        for item in ranges:
+            item.unsettled = False
+        return RangeTable(ranges, self.next_fence)
+
+    def has_unsettled(self):
+        """Return whether any keys are unsettled."""
+        return any(item.unsettled for item in self.ranges)
+
     def encode(self):
         """Return the table as JSON, as it is stored."""
-        rows = [
-            [r.first, r.last, r.fence, r.owner, r.incarnation]
-            for r in self.ranges
-        ]
+        rows = [_encode_row(item) for item in self.ranges]
         document = {
             'format': FORMAT_VERSION,
             'next_fence': self.next_fence,
@@ -195,3 +234,42 @@
                 f'table covers {expected} keys, not the whole key space',
                 'decode',
             )
+
+
+def first_fence(era):
+    """Return the lowest fence of an era of the store.
+
+    A restored store has lost which fences were given out, so each era has
+    fences of its own, above those of all earlier eras.
+    """
+    return max(0, era - FIRST_ERA) << FENCE_BITS_PER_ERA
+
+
+def _may_merge(item, next_item):
+    return (item.owner, item.incarnation, item.unsettled) == (
+        next_item.owner,
+        next_item.incarnation,
+        next_item.unsettled,
+    )
+
+
+def _mark_unsettled(ranges, first, last):
+    """Return the ranges, split so that only these keys become unsettled."""
+    marked = []
+    for item in ranges:
+        if item.last < first or item.first > last:
+            marked.append(item)
+            continue
+        if item.first < first:
+            marked.append(item.subrange(item.first, first - 1))
+        part = item.subrange(max(item.first, first), min(item.last, last))
+        part.unsettled = True
+        marked.append(part)
+        if item.last > last:
+            marked.append(item.subrange(last + 1, item.last))
+    return marked
+
+
+def _encode_row(item):
+    row = [item.first, item.last, item.fence, item.owner, item.incarnation]
+    return [*row, True] if item.unsettled else row
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -14,6 +14,10 @@
 all ranges, so that the upstreams it has reached refuse late grants of its
 predecessor.
 
+After the store was restored from an older copy, a stored or remembered table
+may lack the last moves. Keys whose owner isn't certain are unsettled: nobody
+is granted them until all holds of earlier leaders have expired.
+
 All I/O goes through `calls`, which provides `grant`, `release` and
 `write_table`.
 """
@@ -47,6 +51,9 @@
 # Delay before the first placement. It is longer than a heartbeat interval,
 # within which every upstream has registered.
 FIRST_PLACEMENT_DELAY_SECONDS = 2.0
+# A new leader moves no keys for this time. If the store is restored, the
+# leader before it still knows all owners by then.
+FIRST_MOVE_DELAY_SECONDS = 1.0
 # Interval between plans that balance the load.
 BALANCE_INTERVAL_SECONDS = 0.4
 
@@ -91,12 +98,27 @@
         self._next_balance_at = 0.0
         self._last_call_number = 0
         self._first_placement_at = 0.0
+        self._first_move_at = 0.0
+        self._lowest_fence = 0
+        # Keys in writes of the table whose outcome is unknown, as spans of
+        # (first, last); at most one of the writes has taken effect.
+        self.unconfirmed_spans = set()
+
+    def start(self, table, revision, lowest_fence=0, former_leader_until=0.0):
+        """Start from the stored table, or None if there never was one.
 
-    def start(self, table, revision):
-        """Start from the stored table, or None if there never was one."""
+        New fences are at least `lowest_fence`. `former_leader_until` is the
+        time until which an earlier leader may still send grants.
+        """
         now = self._clock.now()
-        self._holds = HoldLedger(self._clock, now, self._timings.outage_hold)
+        self._holds = HoldLedger(
+            self._clock,
+            max(now, former_leader_until),
+            self._timings.outage_hold,
+        )
         self.revision = revision
+        self._lowest_fence = lowest_fence
+        self._first_move_at = now + FIRST_MOVE_DELAY_SECONDS
         if table is None:
             table = RangeTable.empty()
             self._holds.discard_inherited_holds()
@@ -112,10 +134,11 @@
     def tick(self):
         """Renew grants, advance moves and start new ones."""
         if not self._fences_renewed:
-            self._write(self.table.renew_fences(), [])
+            self._write(self.table.renew_fences(self._lowest_fence), [])
             return
         if self._clock.now() < self._first_placement_at:
             return
+        self._settle()
         self._start_forced_moves()
         self._renew()
         self._advance_moves()
@@ -128,11 +151,25 @@
         for renewal in self._renewals.values():
             renewal.due_at = 0.0
 
+    @property
+    def has_renewed_fences(self):
+        """Return whether the table of this leader is in the store."""
+        return self._fences_renewed
+
+    def _settle(self):
+        """Allow grants of unsettled keys once nobody else can hold them."""
+        if self._pending_write is not None or self._holds.may_inherit():
+            return
+        if self.table.has_unsettled():
+            self._write(self.table.settled(), [])
+
     # Moves away from owners that must not keep their keys.
 
     def _start_forced_moves(self):
         for item in self.table.ranges:
-            if self._can_keep_owner(item):
+            if item.unsettled or self._can_keep_owner(item):
+                continue
+            if self._are_moves_delayed and not self._restarted_owner(item):
                 continue
             for part in self._moves.unmoved_subranges(item):
                 self._moves.add(RangeMove(part))
@@ -158,7 +195,7 @@
         now = self._clock.now()
         seen = set()
         for item in self.table.ranges:
-            if not item.owner:
+            if not item.owner or item.unsettled:
                 continue
             entry = self._directory.get(item.owner)
             if entry is None or entry.incarnation != item.incarnation:
@@ -225,13 +262,20 @@
             if self._can_reassign(move):
                 move.ready_at = now
             elif self._can_return_to_restarted(move):
-                move.target = self._restarted_owner(move)
+                move.target = self._restarted_owner(move.old_range)
                 move.target_required = True
                 move.ready_at = now
             elif not move.released and not move.release_pending:
                 self._release(move, now)
 
+    @property
+    def _are_moves_delayed(self):
+        """Return whether keys may only go to the owner's next process yet."""
+        return self._clock.now() < self._first_move_at
+
     def _can_reassign(self, move):
+        if self._are_moves_delayed:
+            return False
         now = self._clock.now()
         old_range = move.old_range
         if not old_range.owner:
@@ -250,17 +294,17 @@
         """
         if self._holds.has_confirmed(move.old_range.holder):
             return False
-        return self._restarted_owner(move) is not None
+        return self._restarted_owner(move.old_range) is not None
 
-    def _restarted_owner(self, move):
+    def _restarted_owner(self, item):
         """Return the Assignment to the owner's next process, or None."""
-        entry = self._directory.get(move.old_range.owner)
-        if entry is None or entry.incarnation <= move.old_range.incarnation:
+        entry = self._directory.get(item.owner)
+        if entry is None or entry.incarnation <= item.incarnation:
             return None
         if not self._directory.accepts_new_work(entry):
             return None
         return Assignment(
-            move.first, move.last, entry.upstream, entry.incarnation
+            item.first, item.last, entry.upstream, entry.incarnation
         )
 
     def _release(self, move, now):
@@ -355,6 +399,11 @@
         now = self._clock.now()
         if now < self._next_balance_at or self._pending_write:
             return
+        if self._are_moves_delayed:
+            return
+        if self.unconfirmed_spans or self.store_unresponsive:
+            # A move could not be completed, and its keys would have no owner.
+            return
         self._next_balance_at = now + BALANCE_INTERVAL_SECONDS
         self.loads.decay()
         self._pool.discard_expired_backoffs()
@@ -374,6 +423,8 @@
             self._moves.add(RangeMove(part, item))
 
     def _is_movable(self, item):
+        if item.unsettled:
+            return False
         now = self._clock.now()
         if self._moves.overlapping(item.first, item.last):
             return False
@@ -385,8 +436,14 @@
         if self._pending_write is not None:
             return
         self._pending_write = table
+        spans = {(move.first, move.last) for move in moves}
+        spans -= self.unconfirmed_spans
+        self.unconfirmed_spans |= spans
 
         def done(result, stored, revision):
+            if result is CallOutcome.REFUSED:
+                # This write was not made, but an earlier one may have been.
+                self.unconfirmed_spans -= spans
             self._on_written(stored, moves, result, revision)
 
         self._calls.write_table(self.service, table, self.revision, done)
@@ -401,6 +458,7 @@
         self._pending_write = None
         if table is None or revision <= self.revision:
             return
+        self.unconfirmed_spans.clear()
         if result is CallOutcome.CONFLICT:
             moves = [m for m in self._moves if is_committed(m, table)]
         self._fences_renewed = True
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -225,6 +225,7 @@
             self.state,
         )
         self.client.on_era = self.state.note_store_era
+        self.state.on_restored = self.leader.on_store_restored
         self.state.start()
 
     def tick(self):
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -71,6 +71,11 @@
         self.own_watch = self
         self.synced = True
         self.listed = True
+        self.own_era = 1
+        self.was_restored = False
+
+    def own_key(self, name):
+        return f'{self.adapter.own_prefix}{name}'
 
 
 class LeaderTest(testtools.TestCase):
