Believe no refusal that an earlier request may have got

Callers could be told 'not run, try again' for a request that ran, if an upstream writes an earlier refusal once more on a kept connection. A refusal without a request id was taken for the request's own on a reused connection, and the retry of a refused request used the same connection again, on which the repeated refusal has the id of the retry. Class: a response that isn't tied to its request.

A refusal without an id counts as 'not run' on a new connection only, and a retry uses another connection than the one that was refused. The report of a head that is cut: ruled out for responses to callers, by TruncatedHeadTest, which cuts at every byte and passed without a change.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -79,7 +79,9 @@
         self._backlog = self.peer.load.backlog(now)
         self.peer.load.in_flight += 1
         self.peer.requests_sent += 1
-        self._conn, self._reused = self.peer.pool.acquire()
+        self._conn, self._reused = self.peer.pool.acquire(
+            self._exchange.refused_conns
+        )
         data = b''.join((head, *body))
         self._conn.request(data, self)
 
@@ -136,8 +138,13 @@
         self._note_load(headers)
         adapter = self._adapter
         signed = first_value(headers, adapter.signature)
-        if first_value(headers, adapter.not_run) or status == 421:
+        refused = first_value(headers, adapter.not_run) or status == 421
+        if refused and not self._is_certainly_own(headers):
+            self._mark_unknown(f'unidentified_{status}')
+        elif refused:
             self.reason = f'not_run_{status}'
+            # The upstream may write the refusal again, with the same id.
+            self._exchange.refused_conns.append(self._conn)
             self._check_upstream_id(headers)
         elif not signed:
             self._mark_unknown(f'unsigned_{status}')
@@ -221,6 +228,14 @@
 
     # Internal.
 
+    def _is_certainly_own(self, headers):
+        """Return whether a response can't belong to an earlier request.
+
+        Without a request id that is certain only on a new connection.
+        """
+        response_id = first_value(headers, self._adapter.request_id)
+        return bool(response_id) or not self._reused
+
     def _check_upstream_id(self, headers):
         upstream_id = first_value(headers, self._adapter.upstream_id)
         if upstream_id and upstream_id != self.peer.entry.upstream:
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -53,6 +53,7 @@
         'owned_range',
         'peer',
         'expected_seconds',
+        'refused_conns',
         '_deadline',
         '_caller_deadline',
         '_body',
@@ -108,6 +109,8 @@
         self.owned_range = None
         self.peer = None
         self.expected_seconds = 0.0
+        # Connections on which an upstream has refused this request.
+        self.refused_conns = []
         self._dispatched = False
         # The upstream whose pacing router has permitted the next attempt.
         self._permitted_peer = None
--- a/packages/gateway/src/bramleysill_gateway/upstream_pool.py
+++ b/packages/gateway/src/bramleysill_gateway/upstream_pool.py
@@ -26,17 +26,15 @@
             DEFAULT_IDLE_TIMEOUT_SECONDS * IDLE_REUSE_FRACTION
         )
 
-    def acquire(self):
-        """Return (connection, whether it is reused)."""
+    def acquire(self, avoided=()):
+        """Return (connection, whether it is reused).
+
+        The connections `avoided` are not reused.
+        """
         self.in_use += 1
-        now = self._loop.now()
-        while self._idle:
-            conn, idle_until = self._idle.pop()
-            if conn.closed:
-                continue
-            if now < idle_until:
-                return conn, True
-            conn.close()
+        conn = self._take_idle(avoided)
+        if conn is not None:
+            return conn, True
         conn = HttpClientConn(
             self._loop,
             *self._address,
@@ -45,6 +43,24 @@
         )
         return conn, False
 
+    def _take_idle(self, avoided):
+        """Return an idle connection, or None."""
+        now = self._loop.now()
+        kept = []
+        found = None
+        while self._idle and found is None:
+            conn, idle_until = self._idle.pop()
+            if conn.closed:
+                continue
+            if now >= idle_until:
+                conn.close()
+            elif conn in avoided:
+                kept.append((conn, idle_until))
+            else:
+                found = conn
+        self._idle.extend(reversed(kept))
+        return found
+
     def release(self):
         """Record that the attempt on a connection has ended."""
         self.in_use -= 1
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -64,6 +64,8 @@
     def __init__(self, loop, make_response):
         self.make_response = make_response
         self.requests = []
+        # The connection of the last request.
+        self.last_conn = None
         self.closed = 0
         self.reads = True
         self.listener = Listener(loop, '127.0.0.1', 0, self._accept)
@@ -93,6 +95,7 @@
             for line in text.split('\r\n\r\n')[0].split('\r\n')[1:]
         )
         self.upstream.requests.append(text)
+        self.upstream.last_conn = self
         response = self.upstream.make_response(fields[REQUEST_ID_HEADER])
         if response is None:
             self.conn.abort()
