Wait for unsettled keys from the start of an era, not of each term

After a restored store, each new leader waited anew for the longest hold before it granted unsettled keys.

No leader of an era grants unsettled keys before they are settled. So what may hold them is older than the era, and the wait counts from when the era was first seen.

--- a/packages/kernel/src/bramleysill_kernel/hold_ledger.py
+++ b/packages/kernel/src/bramleysill_kernel/hold_ledger.py
@@ -27,6 +27,16 @@
     return hold * (1 + MAX_UPSTREAM_CLOCK_RATE_ERROR)
 
 
+def last_hold_end(last_sent_at, hold):
+    """Return when the holds of all grants sent until then have expired."""
+    return (
+        last_sent_at
+        + CALL_TIMEOUT_SECONDS
+        + MAX_TRANSIT_SECONDS
+        + max_hold_seconds(hold)
+    )
+
+
 class _GrantCall:
     """A grant of the keys `first` to `last` without a response.
 
@@ -78,16 +88,7 @@
         self._confirmed_until = {}
         # Grants without a response: {holder: {call number: _GrantCall}}.
         self._calls = {}
-        self._inherited_until = (
-            takeover_at
-            + CALL_TIMEOUT_SECONDS
-            + MAX_TRANSIT_SECONDS
-            + max_hold_seconds(longest_hold)
-        )
-
-    def may_inherit(self):
-        """Return whether holds of earlier leaders may not have expired."""
-        return self._clock.now() < self._inherited_until
+        self._inherited_until = last_hold_end(takeover_at, longest_hold)
 
     def discard_inherited_holds(self):
         """Record that no earlier leader has granted anything."""
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -25,6 +25,7 @@
 import enum
 
 from bramleysill_kernel.hold_ledger import HoldLedger
+from bramleysill_kernel.hold_ledger import last_hold_end
 from bramleysill_kernel.key_ranges import Assignment
 from bramleysill_kernel.key_ranges import RangeTable
 from bramleysill_kernel.owner_pool import OwnerPool
@@ -100,6 +101,9 @@
         self._first_placement_at = 0.0
         self._first_move_at = 0.0
         self._lowest_fence = 0
+        # When unsettled keys may be granted: no leader of this era has granted
+        # them, so that this doesn't depend on when this one was elected.
+        self._settled_at = 0.0
         # Keys in writes of the table whose outcome is unknown, as spans of
         # (first, last); at most one of the writes has taken effect.
         self.unconfirmed_spans = set()
@@ -118,6 +122,9 @@
         )
         self.revision = revision
         self._lowest_fence = lowest_fence
+        self._settled_at = last_hold_end(
+            former_leader_until, self._timings.outage_hold
+        )
         self._first_move_at = now + FIRST_MOVE_DELAY_SECONDS
         if table is None:
             table = RangeTable.empty()
@@ -158,7 +165,9 @@
 
     def _settle(self):
         """Allow grants of unsettled keys once nobody else can hold them."""
-        if self._pending_write is not None or self._holds.may_inherit():
+        if self._pending_write is not None:
+            return
+        if self._clock.now() < self._settled_at:
             return
         if self.table.has_unsettled():
             self._write(self.table.settled(), [])
