--- a/model/range_protocol.py
+++ b/model/range_protocol.py
@@ -10,14 +10,24 @@
 may be applied at once, late, or never. The lease of a leader expires on its
 own clock before the store gives the leader key to another; a leader is not
 suspended between the check of its lease and the send of a grant.
+
+The store may be restored once from a copy of its first state. A leader of the
+era before may go on sending grants until its lease is over.
 """
 
 import typing
 
 from minicheck import Protocol
 
-# Bounds of each scope: highest fence and number of leader changes.
-SCOPES = {'range_moves': (4, 1), 'range_takeovers': (4, 2)}
+# Bounds of each scope: highest fence of an era, number of leader changes and
+# of restores of the store.
+SCOPES = {
+    'range_moves': (4, 1, 0),
+    'range_takeovers': (4, 2, 0),
+    'range_restores': (3, 2, 1),
+}
+# The fences of an era lie above those of the era before.
+FENCES_PER_ERA = 10
 
 # Rules that can be left out; each omission must violate an invariant.
 MUTATIONS = (
@@ -29,6 +39,12 @@
     'no_fresh_fence',
     'write_without_conditions',
 )
+# The same for a store that is restored.
+RESTORE_MUTATIONS = (
+    'table_of_the_copy',
+    'grant_unsettled',
+    'fences_of_the_copy',
+)
 
 # The platform function that performs each action of the model, or
 # `environment` if no function does.
@@ -41,6 +57,9 @@
     'lapse': 'HoldLedger.expiry_without_release',
     'release': 'RangeCoordinator._release',
     'write': 'ControlCalls.write_table',
+    'restore': 'environment',
+    'resume': 'FormerTerm.knows_owners',
+    'settle': 'RangeCoordinator._settle',
 }
 
 NOBODY = -1
@@ -57,6 +76,10 @@
     nothing. `grants_in_flight` holds (upstream, fence, sender). `held_fence`
     is the fence that an upstream holds, 0 for none, and `highest_fence` the
     highest that it has applied.
+
+    `era` counts the restores of the store, `term_era` is the era of the
+    present term and `table_era` that of the stored table. `settled` tells
+    whether the owner is certain.
     """
 
     leader: int = 0
@@ -70,6 +93,10 @@
     grants_in_flight: frozenset = frozenset()
     held_fence: tuple = (0, 0)
     highest_fence: tuple = (0, 0)
+    era: int = 0
+    term_era: int = 0
+    table_era: int = 0
+    settled: bool = True
 
 
 def _with(pair, index, value):
@@ -85,7 +112,7 @@
 
     def __init__(self, scope, mutation=''):
         self.mutation = mutation
-        self.max_fence, self.max_elections = SCOPES[scope]
+        self.max_fence, self.max_elections, self.max_era = SCOPES[scope]
 
     def transitions(self, raw):
         """Return the successors of a state as (label, state)."""
@@ -99,23 +126,61 @@
         if s.lease_valid:
             yield f'expire {s.leader}', s._replace(lease_valid=False)
         elif s.elections < self.max_elections:
-            new = 1 - s.leader
+            yield f'elect {1 - s.leader}', self._elect(s, 1 - s.leader)
+            if s.term_era < s.era:
+                yield f'resume {s.leader}', self._resume(s)
+        if s.era < self.max_era:
+            first = State()
             yield (
-                f'elect {new}',
+                'restore',
                 s._replace(
-                    leader=new,
-                    lease_valid=True,
-                    elections=s.elections + 1,
-                    known_assignment=_with(
-                        s.known_assignment, new, (s.owner, s.fence)
-                    ),
-                    fence_renewed=_with(s.fence_renewed, new, False),
-                    release_known=_with(s.release_known, new, False),
+                    owner=first.owner, fence=first.fence, era=s.era + 1
                 ),
             )
         for grant in sorted(s.grants_in_flight):
             yield from self._receive_grant(s, grant)
 
+    def _elect(self, s, new):
+        """Elect the other leader, which reads the stored table.
+
+        Without a table of this era, the one of the copy may be out of date.
+        """
+        is_certain = s.table_era == s.era and s.settled
+        return s._replace(
+            leader=new,
+            lease_valid=True,
+            elections=s.elections + 1,
+            known_assignment=_with(
+                s.known_assignment, new, (s.owner, s.fence)
+            ),
+            fence_renewed=_with(s.fence_renewed, new, False),
+            release_known=_with(s.release_known, new, False),
+            term_era=s.era,
+            settled=is_certain,
+        )
+
+    def _resume(self, s):
+        """Elect the last leader again, which knows the owner."""
+        known = s.known_assignment[s.leader]
+        if self.mutation == 'table_of_the_copy':
+            known = (s.owner, s.fence)
+        return s._replace(
+            lease_valid=True,
+            elections=s.elections + 1,
+            known_assignment=_with(s.known_assignment, s.leader, known),
+            fence_renewed=_with(s.fence_renewed, s.leader, False),
+            release_known=_with(s.release_known, s.leader, False),
+            term_era=s.era,
+        )
+
+    def _next_fence(self, s, fence):
+        """Return the fence after a known one, or 0 at the scope's bound."""
+        lowest = 0
+        if self.mutation != 'fences_of_the_copy':
+            lowest = s.term_era * FENCES_PER_ERA
+        following = max(fence, lowest) + 1
+        return following if following - lowest <= self.max_fence else 0
+
     def _receive_grant(self, s, grant):
         upstream, fence, _ = grant
         others = s.grants_in_flight - {grant}
@@ -144,6 +209,8 @@
         may_send = (
             leads and s.lease_valid or self.mutation == 'lease_not_checked'
         )
+        if not s.settled and self.mutation != 'grant_unsettled':
+            may_send = False
         if may_send and s.fence_renewed[i] and not s.release_known[i]:
             yield (
                 f'send {i}',
@@ -155,10 +222,21 @@
             # The store rejects the write: its condition on the leader key
             # fails.
             return
+        if s.term_era < s.era:
+            # The leader key of the term's era is gone.
+            return
         if not s.fence_renewed[i]:
             yield from self._refresh(s, i)
             return
-        yield from self._move(s, i, owner, fence)
+        if s.settled or self.mutation == 'grant_unsettled':
+            yield from self._move(s, i, owner, fence)
+        else:
+            yield from self._settle(s, i)
+
+    def _settle(self, s, i):
+        """Allow grants once all holds of the era before have expired."""
+        if not s.grants_in_flight:
+            yield (f'settle {i}', s._replace(settled=True, held_fence=(0, 0)))
 
     def _refresh(self, s, i):
         owner, fence = s.known_assignment[i]
@@ -168,19 +246,26 @@
                 s._replace(fence_renewed=_with(s.fence_renewed, i, True)),
             )
             return
-        if fence >= self.max_fence or (owner, fence) != (s.owner, s.fence):
+        renewed = self._next_fence(s, fence)
+        is_first = s.table_era < s.era
+        if not renewed or not (is_first or self._is_stored(s, owner, fence)):
             return
         yield (
             f'refresh {i}',
             s._replace(
-                fence=fence + 1,
+                owner=owner,
+                fence=renewed,
                 known_assignment=_with(
-                    s.known_assignment, i, (owner, fence + 1)
+                    s.known_assignment, i, (owner, renewed)
                 ),
                 fence_renewed=_with(s.fence_renewed, i, True),
+                table_era=s.era,
             ),
         )
 
+    def _is_stored(self, s, owner, fence):
+        return (owner, fence) == (s.owner, s.fence)
+
     def _move(self, s, i, owner, fence):
         if not s.release_known[i]:
             yield from self._end_hold(s, i, owner, fence)
@@ -190,12 +275,13 @@
                     s._replace(release_known=_with(s.release_known, i, True)),
                 )
             return
-        if fence >= self.max_fence:
+        next_fence = self._next_fence(s, fence)
+        if not next_fence:
             return
-        unchanged = (owner, fence) == (s.owner, s.fence)
+        unchanged = self._is_stored(s, owner, fence)
         if not unchanged and self.mutation != 'write_without_conditions':
             return
-        reassigned = (1 - owner, fence + 1)
+        reassigned = (1 - owner, next_fence)
         after = s._replace(
             known_assignment=_with(s.known_assignment, i, reassigned),
             release_known=_with(s.release_known, i, False),
