--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -280,8 +280,10 @@
         """
         at = self.loop.now() - age
         copies = [copy for when, copy in self._copies if when <= at]
-        self.store.restore(copies[-1], self.loop.now())
-        self._copies = []
+        oldest = self._copies[0][1]
+        copy = copies[-1] if copies else oldest
+        self.store.restore(copy, self.loop.now())
+        self._copies = [(self.loop.now(), self.store.copy())]
         self.write_config(self.config_version)
         self._write_upstreams()
 
--- a/tests/test_key_ranges.py
+++ b/tests/test_key_ranges.py
@@ -6,6 +6,7 @@
 from bramleysill_kernel.key_ranges import Assignment
 from bramleysill_kernel.key_ranges import RangeTable
 from bramleysill_kernel.key_ranges import TableError
+from bramleysill_kernel.key_ranges import first_fence
 
 
 def _table(*rows):
@@ -89,3 +90,39 @@
             b'"ranges":[[0,9,1,"a",1],[9,65535,2,"b",1]]}',
         ):
             self.assertRaises(TableError, RangeTable.decode, data)
+
+
+class UnsettledKeysTest(testtools.TestCase):
+    """Keys that may have another owner by a table that the store has lost."""
+
+    def setUp(self):
+        super().setUp()
+        table = RangeTable.empty().assign(
+            [Assignment(0, KEY_SPACE - 1, 'u', 1)]
+        )
+        self.table = table.with_unsettled([(100, 199)])
+
+    def test_only_the_named_keys_are_unsettled(self):
+        """Guards against an owner that is granted keys too early."""
+        found = [self.table.find(key).unsettled for key in (99, 100, 199, 200)]
+        self.assertEqual([False, True, True, False], found)
+
+    def test_unsettled_keys_survive_a_change_of_leader(self):
+        """Guards against a successor that doesn't know of them."""
+        stored = RangeTable.decode(self.table.renew_fences().encode())
+        self.assertTrue(stored.find(150).unsettled)
+        self.assertFalse(stored.find(99).unsettled)
+
+    def test_settled_keys_keep_owner_and_fence(self):
+        """Guards against a second owner when the wait is over."""
+        settled = self.table.settled()
+        self.assertFalse(settled.has_unsettled())
+        self.assertTrue(self.table.has_unsettled())
+        self.assertEqual(self.table.find(150).holder, settled.find(150).holder)
+
+    def test_fences_of_an_era_exceed_all_before(self):
+        """Guards against a fence that is given out twice."""
+        table = self.table.renew_fences(first_fence(2))
+        self.assertGreater(table.find(0).fence, 1 << 39)
+        self.assertEqual(0, first_fence(1))
+        self.assertLess(table.next_fence, first_fence(3))
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -1,5 +1,7 @@
 """Tests of a store that comes back from an older copy of itself."""
 
+import random
+
 import testtools
 
 from tests.simulated_cell import SimulatedCell
@@ -171,3 +173,96 @@
         cell.run(6.0, self.check)
         leader.client.cut = False
         self._check_owners(cell)
+
+
+class _RandomFaults:
+    """Restores, outages, cuts and new routers in random order."""
+
+    def __init__(self, cell, check, seed):
+        self._cell = cell
+        self._check = check
+        self._rng = random.Random(seed)
+        self._actions = (
+            self._restore,
+            self._restore_with_new_routers,
+            self._fail_store,
+            self._cut_leader,
+            self._restore_while_the_leader_is_cut_off,
+            self._replace_router,
+            self._cut_upstream,
+            self._add_upstream,
+        )
+
+    def run(self, count):
+        """Inject some faults, one after the other."""
+        for _ in range(count):
+            self._rng.choice(self._actions)()
+            self._run(0.2, 5.0)
+
+    def _run(self, shortest, longest):
+        seconds = self._rng.uniform(shortest, longest)
+        self._cell.run(seconds, self._check)
+
+    def _restore(self):
+        """Restore the store from before its last moves of keys."""
+        cell = self._cell
+        began_at = cell.loop.now()
+        self._add_upstream()
+        self._run(1.0, 3.0)
+        cell.store_down = True
+        self._run(0.05, 4.0)
+        age = cell.loop.now() - began_at + self._rng.uniform(0.0, 4.0)
+        cell.restore(age)
+        cell.store_down = False
+
+    def _restore_with_new_routers(self):
+        """Restore the store, and end all that the routers know of it."""
+        self._restore()
+        for number in range(len(self._cell.routers)):
+            self._cell.replace_router(number)
+
+    def _fail_store(self):
+        self._cell.store_down = True
+        self._run(0.5, 4.0)
+        self._cell.store_down = False
+
+    def _cut_leader(self):
+        router = self._rng.choice(self._cell.leaders() or self._cell.routers)
+        router.client.cut = True
+        self._run(0.5, 4.0)
+        router.client.cut = False
+
+    def _restore_while_the_leader_is_cut_off(self):
+        router = self._rng.choice(self._cell.leaders() or self._cell.routers)
+        router.client.cut = True
+        self._run(0.2, 2.0)
+        self._restore()
+        self._run(0.5, 4.0)
+        router.client.cut = False
+
+    def _replace_router(self):
+        self._cell.replace_router(self._rng.randrange(3))
+
+    def _cut_upstream(self):
+        names = sorted(self._cell.upstreams)
+        upstream = self._cell.upstreams[self._rng.choice(names)]
+        upstream.reachable = False
+        self._run(0.3, 3.0)
+        upstream.reachable = True
+
+    def _add_upstream(self):
+        self._cell.add_upstream(f'u{len(self._cell.upstreams)}')
+
+
+class RandomRestoresTest(testtools.TestCase):
+    def test_keys_have_one_owner_through_random_faults(self):
+        """Guards against two owners after faults that come together."""
+        for seed in range(3):
+            check = _OneOwner(self)
+            cell = SimulatedCell(seed)
+            cell.run(START_SECONDS, check)
+            _RandomFaults(cell, check, seed).run(10)
+            cell.run(2 * RECOVERY_SECONDS, check)
+            check.check_fences(cell)
+            unserved = [key for key in KEYS if not cell.holders(key)]
+            self.assertEqual([], unserved)
