Believe no response to a grant or release that may be an earlier one

Callers could have got two owners of a key: grants and releases carry no request id, and a faulty upstream that writes an earlier response once more on a kept connection had it taken for the response to the next call. A repeated 409 or 421 counted as a refused grant while the upstream held the keys, and a repeated 200 as a release while it still worked. Same class as: a response that isn't tied to its request.

A refusal on a used connection, and a release without a handover of its own, are not used: the call is sent once more on a new connection. Both calls are idempotent. A repeated success of a grant still can't be told from a new one. Its hold is then counted from a response that came before the grant's arrival.

--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -3,6 +3,7 @@
 from bramleysill_gateway.cell_state import LEADER_KEY
 from bramleysill_gateway.cell_state import TABLES_PREFIX
 from bramleysill_gateway.cell_state import TableVersion
+from bramleysill_gateway.control_client import ControlClient
 from bramleysill_kernel.exceptions import SillError
 from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
 from bramleysill_kernel.key_ranges import RangeTable
@@ -10,7 +11,6 @@
 from bramleysill_kernel.store_types import Condition
 from bramleysill_kernel.store_types import Put
 from bramleysill_kernel.store_types import StoreOutcome
-from bramleysill_net.http_calls import HttpCallClient
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
@@ -56,7 +56,7 @@
                 )
             done(result)
 
-        self._client(entry).call(data, CALL_TIMEOUT_SECONDS, on_response)
+        self._client(entry).grant(data, CALL_TIMEOUT_SECONDS, on_response)
 
     def release(self, entry, key_range, done):
         """Ask an upstream to release keys; calls `done(result, handover)`."""
@@ -85,7 +85,9 @@
             )
             done(result, handover)
 
-        self._client(entry).call(data, RELEASE_TIMEOUT_SECONDS, on_response)
+        self._client(entry).release(
+            data, RELEASE_TIMEOUT_SECONDS, self._adapter.handover, on_response
+        )
 
     def write_table(self, service, table, revision, done):
         """Write a table if this router leads and the stored one is unchanged.
@@ -205,8 +207,8 @@
         key = entry.upstream, entry.incarnation, entry.address
         client = self._clients.get(key)
         if client is None:
-            client = self._clients[key] = HttpCallClient(
-                self._loop, *entry.address
+            client = self._clients[key] = ControlClient(
+                self._loop, entry, self._leadership.is_valid
             )
         return client
 
--- a/packages/net/src/bramleysill_net/http_calls.py
+++ b/packages/net/src/bramleysill_net/http_calls.py
@@ -23,15 +23,18 @@
     """The result of a call; `status` is 0 if there was no response.
 
     `sent` is true if any byte of the request may have reached the peer.
+    `reused` is true if the connection had carried earlier calls: a faulty peer
+    may have written the response to one of them again.
     """
 
-    __slots__ = ('status', 'headers', 'body', 'sent')
+    __slots__ = ('status', 'headers', 'body', 'sent', 'reused')
 
-    def __init__(self, status, headers, body, sent):
+    def __init__(self, status, headers, body, sent, reused):
         self.status = status
         self.headers = headers
         self.body = body
         self.sent = sent
+        self.reused = reused
 
 
 class HttpCallClient:
@@ -57,12 +60,16 @@
         self._busy = set()
         self._max_body_bytes = max_body_bytes
 
-    def call(self, data, timeout_seconds, callback):
+    def call(self, data, timeout_seconds, callback, new_connection=False):
         """Send an encoded request; call `callback(CallResult)` once.
 
-        Returns a function that aborts the call; its status is then 0.
+        `new_connection` leaves the idle connections unused. Returns a function
+        that aborts the call; its status is then 0.
         """
-        conn = self._get_connection()
+        conn = None if new_connection else self._take_idle()
+        reused = conn is not None
+        if conn is None:
+            conn = self._connect()
         self._busy.add(conn)
         deadline = self._loop.now() + timeout_seconds
         call_at = self._loop.scheduler.call_at
@@ -83,7 +90,7 @@
                 connect_timer.cancel()
             self._busy.discard(conn)
             sent = conn.connected
-            callback(CallResult(status, headers, body, sent))
+            callback(CallResult(status, headers, body, sent, reused))
 
         conn.request(
             data, ResponseCollector(on_response, self._max_body_bytes)
@@ -98,7 +105,8 @@
         for conn in list(self._busy):
             conn.abort_exchange()
 
-    def _get_connection(self):
+    def _take_idle(self):
+        """Return an idle connection, or None."""
         now = self._loop.now()
         while self._idle:
             conn, idle_since = self._idle.pop()
@@ -107,6 +115,9 @@
             if now - idle_since < MAX_IDLE_SECONDS:
                 return conn
             conn.close()
+        return None
+
+    def _connect(self):
         return HttpClientConn(
             self._loop,
             self._host,
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -35,6 +35,32 @@
         pass
 
 
+class _RepeatingResponder:
+    """Repeats the response of the first call on a connection.
+
+    Further calls on the connection get no response of their own.
+    """
+
+    def __init__(self, conn, responses):
+        self.conn = conn
+        self.responses = responses
+        self.first = None
+
+    def on_connect(self):
+        pass
+
+    def on_data(self, data):
+        if self.first is None:
+            self.first = self.responses.pop(0)
+        self.conn.write(self.first)
+
+    def on_drain(self):
+        pass
+
+    def on_close(self, exc):
+        pass
+
+
 class _Leadership:
     def is_valid(self):
         return True
@@ -45,6 +71,11 @@
         self.directory = UpstreamDirectory(loop, make_timings())
 
 
+def _response(status, fields=''):
+    text = f'HTTP/1.1 {status} -\r\n{fields}Content-Length: 0\r\n\r\n'
+    return text.encode()
+
+
 class ControlCallsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -59,13 +90,16 @@
         self.addCleanup(self.calls.close)
 
     def _entry(self, status, fields=''):
-        response = f'HTTP/1.1 {status} -\r\n{fields}Content-Length: 0\r\n\r\n'
-        listener = Listener(
-            self.loop,
-            '127.0.0.1',
-            0,
-            lambda conn: _FixedResponder(conn, response.encode()),
-        )
+        response = _response(status, fields)
+        return self._listen(lambda conn: _FixedResponder(conn, response))
+
+    def _repeating_entry(self, *responses):
+        """Return an upstream with a response for each of its connections."""
+        remaining = list(responses)
+        return self._listen(lambda conn: _RepeatingResponder(conn, remaining))
+
+    def _listen(self, make_sink):
+        listener = Listener(self.loop, '127.0.0.1', 0, make_sink)
         self.addCleanup(listener.close)
         port = listener.address[1]
         return UpstreamEntry(
@@ -76,17 +110,21 @@
         return KeyRange(0, 9, 3, 'u1', 1)
 
     def _grant(self, status):
+        return self._grant_at(self._entry(status))
+
+    def _grant_at(self, entry):
         results = []
-        self.calls.grant(
-            self._entry(status), self._key_range(), 3.0, '', results.append
-        )
+        self.calls.grant(entry, self._key_range(), 3.0, '', results.append)
         self.loop.run_until(lambda: results, TIMEOUT_SECONDS)
         return results[0]
 
     def _release(self, status, fields=''):
+        return self._release_at(self._entry(status, fields))
+
+    def _release_at(self, entry):
         results = []
         self.calls.release(
-            self._entry(status, fields),
+            entry,
             self._key_range(),
             lambda result, handover: results.append((result, handover)),
         )
@@ -122,3 +160,29 @@
     def test_failed_release_may_have_been_carried_out(self):
         """Guards against treating a failed release as complete."""
         self.assertIs(CallOutcome.NO_RESPONSE, self._release(500)[0])
+
+    def test_a_repeated_refusal_of_a_grant_is_not_believed(self):
+        """Guards against a second owner after a refusal written twice.
+
+        The upstream has accepted the second grant, but the response to the
+        first one comes first.
+        """
+        for status in (400, 409, 421):
+            entry = self._repeating_entry(_response(status), _response(200))
+            self._grant_at(entry)
+            self.assertIs(CallOutcome.OK, self._grant_at(entry))
+
+    def test_a_repeated_response_to_a_release_is_not_believed(self):
+        """Guards against a second owner while the first one still works."""
+        first = _response(200, 'X-Bramleysill-Handover: h1\r\n')
+        second = _response(200, 'X-Bramleysill-Handover: h2\r\n')
+        entry = self._repeating_entry(first, second)
+        self.assertEqual((CallOutcome.OK, 'h1'), self._release_at(entry))
+        self.assertEqual((CallOutcome.OK, 'h2'), self._release_at(entry))
+
+    def test_a_response_to_a_grant_releases_nothing(self):
+        """Guards against a second owner when a grant's response repeats."""
+        released = _response(200, 'X-Bramleysill-Handover: h2\r\n')
+        entry = self._repeating_entry(_response(200), released)
+        self.assertIs(CallOutcome.OK, self._grant_at(entry))
+        self.assertEqual((CallOutcome.OK, 'h2'), self._release_at(entry))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -13,7 +13,7 @@
 
 def _decode(document, decode):
     body = json.dumps(document).encode()
-    return store._decode_reply(CallResult(200, {}, body, True), decode)
+    return store._decode_reply(CallResult(200, {}, body, True, False), decode)
 
 
 class MalformedReplyTest(testtools.TestCase):
