Keep the end of the wait for unsettled keys over a further restore

Callers had no owner for keys for longer than needed when the store was restored twice: a new leader that doesn't know the owners waits until all holds of the era before have expired, and after a second restore the same leader waited anew, although it had granted none of these keys.

The last leader, if nobody else can have led since, keeps the end of that wait, unless a write of the table has an unknown outcome. The test failed before: 3 s after the first wait no key had an owner.

--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -282,6 +282,10 @@
                 service: sorted(coordinator.unconfirmed_spans)
                 for service, coordinator in self._coordinators.items()
             },
+            {
+                service: coordinator.settled_at
+                for service, coordinator in self._coordinators.items()
+            },
         )
 
     # Renewal.
@@ -388,15 +392,18 @@
             if table is not None:
                 version = TableVersion(self._state.own_era, revision)
                 self._state.adopt_table(service, table, version)
-            elif self._state.was_restored:
+            settled_at = None
+            if table is None and self._state.was_restored:
                 table = self._remembered_table(service)
+                if self._knows_owners():
+                    settled_at = self._former_term.keys_settle_at(service)
             self._coordinators[service] = self._make_coordinator(
-                service, table, revision
+                service, table, revision, settled_at
             )
 
         self._calls.read_table(service, on_table)
 
-    def _make_coordinator(self, service, table, revision):
+    def _make_coordinator(self, service, table, revision, settled_at):
         coordinator = RangeCoordinator(
             service,
             self._loop,
@@ -416,6 +423,7 @@
             revision,
             first_fence(self._state.own_era),
             former_leader_until,
+            settled_at,
         )
         return coordinator
 
--- a/packages/kernel/src/bramleysill_kernel/former_term.py
+++ b/packages/kernel/src/bramleysill_kernel/former_term.py
@@ -14,14 +14,16 @@
 
     `valid_until` is when the lease ended by this router's clock, and
     `unconfirmed` has the spans of keys by service in writes of the table whose
-    outcome is unknown.
+    outcome is unknown. `settled_at` is when the keys that were unsettled in
+    this term could be granted, by service.
     """
 
-    __slots__ = ('valid_until', 'unconfirmed')
+    __slots__ = ('valid_until', 'unconfirmed', 'settled_at')
 
-    def __init__(self, valid_until, unconfirmed):
+    def __init__(self, valid_until, unconfirmed, settled_at):
         self.valid_until = valid_until
         self.unconfirmed = unconfirmed
+        self.settled_at = settled_at
 
     def knows_owners(self, era_seen_at):
         """Return whether no other leader can have moved keys since.
@@ -29,3 +31,13 @@
         `era_seen_at` is when the store was first seen to be restored.
         """
         return era_seen_at < self.valid_until + FIRST_MOVE_DELAY_SECONDS
+
+    def keys_settle_at(self, service):
+        """Return when keys that are still unsettled may be granted, or None.
+
+        Nobody has granted them in this term, so they wait no longer than in
+        it. A write of unknown outcome may have given others an owner.
+        """
+        if self.unconfirmed.get(service):
+            return None
+        return self.settled_at.get(service)
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -103,16 +103,24 @@
         self._lowest_fence = 0
         # When unsettled keys may be granted: no leader of this era has granted
         # them, so that this doesn't depend on when this one was elected.
-        self._settled_at = 0.0
+        self.settled_at = 0.0
         # Keys in writes of the table whose outcome is unknown, as spans of
         # (first, last); at most one of the writes has taken effect.
         self.unconfirmed_spans = set()
 
-    def start(self, table, revision, lowest_fence=0, former_leader_until=0.0):
+    def start(
+        self,
+        table,
+        revision,
+        lowest_fence=0,
+        former_leader_until=0.0,
+        settled_at=None,
+    ):
         """Start from the stored table, or None if there never was one.
 
         New fences are at least `lowest_fence`. `former_leader_until` is the
-        time until which an earlier leader may still send grants.
+        time until which an earlier leader may still send grants, and
+        `settled_at` when unsettled keys may be granted if that is known.
         """
         now = self._clock.now()
         self._holds = HoldLedger(
@@ -122,9 +130,11 @@
         )
         self.revision = revision
         self._lowest_fence = lowest_fence
-        self._settled_at = last_hold_end(
-            former_leader_until, self._timings.outage_hold
-        )
+        if settled_at is None:
+            settled_at = last_hold_end(
+                former_leader_until, self._timings.outage_hold
+            )
+        self.settled_at = settled_at
         self._first_move_at = now + FIRST_MOVE_DELAY_SECONDS
         if table is None:
             table = RangeTable.empty()
@@ -167,7 +177,7 @@
         """Allow grants of unsettled keys once nobody else can hold them."""
         if self._pending_write is not None:
             return
-        if self._clock.now() < self._settled_at:
+        if self._clock.now() < self.settled_at:
             return
         if self.table.has_unsettled():
             self._write(self.table.settled(), [])
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -4,6 +4,8 @@
 
 import testtools
 
+from bramleysill_kernel.hold_ledger import last_hold_end
+from tests.bounds import make_timings
 from tests.simulated_cell import SimulatedCell
 
 KEYS = tuple(range(0, 65536, 1021))
@@ -13,6 +15,8 @@
 CONFIG_APPLY_SECONDS = 2.0
 OUTAGE_SECONDS = 2.0
 RECOVERY_SECONDS = 15.0
+# A key is served again within this time of the end of a fault.
+SERVED_AGAIN_SECONDS = 3.0
 
 
 class _OneOwner:
@@ -161,6 +165,28 @@
             cell.replace_router(number)
         self._check_owners(cell)
 
+    def test_a_second_restore_does_not_prolong_the_wait(self):
+        """Guards against keys without an owner while eras follow each other.
+
+        The leader of the second era has granted none of the keys that wait
+        for the owners of the first, so that they needn't wait anew.
+        """
+        cell = self._cell_with_moved_keys(5)
+        cell.restore(COPY_AGE_SECONDS)
+        restored_at = cell.loop.now()
+        for number in range(len(cell.routers)):
+            cell.replace_router(number)
+        cell.run(6.0, self.check)
+        cell.restore(1.0)
+        timings = make_timings()
+        former_leader_until = restored_at + timings.leader_lease
+        wait_ends_at = last_hold_end(former_leader_until, timings.outage_hold)
+        latest = wait_ends_at + SERVED_AGAIN_SECONDS
+        cell.run(latest - cell.loop.now(), self.check)
+        unserved = [key for key in KEYS if not cell.holders(key)]
+        self.assertEqual([], unserved)
+        self._check_owners(cell)
+
     def test_a_leader_of_the_past_is_waited_for(self):
         """Guards against two leaders, one of each past of the store.
 
