Let the model of key ranges restart an upstream under its id

The new scope range_restarts has a next process that holds nothing, has seen no fence and accepts the grants that are sent to it.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -57,6 +57,10 @@
         (MUTATION, 'range_restores', mutation)
         for mutation in range_protocol.RESTORE_MUTATIONS
     ]
+    checks += [
+        (MUTATION, 'range_restarts', mutation)
+        for mutation in range_protocol.RESTART_MUTATIONS
+    ]
     return checks
 
 
--- a/model/range_protocol.py
+++ b/model/range_protocol.py
@@ -13,18 +13,23 @@
 
 The store may be restored once from a copy of its first state. A leader of the
 era before may go on sending grants until its lease is over.
+
+An upstream may be restarted once under its id. Its next process holds nothing
+and has seen no fence, but accepts the grants that leaders send to it without
+knowing. A restart takes longer than a grant is on its way.
 """
 
 import typing
 
 from minicheck import Protocol
 
-# Bounds of each scope: highest fence of an era, number of leader changes and
-# of restores of the store.
+# Bounds of each scope: highest fence of an era, number of leader changes, of
+# restores of the store and of restarts of upstreams.
 SCOPES = {
-    'range_moves': (4, 1, 0),
-    'range_takeovers': (4, 2, 0),
-    'range_restores': (3, 2, 1),
+    'range_moves': (4, 1, 0, 0),
+    'range_takeovers': (4, 2, 0, 0),
+    'range_restores': (3, 2, 1, 0),
+    'range_restarts': (4, 2, 0, 1),
 }
 # The fences of an era lie above those of the era before.
 FENCES_PER_ERA = 10
@@ -45,6 +50,11 @@
     'grant_unsettled',
     'fences_of_the_copy',
 )
+# The same for an upstream that is restarted.
+RESTART_MUTATIONS = (
+    'restart_ends_hold',
+    'release_of_unconfirmed',
+)
 
 # The platform function that performs each action of the model, or
 # `environment` if no function does.
@@ -60,6 +70,8 @@
     'restore': 'environment',
     'resume': 'FormerTerm.knows_owners',
     'settle': 'RangeCoordinator._settle',
+    'restart': 'environment',
+    'return': 'RangeCoordinator._can_return_to_restarted',
 }
 
 NOBODY = -1
@@ -74,12 +86,14 @@
     `fence_renewed` tells whether the leader has raised the fence since its
     election, and `release_known` whether it knows that the owner holds
     nothing. `grants_in_flight` holds (upstream, fence, sender). `held_fence`
-    is the fence that an upstream holds, 0 for none, and `highest_fence` the
-    highest that it has applied.
+    is the fence that an upstream holds, 0 for none, `highest_fence` the
+    highest that it has applied, and `process_fence` the highest that its
+    present process has applied.
 
     `era` counts the restores of the store, `term_era` is the era of the
     present term and `table_era` that of the stored table. `settled` tells
-    whether the owner is certain.
+    whether the owner is certain. `restarted` tells whether the present process
+    of an upstream is a later one than the stored owner's.
     """
 
     leader: int = 0
@@ -93,6 +107,9 @@
     grants_in_flight: frozenset = frozenset()
     held_fence: tuple = (0, 0)
     highest_fence: tuple = (0, 0)
+    process_fence: tuple = (0, 0)
+    restarts: int = 0
+    restarted: tuple = (False, False)
     era: int = 0
     term_era: int = 0
     table_era: int = 0
@@ -112,7 +129,12 @@
 
     def __init__(self, scope, mutation=''):
         self.mutation = mutation
-        self.max_fence, self.max_elections, self.max_era = SCOPES[scope]
+        (
+            self.max_fence,
+            self.max_elections,
+            self.max_era,
+            self.max_restarts,
+        ) = SCOPES[scope]
 
     def transitions(self, raw):
         """Return the successors of a state as (label, state)."""
@@ -137,9 +159,24 @@
                     owner=first.owner, fence=first.fence, era=s.era + 1
                 ),
             )
+        if s.restarts < self.max_restarts:
+            for upstream in (0, 1):
+                yield f'restart {upstream}', self._restart(s, upstream)
         for grant in sorted(s.grants_in_flight):
             yield from self._receive_grant(s, grant)
 
+    def _restart(self, s, upstream):
+        """Start the next process of an upstream under its id."""
+        return s._replace(
+            held_fence=_with(s.held_fence, upstream, 0),
+            process_fence=_with(s.process_fence, upstream, 0),
+            restarts=s.restarts + 1,
+            restarted=_with(s.restarted, upstream, True),
+            grants_in_flight=frozenset(
+                grant for grant in s.grants_in_flight if grant[0] != upstream
+            ),
+        )
+
     def _elect(self, s, new):
         """Elect the other leader, which reads the stored table.
 
@@ -185,7 +222,7 @@
         upstream, fence, _ = grant
         others = s.grants_in_flight - {grant}
         yield f'drop {upstream}', s._replace(grants_in_flight=others)
-        refused = fence < s.highest_fence[upstream]
+        refused = fence < s.process_fence[upstream]
         if refused and self.mutation != 'no_fence_check':
             return
         yield (
@@ -198,6 +235,11 @@
                     upstream,
                     max(fence, s.highest_fence[upstream]),
                 ),
+                process_fence=_with(
+                    s.process_fence,
+                    upstream,
+                    max(fence, s.process_fence[upstream]),
+                ),
             ),
         )
 
@@ -274,6 +316,8 @@
                     f'skip {i}',
                     s._replace(release_known=_with(s.release_known, i, True)),
                 )
+            if s.restarted[owner]:
+                yield from self._return_to_restarted(s, i, owner, fence)
             return
         next_fence = self._next_fence(s, fence)
         if not next_fence:
@@ -285,6 +329,7 @@
         after = s._replace(
             known_assignment=_with(s.known_assignment, i, reassigned),
             release_known=_with(s.release_known, i, False),
+            restarted=_with(s.restarted, reassigned[0], False),
         )
         if self.mutation == 'grant_before_write':
             yield (
@@ -298,6 +343,23 @@
             after._replace(owner=reassigned[0], fence=reassigned[1]),
         )
 
+    def _return_to_restarted(self, s, i, owner, fence):
+        """Give the keys of a former process to its next one."""
+        next_fence = self._next_fence(s, fence)
+        if not next_fence or not self._is_stored(s, owner, fence):
+            return
+        yield (
+            f'return {i}',
+            s._replace(
+                owner=owner,
+                fence=next_fence,
+                known_assignment=_with(
+                    s.known_assignment, i, (owner, next_fence)
+                ),
+                restarted=_with(s.restarted, owner, False),
+            ),
+        )
+
     def _end_hold(self, s, i, owner, fence):
         """End the owner's hold by a release or by expiry.
 
@@ -311,7 +373,15 @@
         in_flight = (owner, fence, i) in s.grants_in_flight
         if in_flight and self.mutation != 'release_during_grant':
             return
-        if s.highest_fence[owner] == fence:
+        if self.mutation == 'restart_ends_hold' and s.restarted[owner]:
+            yield (
+                f'skip {i}',
+                s._replace(release_known=_with(s.release_known, i, True)),
+            )
+        confirmed = s.highest_fence[owner] == fence
+        if self.mutation == 'release_of_unconfirmed':
+            confirmed = True
+        if confirmed:
             yield (
                 f'release {i}',
                 s._replace(
