Check in the soak that keys have a holder again 3 s after a fault

A gap is excused only by faults, by 3 s after each, and by 3 s after its own start.

Four tests of the check in KeyGapsTest.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -18,7 +18,7 @@
 from bramleysill_soak.cell import ChildProcess  # noqa: E402
 from bramleysill_soak.checks import History  # noqa: E402
 from bramleysill_soak.checks import run_checks  # noqa: E402
-from bramleysill_soak.key_gaps import KeyGaps  # noqa: E402
+from bramleysill_soak.key_gaps import GapLengths  # noqa: E402
 from bramleysill_soak.upstream_server import response_body  # noqa: E402
 
 FAULTS_END_AT = 100.0
@@ -308,23 +308,53 @@
 
 
 class KeyGapsTest(testtools.TestCase):
-    def test_times_without_a_holder_are_found(self):
-        """Guards against gaps that are missed at the start or the end."""
-        history = History(
-            [],
+    def _history(self, *fault_spans, second_hold_at=6.0):
+        return History(
+            [_outcome()],
             [
                 _FakeProcess('u1', _grant(2.0, 1, first=0, last=65535)),
-                _FakeProcess('u2', _grant(6.0, 2, first=0, last=65535)),
+                _FakeProcess(
+                    'u2', _grant(second_hold_at, 2, first=0, last=65535)
+                ),
             ],
-            {},
+            {'router-1': _FakeRouter(*fault_spans)},
             FAULTS_END_AT,
+            started_at=1.0,
+            ended_at=second_hold_at + 6.0,
         )
-        gaps = KeyGaps(history.holds, 1.0, 12.0)
+
+    def test_times_without_a_holder_are_found(self):
+        """Guards against gaps that are missed at the start or the end."""
+        gaps = GapLengths(self._history().gaps)
         count = len(gaps.lengths) // 3
         self.assertEqual([1.0] * 2 * count + [3.0] * count, gaps.lengths)
         self.assertEqual(1.0, gaps.quantile(0.5))
         self.assertEqual(3.0, gaps.quantile(1.0))
 
+    def _unexcused(self, *fault_spans):
+        """Return the checked gaps between holds to 5.0 and from 10.0 s."""
+        history = self._history(*fault_spans, second_hold_at=10.0)
+        return [
+            line
+            for name, line in run_checks(history)
+            if name == 'keys have a holder again 3 s after a fault'
+            and ' from 5.000 to 10.000' in line
+        ]
+
+    def test_a_gap_without_a_fault_is_found(self):
+        """Guards against a slow recovery that passes unseen."""
+        self.assertEqual(1, len(self._unexcused()))
+
+    def test_a_gap_that_outlasts_the_recovery_is_found(self):
+        """Guards against a fault that excuses all that follows."""
+        self.assertEqual(1, len(self._unexcused((4.0, 6.9))))
+        self.assertEqual(1, len(self._unexcused((8.1, 9.0))))
+
+    def test_faults_and_the_recovery_from_them_are_excused(self):
+        """Guards against a violation while faults follow each other."""
+        self.assertEqual([], self._unexcused((4.0, 7.0)))
+        self.assertEqual([], self._unexcused((1.0, 3.0), (7.9, 8.0)))
+
 
 class ChildProcessTest(testtools.TestCase):
     def _handles_hangup(self, action):
