--- a/tests/range_fakes.py
+++ b/tests/range_fakes.py
@@ -66,6 +66,10 @@
         self._holds.append((first, last, fence, end))
         return True
 
+    def accepted_fences(self):
+        """Return the fences of all grants that were accepted."""
+        return [fence for _, _, fence in self._seen]
+
     def release(self, first, last, fence):
         """Drop holds of these keys up to this fence."""
         kept = []
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -6,6 +6,7 @@
 
 from bramleysill_kernel.hold_ledger import last_hold_end
 from tests.bounds import make_timings
+from tests.simulated_cell import STEP_SECONDS
 from tests.simulated_cell import SimulatedCell
 
 KEYS = tuple(range(0, 65536, 1021))
@@ -47,6 +48,26 @@
                 highest[upstream] = max(fence, highest.get(upstream, 0))
 
 
+class _LongestGaps:
+    """Measures for how long each key had no holder."""
+
+    def __init__(self):
+        self._lengths = dict.fromkeys(KEYS, 0.0)
+        self._longest = 0.0
+
+    def __call__(self, cell):
+        for key in KEYS:
+            if cell.holders(key):
+                self._lengths[key] = 0.0
+            else:
+                self._lengths[key] += STEP_SECONDS
+        self._longest = max(self._longest, *self._lengths.values())
+
+    def longest_seconds(self):
+        """Return the longest time that a key had no holder."""
+        return self._longest
+
+
 class ConfigurationAfterRestoreTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -165,6 +186,20 @@
             cell.replace_router(number)
         self._check_owners(cell)
 
+    def test_keys_are_served_again_3_s_after_the_last_leader_was_lost(self):
+        """Guards against the wait for all holds of the era before.
+
+        Every router is new, and the owners hold their keys for up to 7 s
+        more, which ends before a new leader may grant any.
+        """
+        cell = self._cell_with_moved_keys(6)
+        cell.restore(COPY_AGE_SECONDS)
+        for number in range(len(cell.routers)):
+            cell.replace_router(number)
+        gaps = _LongestGaps()
+        cell.run(RECOVERY_SECONDS, gaps)
+        self.assertLessEqual(gaps.longest_seconds(), SERVED_AGAIN_SECONDS)
+
     def test_a_second_restore_does_not_prolong_the_wait(self):
         """Guards against keys without an owner while eras follow each other.
 
