--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -10,13 +10,13 @@
 from bramleysill_gateway.attempt import NOT_RUN_STATUSES
 from bramleysill_gateway.attempt import Attempt
 from bramleysill_gateway.exchange_log import ExchangeLog
+from bramleysill_gateway.limit_wait import LimitWait
 from bramleysill_gateway.request_body import RequestBody
 from bramleysill_kernel import refusals
 from bramleysill_kernel.problems import to_problem
 from bramleysill_kernel.retry_rules import AttemptOutcome
 from bramleysill_kernel.retry_rules import may_retry
 from bramleysill_kernel.send_policy import Action
-from bramleysill_kernel.send_policy import max_upstream_seconds
 from bramleysill_net.http_headers import end_to_end_fields
 
 # Reading from the caller pauses while more request bytes than this wait to be
@@ -69,8 +69,7 @@
         '_last_failure',
         '_failed_upstreams',
         '_dispatched',
-        '_permitted_peer',
-        '_limited_peers',
+        '_limit_wait',
     )
 
     def __init__(self, frontend, stream, req, route, service, version):
@@ -112,10 +111,7 @@
         # Connections on which an upstream has refused this request.
         self.refused_conns = []
         self._dispatched = False
-        # The upstream whose pacing router has permitted the next attempt.
-        self._permitted_peer = None
-        # Upstreams whose limit leaves no room for this request.
-        self._limited_peers = set()
+        self._limit_wait = LimitWait(self)
         stream.on_drained = self._on_caller_drained
         self._deadline_timer = frontend.loop.scheduler.call_at(
             self._deadline + DEADLINE_SLACK_SECONDS, self._on_deadline
@@ -218,7 +214,7 @@
         if decision.action is not Action.SEND:
             self._refuse_not_admitted(peer, decision)
             return
-        if not self._passes_limit(peer, now, decision):
+        if not self._limit_wait.may_send(peer, now, decision.expected_seconds):
             return
         if not self._passes_slow_start(peer, now):
             self._refuse_slow_start(peer)
@@ -229,15 +225,16 @@
 
     def _dispatch_shared(self, now):
         frontend = self.frontend
-        peer = self._usable_permitted_peer() or frontend.choose_upstream(
+        full_peers = self._limit_wait.full_peers
+        peer = self._limit_wait.permitted_peer() or frontend.choose_upstream(
             self.service,
             now,
             self._failed_upstreams,
-            self._limited_peers,
+            full_peers,
             self.route.objective,
         )
-        if peer is None and self._limited_peers:
-            self._refuse_limited(now, self._limited_peers)
+        if peer is None and full_peers:
+            self.refuse_limited(full_peers)
             return
         if peer is None:
             self._give_up(
@@ -250,7 +247,7 @@
         if decision.action is not Action.SEND:
             self._refuse_not_admitted(peer, decision)
             return
-        if not self._passes_limit(peer, now, decision):
+        if not self._limit_wait.may_send(peer, now, decision.expected_seconds):
             return
         if not self._passes_slow_start(peer, now):
             self._refuse_slow_start(peer)
@@ -258,65 +255,9 @@
         self.expected_seconds = decision.expected_seconds
         self._send(peer, now)
 
-    def _usable_permitted_peer(self):
-        """Return the upstream with room, unless it has left since."""
-        peer = self._permitted_peer
-        usable = self.frontend.state.directory.usable(self.service.name)
-        return peer if peer is not None and peer.entry in usable else None
-
-    def _passes_limit(self, peer, now, decision):
-        """Return whether the limit of the upstream has room now.
-
-        Otherwise the request waits for it, is sent to another upstream of a
-        shared service, or is refused.
-        """
-        if peer.limit is None or self._permitted_peer is peer:
-            self._permitted_peer = None
-            return True
-        self._permitted_peer = None
-        allowed = max_upstream_seconds(self.route, self.time_left(now))
-        max_wait = max(0.0, allowed - decision.expected_seconds)
-        if peer.limit_room_at - now > max_wait:
-            self._on_limit_reached(peer)
-            return False
-        if self._body.exceeds_buffer:
-            self.stream.pause()
-        self.frontend.pacing.ask(
-            peer.entry,
-            max_wait,
-            lambda decision: self._on_paced(peer, decision),
-        )
-        return False
-
-    def _on_paced(self, peer, decision):
-        """Send the request when its upstream has room, or give up."""
-        if self.finished:
-            return
-        if self._body.exceeds_buffer:
-            self.stream.resume()
-        now = self.frontend.loop.now()
-        if not decision.permitted:
-            peer.limit_room_at = now + decision.delay
-            self._on_limit_reached(peer)
-            return
-        self._permitted_peer = peer
-        if decision.delay <= 0.0:
-            self.dispatch()
-            return
-        self._dispatch_timer = self.frontend.loop.scheduler.call_at(
-            now + decision.delay, self.dispatch
-        )
-
-    def _on_limit_reached(self, peer):
-        now = self.frontend.loop.now()
-        if self.service.keyed:
-            self._refuse_limited(now, (peer,))
-            return
-        self._limited_peers.add(peer)
-        self.dispatch()
-
-    def _refuse_limited(self, now, peers):
+    def refuse_limited(self, peers):
         """Refuse the request until the first of the upstreams has room."""
+        now = self.frontend.loop.now()
         peer = min(peers, key=lambda peer: peer.limit_room_at)
         self._give_up(
             request_refusals.limit_reached(
@@ -326,6 +267,22 @@
             )
         )
 
+    def dispatch_at(self, at):
+        """Dispatch the request at a later time, in seconds."""
+        self._dispatch_timer = self.frontend.loop.scheduler.call_at(
+            at, self.dispatch
+        )
+
+    def pause_body(self):
+        """Stop reading a body that is too large to be buffered."""
+        if self._body.exceeds_buffer:
+            self.stream.pause()
+
+    def resume_body(self):
+        """Read on after `pause_body`."""
+        if self._body.exceeds_buffer:
+            self.stream.resume()
+
     def _passes_slow_start(self, peer, now):
         if peer.cold_until <= now:
             return True
@@ -408,16 +365,10 @@
             self._give_up(self._refusal_after_attempts('no_more_attempts'))
             return
         if self.service.keyed and attempt.status != 421:
-            self._schedule_retry(now)
+            self.dispatch_at(now + OWNER_RETRY_DELAY_SECONDS)
             return
         self.dispatch()
 
-    def _schedule_retry(self, now):
-        """Retry at the same owner after a short delay."""
-        self._dispatch_timer = self.frontend.loop.scheduler.call_at(
-            now + OWNER_RETRY_DELAY_SECONDS, self.dispatch
-        )
-
     def on_stream_start(self, status, headers, length):
         """Start streaming a response; no retry is possible after this."""
         self.stream.start(status, headers, length)
--- /dev/null
+++ b/packages/gateway/src/bramleysill_gateway/limit_wait.py
@@ -0,0 +1,76 @@
+"""Lets a request wait for room under the limit of its upstream.
+
+The pacing router of the upstream says when the request may be sent. If that
+would be too late, a request for a shared service goes to another upstream, and
+one for a key, which only its owner can serve, is refused.
+"""
+
+from bramleysill_kernel.send_policy import max_upstream_seconds
+
+
+class LimitWait:
+    """The limits that one exchange has met."""
+
+    __slots__ = ('_exchange', '_permitted_peer', 'full_peers')
+
+    def __init__(self, exchange):
+        self._exchange = exchange
+        # The upstream whose pacing router has permitted the next attempt.
+        self._permitted_peer = None
+        # Upstreams whose limit leaves no room for this request.
+        self.full_peers = set()
+
+    def permitted_peer(self):
+        """Return the upstream with room, None if there is none any more."""
+        peer = self._permitted_peer
+        exchange = self._exchange
+        usable = exchange.frontend.state.directory.usable(
+            exchange.service.name
+        )
+        return peer if peer is not None and peer.entry in usable else None
+
+    def may_send(self, peer, now, expected_seconds):
+        """Return whether the limit of the upstream has room now.
+
+        Otherwise the exchange is dispatched again or refused later.
+        `expected_seconds` is the time that the upstream needs to respond.
+        """
+        permitted_peer, self._permitted_peer = self._permitted_peer, None
+        if peer.limit is None or permitted_peer is peer:
+            return True
+        exchange = self._exchange
+        allowed = max_upstream_seconds(exchange.route, exchange.time_left(now))
+        max_wait = max(0.0, allowed - expected_seconds)
+        if peer.limit_room_at - now > max_wait:
+            self._on_full(peer)
+            return False
+        exchange.pause_body()
+        exchange.frontend.pacing.ask(
+            peer.entry,
+            max_wait,
+            lambda decision: self._on_decision(peer, decision),
+        )
+        return False
+
+    def _on_decision(self, peer, decision):
+        exchange = self._exchange
+        if exchange.finished:
+            return
+        exchange.resume_body()
+        at = exchange.frontend.loop.now() + decision.delay
+        if not decision.permitted:
+            peer.limit_room_at = at
+            self._on_full(peer)
+            return
+        self._permitted_peer = peer
+        if decision.delay <= 0.0:
+            exchange.dispatch()
+        else:
+            exchange.dispatch_at(at)
+
+    def _on_full(self, peer):
+        if self._exchange.service.keyed:
+            self._exchange.refuse_limited((peer,))
+            return
+        self.full_peers.add(peer)
+        self._exchange.dispatch()
