--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -186,9 +186,10 @@
     ),
     Mutation(
         'a restarted upstream may hold keys of its former process',
-        KERNEL + 'range_coordinator.py',
+        KERNEL + 'reassignment.py',
         'if self._pool.has_ended(old_range):',
-        'if self._pool.has_ended(old_range) or self._restarted_owner(move):',
+        'if self._pool.has_ended(old_range) or '
+        'self.restarted_owner(old_range):',
         'tests.test_range_coordinator.RestartTest',
     ),
     Mutation(
--- a/model/range_protocol.py
+++ b/model/range_protocol.py
@@ -71,7 +71,7 @@
     'resume': 'FormerTerm.knows_owners',
     'settle': 'RangeCoordinator._settle',
     'restart': 'environment',
-    'return': 'RangeCoordinator._can_return_to_restarted',
+    'return': 'ReassignmentRules.must_return_to_restarted',
 }
 
 NOBODY = -1
--- a/packages/kernel/src/bramleysill_kernel/former_term.py
+++ b/packages/kernel/src/bramleysill_kernel/former_term.py
@@ -6,7 +6,7 @@
 lease of this one, and moves no keys for some time.
 """
 
-from bramleysill_kernel.range_coordinator import FIRST_MOVE_DELAY_SECONDS
+from bramleysill_kernel.reassignment import FIRST_MOVE_DELAY_SECONDS
 
 
 class FormerTerm:
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -37,6 +37,7 @@
 from bramleysill_kernel.range_planner import plan_balance
 from bramleysill_kernel.range_planner import plan_new_upstreams
 from bramleysill_kernel.range_planner import plan_vacant_ranges
+from bramleysill_kernel.reassignment import ReassignmentRules
 
 # Delay before a failed grant or release is sent again.
 RETRY_DELAY_SECONDS = 0.1
@@ -52,9 +53,6 @@
 # Delay before the first placement. It is longer than a heartbeat interval,
 # within which every upstream has registered.
 FIRST_PLACEMENT_DELAY_SECONDS = 2.0
-# A new leader moves no keys for this time. If the store is restored, the
-# leader before it still knows all owners by then.
-FIRST_MOVE_DELAY_SECONDS = 1.0
 # Interval between plans that balance the load.
 BALANCE_INTERVAL_SECONDS = 0.4
 
@@ -91,6 +89,7 @@
         self._directory = directory
         self._pool = OwnerPool(service, clock, directory, capacity_of)
         self._holds = None
+        self._rules = None
         self._moves = MoveList()
         self._renewals = {}
         self._handovers = {}
@@ -99,7 +98,6 @@
         self._next_balance_at = 0.0
         self._last_call_number = 0
         self._first_placement_at = 0.0
-        self._first_move_at = 0.0
         self._lowest_fence = 0
         # When unsettled keys may be granted: no leader of this era has granted
         # them, so that this doesn't depend on when this one was elected.
@@ -135,7 +133,9 @@
                 former_leader_until, self._timings.outage_hold
             )
         self.settled_at = settled_at
-        self._first_move_at = now + FIRST_MOVE_DELAY_SECONDS
+        self._rules = ReassignmentRules(
+            self._clock, self._directory, self._pool, self._holds
+        )
         if table is None:
             table = RangeTable.empty()
             self._holds.discard_inherited_holds()
@@ -188,7 +188,10 @@
         for item in self.table.ranges:
             if item.unsettled or self._can_keep_owner(item):
                 continue
-            if self._are_moves_delayed and not self._restarted_owner(item):
+            if (
+                self._rules.are_moves_delayed
+                and not self._rules.restarted_owner(item)
+            ):
                 continue
             for part in self._moves.unmoved_subranges(item):
                 self._moves.add(RangeMove(part))
@@ -278,54 +281,15 @@
         for move in self._moves:
             if move.ready_at is not None:
                 continue
-            if self._can_reassign(move):
+            if self._rules.may_reassign(move):
                 move.ready_at = now
-            elif self._can_return_to_restarted(move):
-                move.target = self._restarted_owner(move.old_range)
+            elif self._rules.must_return_to_restarted(move):
+                move.target = self._rules.restarted_owner(move.old_range)
                 move.target_required = True
                 move.ready_at = now
             elif not move.released and not move.release_pending:
                 self._release(move, now)
 
-    @property
-    def _are_moves_delayed(self):
-        """Return whether keys may only go to the owner's next process yet."""
-        return self._clock.now() < self._first_move_at
-
-    def _can_reassign(self, move):
-        if self._are_moves_delayed:
-            return False
-        now = self._clock.now()
-        old_range = move.old_range
-        if not old_range.owner:
-            return True
-        if self._pool.has_ended(old_range):
-            return True
-        if move.released:
-            return now >= self._holds.expiry_after_release(old_range)
-        return now >= self._holds.expiry_without_release(old_range)
-
-    def _can_return_to_restarted(self, move):
-        """Return whether the keys must go to the owner's next process.
-
-        A grant of an earlier leader may reach that process as long as it has
-        confirmed none of this leader, and a release does not prevent it.
-        """
-        if self._holds.has_confirmed(move.old_range.holder):
-            return False
-        return self._restarted_owner(move.old_range) is not None
-
-    def _restarted_owner(self, item):
-        """Return the Assignment to the owner's next process, or None."""
-        entry = self._directory.get(item.owner)
-        if entry is None or entry.incarnation <= item.incarnation:
-            return None
-        if not self._directory.accepts_new_work(entry):
-            return None
-        return Assignment(
-            item.first, item.last, entry.upstream, entry.incarnation
-        )
-
     def _release(self, move, now):
         # After a restart under the same id the next process is asked: until it
         # registered, it accepted the grants that were meant for the former.
@@ -418,7 +382,7 @@
         now = self._clock.now()
         if now < self._next_balance_at or self._pending_write:
             return
-        if self._are_moves_delayed:
+        if self._rules.are_moves_delayed:
             return
         if self.unconfirmed_spans or self.store_unresponsive:
             # A move could not be completed, and its keys would have no owner.
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -192,18 +192,6 @@
         cell.run(4.0, _AtMostOneHolder(self))
         self.assertEqual([], _unserved(cell))
 
-    def test_the_next_process_gets_keys_with_a_higher_fence_only(self):
-        """Guards against a next process that takes the former one's grant."""
-        cell = _cell()
-        cell.upstreams['u1'].alive = False
-        highest = max(fence for _, fence, _ in cell.grants)
-        cell.upstreams['u1'] = FakeUpstream(cell.clock, 'u1', 2)
-        cell.run(1.0)
-        cell.directory.put(make_entry('u1', incarnation=2))
-        cell.run(1.0)
-        fences = cell.upstreams['u1'].accepted_fences()
-        self.assertEqual([], [f for f in fences if f <= highest])
-
     def test_keys_of_a_restarted_owner_return_after_a_change_of_leader(self):
         """Guards against keys without an owner for all of a former hold.
 
@@ -221,6 +209,20 @@
         cell.run(12.0, _AtMostOneHolder(self))
 
 
+class NextProcessTest(testtools.TestCase):
+    def test_the_next_process_gets_keys_with_a_higher_fence_only(self):
+        """Guards against a next process that takes the former one's grant."""
+        cell = _cell()
+        cell.upstreams['u1'].alive = False
+        highest = max(fence for _, fence, _ in cell.grants)
+        cell.upstreams['u1'] = FakeUpstream(cell.clock, 'u1', 2)
+        cell.run(1.0)
+        cell.directory.put(make_entry('u1', incarnation=2))
+        cell.run(1.0)
+        fences = cell.upstreams['u1'].accepted_fences()
+        self.assertEqual([], [f for f in fences if f <= highest])
+
+
 class BalanceTest(testtools.TestCase):
     def test_a_busy_owner_is_relieved_while_another_is_unresponsive(self):
         """A range is busy during a rollout, while some owner is always down.
