Move the coordinators of a leader out of the leader election

leader.py had 470 lines and two jobs: the election, and the coordinators with what they need (loads, service times, the former term). No change of behaviour; tests of restores, the leader and the process pass as before.

--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -1,26 +1,15 @@
-"""Takes part in the leader election and runs coordinators while leading."""
+"""Takes part in the leader election, and leads while elected."""
 
 import json
 
 from bramleysill_gateway.cell_state import LEADER_KEY
-from bramleysill_gateway.cell_state import TableVersion
-from bramleysill_gateway.control_calls import ControlCalls
-from bramleysill_kernel.former_term import FormerTerm
-from bramleysill_kernel.key_loads import KeyLoads
-from bramleysill_kernel.key_loads import UpstreamServiceTimes
-from bramleysill_kernel.key_ranges import ALL_KEYS
-from bramleysill_kernel.key_ranges import RangeTable
-from bramleysill_kernel.key_ranges import first_fence
+from bramleysill_gateway.coordinators import Coordinators
 from bramleysill_kernel.leadership import RENEW_INTERVAL_SECONDS
 from bramleysill_kernel.leadership import Leadership
 from bramleysill_kernel.leadership import is_preferred_leader
-from bramleysill_kernel.range_coordinator import RangeCoordinator
-from bramleysill_kernel.rate_pacer import paced_rate
 from bramleysill_kernel.store_types import Condition
 from bramleysill_kernel.store_types import Put
 from bramleysill_kernel.store_types import StoreOutcome
-from bramleysill_kernel.upstream_load import INITIAL_SERVICE_SECONDS
-from bramleysill_kernel.upstream_load import MIN_SERVICE_SECONDS
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
@@ -29,6 +18,8 @@
 # If the last confirmed renewal was sent longer ago, the store counts as down.
 # The rest of the leader lease is used to extend the holds.
 RENEWAL_TIMEOUT_SECONDS = 0.9
+# After these ends of a term nobody else can lead yet.
+REASONS_TO_TRUST_OWNERS = ('lease_over', 'store_restored')
 
 
 class LeaderElection:
@@ -38,7 +29,6 @@
         self.leadership = Leadership(
             loop, cfg.timings.leader_lease, is_preferred_leader(cfg)
         )
-        self._limits = limits
         self._timings = cfg.timings
         self._loop = loop
         self._rng = rng
@@ -48,21 +38,15 @@
         self._leader_key_value = json.dumps(
             {'router': cfg.name, 'address': address}
         ).encode()
-        self._calls = ControlCalls(
-            loop, store, state.adapter, self.leadership, state
+        self.coordinators = Coordinators(
+            loop, cfg.timings, store, state, self.leadership, limits
         )
-        self._coordinators = {}
-        self._key_loads = {}
-        self._service_times = UpstreamServiceTimes()
-        self._starting_services = set()
         self._campaigning = False
         self._renew_at = 0.0
         self._last_renewal_sent_at = 0.0
         # Lease of the leader key, or 0. It is kept after it has expired, since
         # the store may pause leases while it is down.
         self._lease = 0
-        # The FormerTerm of this router, None if another has led since.
-        self._former_term = None
         self._former_keys_removed = False
         # The StoredItem decoded last, and the address from it.
         self._decoded_item = None
@@ -96,27 +80,9 @@
             return None
 
     def note_report(self, message):
-        """Add a router's report of requests by key and of service times."""
-        if not self.leadership.leading:
-            return
-        counts = dict(zip(message.keys, message.counts, strict=True))
-        self._key_loads_of(message.service).add(counts)
-        for row in zip(
-            message.upstreams,
-            message.answers,
-            message.busy_times,
-            strict=True,
-        ):
-            self._service_times.add(*row)
-
-    def _capacity(self, entry):
-        """Return the capacity of an upstream in requests per second."""
-        seconds = self._service_times.service_time(entry.upstream)
-        if seconds is None:
-            seconds = self._service_times.mean() or INITIAL_SERVICE_SECONDS
-        capacity = entry.slots / max(seconds, MIN_SERVICE_SECONDS)
-        limit = self._limits.rate(entry.upstream, entry.incarnation)
-        return capacity if limit is None else min(capacity, paced_rate(limit))
+        """Use a router's report of requests and service times, as leader."""
+        if self.leadership.leading:
+            self.coordinators.note_report(message)
 
     def tick(self):
         """Renew, campaign or coordinate; called every tick of the process."""
@@ -126,7 +92,7 @@
         self._check_leader_key()
         if leadership.leading:
             self._renew()
-            self._run_coordinators()
+            self.coordinators.tick()
             self._remove_former_keys()
             return
         self._renew_paused_lease()
@@ -155,15 +121,10 @@
         state = self._state
         if not state.was_restored or state.has_table_of_this_era():
             return 0.0
-        if self._knows_owners():
+        if self.coordinators.know_owners():
             return 0.0
         return state.era_seen_at + self._timings.leader_lease
 
-    def _knows_owners(self):
-        return self._former_term is not None and (
-            self._former_term.knows_owners(self._state.era_seen_at)
-        )
-
     def resign(self):
         """Give up the leader key and campaign no more; for shutdown."""
         self.leadership.campaigning_disabled = True
@@ -172,8 +133,7 @@
 
     def sweep(self):
         """Drop connections and service times of removed upstreams."""
-        self._calls.sweep()
-        self._service_times.keep_only(self._state.directory.entries)
+        self.coordinators.sweep()
 
     # Campaign.
 
@@ -242,7 +202,7 @@
         item = self._state.leader_item
         leadership = self.leadership
         if item is not None and item.lease not in (self._lease, 0):
-            self._former_term = None
+            self.coordinators.note_other_leader()
         if leadership.leading:
             if item is not None and item.revision > leadership.key_revision:
                 self._step_down('replaced')
@@ -260,47 +220,22 @@
             reason=reason,
             revision=self.leadership.key_revision,
         )
-        self._former_term = self._make_former_term(reason)
+        self.coordinators.end_term(reason in REASONS_TO_TRUST_OWNERS)
         self._former_keys_removed = False
         lease = self.leadership.resign()
         # Keep an expired lease: the store may have paused it.
         self._lease = lease if reason == 'lease_over' else 0
-        self._coordinators.clear()
-        self._starting_services.clear()
-        self._calls.close()
         self.leadership.delay_next_attempt(self._rng)
         if lease and reason == 'shutdown':
             self._store.end_lease(lease, _ignore_reply)
 
-    def _make_former_term(self, reason):
-        """Return the FormerTerm, or None if another may lead already."""
-        if reason not in ('lease_over', 'store_restored'):
-            return None
-        return FormerTerm(
-            self.leadership.valid_until,
-            {
-                service: sorted(coordinator.unconfirmed_spans)
-                for service, coordinator in self._coordinators.items()
-            },
-            {
-                service: coordinator.settled_at
-                for service, coordinator in self._coordinators.items()
-            },
-        )
-
     # Renewal.
 
     def _renew(self):
         now = self._loop.now()
-        is_overdue = now - self._last_renewal_sent_at > RENEWAL_TIMEOUT_SECONDS
-        for coordinator in self._coordinators.values():
-            if is_overdue and not coordinator.store_unresponsive:
-                log_warning(
-                    'lease_renewal_overdue',
-                    seconds_left=self._lease_seconds_left(),
-                )
-                coordinator.extend_holds()
-            coordinator.store_unresponsive = is_overdue
+        self.coordinators.note_renewals(
+            now - self._last_renewal_sent_at > RENEWAL_TIMEOUT_SECONDS
+        )
         if now < self._renew_at:
             return
         self._renew_at = now + RENEW_INTERVAL_SECONDS
@@ -359,99 +294,11 @@
     def _lease_seconds_left(self):
         return self.leadership.valid_until - self._loop.now()
 
-    # Coordinators.
-
-    def _run_coordinators(self):
-        config = self._state.config
-        if config is None:
-            return
-        keyed = {s.name for s in config.services.values() if s.keyed}
-        for service in set(self._coordinators) - keyed:
-            del self._coordinators[service]
-        for service in keyed:
-            coordinator = self._coordinators.get(service)
-            if coordinator is None:
-                self._start_coordinator(service)
-            else:
-                coordinator.tick()
-
-    def _start_coordinator(self, service):
-        if service in self._starting_services:
-            return
-        if not self._state.upstream_watch.synced:
-            return
-        self._starting_services.add(service)
-        term = self.leadership.key_revision
-
-        def on_table(ok, table, revision):
-            if term != self.leadership.key_revision:
-                return
-            self._starting_services.discard(service)
-            if not ok:
-                return
-            if table is not None:
-                version = TableVersion(self._state.own_era, revision)
-                self._state.adopt_table(service, table, version)
-            settled_at = None
-            if table is None and self._state.was_restored:
-                table = self._remembered_table(service)
-                if self._knows_owners():
-                    settled_at = self._former_term.keys_settle_at(service)
-            self._coordinators[service] = self._make_coordinator(
-                service, table, revision, settled_at
-            )
-
-        self._calls.read_table(service, on_table)
-
-    def _make_coordinator(self, service, table, revision, settled_at):
-        coordinator = RangeCoordinator(
-            service,
-            self._loop,
-            self._timings,
-            self._calls,
-            self._state.directory,
-            self._key_loads_of(service),
-            self._capacity,
-        )
-        former_leader_until = 0.0
-        if self._state.was_restored:
-            former_leader_until = (
-                self._state.era_seen_at + self._timings.leader_lease
-            )
-        coordinator.start(
-            table,
-            revision,
-            first_fence(self._state.own_era),
-            former_leader_until,
-            settled_at,
-        )
-        return coordinator
-
-    def _remembered_table(self, service):
-        """Return the table that this router knows from before the restore.
-
-        The keys whose owner may have changed since are unsettled in it.
-        """
-        table = self._state.tables.get(service)
-        unsettled = [ALL_KEYS]
-        if table is None:
-            table = RangeTable.empty()
-        elif self._knows_owners():
-            unsettled = self._former_term.unconfirmed.get(service, [])
-        log_event(
-            'table_remembered',
-            service=service,
-            ranges=len(table.ranges),
-            unsettled=sum(last - first + 1 for first, last in unsettled),
-        )
-        return table.with_unsettled(unsettled)
-
     def _remove_former_keys(self):
         """Remove the keys of earlier eras once all tables are in this one."""
-        coordinators = self._coordinators.values()
-        if self._former_keys_removed or not coordinators:
+        if self._former_keys_removed:
             return
-        if not all(c.has_renewed_fences for c in coordinators):
+        if not self.coordinators.have_renewed_fences():
             return
         keys = self._state.former_keys()[:MAX_DELETED_KEYS]
         self._former_keys_removed = True
@@ -459,12 +306,6 @@
             condition = Condition(self.key, self.leadership.key_revision)
             self._store.write([condition], (), keys, _ignore_reply)
 
-    def _key_loads_of(self, service):
-        loads = self._key_loads.get(service)
-        if loads is None:
-            loads = self._key_loads[service] = KeyLoads(self._loop)
-        return loads
-
 
 def _ignore_reply(reply):
     """Ignore the reply: a lease that is not ended expires by itself."""
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -216,7 +216,7 @@
             self.state,
             NamedLimits(cell.loop),
         )
-        self.leader._calls = _SimulatedCalls(
+        self.leader.coordinators.calls = _SimulatedCalls(
             cell,
             cell.loop,
             self.client,
