Check the types of the port range and of the health path

A settings file with `internal_port_range = "7660"` made peer links listen on port '7', and a health path that isn't text failed when it was first used.

--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -122,6 +122,12 @@
     return documents.decode_upstream('i-1', _encode(document), NOW)
 
 
+def _service_change(**changes):
+    services = CONFIG['services']
+    ledger = {**services['ledger'], **changes}
+    return {'services': {**services, 'ledger': ledger}}
+
+
 class ConfigTest(testtools.TestCase):
     def test_the_longest_prefix_is_matched(self):
         """Guards against a write that is routed as a lookup."""
@@ -164,6 +170,8 @@
                 }
             },
             {'routes': {'r': {**CONFIG['routes']['record'], 'timeout': 1500}}},
+            _service_change(health_check_path=1),
+            _service_change(health_check_path=['/']),
         ):
             self.assertRaises(fields.FieldError, _config, **changes)
         for data in (b'', b'[1]', b'\xff', b'{"version":'):
@@ -256,6 +264,17 @@
         )
         self.assertIn('grace', str(exc))
 
+    def test_a_malformed_range_of_ports_is_an_error(self):
+        """Guards against a process that listens on a digit of a port."""
+        for value in ('"7660"', '7660', '[]', '["7660", "7675"]', '[true]'):
+            text = SETTINGS.replace('[7660, 7675]', value)
+            exc = self.assertRaises(
+                fields.FieldError,
+                settings.decode_settings,
+                tomllib.loads(text),
+            )
+            self.assertIn('internal_port_range', str(exc))
+
     def test_an_unreadable_file_is_an_error(self):
         """Guards against a process that starts without settings."""
         self.assertRaises(
