Ignore a request for a probe before the manifest is known

A coordinator may ask a router for a probe that has just started; the router then raised AttributeError in its loop.

--- a/packages/router/src/bramleysill_router/control_loop.py
+++ b/packages/router/src/bramleysill_router/control_loop.py
@@ -310,7 +310,7 @@
 
     def _on_probe_request(self, router, message):
         manifest = self._state.manifest
-        upstream = manifest.upstreams.get(message.upstream)
+        upstream = manifest and manifest.upstreams.get(message.upstream)
         if upstream is None:
             return
 
