Close idle connections for control calls to upstreams

Dispatchers swept and closed the connections for requests only; those for grants, releases and probes stayed open. The test failed before (1 pool swept).

--- a/packages/router/src/bramleysill_router/dispatcher.py
+++ b/packages/router/src/bramleysill_router/dispatcher.py
@@ -297,6 +297,7 @@
         load = requests / self.upstream.slots
         self._average_load += LOAD_EWMA_WEIGHT * (load - self._average_load)
         self._pool.sweep()
+        self._control.sweep()
         self.idempotency_cache.tick()
         self.authority.tick()
         self.apply_condition()
@@ -360,6 +361,7 @@
     def close(self):
         """Close idle connections."""
         self._pool.close()
+        self._control.close()
 
     def report(self):
         """Return the UpstreamReport for the coordinator."""
--- a/packages/router/src/bramleysill_router/upstream_control.py
+++ b/packages/router/src/bramleysill_router/upstream_control.py
@@ -45,6 +45,14 @@
         body = {'request_id': request_id}
         self._call('POST', '/.sill/cancel', body, callback)
 
+    def sweep(self):
+        """Close connections that were idle for long."""
+        self._pool.sweep()
+
+    def close(self):
+        """Close the idle connections."""
+        self._pool.close()
+
     def _call(self, method, target, body, callback, timeout=0.0):
         conn = self._pool.take()
         if conn is None:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -88,6 +88,8 @@
         )
         self.dispatcher = UpstreamDispatcher(context, upstream, service)
         self.conns = []
+        self.sweeps = 0
+        self.closes = 0
         self.dispatcher._pool = self
         self.dispatcher._control = self
 
@@ -98,7 +100,10 @@
         return self.conns[-1]
 
     def sweep(self):
-        pass
+        self.sweeps += 1
+
+    def close(self):
+        self.closes += 1
 
     def cancel(self, request_id, done):
         pass
@@ -114,6 +119,16 @@
         sink = _Sink()
         return self.dispatcher.submit(head, sink), sink
 
+    def test_idle_connections_of_both_pools_are_closed(self):
+        """Guards against idle connections for control calls that stay open.
+
+        The fake is both the pool for requests and the one for control calls.
+        """
+        self.dispatcher.tick()
+        self.assertEqual(2, self.sweeps)
+        self.dispatcher.close()
+        self.assertEqual(2, self.closes)
+
     def test_key_of_a_cancelled_queued_request_can_be_used_again(self):
         """Guards against an idempotency key that stays in progress forever.
 
