Store how long unsettled keys still wait after a restore of the store

Callers had no owner for their keys for longer than needed when leaders changed after a restore: a router that had started since knew the era only from its own start, and waited for the holds of the era before from then on.

The leader stores with its table for how many seconds the unsettled keys still wait, again each second. Its successor counts that from when it has read the table, so that it waits too long rather than too short.

--- a/packages/kernel/src/bramleysill_kernel/key_ranges.py
+++ b/packages/kernel/src/bramleysill_kernel/key_ranges.py
@@ -96,13 +96,18 @@
 
 
 class RangeTable:
-    """An immutable table of ranges, sorted by key."""
+    """An immutable table of ranges, sorted by key.
 
-    __slots__ = ('ranges', 'next_fence', '_starts')
+    `settles_in` is for how many seconds after the write of this table its
+    unsettled keys must not be granted, or None if that isn't known.
+    """
+
+    __slots__ = ('ranges', 'next_fence', 'settles_in', '_starts')
 
-    def __init__(self, ranges, next_fence):
+    def __init__(self, ranges, next_fence, settles_in=None):
         self.ranges = ranges
         self.next_fence = next_fence
+        self.settles_in = settles_in
         self._starts = [r.first for r in ranges]
 
     @classmethod
@@ -166,6 +171,10 @@
             item.unsettled = False
         return RangeTable(ranges, self.next_fence)
 
+    def settling_in(self, seconds):
+        """Return a table whose unsettled keys wait for so many seconds."""
+        return RangeTable(self.ranges, self.next_fence, seconds)
+
     def has_unsettled(self):
         """Return whether any keys are unsettled."""
         return any(item.unsettled for item in self.ranges)
@@ -178,6 +187,8 @@
             'next_fence': self.next_fence,
             'ranges': rows,
         }
+        if self.settles_in is not None:
+            document['settles_in'] = self.settles_in
         return json.dumps(document, separators=(',', ':')).encode()
 
     @classmethod
@@ -190,7 +201,10 @@
                     f'unsupported table format {document["format"]}', 'decode'
                 )
             ranges = [KeyRange(*row) for row in document['ranges']]
-            table = cls(ranges, document['next_fence'])
+            settles_in = document.get('settles_in')
+            if settles_in is not None:
+                settles_in = float(settles_in)
+            table = cls(ranges, document['next_fence'], settles_in)
         except (ValueError, KeyError, TypeError) as exc:
             raise TableError(
                 f'malformed range table: {exc}', 'decode'
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -53,6 +53,8 @@
 # Delay before the first placement. It is longer than a heartbeat interval,
 # within which every upstream has registered.
 FIRST_PLACEMENT_DELAY_SECONDS = 2.0
+# Interval at which a leader stores how long unsettled keys still wait.
+PROGRESS_INTERVAL_SECONDS = 1.0
 # Interval between plans that balance the load.
 BALANCE_INTERVAL_SECONDS = 0.4
 
@@ -99,6 +101,8 @@
         self._last_call_number = 0
         self._first_placement_at = 0.0
         self._lowest_fence = 0
+        # When the rest of the wait for unsettled keys is stored again.
+        self._next_progress_at = 0.0
         # When unsettled keys may be granted: no leader of this era has granted
         # them, so that this doesn't depend on when this one was elected.
         self.settled_at = 0.0
@@ -132,6 +136,8 @@
             settled_at = last_hold_end(
                 former_leader_until, self._timings.outage_hold
             )
+        if table is not None and table.settles_in is not None:
+            settled_at = min(settled_at, now + table.settles_in)
         self.settled_at = settled_at
         self._rules = ReassignmentRules(
             self._clock, self._directory, self._pool, self._holds
@@ -175,12 +181,14 @@
 
     def _settle(self):
         """Allow grants of unsettled keys once nobody else can hold them."""
-        if self._pending_write is not None:
-            return
-        if self._clock.now() < self.settled_at:
+        if self._pending_write is not None or not self.table.has_unsettled():
             return
-        if self.table.has_unsettled():
+        now = self._clock.now()
+        if now >= self.settled_at:
             self._write(self.table.settled(), [])
+        elif now >= self._next_progress_at:
+            # The next leader waits no longer than this one would.
+            self._write(self.table, [])
 
     # Moves away from owners that must not keep their keys.
 
@@ -418,6 +426,10 @@
     def _write(self, table, moves):
         if self._pending_write is not None:
             return
+        if table.has_unsettled():
+            now = self._clock.now()
+            table = table.settling_in(max(0.0, self.settled_at - now))
+            self._next_progress_at = now + PROGRESS_INTERVAL_SECONDS
         self._pending_write = table
         spans = {(move.first, move.last) for move in moves}
         spans -= self.unconfirmed_spans
--- a/tests/test_key_ranges.py
+++ b/tests/test_key_ranges.py
@@ -113,6 +113,18 @@
         self.assertTrue(stored.find(150).unsettled)
         self.assertFalse(stored.find(99).unsettled)
 
+    def test_the_rest_of_the_wait_is_stored(self):
+        """Guards against a successor that waits from the start again."""
+        stored = RangeTable.decode(self.table.settling_in(2.5).encode())
+        self.assertEqual(2.5, stored.settles_in)
+        self.assertIsNone(stored.settled().settles_in)
+        self.assertIsNone(RangeTable.decode(self.table.encode()).settles_in)
+
+    def test_a_wait_of_a_former_era_is_not_kept(self):
+        """Guards against a grant before holds of another era have ended."""
+        table = self.table.settling_in(2.5)
+        self.assertIsNone(table.with_unsettled([(0, 9)]).settles_in)
+
     def test_settled_keys_keep_owner_and_fence(self):
         """Guards against a second owner when the wait is over."""
         settled = self.table.settled()
