Wait for three heartbeats before an entry of a restored store counts

A process that had left is ready again in an older copy of the store, until the store removes its entry after three heartbeat intervals of silence. The directory waited for 4 s whatever the interval of the deployment, so that with heartbeats of more than 1.3 s callers' requests could go to a process that had ended (DRAIN). The interval was read from the settings and not used.

--- a/packages/kernel/src/bramleysill_kernel/node_settings.py
+++ b/packages/kernel/src/bramleysill_kernel/node_settings.py
@@ -75,8 +75,8 @@
     """The settings file of a process.
 
     `store` is the store's address as (host, port), `min_lease_seconds` the
-    shortest lease that the store grants, and `heartbeat` an interval in
-    seconds.
+    shortest lease that the store grants, and `heartbeat` the interval at which
+    upstreams write their entries, in seconds.
     """
 
     __slots__ = (
@@ -114,7 +114,7 @@
         self.min_lease_seconds = min_lease_seconds
         self.heartbeat = heartbeat
         self.bounds = bounds
-        self.timings = Timings(bounds, min_lease_seconds)
+        self.timings = Timings(bounds, min_lease_seconds, heartbeat)
         # Resources of the machine: its network link and its share of cores.
         self.link_mbps = link_mbps
         self.cores = cores
--- a/packages/kernel/src/bramleysill_kernel/timings.py
+++ b/packages/kernel/src/bramleysill_kernel/timings.py
@@ -4,7 +4,7 @@
 fraction of a bound. The Timings object is shared, so `update` applies changed
 settings everywhere.
 
-    timings = Timings(bounds, min_lease_seconds=1.0)
+    timings = Timings(bounds, min_lease_seconds=1.0, heartbeat=0.9)
     hold = timings.hold
 """
 
@@ -36,6 +36,11 @@
 # Delay before the next watch after a change, so that closely spaced changes
 # are fetched together; a fraction of the time to apply a configuration.
 BATCH_DELAY_FRACTION = 0.05
+# The store removes the entry of an upstream after this many heartbeat
+# intervals of silence.
+SILENT_HEARTBEATS = 3
+# Added to that for the time that the removal takes to be seen.
+ENTRY_REMOVAL_MARGIN_SECONDS = 1.0
 
 
 class Timings:
@@ -43,7 +48,8 @@
 
     `hold` and `outage_hold` are the lengths of grants in normal operation and
     while the store does not reply. `leaving_grace` is how long an owner that
-    leaves is still used for its keys.
+    leaves is still used for its keys. The entry of a process that has ended is
+    gone after `silent_entry`.
     """
 
     __slots__ = (
@@ -56,9 +62,13 @@
         'feed_validity',
         'feed_interval',
         'batch_delay',
+        'silent_entry',
     )
 
-    def __init__(self, bounds, min_lease_seconds):
+    def __init__(self, bounds, min_lease_seconds, heartbeat):
+        self.silent_entry = (
+            SILENT_HEARTBEATS * heartbeat + ENTRY_REMOVAL_MARGIN_SECONDS
+        )
         self.update(bounds, min_lease_seconds)
 
     def update(self, bounds, min_lease_seconds):
--- a/packages/kernel/src/bramleysill_kernel/upstream_directory.py
+++ b/packages/kernel/src/bramleysill_kernel/upstream_directory.py
@@ -9,9 +9,6 @@
 # Upstreams whose entries expired during an outage register again within about
 # two seconds of its end. After that, a missing upstream has left.
 REREGISTRATION_SECONDS = 2.2
-# After this time of silence the store removes the entry of an upstream: three
-# heartbeat intervals.
-SILENT_ENTRY_SECONDS = 4.0
 # The entry of an upstream that has left is kept for releases, because it has
 # the address. The time is longer than any hold of keys.
 LEFT_ENTRY_RETENTION_SECONDS = 15.0
@@ -133,7 +130,7 @@
         if entry.upstream in self.entries:
             self.put(entry)
             return
-        at = self._clock.now() + SILENT_ENTRY_SECONDS
+        at = self._clock.now() + self._timings.silent_entry
         self._unconfirmed[entry.upstream] = entry, at
 
     def remove(self, upstream):
--- a/tests/bounds.py
+++ b/tests/bounds.py
@@ -4,6 +4,7 @@
 from bramleysill_kernel.timings import Timings
 
 MIN_LEASE_SECONDS = 1.0
+HEARTBEAT_SECONDS = 1.0
 
 
 def make_bounds(**changes):
@@ -25,6 +26,10 @@
     return Bounds(**{**values, **changes})
 
 
-def make_timings(min_lease_seconds=MIN_LEASE_SECONDS, **changes):
+def make_timings(
+    min_lease_seconds=MIN_LEASE_SECONDS,
+    heartbeat=HEARTBEAT_SECONDS,
+    **changes,
+):
     """Return the timings for `make_bounds(**changes)`."""
-    return Timings(make_bounds(**changes), min_lease_seconds)
+    return Timings(make_bounds(**changes), min_lease_seconds, heartbeat)
--- a/tests/test_upstream_directory.py
+++ b/tests/test_upstream_directory.py
@@ -4,7 +4,6 @@
 
 from bramleysill_kernel.clock import ManualClock
 from bramleysill_kernel.upstream_directory import REREGISTRATION_SECONDS
-from bramleysill_kernel.upstream_directory import SILENT_ENTRY_SECONDS
 from bramleysill_kernel.upstream_directory import UpstreamDirectory
 from tests.bounds import make_timings
 from tests.range_fakes import SERVICE
@@ -108,7 +107,7 @@
         self.directory.tick()
         self.assertEqual([], self._usable())
         self.directory.remove('u0')
-        self.clock.advance(2 * SILENT_ENTRY_SECONDS)
+        self.clock.advance(2 * TIMINGS.silent_entry)
         self.directory.tick()
         self.assertEqual([], self._usable())
 
@@ -125,10 +124,23 @@
         self.directory.put(make_entry('u0'))
         self.directory.remove('u0')
         self.directory.put_from_copy(make_entry('u0'))
-        self.clock.advance(SILENT_ENTRY_SECONDS)
+        self.clock.advance(TIMINGS.silent_entry)
         self.directory.tick()
         self.assertEqual(['u0'], self._usable())
 
+    def test_slow_heartbeats_are_waited_for(self):
+        """Guards against requests to a process whose entry isn't removed yet.
+
+        The store removes it after three heartbeat intervals of silence.
+        """
+        directory = UpstreamDirectory(self.clock, make_timings(heartbeat=3.0))
+        directory.put(make_entry('u0'))
+        directory.remove('u0')
+        directory.put_from_copy(make_entry('u0'))
+        self.clock.advance(9.0)
+        directory.tick()
+        self.assertEqual([], directory.usable(SERVICE))
+
     def test_a_newer_process_stays(self):
         """Guards against requests to the former process of an upstream."""
         self.directory.put(make_entry('u0', incarnation=2))
