Trust no owners of a table that was not read in the last term

By reading, not seen in a play: a leader that is elected just before the store goes away may not have read the table yet. After a restore it took the table that it remembered for certain, although the leader before it may have written a later one, so that keys could have had two owners.

All keys of a service without a coordinator in the last term are unsettled. The test failed before: no key was unsettled.

--- a/packages/gateway/src/bramleysill_gateway/coordinators.py
+++ b/packages/gateway/src/bramleysill_gateway/coordinators.py
@@ -194,7 +194,7 @@
         if table is None:
             table = RangeTable.empty()
         elif self.know_owners():
-            unsettled = self._former_term.unconfirmed.get(service, [])
+            unsettled = self._former_term.uncertain_spans(service)
         log_event(
             'table_remembered',
             service=service,
--- a/packages/kernel/src/bramleysill_kernel/former_term.py
+++ b/packages/kernel/src/bramleysill_kernel/former_term.py
@@ -6,6 +6,7 @@
 lease of this one, and moves no keys for some time.
 """
 
+from bramleysill_kernel.key_ranges import ALL_KEYS
 from bramleysill_kernel.reassignment import FIRST_MOVE_DELAY_SECONDS
 
 
@@ -32,6 +33,13 @@
         """
         return era_seen_at < self.valid_until + FIRST_MOVE_DELAY_SECONDS
 
+    def uncertain_spans(self, service):
+        """Return the spans of keys whose owner is not known.
+
+        These are all keys of a service whose table was not read in this term.
+        """
+        return self.unconfirmed.get(service, [ALL_KEYS])
+
     def keys_settle_at(self, service):
         """Return when keys that are still unsettled may be granted, or None.
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -6,6 +6,7 @@
 
 from bramleysill_kernel.hold_ledger import last_hold_end
 from tests.bounds import make_timings
+from tests.simulated_cell import SERVICE
 from tests.simulated_cell import STEP_SECONDS
 from tests.simulated_cell import SimulatedCell
 
@@ -221,6 +222,28 @@
         self.assertEqual([], unserved)
         self._check_owners(cell)
 
+    def test_a_leader_that_has_not_read_the_table_is_not_certain(self):
+        """Guards against a second owner by a move that this leader missed.
+
+        The leader before it may have written a table that it has not seen.
+        """
+        cell = SimulatedCell(8)
+        cell.run(START_SECONDS, self.check)
+        former = cell.leaders()[0]
+        for router in cell.routers:
+            router.client.read = lambda key, callback: None
+        former.leader.resign()
+        cell.run(1.5, self.check)
+        leader = cell.leaders()[0]
+        for router in cell.routers:
+            del router.client.read
+        cell.restore(COPY_AGE_SECONDS)
+        cell.run(1.0, self.check)
+        self.assertEqual([leader], cell.leaders())
+        table = leader.state.tables[SERVICE]
+        self.assertTrue(all(item.unsettled for item in table.ranges))
+        self._check_owners(cell)
+
     def test_a_second_restore_does_not_prolong_the_wait(self):
         """Guards against keys without an owner while eras follow each other.
 
