--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -268,6 +268,14 @@
             revision=item.revision,
             routes=len(config.routes),
         )
+        for route, kind in config.unknown_kinds.items():
+            self._metrics.events['route_kind_unknown'] += 1
+            log_warning(
+                'route_kind_unknown',
+                route=route,
+                kind=kind,
+                version=config.version,
+            )
 
     def _on_upstream_item(self, item):
         upstream = item.key[len(self._adapter.upstream_prefix) :]
--- a/packages/kernel/src/bramleysill_kernel/routing_config.py
+++ b/packages/kernel/src/bramleysill_kernel/routing_config.py
@@ -137,15 +137,27 @@
 
 
 class RoutingConfig:
-    """One version of the configuration; immutable."""
+    """One version of the configuration; immutable.
 
-    __slots__ = ('version', 'routes', 'services', 'limits', '_by_host')
+    `unknown_kinds` has the kinds, by route, that this version of the router
+    does not know. Requests of these routes run at most once.
+    """
+
+    __slots__ = (
+        'version',
+        'routes',
+        'services',
+        'limits',
+        'unknown_kinds',
+        '_by_host',
+    )
 
-    def __init__(self, version, routes, services, limits):
+    def __init__(self, version, routes, services, limits, unknown_kinds=None):
         self.version = version
         self.routes = routes
         self.services = services
         self.limits = limits
+        self.unknown_kinds = unknown_kinds or {}
         self._by_host = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -172,6 +172,15 @@
         self.assertEqual(7, self.state.config.version)
         self.assertEqual(1, self.metrics.events['document_rejected'])
 
+    def test_a_route_of_an_unknown_kind_is_counted(self):
+        """Guards against an operator who does not see the strict reading."""
+        routes = {**CONFIG['routes']}
+        routes['lookup'] = {**routes['lookup'], 'kind': 'stream'}
+        data = json.dumps({**CONFIG, 'routes': routes}).encode()
+        self._write('r7', 10, data)
+        self.assertEqual(7, self.state.config.version)
+        self.assertEqual(1, self.metrics.events['route_kind_unknown'])
+
     def test_removed_configuration_stays_in_use(self):
         """Guards against a 404 for all routes when the key is deleted."""
         self._write('r7', 10)
