Bound every number and address from outside

Another writer's entry of an upstream could end a decision of ours: 400 digits of slots raised OverflowError in each plan of the leader, an address with a host name looked it up on the only loop or raised out of connect, an id could hold a line end of a header, and a number or weight too large raised an error that was none of ours. Such an error left the watch of the store without its next call, so that the router followed nothing any more.

Numbers and addresses are parsed in bounded_values, ids must be tokens, an unexpected error of one item is logged and the others are followed.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -6,6 +6,7 @@
 responses are streamed as they arrive.
 """
 
+from bramleysill_kernel.bounded_values import parse_milliseconds
 from bramleysill_kernel.retry_rules import AttemptOutcome
 from bramleysill_net.http_headers import end_to_end_fields
 from bramleysill_net.http_headers import first_value
@@ -277,9 +278,11 @@
             if report is not None:
                 self.peer.load.note_report(self._loop.now(), report)
         self._note_limit(first_value(headers, adapter.limit))
-        cold_ms = first_value(headers, adapter.cold_ms)
-        if cold_ms.isdecimal() and int(cold_ms):
-            until = self._loop.now() + int(cold_ms) / 1000
+        cold_seconds = parse_milliseconds(
+            first_value(headers, adapter.cold_ms)
+        )
+        if cold_seconds:
+            until = self._loop.now() + cold_seconds
             self.peer.cold_until = max(self.peer.cold_until, until)
 
     def _note_limit(self, value):
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -13,6 +13,7 @@
 from bramleysill_gateway.limit_wait import LimitWait
 from bramleysill_gateway.request_body import RequestBody
 from bramleysill_kernel import refusals
+from bramleysill_kernel.bounded_values import parse_milliseconds
 from bramleysill_kernel.problems import to_problem
 from bramleysill_kernel.retry_rules import AttemptOutcome
 from bramleysill_kernel.retry_rules import may_retry
@@ -119,9 +120,8 @@
 
     def _read_caller_deadline(self, now):
         text = self.req.header(self.frontend.adapter.time_left_ms)
-        if not text.isdecimal():
-            return None
-        return now + int(text) / 1000
+        seconds = parse_milliseconds(text)
+        return None if seconds is None else now + seconds
 
     # Events from the caller.
 
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -4,6 +4,8 @@
 
 from bramleysill_gateway.cell_state import LEADER_KEY
 from bramleysill_gateway.coordinators import Coordinators
+from bramleysill_kernel.bounded_values import is_token
+from bramleysill_kernel.bounded_values import parse_address
 from bramleysill_kernel.leadership import RENEW_INTERVAL_SECONDS
 from bramleysill_kernel.leadership import Leadership
 from bramleysill_kernel.leadership import is_preferred_leader
@@ -20,6 +22,14 @@
 RENEWAL_TIMEOUT_SECONDS = 0.9
 # After these ends of a term nobody else can lead yet.
 REASONS_TO_TRUST_OWNERS = ('lease_over', 'store_restored')
+# What reading a document of another shape than a leader's may raise.
+_MALFORMED_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+)
 
 
 class LeaderElection:
@@ -74,8 +84,11 @@
             return None
         try:
             document = json.loads(item.value)
-            return document['router'], document['address']
-        except (ValueError, KeyError, TypeError) as exc:
+            router, address = document['router'], document['address']
+            if not is_token(router) or parse_address(address) is None:
+                raise ValueError('the router or its address is malformed')
+            return router, address
+        except _MALFORMED_ERRORS as exc:
             log_warning('document_rejected', key=self.key, error=exc)
             return None
 
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -12,6 +12,8 @@
 read anew, and its items replace the known ones whatever their revision.
 """
 
+from absl import logging
+
 from bramleysill_kernel.store_types import StoredItem
 from bramleysill_kernel.store_types import StoreOutcome
 from bramleysill_router.logs import log_event
@@ -298,7 +300,11 @@
             self._note_removed(item)
         else:
             self.items[item.key] = item
-        self._on_change(item)
+        try:
+            self._on_change(item)
+        except Exception:
+            # One item must not keep this router from following the others.
+            logging.exception('event=store_item_error key=%r', item.key)
 
     def _note_removed(self, item):
         self._removed[item.key] = item.revision
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -9,6 +9,7 @@
 import zlib
 
 from bramleysill_kernel import messages
+from bramleysill_kernel.exceptions import FrameError
 from bramleysill_kernel.store_types import StoredItem
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
@@ -23,6 +24,8 @@
 # often.
 COMPRESS_ABOVE_BYTES = 1024
 COMPRESSION_LEVEL = 1
+# The store accepts no longer values.
+MAX_ITEM_BYTES = 8 << 20
 
 
 class FeedSpan:
@@ -217,7 +220,10 @@
 def _decode_item(item):
     value = item.value
     if item.packed:
-        value = zlib.decompress(value)
+        unpacker = zlib.decompressobj()
+        value = unpacker.decompress(value, MAX_ITEM_BYTES)
+        if not unpacker.eof:
+            raise FrameError('a value is too long or truncated', 'decode')
     return StoredItem(
         item.key, None if item.removed else value, item.revision, item.lease
     )
--- a/packages/kernel/src/bramleysill_kernel/key_ranges.py
+++ b/packages/kernel/src/bramleysill_kernel/key_ranges.py
@@ -24,6 +24,15 @@
 # An era of the store may use this many bits of the fences; the rest of 64 bits
 # counts the eras.
 FENCE_BITS_PER_ERA = 40
+# What reading a document of another shape than a table's may raise.
+_MALFORMED_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class TableError(SillError):
@@ -205,11 +214,11 @@
             if settles_in is not None:
                 settles_in = float(settles_in)
             table = cls(ranges, document['next_fence'], settles_in)
-        except (ValueError, KeyError, TypeError) as exc:
+            table._validate()
+        except _MALFORMED_ERRORS as exc:
             raise TableError(
                 f'malformed range table: {exc}', 'decode'
             ) from exc
-        table._validate()
         return table
 
     def _assign_one(self, item):
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -79,7 +79,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         conn = cls(loop, sock, f'{host}:{port}', protocol)
         conn._connecting = True
-        code = sock.connect_ex((host, port))
+        code = _start_connect(sock, host, port)
         if code not in (0, errno.EINPROGRESS):
             exc = OSError(code, 'connect failed')
             loop.scheduler.call_at(loop.now(), lambda: conn._close_socket(exc))
@@ -323,6 +323,18 @@
             self.protocol.on_close(exc)
 
 
+def _start_connect(sock, host, port):
+    """Return the error code of the connect; EINVAL for an unusable address.
+
+    A host name counts as unusable: its lookup would block the loop.
+    """
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+        return sock.connect_ex((host, port))
+    except (OSError, OverflowError, TypeError, ValueError):
+        return errno.EINVAL
+
+
 class Listener:
     """A listening socket.
 
