Use what an upstream's responses say of its availability

Nothing read Server-Leaving or an upstream's Retry-After. An upstream that leaves may say so in its responses before its entry does, or while the store is away; requests went on reaching it after the time that a drain allows. One that refuses a request may name a time until when it wants no others, and the retry of the same request came 30 ms later.

A departure is kept in the directory by process, whatever the entry says. A router that hears of it, in a response to a request, a refusal, a grant or a release, tells the leader, which moves the keys and tells all others again and again. Until the time of a refusal is over no request of a caller goes there; grants and releases do, since keys would lose their owner. A request that can still be served after it waits, any other is refused at once. Each router comes back at its own time.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -137,6 +137,8 @@
         self._headers = headers
         self._length = length
         self._note_load(headers)
+        if self._is_from_own_process(headers):
+            self._note_availability(headers)
         adapter = self._adapter
         signed = first_value(headers, adapter.signature)
         refused = first_value(headers, adapter.not_run) or status == 421
@@ -237,6 +239,31 @@
         response_id = first_value(headers, self._adapter.request_id)
         return bool(response_id) or not self._reused
 
+    def _is_from_own_process(self, headers):
+        """Return whether the process that was meant has sent a response.
+
+        Another process that uses its address responds with 421.
+        """
+        if self.status != 421:
+            return self._is_certainly_own(headers)
+        upstream_id = first_value(headers, self._adapter.upstream_id)
+        return upstream_id == self.peer.entry.upstream
+
+    def _note_availability(self, headers):
+        """Record that the upstream leaves, or wants no requests for a time."""
+        adapter = self._adapter
+        frontend = self._exchange.frontend
+        if first_value(headers, adapter.leaving) == adapter.leaving_value:
+            frontend.note_departure(self.peer)
+        retry_after = first_value(headers, adapter.retry_after)
+        if self.status != 503 or not retry_after:
+            return
+        seconds = adapter.parse_retry_after(retry_after)
+        if seconds is None:
+            self.peer.note_malformed_retry_after(retry_after)
+        elif seconds:
+            frontend.note_retry_after(self.peer, seconds)
+
     def _check_upstream_id(self, headers):
         upstream_id = first_value(headers, self._adapter.upstream_id)
         if upstream_id and upstream_id != self.peer.entry.upstream:
--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -27,12 +27,13 @@
 class ControlCalls:
     """Does the I/O of all range coordinators while this router leads."""
 
-    def __init__(self, loop, store, adapter, leadership, state):
+    def __init__(self, loop, store, adapter, leadership, state, on_departure):
         self._loop = loop
         self._store = store
         self._adapter = adapter
         self._leadership = leadership
         self._state = state
+        self._on_departure = on_departure
         self._clients = {}
 
     def grant(self, entry, key_range, hold, handover, done):
@@ -43,6 +44,7 @@
         data = self._adapter.encode_grant(entry, key_range, hold, handover)
 
         def on_response(response):
+            self._note_departure(entry, response)
             result = _grant_result(response)
             if result is not CallOutcome.OK:
                 log_warning(
@@ -67,6 +69,7 @@
         started_at = self._loop.now()
 
         def on_response(response):
+            self._note_departure(entry, response)
             result = CallOutcome.NO_RESPONSE
             if response.status == 200:
                 result = CallOutcome.OK
@@ -203,6 +206,14 @@
 
         self._store.read(key, on_reply)
 
+    def _note_departure(self, entry, response):
+        leaving = response.headers.get(self._adapter.leaving, '')
+        if (
+            leaving == self._adapter.leaving_value
+            and response.status != REPLACED_STATUS
+        ):
+            self._on_departure(entry)
+
     def _client(self, entry):
         key = entry.upstream, entry.incarnation, entry.address
         client = self._clients.get(key)
--- a/packages/gateway/src/bramleysill_gateway/coordinators.py
+++ b/packages/gateway/src/bramleysill_gateway/coordinators.py
@@ -20,11 +20,14 @@
     """The coordinators by service, and what they need from this router.
 
     `leadership` is the Leadership of this router and `limits` the NamedLimits.
+    `on_departure(entry)` is called when an upstream says that it leaves.
     """
 
-    def __init__(self, loop, timings, store, state, leadership, limits):
+    def __init__(
+        self, loop, timings, store, state, leadership, limits, on_departure
+    ):
         self.calls = ControlCalls(
-            loop, store, state.adapter, leadership, state
+            loop, store, state.adapter, leadership, state, on_departure
         )
         self._loop = loop
         self._timings = timings
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -211,6 +211,9 @@
             )
             return
         decision = frontend.check_admission(peer, now, self)
+        if decision.action is Action.WAIT:
+            self._wait_until(now + decision.retry_after)
+            return
         if decision.action is not Action.SEND:
             self._refuse_not_admitted(peer, decision)
             return
@@ -239,7 +242,9 @@
         if peer is None:
             self._give_up(
                 request_refusals.no_upstream(
-                    self.service.name, self._bound_retry_after
+                    self.service.name,
+                    frontend.seconds_until_open(self.service, now),
+                    self._bound_retry_after,
                 )
             )
             return
@@ -273,6 +278,18 @@
             at, self.dispatch
         )
 
+    def _wait_until(self, at):
+        """Dispatch the request later, and read no more of its body until."""
+        self.pause_body()
+
+        def dispatch():
+            self.resume_body()
+            self.dispatch()
+
+        self._dispatch_timer = self.frontend.loop.scheduler.call_at(
+            at, dispatch
+        )
+
     def pause_body(self):
         """Stop reading a body that is too large to be buffered."""
         if self._body.exceeds_buffer:
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -20,6 +20,10 @@
 STALE_OWNER_SECONDS = 0.12
 # Retry-After during shutdown: another router can take the request at once.
 SHUTDOWN_RETRY_AFTER_SECONDS = 0.05
+# Routers return to an upstream that has named a time over this time after it
+# and this fraction of it.
+MIN_RETURN_SPREAD_SECONDS = 0.1
+RETURN_SPREAD_FRACTION = 0.1
 # Added to the idle timeout that callers are promised, so that a connection is
 # not closed while a request is in transit.
 IDLE_CLOSE_MARGIN_SECONDS = 1.0
@@ -46,12 +50,22 @@
     """Handler of the callers' port; starts an exchange for each request."""
 
     def __init__(
-        self, loop, rng, cfg, state, upstreams, pacing, adapter, metrics
+        self,
+        loop,
+        rng,
+        cfg,
+        state,
+        upstreams,
+        pacing,
+        departures,
+        adapter,
+        metrics,
     ):
         self.loop = loop
         self.state = state
         self.upstreams = upstreams
         self.pacing = pacing
+        self.departures = departures
         self.adapter = adapter
         self.active_exchanges = set()
         # Phases of a shutdown: while draining, each connection closes after
@@ -251,6 +265,30 @@
             objective,
         )
 
+    def note_retry_after(self, peer, seconds):
+        """Send no requests to an upstream that has turned one away.
+
+        The routers come back one after another, not all at once.
+        """
+        spread = self._rng.uniform(
+            0.0, MIN_RETURN_SPREAD_SECONDS + RETURN_SPREAD_FRACTION * seconds
+        )
+        peer.load.note_retry_after(self.loop.now() + seconds + spread)
+
+    def note_departure(self, peer):
+        """Use an upstream no more that has said that it leaves."""
+        self.departures.observe(peer.entry)
+
+    def seconds_until_open(self, service, now):
+        """Return when the first upstream accepts requests again, or 0."""
+        closed = [
+            peer.load.closed_until - now
+            for peer in map(
+                self.upstreams.peer, self.state.directory.usable(service.name)
+            )
+        ]
+        return max(0.0, min(closed, default=0.0))
+
     @property
     def failure_domain(self):
         """Return the failure domain of this router."""
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -35,7 +35,9 @@
 class LeaderElection:
     """One router's candidacy for the leader key, and its work as leader."""
 
-    def __init__(self, loop, rng, cfg, address, store, state, limits):
+    def __init__(
+        self, loop, rng, cfg, address, store, state, limits, on_departure
+    ):
         self.leadership = Leadership(
             loop, cfg.timings.leader_lease, is_preferred_leader(cfg)
         )
@@ -49,7 +51,13 @@
             {'router': cfg.name, 'address': address}
         ).encode()
         self.coordinators = Coordinators(
-            loop, cfg.timings, store, state, self.leadership, limits
+            loop,
+            cfg.timings,
+            store,
+            state,
+            self.leadership,
+            limits,
+            on_departure,
         )
         self._campaigning = False
         self._renew_at = 0.0
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -5,6 +5,7 @@
 import time
 
 from bramleysill_gateway.cell_state import CellState
+from bramleysill_gateway.departures import Departures
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.leader import LeaderElection
 from bramleysill_gateway.pacing import Pacing
@@ -26,7 +27,8 @@
 # A loop that is later than this is logged; callers notice such a delay.
 LATE_LOOP_SECONDS = 0.25
 KEY_REPORT_INTERVAL_SECONDS = 0.4
-LIMIT_REPORT_INTERVAL_SECONDS = 0.2
+# Interval between reports of limits and of departures.
+UPSTREAM_REPORT_INTERVAL_SECONDS = 0.2
 # The settings file is read at this interval as well as on SIGHUP.
 SETTINGS_CHECK_INTERVAL_SECONDS = 5.0
 # The load balancer stops opening connections after two failed readiness
@@ -66,7 +68,9 @@
         every(TICK_INTERVAL_SECONDS, self._tick)
         every(SWEEP_INTERVAL_SECONDS, self._sweep)
         every(KEY_REPORT_INTERVAL_SECONDS, self._report_key_loads)
-        every(LIMIT_REPORT_INTERVAL_SECONDS, self._exchange_limit_reports)
+        every(
+            UPSTREAM_REPORT_INTERVAL_SECONDS, self._exchange_upstream_reports
+        )
         every(self.cfg.timings.feed_interval, self._feeder.tick)
         every(SETTINGS_CHECK_INTERVAL_SECONDS, self._reload_settings)
         self.state.start()
@@ -124,6 +128,7 @@
         self._pacing = Pacing(
             self.loop, cfg.name, self.state.routers, self._upstreams.limits
         )
+        self._departures = Departures(self.loop, cfg.name, self.state)
         self.frontend = Frontend(
             self.loop,
             self._rng,
@@ -131,6 +136,7 @@
             self.state,
             self._upstreams,
             self._pacing,
+            self._departures,
             self._adapter,
             self.metrics,
         )
@@ -143,6 +149,7 @@
             self._store,
             self.state,
             self._upstreams.limits,
+            self._departures.observe,
         )
         self.state.on_restored = self._on_store_restored
         self._registration = Registration(
@@ -157,6 +164,7 @@
         )
         self._links = PeerLinks(self.loop, hello, self.metrics)
         self._pacing.links = self._links
+        self._departures.links = self._links
         self._links.on_control = self._on_message
         self._links.on_stream = self._on_message
         self._links.on_lost = lambda link: None
@@ -267,8 +275,10 @@
             self._links.send(name, message)
         counts.clear()
 
-    def _exchange_limit_reports(self):
-        self._pacing.exchange_reports(self._leader_name())
+    def _exchange_upstream_reports(self):
+        leader = self._leader_name()
+        self._pacing.exchange_reports(leader)
+        self._departures.exchange_reports(leader)
 
     def _leader_name(self):
         leader = self.leader.current_leader()
@@ -295,6 +305,8 @@
             self._feeder.on_feed_request(link, message)
         elif isinstance(message, messages.UpstreamLimits):
             self._pacing.on_reports(message)
+        elif isinstance(message, messages.UpstreamDepartures):
+            self._departures.on_message(message)
         elif isinstance(message, messages.PaceRequest):
             self._pacing.on_request(link, message)
         elif isinstance(message, messages.PaceReply):
--- a/packages/gateway/src/bramleysill_gateway/request_refusals.py
+++ b/packages/gateway/src/bramleysill_gateway/request_refusals.py
@@ -29,13 +29,16 @@
     )
 
 
-def no_upstream(service, bound):
-    """Refuse a request to a shared service without usable upstreams."""
+def no_upstream(service, seconds, bound):
+    """Refuse a request to a shared service without usable upstreams.
+
+    One of them will accept requests again in `seconds`, if that is known.
+    """
     return refusals.OwnerLost(
         'no upstream of the service is available',
         'choose',
         service,
-        retry_after=bound(NO_UPSTREAM_RETRY_AFTER_SECONDS),
+        retry_after=bound(max(seconds, NO_UPSTREAM_RETRY_AFTER_SECONDS)),
     )
 
 
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -26,6 +26,7 @@
         'limit_room_at',
         '_limits',
         '_malformed_limit',
+        '_malformed_retry_after',
         '_logged_sent',
     )
 
@@ -43,6 +44,7 @@
         self.limit_room_at = 0.0
         self._limits = limits
         self._malformed_limit = False
+        self._malformed_retry_after = False
         self._logged_sent = 0
 
     @property
@@ -75,6 +77,16 @@
                 value=value[:MAX_LOGGED_VALUE_CHARS],
             )
 
+    def note_malformed_retry_after(self, value):
+        """Log the first malformed Retry-After of the process."""
+        if not self._malformed_retry_after:
+            self._malformed_retry_after = True
+            log_warning(
+                'upstream_retry_after_malformed',
+                upstream=self.entry.upstream,
+                value=value[:MAX_LOGGED_VALUE_CHARS],
+            )
+
     def log_limited_sends(self):
         """Log what was sent since the last call, if a limit is named."""
         sent = self.requests_sent - self._logged_sent
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -284,6 +284,22 @@
     rows: list = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class DepartureRow:
+    """An upstream process that has said in a response that it leaves."""
+
+    upstream: str
+    incarnation: int
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamDepartures:
+    """Departures, from a router to the leader or from it to all."""
+
+    router: str
+    rows: list = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class PaceRequest:
     """Asks the pacing router of an upstream when a request may be sent.
--- a/packages/kernel/src/bramleysill_kernel/send_policy.py
+++ b/packages/kernel/src/bramleysill_kernel/send_policy.py
@@ -7,8 +7,11 @@
   priorities are refused at a shorter queue, which leaves room for urgent ones.
 - `decide`: an upstream becomes many times slower. Requests to which it would
   respond after their deadline are refused at once, while its keys are moved.
-- `choose_upstream`: some upstreams of a shared service are slow, full or
-  down. A request goes where it is expected to finish first.
+- `decide`: an upstream turns requests away and names the time until when. A
+  request that can still finish after that time waits, any other is refused at
+  once with this time as its Retry-After.
+- `choose_upstream`: some upstreams of a shared service are slow, full, down or
+  turn requests away. A request goes where it is expected to finish first.
 """
 
 import enum
@@ -32,6 +35,7 @@
     """What to do with a request."""
 
     SEND = 'send'
+    WAIT = 'wait'
     REFUSE_BUSY = 'refuse_busy'
     REFUSE_DOWN = 'refuse_down'
 
@@ -39,7 +43,8 @@
 class Decision:
     """What to do with a request, and the expected times in seconds.
 
-    `retry_after` is the delay that a refusal asks the caller for.
+    `retry_after` is the delay that a refusal asks the caller for, or the time
+    that the request waits here.
     `expected_seconds` is the estimated time until the response; 0 if the
     upstream is down.
     """
@@ -64,6 +69,8 @@
     if load.is_down(now):
         wait = _clamp_retry_after(load.down_until - now)
         return Decision(Action.REFUSE_DOWN, wait)
+    if load.is_closed(now):
+        return _decide_closed(load, now, time_left, route)
     expected = load.expected_response_seconds(now)
     allowed = max_upstream_seconds(route, time_left)
     has_queue = load.expected_wait_seconds(now) > 0.0
@@ -78,6 +85,13 @@
     return Decision(Action.SEND, expected_seconds=expected)
 
 
+def _decide_closed(load, now, time_left, route):
+    wait = load.closed_until - now
+    if wait + load.service_time(now) > max_upstream_seconds(route, time_left):
+        return Decision(Action.REFUSE_BUSY, wait)
+    return Decision(Action.WAIT, wait)
+
+
 def choose_upstream(candidates, now, rng, own_domain, objective):
     """Return the candidate that should finish first, or None.
 
@@ -90,7 +104,7 @@
     start = rng.randrange(len(candidates)) if candidates else 0
     for offset in range(len(candidates)):
         entry, load = candidates[(start + offset) % len(candidates)]
-        if load.is_down(now):
+        if load.is_down(now) or load.is_closed(now):
             continue
         cost = load.expected_response_seconds(now)
         if entry.failure_domain != own_domain:
--- a/packages/kernel/src/bramleysill_kernel/upstream_directory.py
+++ b/packages/kernel/src/bramleysill_kernel/upstream_directory.py
@@ -77,6 +77,7 @@
         '_missing_until',
         '_store_recovered_at',
         '_unconfirmed',
+        '_departures',
     )
 
     def __init__(self, clock, timings):
@@ -96,6 +97,29 @@
         # Entries of a restored store whose processes had left, and when they
         # count if they are still there: {upstream: (entry, at)}.
         self._unconfirmed = {}
+        # The incarnations of the processes that have said that they leave,
+        # by upstream.
+        self._departures = {}
+
+    def note_departure(self, upstream, incarnation):
+        """Record that a process has said that it leaves.
+
+        This counts whatever its entry says. Returns whether it is new.
+        """
+        if self._departures.get(upstream, -1) >= incarnation:
+            return False
+        known = self.last_known(upstream)
+        if known is None or known.incarnation > incarnation:
+            return False
+        self._departures[upstream] = incarnation
+        entry = self.entries.get(upstream)
+        if entry is not None and entry.incarnation == incarnation:
+            self.put(entry)
+        return True
+
+    def departures(self):
+        """Return the processes that leave, as (upstream, incarnation)."""
+        return set(self._departures.items())
 
     def note_store_recovered(self):
         """Keep entries that disappear shortly after a store outage."""
@@ -106,6 +130,8 @@
         self._missing_until.pop(entry.upstream, None)
         self._unconfirmed.pop(entry.upstream, None)
         self._drop_older_process(entry)
+        if self._departures.get(entry.upstream) == entry.incarnation:
+            entry.draining = True
         if entry.draining:
             self._note_leaving(entry)
         else:
@@ -259,6 +285,17 @@
         ]
         for upstream in old:
             del self._leaving[upstream]
+        ended = [
+            upstream
+            for upstream, incarnation in self._departures.items()
+            if self._has_ended(upstream, incarnation)
+        ]
+        for upstream in ended:
+            del self._departures[upstream]
+
+    def _has_ended(self, upstream, incarnation):
+        known = self.last_known(upstream)
+        return known is None or known.incarnation > incarnation
 
     def _rebuild_index(self):
         self.serial += 1
--- a/packages/kernel/src/bramleysill_kernel/upstream_load.py
+++ b/packages/kernel/src/bramleysill_kernel/upstream_load.py
@@ -80,6 +80,7 @@
         'failures',
         'down_until',
         'full_until',
+        'closed_until',
         'answers',
         'busy_seconds',
         '_other_requests',
@@ -97,6 +98,8 @@
         self.failures = 0
         self.down_until = 0.0
         self.full_until = 0.0
+        # Until when the upstream has asked this router for no requests.
+        self.closed_until = 0.0
         # Responses and the sum of their service times since the last report
         # to the leader.
         self.answers = 0
@@ -187,6 +190,14 @@
         """Record that the upstream refused a request as full."""
         self.full_until = now + FULL_BACKOFF_SECONDS
 
+    def note_retry_after(self, until):
+        """Record that the upstream wants no requests until a time."""
+        self.closed_until = max(self.closed_until, until)
+
+    def is_closed(self, now):
+        """Return whether the upstream wants no requests from this router."""
+        return now < self.closed_until
+
     def note_connection_limit(self, now):
         """Record a reset of a new connection: the queue there is long."""
         self.note_full(now)
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -107,6 +107,7 @@
 
 _FEED_ITEM_FIELDS = _plain_fields(*messages.FeedItem.__slots__)
 _LIMIT_ROW_FIELDS = _plain_fields(*messages.LimitRow.__slots__)
+_DEPARTURE_ROW_FIELDS = _plain_fields(*messages.DepartureRow.__slots__)
 
 _FIELDS_BY_CLASS = {
     messages.Hello: _plain_fields(
@@ -189,6 +190,16 @@
             lambda r: _from_struct(messages.LimitRow, r, _LIMIT_ROW_FIELDS),
         ),
     ],
+    messages.UpstreamDepartures: _plain_fields('router')
+    + [
+        _list_field(
+            'rows',
+            lambda r: _to_dict(r, _DEPARTURE_ROW_FIELDS),
+            lambda r: _from_struct(
+                messages.DepartureRow, r, _DEPARTURE_ROW_FIELDS
+            ),
+        ),
+    ],
     messages.PaceRequest: [
         *_plain_fields('number'),
         _Field(
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -195,6 +195,16 @@
   rows @1 :List(LimitRow);
 }
 
+struct DepartureRow {
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct UpstreamDepartures {
+  router @0 :Text;
+  rows @1 :List(DepartureRow);
+}
+
 struct PaceRequest {
   number @0 :UInt32;
   report @1 :LimitRow;
@@ -233,5 +243,6 @@
     upstreamLimits @21 :UpstreamLimits;
     paceRequest @22 :PaceRequest;
     paceReply @23 :PaceReply;
+    upstreamDepartures @24 :UpstreamDepartures;
   }
 }
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from bramleysill_gateway.departures import Departures
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.pacing import Pacing
 from bramleysill_gateway.upstreams import Upstreams
@@ -126,6 +127,7 @@
         self.config = config
         self.directory = UpstreamDirectory(loop, make_timings())
         self.tables = {}
+        self.on_changed = lambda: None
         self.routers = SettledRouters(loop)
         self.routers.add('router')
 
@@ -158,6 +160,7 @@
         self.pacing = Pacing(
             self.loop, 'router', self.state.routers, self.upstreams.limits
         )
+        self.departures = Departures(self.loop, 'router', self.state)
         self.frontend = Frontend(
             self.loop,
             random.Random(1),
@@ -165,6 +168,7 @@
             self.state,
             self.upstreams,
             self.pacing,
+            self.departures,
             self.adapter,
             self.metrics,
         )
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -215,6 +215,7 @@
             self.client,
             self.state,
             NamedLimits(cell.loop),
+            lambda entry: None,
         )
         self.leader.coordinators.calls = _SimulatedCalls(
             cell,
@@ -223,6 +224,7 @@
             self.state.adapter,
             self.leader.leadership,
             self.state,
+            lambda entry: None,
         )
         self.client.on_era = self.state.note_store_era
         self.state.on_restored = self.leader.on_store_restored
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -51,6 +51,7 @@
     messages.KeyLoads('r1', 's', [4, 9], [2, 1], ['u'], [3], [0.25]),
     messages.FeedRequest('r1', 'p/', 7, 2),
     messages.UpstreamLimits('r1', [messages.LimitRow('u1', 12, 5.5, 0.25)]),
+    messages.UpstreamDepartures('r1', [messages.DepartureRow('u1', 12)]),
     messages.PaceRequest(7, messages.LimitRow('u1', 12, 5.5, 0.25), 0.5),
     messages.PaceReply(7, True, 0.125),
     messages.StoreFeed(
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -80,12 +80,14 @@
     def setUp(self):
         super().setUp()
         self.loop = Loop()
+        self.departed = []
         self.calls = ControlCalls(
             self.loop,
             None,
             PlatformAdapter(),
             _Leadership(),
             _State(self.loop),
+            lambda entry: self.departed.append(entry.upstream),
         )
         self.addCleanup(self.calls.close)
 
@@ -131,6 +133,14 @@
         self.loop.run_until(lambda: results, TIMEOUT_SECONDS)
         return results[0]
 
+    def test_a_response_that_tells_of_a_departure_is_noted(self):
+        """Guards against a leader that learns of it from the store only."""
+        self._release(200, 'Server-Leaving: 1\r\n')
+        self.assertEqual(['u1'], self.departed)
+        self._release(421, 'Server-Leaving: 1\r\n')
+        self._release(200, 'Server-Leaving: 0\r\n')
+        self.assertEqual(['u1'], self.departed)
+
     def test_release_at_reused_address_reports_replaced(self):
         """Simulates a new process at the address of an owner that has ended.
 
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -104,6 +104,7 @@
             self.store,
             self.state,
             NamedLimits(self.loop),
+            lambda entry: None,
         )
         self._run(1.0)
 
