Run pipelined requests side by side if they may run twice

A connection handled one request at a time. Up to four now run side by side, with their responses held in the order of the requests. One that must run at most once waits for its turn, since a caller sends it again if an earlier response closes the connection; so do requests with a body, and all while the router stops.

--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -74,7 +74,8 @@
     )
 
     def __init__(self, frontend, stream, req, route, service, version):
-        now = frontend.loop.now()
+        # A pipelined request may have waited for its turn.
+        now = req.arrived_at
         adapter = frontend.adapter
         self.frontend = frontend
         self.stream = stream
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -24,6 +24,9 @@
 # and this fraction of it.
 MIN_RETURN_SPREAD_SECONDS = 0.1
 RETURN_SPREAD_FRACTION = 0.1
+# Pipelined requests of a connection that run side by side. Their responses
+# are held in memory until it is their turn.
+MAX_PIPELINED_REQUESTS = 4
 # Added to the idle timeout that callers are promised, so that a connection is
 # not closed while a request is in transit.
 IDLE_CLOSE_MARGIN_SECONDS = 1.0
@@ -106,7 +109,7 @@
         """Return the protocol of a new caller connection."""
         # Nothing is started for a caller that has left.
         conn.close_with_peer()
-        server = HttpServerConn(conn, self)
+        server = HttpServerConn(conn, self, MAX_PIPELINED_REQUESTS)
         self._conns[server] = _IdleTime(self.loop.now())
         return server
 
@@ -149,6 +152,18 @@
             stream, refusal_class(reason, 'parse', stream.peer), ''
         )
 
+    def may_overlap(self, req):
+        """Return whether a pipelined request may start before its turn.
+
+        Only a request that may run twice may: if an earlier response closes
+        the connection, the caller sends it again.
+        """
+        config = self.state.config
+        if config is None or self.draining:
+            return False
+        route = config.match(req.header('host'), req.target)
+        return route is not None and route.repeatable
+
     def on_request(self, stream, req):
         """Route a request; return the receiver of its body, or None."""
         if self.draining:
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -131,6 +131,10 @@
         self._sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
         self._sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, milliseconds)
 
+    def now(self):
+        """Return the time in seconds on the loop's clock."""
+        return self.loop.now()
+
     def fileno(self):
         """Return the file descriptor, even after the socket was closed."""
         return self._fileno
--- a/packages/net/src/bramleysill_net/request_parser.py
+++ b/packages/net/src/bramleysill_net/request_parser.py
@@ -30,7 +30,8 @@
 class HttpRequest:
     """The head of a request; header names are lower case.
 
-    `length` is the Content-Length, or 0 without one.
+    `length` is the Content-Length, or 0 without one. `arrived_at` is when the
+    head was read, in seconds.
     """
 
     __slots__ = (
@@ -41,6 +42,7 @@
         'chunked',
         'closes_connection',
         'version',
+        'arrived_at',
     )
 
     def __init__(
@@ -53,6 +55,7 @@
         self.chunked = chunked
         self.closes_connection = close
         self.version = version
+        self.arrived_at = 0.0
 
     def header(self, name, default=''):
         """Return the first value of a header field; `name` is lower case."""
--- a/packages/standins/src/bramleysill_standins/stepped.py
+++ b/packages/standins/src/bramleysill_standins/stepped.py
@@ -74,6 +74,10 @@
         self.ending = ''
         self.protocol = None
 
+    def now(self):
+        """Return 0.0; tests with a clock set their own."""
+        return 0.0
+
     def write(self, data):
         """Record the bytes, unless the connection is closed."""
         if not self.closed:
