Test callers that leave behind pipelined requests of both kinds

A second read no longer pauses reading, as it runs beside the first. The test that needs the pause sends a request that must run at most once; the same assertions hold. A new test holds that all requests that run side by side are cancelled.

--- a/tests/test_caller_leaves.py
+++ b/tests/test_caller_leaves.py
@@ -67,12 +67,24 @@
         caller = self._dial()
         caller.sendall(self._encode('/read/x', 'r1'))
         self._run_until(lambda: upstream.requests)
-        caller.sendall(self._encode('/read/x', 'r2'))
+        # It must run at most once, and waits for its turn.
+        caller.sendall(self._encode('/write/x', 'r2'))
         self._run_until(self._reading_is_paused)
         caller.close()
         self._run_until(lambda: upstream.closed)
         self.assertEqual({('shared', 'caller_left'): 1}, self.metrics.requests)
 
+    def test_leaving_cancels_all_pipelined_requests(self):
+        """Guards against work on the requests behind the first."""
+        upstream = self.add_upstream('u1', lambda i: 'no_response')
+        caller = self._dial()
+        for number in range(3):
+            caller.sendall(self._encode('/read/x', f'r{number}'))
+        self._run_until(lambda: len(upstream.requests) == 3)
+        caller.close()
+        self._run_until(lambda: upstream.closed == 3)
+        self.assertEqual({('shared', 'caller_left'): 3}, self.metrics.requests)
+
     def test_leaving_during_a_paused_upload_cancels_the_attempt(self):
         """Guards against an upload that outlives its caller.
 
