Send long values of the store as deltas

It grew with ranges times routers. A feed has now the rows that a write changed, for any value above 1 KB; a router that lacks the value before asks for the whole.

--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -85,6 +85,8 @@
         # `_removed_after` are included.
         self._removed = {}
         self._removed_after = 0
+        # By key, the item that the present one has replaced.
+        self._previous = {}
 
     @property
     def revision(self):
@@ -116,6 +118,17 @@
         if self._cancel_watch is not None:
             self._cancel_watch()
 
+    def previous_of(self, item):
+        """Return the item that this one has replaced, or None if unknown."""
+        if self.items.get(item.key) is not item:
+            return None
+        return self._previous.get(item.key)
+
+    def fetch_missed(self):
+        """Read the changes that a feed did not include."""
+        if self.listed:
+            self._fetch_missed()
+
     def changes_since(self, revision):
         """Return the changes after a revision, None if some are unknown."""
         if not self.listed or revision < self._removed_after:
@@ -202,6 +215,8 @@
             self._apply_listed(StoredItem(key, None, reply.revision))
         for item in listing.values():
             self._apply_listed(item)
+        # Other routers may not have listed what was replaced.
+        self._previous.clear()
         self.synced = True
         self.listed = True
         self._removed_after = reply.revision
@@ -295,11 +310,14 @@
         self._replace(item)
 
     def _replace(self, item):
+        known = self.items.get(item.key)
         if item.value is None:
             self.items.pop(item.key, None)
+            self._previous.pop(item.key, None)
             self._note_removed(item)
         else:
             self.items[item.key] = item
+            self._previous[item.key] = known
         try:
             self._on_change(item)
         except Exception:
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -11,6 +11,9 @@
 from bramleysill_kernel import messages
 from bramleysill_kernel.exceptions import FrameError
 from bramleysill_kernel.store_types import StoredItem
+from bramleysill_kernel.value_deltas import DeltaError
+from bramleysill_kernel.value_deltas import apply_delta
+from bramleysill_kernel.value_deltas import make_delta
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
@@ -19,9 +22,9 @@
 # A leader whose tick is later than this many feed intervals is overloaded.
 # Replies of the store may be unread, so it can't tell that nothing changed.
 MAX_TICK_GAP_INTERVALS = 2.0
-# Longer values are compressed. The leader's link carries a configuration of
-# some hundred routes to all routers, several times a second when it changes
-# often.
+# Longer values are sent as a delta and compressed. The leader's link carries
+# tables and configurations of some hundred rows to all routers, several times
+# a second.
 COMPRESS_ABOVE_BYTES = 1024
 COMPRESSION_LEVEL = 1
 # The store accepts no longer values.
@@ -120,7 +123,12 @@
         watch = self._watches.get(message.prefix)
         if watch is None or self._leader.leadership.leading:
             return
-        items = [_decode_item(item) for item in message.items]
+        try:
+            items = _decode_items(message.items, watch)
+        except DeltaError as exc:
+            log_event('feed_delta_unusable', prefix=message.prefix, error=exc)
+            watch.fetch_missed()
+            return
         watch.apply_feed(message.base, message.revision, items)
 
     def on_feed_request(self, link, message):
@@ -141,8 +149,9 @@
             revision=watch.revision,
             items=len(items),
         )
+        rows = [_encode_item(item) for item in items]
         link.send(
-            self._make_feed(watch, message.revision, watch.revision, items)
+            self._make_feed(watch, message.revision, watch.revision, rows)
         )
 
     def _make_requester(self, watch):
@@ -188,24 +197,33 @@
         return self._leader.seconds_since_renewal() < MAX_RENEWAL_AGE_SECONDS
 
     def _broadcast(self, watch, span, items):
+        rows = [_encode_item(item, watch.previous_of(item)) for item in items]
         self._links.broadcast(
-            self._make_feed(watch, span.base, span.revision, items)
+            self._make_feed(watch, span.base, span.revision, rows)
         )
         span.restart()
 
-    def _make_feed(self, watch, base, revision, items):
+    def _make_feed(self, watch, base, revision, rows):
         return messages.StoreFeed(
             self._name,
             watch.prefix,
             base,
             revision,
             self._state.store_era,
-            [_encode_item(item) for item in items],
+            rows,
         )
 
 
-def _encode_item(item):
+def _encode_item(item, previous=None):
+    """Return the FeedItem of an item, as a delta to the one before if long.
+
+    A router that follows the feeds has the one before.
+    """
     value = item.value or b''
+    base = 0
+    if len(value) > COMPRESS_ABOVE_BYTES and previous is not None:
+        value = make_delta(previous.value, value)
+        base = previous.revision
     packed = len(value) > COMPRESS_ABOVE_BYTES
     return messages.FeedItem(
         item.key,
@@ -214,16 +232,34 @@
         item.lease,
         item.value is None,
         packed,
+        base,
     )
 
 
-def _decode_item(item):
+def _decode_items(rows, watch):
+    """Return the items of a feed that are newer than the known ones.
+
+    Raises DeltaError if the value that a delta belongs to isn't known.
+    """
+    latest = {}
+    for row in rows:
+        known = latest.get(row.key) or watch.items.get(row.key)
+        if known is None or known.revision < row.revision:
+            latest[row.key] = _decode_item(row, known)
+    return list(latest.values())
+
+
+def _decode_item(item, known):
     value = item.value
     if item.packed:
         unpacker = zlib.decompressobj()
         value = unpacker.decompress(value, MAX_ITEM_BYTES)
         if not unpacker.eof:
             raise FrameError('a value is too long or truncated', 'decode')
+    if item.base:
+        if known is None or known.revision != item.base:
+            raise DeltaError('the value before is not known', 'decode')
+        value = apply_delta(known.value, value)
     return StoredItem(
         item.key, None if item.removed else value, item.revision, item.lease
     )
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -221,7 +221,8 @@
 class FeedItem:
     """A key of the store as it was written, or as removed.
 
-    `packed` means that the value is compressed with zlib.
+    `packed` means that the value is compressed with zlib. The value is a delta
+    to that of the revision `base`, unless this is 0.
     """
 
     key: str
@@ -230,6 +231,7 @@
     lease: int = 0
     removed: bool = False
     packed: bool = False
+    base: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -165,6 +165,7 @@
   lease @3 :UInt64;
   removed @4 :Bool;
   packed @5 :Bool;
+  base @6 :UInt64;
 }
 
 struct StoreFeed {
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -1,5 +1,6 @@
 """Tests of feeds from the leader to the other routers."""
 
+import json
 import random
 import types
 
@@ -117,6 +118,70 @@
         self.loop.advance(FIRST_WATCH_DELAY_SECONDS)
 
 
+class _SizedLinks(_Links):
+    """Records the number of bytes of values in the feeds."""
+
+    def __init__(self):
+        super().__init__()
+        self.value_bytes = 0
+
+    def broadcast(self, message):
+        self.value_bytes += sum(len(item.value) for item in message.items)
+        super().broadcast(message)
+
+
+class FeedDeltaTest(_FeedCase):
+    def setUp(self):
+        super().setUp()
+        self.sized = self.feeder._links = _SizedLinks()
+        self.sized.receiver = self.links.receiver
+        self._write(9, 0)
+
+    def _write(self, revision, number):
+        rows = [[i, i * i, 'owner'] for i in range(700)]
+        rows[number] = [number, -1, 'other']
+        value = json.dumps(rows).encode()
+        self.store.reply_to_watch(
+            make_reply(revision, make_item('operator/t', revision, value))
+        )
+        self.loop.advance(TIMINGS.batch_delay)
+        return value
+
+    def _received(self):
+        return self.receiver_state.operator_watch.items['operator/t'].value
+
+    def test_a_change_is_sent_as_a_delta(self):
+        """Guards against a leader whose link is full of whole tables."""
+        self.sized.value_bytes = 0
+        for number in range(1, 6):
+            value = self._write(9 + number, number)
+            self.assertEqual(value, self._received())
+        self.assertLess(self.sized.value_bytes, len(value) / 10)
+        self.assertEqual([], self.receiver_store.watches)
+
+    def test_a_router_without_the_value_before_asks_for_all(self):
+        """Guards against a table that is put together of two others."""
+        self.sized.lost = True
+        self._write(10, 1)
+        self.sized.lost = False
+        self.links.connected = True
+        value = self._write(11, 2)
+        self.assertNotEqual(value, self._received())
+        (request,) = self.links.requests
+        sender = types.SimpleNamespace(send=self.links.receiver.on_feed)
+        self.feeder.on_feed_request(sender, request)
+        self.assertEqual(value, self._received())
+
+    def test_a_value_that_is_known_already_is_no_gap(self):
+        """Guards against a request by each router that has just listed."""
+        watch = self.receiver_state.operator_watch
+        value = json.dumps([[1, 2]] * 700).encode()
+        watch.apply_feed(9, 12, [make_item('operator/t', 12, value)])
+        self._write(11, 2)
+        self.assertEqual(value, self._received())
+        self.assertEqual([], self.links.requests)
+
+
 class StoreFeedTest(_FeedCase):
     def test_replies_without_changes_are_no_gap(self):
         """Simulates a rising store revision without changes of the prefix.
