Announce keys between two owners to all routers

The leader knows which ranges are released, wait for a lost owner's hold or are being written, and for how long. A request for such keys waits if it can still meet its objective, and is refused at once otherwise, with the time at which the keys should have an owner. Without an announcement a request now waits as long as its objective allows, and an owner that denied its keys is tried again after half a service time: both were lengths for short requests.

--- a/packages/gateway/src/bramleysill_gateway/coordinators.py
+++ b/packages/gateway/src/bramleysill_gateway/coordinators.py
@@ -68,6 +68,13 @@
             else:
                 coordinator.tick()
 
+    def paused_ranges(self):
+        """Return the paused ranges of each service, by its name."""
+        return {
+            service: coordinator.paused_ranges()
+            for service, coordinator in self._coordinators.items()
+        }
+
     def note_renewals(self, are_overdue):
         """Extend the holds of all keys once renewals of the lease are late."""
         for coordinator in self._coordinators.values():
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -11,6 +11,7 @@
 from bramleysill_gateway.attempt import Attempt
 from bramleysill_gateway.exchange_log import ExchangeLog
 from bramleysill_gateway.limit_wait import LimitWait
+from bramleysill_gateway.owner_search import OwnerSearch
 from bramleysill_gateway.request_body import RequestBody
 from bramleysill_kernel import refusals
 from bramleysill_kernel.bounded_values import parse_milliseconds
@@ -27,9 +28,6 @@
 DEADLINE_SLACK_SECONDS = 0.05
 # An attempt fails if its connection is not established within this time.
 CONNECT_TIMEOUT_SECONDS = 0.5
-# How long a request waits for its key to reach the new owner; most moves
-# take less.
-OWNER_WAIT_TIMEOUT_SECONDS = 0.35
 # Outcomes logged as request_done; refusals log request_refused instead.
 LOGGED_OUTCOMES = ('answered', 'answer_broken', 'caller_left')
 # Delay before a retry at the same owner, for example after it was full.
@@ -62,8 +60,7 @@
         '_log',
         '_attempt',
         '_attempt_count',
-        '_owner_wait_deadline',
-        '_awaiting_table',
+        '_owner_search',
         '_deadline_timer',
         '_connect_timer',
         '_dispatch_timer',
@@ -98,8 +95,6 @@
         self._log = ExchangeLog(self)
         self._attempt = None
         self._attempt_count = 0
-        self._owner_wait_deadline = now + OWNER_WAIT_TIMEOUT_SECONDS
-        self._awaiting_table = False
         self._connect_timer = None
         self._dispatch_timer = None
         # The last failed attempt; it determines the final refusal.
@@ -114,6 +109,7 @@
         self.refused_conns = []
         self._dispatched = False
         self._limit_wait = LimitWait(self)
+        self._owner_search = OwnerSearch(self, now)
         stream.on_drained = self._on_caller_drained
         self._deadline_timer = frontend.loop.scheduler.call_at(
             self._deadline + DEADLINE_SLACK_SECONDS, self._on_deadline
@@ -174,7 +170,6 @@
         """Send the request to an upstream, delay it or refuse it."""
         if self.finished or self._attempt is not None:
             return
-        self._awaiting_table = False
         now = self.frontend.loop.now()
         if now >= self._deadline:
             self._on_deadline()
@@ -185,47 +180,12 @@
             self._dispatch_shared(now)
 
     def _dispatch_keyed(self, now):
-        frontend = self.frontend
         if self.key is None:
-            self.key = frontend.key_of(self.req)
-            frontend.note_key(self)
-        table = frontend.state.tables.get(self.service.name)
-        if table is None:
-            self._refuse_without_owner('the owner table has not been received')
-            return
-        owned_range = table.find(self.key)
-        entry = frontend.state.directory.owner_entry(
-            owned_range.owner, owned_range.incarnation
-        )
-        if entry is None:
-            self._refuse_without_owner(
-                'the owner of the key is not available', owned_range
-            )
-            return
-        if frontend.is_stale_owner(self.service.name, owned_range):
-            self._wait_for_owner(now, owned_range)
-            return
-        peer = frontend.upstreams.peer(entry)
-        if peer.replaced:
-            self._refuse_without_owner(
-                'another process uses the address of the owner', owned_range
-            )
-            return
-        decision = frontend.check_admission(peer, now, self)
-        if decision.action is Action.WAIT:
-            self._wait_until(now + decision.retry_after)
-            return
-        if decision.action is not Action.SEND:
-            self._refuse_not_admitted(peer, decision)
-            return
-        if not self._limit_wait.may_send(peer, now, decision.expected_seconds):
-            return
-        if not self._passes_slow_start(peer, now):
-            self._refuse_slow_start(peer)
-            return
-        self.owned_range = owned_range
-        self.expected_seconds = decision.expected_seconds
-        self._send(peer, now)
+            self.key = self.frontend.key_of(self.req)
+            self.frontend.note_key(self)
+        peer = self._owner_search.find_peer(now)
+        if peer is not None:
+            self._send_if_admitted(peer, now)
 
     def _dispatch_shared(self, now):
         frontend = self.frontend
@@ -241,15 +201,22 @@
             self.refuse_limited(full_peers)
             return
         if peer is None:
-            self._give_up(
+            self.give_up(
                 request_refusals.no_upstream(
                     self.service.name,
                     frontend.seconds_until_open(self.service, now),
-                    self._bound_retry_after,
+                    self.bound_retry_after,
                 )
             )
             return
-        decision = frontend.check_admission(peer, now, self)
+        self._send_if_admitted(peer, now)
+
+    def _send_if_admitted(self, peer, now):
+        """Send the request to an upstream that has room for it in time."""
+        decision = self.frontend.check_admission(peer, now, self)
+        if decision.action is Action.WAIT:
+            self._wait_until(now + decision.retry_after)
+            return
         if decision.action is not Action.SEND:
             self._refuse_not_admitted(peer, decision)
             return
@@ -265,18 +232,27 @@
         """Refuse the request until the first of the upstreams has room."""
         now = self.frontend.loop.now()
         peer = min(peers, key=lambda peer: peer.limit_room_at)
-        self._give_up(
+        self.give_up(
             request_refusals.limit_reached(
                 peer.entry.upstream,
                 peer.limit_room_at - now,
-                self._bound_retry_after,
+                self.bound_retry_after,
             )
         )
 
     def dispatch_at(self, at):
         """Dispatch the request at a later time, in seconds."""
+        self.call_at(at, self.dispatch)
+
+    def call_at(self, at, callback):
+        """Call back at a time, or at the deadline if that is earlier.
+
+        This replaces an earlier call that has not been made yet.
+        """
+        if self._dispatch_timer is not None:
+            self._dispatch_timer.cancel()
         self._dispatch_timer = self.frontend.loop.scheduler.call_at(
-            at, self.dispatch
+            min(at, self._deadline), callback
         )
 
     def _wait_until(self, at):
@@ -287,9 +263,7 @@
             self.resume_body()
             self.dispatch()
 
-        self._dispatch_timer = self.frontend.loop.scheduler.call_at(
-            at, dispatch
-        )
+        self.call_at(at, dispatch)
 
     def pause_body(self):
         """Stop reading a body that is too large to be buffered."""
@@ -309,7 +283,7 @@
     def _send(self, peer, now):
         if self._attempt_count:
             if not self.frontend.take_retry(self.service):
-                self._give_up(self._refusal_after_attempts('retry_budget'))
+                self.give_up(self._refusal_after_attempts('retry_budget'))
                 return
         else:
             self.frontend.note_request(self)
@@ -380,7 +354,7 @@
         if self._streaming_request or not may_retry(
             self.route, attempt.outcome, self._attempt_count, left
         ):
-            self._give_up(self._refusal_after_attempts('no_more_attempts'))
+            self.give_up(self._refusal_after_attempts('no_more_attempts'))
             return
         if self.service.keyed and attempt.status != 421:
             self.dispatch_at(now + OWNER_RETRY_DELAY_SECONDS)
@@ -438,7 +412,7 @@
             self._attempt = None
             self._last_failure = attempt
             self._log.failed(attempt, self._attempt_count)
-        self._give_up(self._refusal_after_attempts('deadline', timed_out=True))
+        self.give_up(self._refusal_after_attempts('deadline', timed_out=True))
 
     def _limit_stream(self):
         """Let a streamed response go on while the caller waits for it.
@@ -464,50 +438,24 @@
             self.service.name,
             step,
             timed_out,
-            self._bound_retry_after,
-        )
-
-    def _wait_for_owner(self, now, owned_range):
-        """Wait until the key has reached its new owner."""
-        if now >= min(self._owner_wait_deadline, self._deadline):
-            self._give_up(
-                request_refusals.keys_moving(
-                    owned_range, self._bound_retry_after
-                )
-            )
-            return
-        self._awaiting_table = True
-        self.frontend.wait_for_table(self)
-        self._dispatch_timer = self.frontend.loop.scheduler.call_at(
-            min(self._owner_wait_deadline, self._deadline),
-            self._on_owner_wait_timeout,
-        )
-
-    def _on_owner_wait_timeout(self):
-        if self._awaiting_table:
-            self.dispatch()
-
-    def _refuse_without_owner(self, message, owned_range=None):
-        peer = owned_range.owner if owned_range else self.service.name
-        self._give_up(
-            request_refusals.no_owner(message, peer, self._bound_retry_after)
+            self.bound_retry_after,
         )
 
     def _refuse_slow_start(self, peer):
-        self._give_up(
+        self.give_up(
             request_refusals.in_slow_start(
-                peer.entry.upstream, self._bound_retry_after
+                peer.entry.upstream, self.bound_retry_after
             )
         )
 
     def _refuse_not_admitted(self, peer, decision):
-        self._give_up(
+        self.give_up(
             request_refusals.not_admitted(
-                peer.entry.upstream, decision, self._bound_retry_after
+                peer.entry.upstream, decision, self.bound_retry_after
             )
         )
 
-    def _bound_retry_after(self, seconds):
+    def bound_retry_after(self, seconds):
         """Return a Retry-After of at most a third of the time left.
 
         Callers ignore a longer one.
@@ -515,7 +463,7 @@
         left = self._deadline - self.frontend.loop.now()
         return max(0.05, min(seconds, left / 3))
 
-    def _give_up(self, refusal):
+    def give_up(self, refusal):
         """Refuse the request without a false claim that it has not run.
 
         Some statuses tell the caller that its request has not run. They are
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -15,9 +15,11 @@
 
 # Limit of request bodies until the first configuration is received.
 DEFAULT_MAX_BODY_BYTES = 1 << 20
-# An owner that has denied holding a key is tried again after this time, or as
-# soon as the owner table changes.
-STALE_OWNER_SECONDS = 0.12
+# An owner that has denied holding a key is tried again after this time, or
+# after this multiple of the service time, or as soon as the owner table
+# changes.
+MIN_STALE_OWNER_SECONDS = 0.12
+STALE_OWNER_SERVICE_TIMES = 0.5
 # Retry-After during shutdown: another router can take the request at once.
 SHUTDOWN_RETRY_AFTER_SECONDS = 0.05
 # Routers return to an upstream that has named a time over this time after it
@@ -61,6 +63,7 @@
         upstreams,
         pacing,
         departures,
+        pauses,
         adapter,
         metrics,
     ):
@@ -69,6 +72,7 @@
         self.upstreams = upstreams
         self.pacing = pacing
         self.departures = departures
+        self.pauses = pauses
         self.adapter = adapter
         self.active_exchanges = set()
         # Phases of a shutdown: while draining, each connection closes after
@@ -250,6 +254,27 @@
         left = exchange.time_left(now)
         return send_policy.decide(peer.load, now, left, exchange.route)
 
+    def max_owner_wait(self, service, route, time_left):
+        """Return how long a request may wait for an owner that isn't known."""
+        seconds = self.upstreams.service_seconds(service)
+        return send_policy.max_owner_wait(seconds, time_left, route)
+
+    def decide_paused(self, exchange, owned_range, now):
+        """Return the Decision for a key that nobody serves now, else None."""
+        service = exchange.service.name
+        wait = self.pauses.wait_seconds(
+            service, exchange.key, owned_range.fence
+        )
+        if wait is None:
+            return None
+        return send_policy.decide_paused(
+            wait,
+            now - exchange.received_at,
+            self.upstreams.service_seconds(service),
+            exchange.time_left(now),
+            exchange.route,
+        )
+
     def choose_upstream(self, service, now, failed, excluded, objective):
         """Return the upstream of a shared service to send to, or None.
 
@@ -354,8 +379,14 @@
 
     def note_stale_owner(self, service, owned_range):
         """Record that the owner of a range has denied holding it."""
+        # The owner ends the work that it has before its keys move on.
+        seconds = max(
+            MIN_STALE_OWNER_SECONDS,
+            self.upstreams.service_seconds(service)
+            * STALE_OWNER_SERVICE_TIMES,
+        )
         self._stale_until[service, owned_range.first, owned_range.fence] = (
-            self.loop.now() + STALE_OWNER_SECONDS
+            self.loop.now() + seconds
         )
 
     def is_stale_owner(self, service, owned_range):
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -9,6 +9,7 @@
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.leader import LeaderElection
 from bramleysill_gateway.pacing import Pacing
+from bramleysill_gateway.range_pauses import RangePauses
 from bramleysill_gateway.readiness import Readiness
 from bramleysill_gateway.registration import Registration
 from bramleysill_gateway.store_feed import StoreFeeder
@@ -129,6 +130,7 @@
             self.loop, cfg.name, self.state.routers, self._upstreams.limits
         )
         self._departures = Departures(self.loop, cfg.name, self.state)
+        self._pauses = RangePauses(self.loop, cfg.name)
         self.frontend = Frontend(
             self.loop,
             self._rng,
@@ -137,6 +139,7 @@
             self._upstreams,
             self._pacing,
             self._departures,
+            self._pauses,
             self._adapter,
             self.metrics,
         )
@@ -165,6 +168,7 @@
         self._links = PeerLinks(self.loop, hello, self.metrics)
         self._pacing.links = self._links
         self._departures.links = self._links
+        self._pauses.links = self._links
         self._links.on_control = self._on_message
         self._links.on_stream = self._on_message
         self._links.on_lost = lambda link: None
@@ -199,6 +203,8 @@
     def _tick(self):
         self.state.tick()
         self.leader.tick()
+        if self.leader.leadership.leading:
+            self._announce_pauses()
         self.frontend.tick()
         if self._stop_at is not None:
             self._check_shutdown()
@@ -209,6 +215,11 @@
             self._reload_due = False
             self._reload_settings()
 
+    def _announce_pauses(self):
+        paused = self.leader.coordinators.paused_ranges()
+        for service, ranges in paused.items():
+            self._pauses.announce(service, ranges)
+
     def _loop_gauges(self):
         yield 'bramleysill_loop_lateness_seconds', {}, self._loop_lateness
 
@@ -305,6 +316,8 @@
             self._feeder.on_feed_request(link, message)
         elif isinstance(message, messages.UpstreamLimits):
             self._pacing.on_reports(message)
+        elif isinstance(message, messages.PausedRangeList):
+            self._pauses.on_message(message)
         elif isinstance(message, messages.UpstreamDepartures):
             self._departures.on_message(message)
         elif isinstance(message, messages.PaceRequest):
--- a/packages/gateway/src/bramleysill_gateway/request_refusals.py
+++ b/packages/gateway/src/bramleysill_gateway/request_refusals.py
@@ -42,13 +42,16 @@
     )
 
 
-def keys_moving(owned_range, bound):
-    """Refuse a request whose keys did not reach their new owner in time."""
+def keys_moving(owned_range, seconds, bound):
+    """Refuse a request whose keys don't reach their new owner in time.
+
+    They should reach it in `seconds`, if that is known.
+    """
     return refusals.OwnerMoving(
         f'keys {owned_range.first}-{owned_range.last} are being moved',
         'hold',
         owned_range.owner,
-        retry_after=bound(SHORT_RETRY_AFTER_SECONDS),
+        retry_after=bound(max(seconds, SHORT_RETRY_AFTER_SECONDS)),
     )
 
 
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -133,6 +133,10 @@
             peer.cold_until = entry.cold_until
         return peer
 
+    def service_seconds(self, service):
+        """Return the average time that a request takes at a service."""
+        return self._service_times[service].seconds
+
     def take_observations(self, service):
         """Return (upstream, responses, busy seconds) since the last call."""
         found = []
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -302,6 +302,25 @@
     rows: list = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class PausedRangeRow:
+    """A range of keys that should have an owner again in `wait` seconds."""
+
+    first: int
+    last: int
+    fence: int
+    wait: float
+
+
+@dataclasses.dataclass(slots=True)
+class PausedRangeList:
+    """All ranges of a service that have no owner now, from the leader."""
+
+    router: str
+    service: str
+    rows: list = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class PaceRequest:
     """Asks the pacing router of an upstream when a request may be sent.
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -29,6 +29,7 @@
 from bramleysill_kernel.key_ranges import Assignment
 from bramleysill_kernel.key_ranges import RangeTable
 from bramleysill_kernel.owner_pool import OwnerPool
+from bramleysill_kernel.paused_ranges import PausedRange
 from bramleysill_kernel.range_moves import GrantRenewal
 from bramleysill_kernel.range_moves import MoveList
 from bramleysill_kernel.range_moves import RangeMove
@@ -55,6 +56,9 @@
 FIRST_PLACEMENT_DELAY_SECONDS = 2.0
 # Interval at which a leader stores how long unsettled keys still wait.
 PROGRESS_INTERVAL_SECONDS = 1.0
+# Average time of a release before the first one, and the weight of a sample.
+INITIAL_RELEASE_SECONDS = 0.2
+RELEASE_TIME_WEIGHT = 0.1
 # Interval between plans that balance the load.
 BALANCE_INTERVAL_SECONDS = 0.4
 
@@ -99,6 +103,8 @@
         self._fences_renewed = False
         self._next_balance_at = 0.0
         self._last_call_number = 0
+        # Average time in seconds until an owner has ended its work.
+        self._release_seconds = INITIAL_RELEASE_SECONDS
         self._first_placement_at = 0.0
         self._lowest_fence = 0
         # When the rest of the wait for unsettled keys is stored again.
@@ -174,6 +180,43 @@
         for renewal in self._renewals.values():
             renewal.due_at = 0.0
 
+    def paused_ranges(self):
+        """Return the PausedRange of each move whose keys nobody serves."""
+        now = self._clock.now()
+        found = []
+        for move in self._moves:
+            wait = self._pause_seconds(move, now)
+            if wait is not None:
+                found.append(
+                    PausedRange(
+                        move.first, move.last, move.old_range.fence, wait
+                    )
+                )
+        return found
+
+    def _pause_seconds(self, move, now):
+        """Return until when the keys of a move have no owner, or None.
+
+        An owner accepts no new work from the arrival of a release.
+        """
+        old_range = move.old_range
+        if move.ready_at is not None:
+            return WRITE_BATCH_SECONDS
+        if move.release_pending:
+            return self._release_seconds
+        if move.released:
+            end = self._holds.expiry_after_release(old_range)
+            return max(WRITE_BATCH_SECONDS, end - now)
+        if not old_range.owner:
+            return None
+        entry = self._directory.owner_entry(
+            old_range.owner, old_range.incarnation
+        )
+        if entry is not None:
+            return None
+        end = self._holds.expiry_without_release(old_range)
+        return max(WRITE_BATCH_SECONDS, end - now)
+
     @property
     def has_renewed_fences(self):
         """Return whether the table of this leader is in the store."""
@@ -312,6 +355,11 @@
         move.release_pending = True
 
         def done(result, handover):
+            if result is CallOutcome.OK:
+                sample = self._clock.now() - now
+                self._release_seconds += RELEASE_TIME_WEIGHT * (
+                    sample - self._release_seconds
+                )
             self._on_released(move, result, handover)
 
         self._calls.release(entry, move.old_range, done)
--- a/packages/kernel/src/bramleysill_kernel/send_policy.py
+++ b/packages/kernel/src/bramleysill_kernel/send_policy.py
@@ -10,6 +10,8 @@
 - `decide`: an upstream turns requests away and names the time until when. A
   request that can still finish after that time waits, any other is refused at
   once with this time as its Retry-After.
+- `decide_paused`: busy keys move, or their owner was lost. A request waits if
+  the keys should have an owner in time, and is refused at once if not.
 - `choose_upstream`: some upstreams of a shared service are slow, full, down or
   turn requests away. A request goes where it is expected to finish first.
 """
@@ -25,6 +27,8 @@
 # Bounds of the Retry-After value of a refusal.
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 1.5
+# Most moves of keys take less.
+MIN_OWNER_WAIT_SECONDS = 0.35
 # An upstream in another failure domain must be faster by this share of the
 # latency objective: the links between failure domains are narrow and the
 # first to be cut, and a request with a long objective loses little by waiting.
@@ -85,6 +89,24 @@
     return Decision(Action.SEND, expected_seconds=expected)
 
 
+def max_owner_wait(service_seconds, time_left, route):
+    """Return how long a request may wait for an owner that isn't known."""
+    allowed = max_upstream_seconds(route, time_left) - service_seconds
+    return max(MIN_OWNER_WAIT_SECONDS, allowed)
+
+
+def decide_paused(wait, waited, service_seconds, time_left, route):
+    """Return the Decision for keys that have no owner for `wait` seconds.
+
+    The request has waited for `waited` seconds already; it needs
+    `service_seconds` at the upstream.
+    """
+    allowed = max_upstream_seconds(route, time_left + waited) - waited
+    if wait + service_seconds > min(allowed, time_left):
+        return Decision(Action.REFUSE_BUSY, wait)
+    return Decision(Action.WAIT, wait)
+
+
 def _decide_closed(load, now, time_left, route):
     wait = load.closed_until - now
     if wait + load.service_time(now) > max_upstream_seconds(route, time_left):
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -206,6 +206,19 @@
   rows @1 :List(DepartureRow);
 }
 
+struct PausedRangeRow {
+  first @0 :UInt16;
+  last @1 :UInt16;
+  fence @2 :UInt64;
+  wait @3 :Float32;
+}
+
+struct PausedRangeList {
+  router @0 :Text;
+  service @1 :Text;
+  rows @2 :List(PausedRangeRow);
+}
+
 struct PaceRequest {
   number @0 :UInt32;
   report @1 :LimitRow;
@@ -245,5 +258,6 @@
     paceRequest @22 :PaceRequest;
     paceReply @23 :PaceReply;
     upstreamDepartures @24 :UpstreamDepartures;
+    pausedRangeList @25 :PausedRangeList;
   }
 }
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -52,6 +52,9 @@
     messages.FeedRequest('r1', 'p/', 7, 2),
     messages.UpstreamLimits('r1', [messages.LimitRow('u1', 12, 5.5, 0.25)]),
     messages.UpstreamDepartures('r1', [messages.DepartureRow('u1', 12)]),
+    messages.PausedRangeList(
+        'r1', 's', [messages.PausedRangeRow(5, 9, 12, 0.25)]
+    ),
     messages.PaceRequest(7, messages.LimitRow('u1', 12, 5.5, 0.25), 0.5),
     messages.PaceReply(7, True, 0.125),
     messages.StoreFeed(
