Pass the leadership on with the holds that were granted

A leader that the store refuses led on until its lease was over and lengthened all holds to 7 s; the next one knew none of them and waited for the longest.

A leader whose renewals are refused twice, or unanswered for 0.9 s, asks the others to lead. One that reaches the store replaces the leader key on condition that it is still that leader's, ends its lease and waits for the rest of it. Each new leader tells the former one, which stops and answers with the holds that it has granted. They count only if the table is the one that it wrote last, since any leader between would have written another before its first grant. Holds are lengthened for an outage 1.3 s after the last renewal, not 0.9 s, if nobody has taken over.

--- a/packages/gateway/src/bramleysill_gateway/coordinators.py
+++ b/packages/gateway/src/bramleysill_gateway/coordinators.py
@@ -40,6 +40,12 @@
         self._service_times = UpstreamServiceTimes()
         # The FormerTerm of this router, None if another has led since.
         self._former_term = None
+        # By service, the FormerHolds of the leader before this one, and those
+        # that this router left when its last term ended.
+        self._former_holds = {}
+        self.final_holds = {}
+        # Until when the leader before this one may still send grants.
+        self.former_leader_until = 0.0
 
     def note_report(self, message):
         """Add a router's report of requests by key and of service times."""
@@ -101,9 +107,25 @@
         because nobody else can lead yet.
         """
         self._former_term = self._make_former_term() if is_certain else None
+        # Calls that are aborted count as unanswered.
+        self.calls.close()
+        era = self._state.own_era
+        self.final_holds = {
+            service: coordinator.former_holds(era)
+            for service, coordinator in self._coordinators.items()
+            if coordinator.has_renewed_fences
+        }
         self._coordinators.clear()
         self._starting_services.clear()
-        self.calls.close()
+        self.former_leader_until = 0.0
+
+    def use_former_holds(self, service, former):
+        """Use the FormerHolds of the last term; return whether they count."""
+        if former.era != self._state.own_era:
+            return False
+        self._former_holds[service] = former
+        coordinator = self._coordinators.get(service)
+        return coordinator is not None and coordinator.use_former_holds(former)
 
     def note_other_leader(self):
         """Record that another router has led, and may have moved keys."""
@@ -176,11 +198,12 @@
             self._key_loads_of(service),
             self._capacity,
         )
-        former_leader_until = 0.0
+        former_leader_until = self.former_leader_until
         settled_at = None
         if self._state.was_restored:
-            former_leader_until = (
-                self._state.era_seen_at + self._timings.leader_lease
+            former_leader_until = max(
+                former_leader_until,
+                self._state.era_seen_at + self._timings.leader_lease,
             )
             if table is None:
                 table = self._remembered_table(service)
@@ -192,6 +215,9 @@
             former_leader_until,
             settled_at,
         )
+        former = self._former_holds.get(service)
+        if former is not None and former.era == self._state.own_era:
+            coordinator.use_former_holds(former)
         return coordinator
 
     def _remembered_table(self, service):
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -11,6 +11,7 @@
 from bramleysill_kernel.leadership import is_preferred_leader
 from bramleysill_kernel.store_types import Condition
 from bramleysill_kernel.store_types import Put
+from bramleysill_kernel.store_types import StoredItem
 from bramleysill_kernel.store_types import StoreOutcome
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
@@ -19,7 +20,15 @@
 MAX_DELETED_KEYS = 32
 # If the last confirmed renewal was sent longer ago, the store counts as down.
 # The rest of the leader lease is used to extend the holds.
-RENEWAL_TIMEOUT_SECONDS = 0.9
+RENEWAL_TIMEOUT_SECONDS = 1.3
+# If it is longer ago than this, or if this many renewals in a row were
+# refused, another router is asked to lead.
+TAKEOVER_AFTER_SECONDS = 0.9
+TAKEOVER_AFTER_REFUSALS = 2
+# A refused renewal is sent again after this time.
+REFUSED_RENEWAL_DELAY_SECONDS = 0.15
+# Interval between attempts to end the lease of a leader that was replaced.
+END_LEASE_INTERVAL_SECONDS = 0.3
 # After these ends of a term nobody else can lead yet.
 REASONS_TO_TRUST_OWNERS = ('lease_over', 'store_restored')
 # What reading a document of another shape than a leader's may raise.
@@ -66,6 +75,16 @@
         # the store may pause leases while it is down.
         self._lease = 0
         self._former_keys_removed = False
+        # Called with the former leader, as (name, address), and the new
+        # leader key when this router is elected.
+        self.on_elected = lambda former, item: None
+        self._name = cfg.name
+        self._former_leader = None
+        self._refused_renewals = 0
+        # The lease of a leader that this router has replaced, until it is
+        # known to have ended, or 0.
+        self._replaced_lease = 0
+        self._end_lease_at = 0.0
         # The StoredItem decoded last, and the address from it.
         self._decoded_item = None
         self._leader_address = None
@@ -113,9 +132,13 @@
         self._check_leader_key()
         if leadership.leading:
             self._renew()
+            if self._replaced_lease:
+                self._end_replaced_lease()
+                return
             self.coordinators.tick()
             self._remove_former_keys()
             return
+        self._note_leader()
         self._renew_paused_lease()
         key_is_free = (
             self._state.own_watch.listed
@@ -125,6 +148,61 @@
         if leadership.may_campaign(key_is_free) and not self._campaigning:
             self._campaign()
 
+    def is_refused(self):
+        """Return whether the store does not renew the lease of this leader."""
+        if not self.leadership.is_valid():
+            return False
+        return (
+            self._refused_renewals >= TAKEOVER_AFTER_REFUSALS
+            or self.seconds_since_renewal() > TAKEOVER_AFTER_SECONDS
+        )
+
+    def take_over(self, item):
+        """Replace the leader whose key is `item`; it has asked for that."""
+        leadership = self.leadership
+        if leadership.leading or self._campaigning:
+            return
+        if leadership.campaigning_disabled or not self._state.own_watch.listed:
+            return
+        log_event('takeover_started', revision=item.revision)
+        self._replaced_lease = item.lease
+        self._campaign(item.revision)
+
+    def yield_to(self, item):
+        """Stop leading: another router's leader key is in the store."""
+        if (
+            self.leadership.leading
+            and item.revision > self.leadership.key_revision
+        ):
+            self._step_down('taken_over')
+
+    def _note_leader(self):
+        leader = self.current_leader()
+        if leader is not None and leader[0] != self._name:
+            self._former_leader = leader
+
+    def _end_replaced_lease(self):
+        """End the lease of the leader before, which might renew it yet.
+
+        Its grants count until its lease would be over by its own clock.
+        """
+        now = self._loop.now()
+        if now < self._end_lease_at:
+            return
+        self._end_lease_at = now + END_LEASE_INTERVAL_SECONDS
+        lease = self._replaced_lease
+
+        def on_ended(reply):
+            if lease != self._replaced_lease:
+                return
+            if reply.ok or reply.outcome is StoreOutcome.MISSING:
+                self._replaced_lease = 0
+                self.coordinators.former_leader_until = (
+                    self._loop.now() + self._timings.leader_lease
+                )
+
+        self._store.end_lease(lease, on_ended)
+
     def on_store_restored(self):
         """Stop leading: the lease and the leader key belong to the past."""
         if self.leadership.leading:
@@ -158,7 +236,8 @@
 
     # Campaign.
 
-    def _campaign(self):
+    def _campaign(self, replaced_revision=0):
+        """Write the leader key; it must be free or have this revision."""
         self._campaigning = True
         sent_at = self._loop.now()
         seconds = self.leadership.lease_seconds
@@ -172,11 +251,11 @@
                 return
             self._lease = reply.lease
             self.leadership.extend(sent_at, reply.lease_seconds)
-            self._write_key(reply.lease)
+            self._write_key(reply.lease, replaced_revision)
 
         self._store.open_lease(seconds, on_lease)
 
-    def _write_key(self, lease):
+    def _write_key(self, lease, replaced_revision):
         era = self._state.own_era
 
         def on_written(reply):
@@ -188,7 +267,7 @@
             self._become_leader(lease, reply.revision)
 
         self._store.write(
-            [Condition(self.key, 0)],
+            [Condition(self.key, replaced_revision)],
             [Put(self.key, self._leader_key_value, lease)],
             (),
             on_written,
@@ -204,6 +283,8 @@
             # The key may have been written; it expires with its lease.
             self.leadership.next_attempt_at += self.leadership.lease_seconds
             self._lease = lease
+            return
+        self._replaced_lease = 0
 
     def _become_leader(self, lease, revision):
         self._campaigning = False
@@ -217,6 +298,13 @@
             revision=revision,
             valid=self.leadership.valid_until - self._loop.now(),
         )
+        self._refused_renewals = 0
+        self._end_lease_at = 0.0
+        if self._former_leader is not None:
+            item = StoredItem(
+                self.key, self._leader_key_value, revision, lease
+            )
+            self.on_elected(self._former_leader, item)
 
     def _check_leader_key(self):
         """Step down, or resume leading, according to the leader key."""
@@ -243,6 +331,7 @@
         )
         self.coordinators.end_term(reason in REASONS_TO_TRUST_OWNERS)
         self._former_keys_removed = False
+        self._replaced_lease = 0
         lease = self.leadership.resign()
         # Keep an expired lease: the store may have paused it.
         self._lease = lease if reason == 'lease_over' else 0
@@ -271,6 +360,7 @@
         if lease != self.leadership.lease:
             return
         if reply.ok:
+            self._refused_renewals = 0
             self.leadership.extend(sent_at, reply.lease_seconds)
             self._last_renewal_sent_at = max(
                 self._last_renewal_sent_at, sent_at
@@ -278,6 +368,11 @@
         elif reply.outcome is StoreOutcome.MISSING:
             self._step_down('lease_ended')
         else:
+            if reply.outcome is StoreOutcome.REFUSED:
+                self._refused_renewals += 1
+                self._renew_at = (
+                    self._loop.now() + REFUSED_RENEWAL_DELAY_SECONDS
+                )
             log_warning(
                 'lease_not_renewed',
                 outcome=reply.outcome.value,
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -124,6 +124,11 @@
             return None
         return self._previous.get(item.key)
 
+    def apply_item(self, item):
+        """Apply an item that another router knows of."""
+        if self.listed:
+            self._apply(item)
+
     def fetch_missed(self):
         """Read the changes that a feed did not include."""
         if self.listed:
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -13,9 +13,11 @@
 from bramleysill_gateway.readiness import Readiness
 from bramleysill_gateway.registration import Registration
 from bramleysill_gateway.store_feed import StoreFeeder
+from bramleysill_gateway.takeover import Takeover
 from bramleysill_gateway.upstreams import Upstreams
 from bramleysill_kernel import messages
 from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.leadership import is_preferred_leader
 from bramleysill_net.conn import Listener
 from bramleysill_net.loop import Loop
 from bramleysill_router.logs import log_event
@@ -154,6 +156,9 @@
             self._upstreams.limits,
             self._departures.observe,
         )
+        self._takeover = Takeover(
+            self.loop, cfg, self.state, self.leader, is_preferred_leader(cfg)
+        )
         self.state.on_restored = self._on_store_restored
         self._registration = Registration(
             self.loop, self._store, self._adapter, cfg, address
@@ -169,6 +174,7 @@
         self._pacing.links = self._links
         self._departures.links = self._links
         self._pauses.links = self._links
+        self._takeover.links = self._links
         self._links.on_control = self._on_message
         self._links.on_stream = self._on_message
         self._links.on_lost = lambda link: None
@@ -180,6 +186,7 @@
             self.state,
             self.leader,
         )
+        self._message_handlers = self._make_message_handlers()
 
     def _listen(self, metrics_port):
         listen = self.cfg.listen
@@ -203,6 +210,7 @@
     def _tick(self):
         self.state.tick()
         self.leader.tick()
+        self._takeover.tick()
         if self.leader.leadership.leading:
             self._announce_pauses()
         self.frontend.tick()
@@ -308,22 +316,31 @@
         )
 
     def _on_message(self, link, message):
-        if isinstance(message, messages.KeyLoads):
-            self.leader.note_report(message)
-        elif isinstance(message, messages.StoreFeed):
-            self._feeder.on_feed(message)
-        elif isinstance(message, messages.FeedRequest):
-            self._feeder.on_feed_request(link, message)
-        elif isinstance(message, messages.UpstreamLimits):
-            self._pacing.on_reports(message)
-        elif isinstance(message, messages.PausedRangeList):
-            self._pauses.on_message(message)
-        elif isinstance(message, messages.UpstreamDepartures):
-            self._departures.on_message(message)
-        elif isinstance(message, messages.PaceRequest):
-            self._pacing.on_request(link, message)
-        elif isinstance(message, messages.PaceReply):
-            self._pacing.on_reply(message)
+        self._message_handlers[type(message)](link, message)
+
+    def _make_message_handlers(self):
+        """Return the handlers by class of message, called with the link."""
+
+        def without_link(handler):
+            return lambda link, message: handler(message)
+
+        return {
+            messages.KeyLoads: without_link(self.leader.note_report),
+            messages.StoreFeed: without_link(self._feeder.on_feed),
+            messages.FeedRequest: self._feeder.on_feed_request,
+            messages.UpstreamLimits: without_link(self._pacing.on_reports),
+            messages.UpstreamDepartures: without_link(
+                self._departures.on_message
+            ),
+            messages.PausedRangeList: without_link(self._pauses.on_message),
+            messages.TakeoverRequest: without_link(self._takeover.on_request),
+            messages.LeaderChange: without_link(
+                self._takeover.on_leader_change
+            ),
+            messages.FormerTermHolds: without_link(self._takeover.on_holds),
+            messages.PaceRequest: self._pacing.on_request,
+            messages.PaceReply: without_link(self._pacing.on_reply),
+        }
 
     # Settings.
 
--- a/packages/kernel/src/bramleysill_kernel/hold_ledger.py
+++ b/packages/kernel/src/bramleysill_kernel/hold_ledger.py
@@ -11,8 +11,11 @@
 ends only the grants whose responses were received before it was sent.
 """
 
+import collections
 import math
 
+from bramleysill_kernel.former_holds import FormerHold
+
 # An upstream's clock may run 2% slow while it measures a hold.
 MAX_UPSTREAM_CLOCK_RATE_ERROR = 0.02
 # An unanswered grant call is aborted after this time. Its connection is
@@ -81,6 +84,8 @@
         '_confirmed_until',
         '_calls',
         '_inherited_until',
+        '_former',
+        '_longest_hold',
     )
 
     def __init__(self, clock, takeover_at, longest_hold):
@@ -90,6 +95,36 @@
         # Grants without a response: {holder: {call number: _GrantCall}}.
         self._calls = {}
         self._inherited_until = last_hold_end(takeover_at, longest_hold)
+        # The FormerHolds of the last term, or None if they aren't known.
+        self._former = None
+        self._longest_hold = longest_hold
+
+    def use_former_holds(self, former):
+        """Replace the assumption about earlier leaders by FormerHolds."""
+        self._former = former
+
+    def holds(self):
+        """Return the FormerHold of each (upstream, incarnation)."""
+        found = collections.defaultdict(FormerHold)
+        if self._former is not None:
+            for key, hold in self._former.holds.items():
+                found[key] = FormerHold(hold.held_until, hold.unanswered_until)
+        for (owner, incarnation, _), end in self._confirmed_until.items():
+            known = found[owner, incarnation]
+            known.held_until = max(known.held_until, end)
+        for (owner, incarnation, _), calls in self._calls.items():
+            known = found[owner, incarnation]
+            end = max(self._latest_end(call) for call in calls.values())
+            known.unanswered_until = max(known.unanswered_until, end)
+            known.held_until = max(known.held_until, end)
+        return dict(found)
+
+    @property
+    def inherited_until(self):
+        """Return the end of the holds that this leader knows nothing of."""
+        if self._former is not None:
+            return self._former.inherited_until
+        return self._inherited_until
 
     def discard_inherited_holds(self):
         """Record that no earlier leader has granted anything."""
@@ -152,13 +187,19 @@
         )
         if self.has_confirmed(item.holder):
             return unanswered_end
-        return max(self._inherited_until, unanswered_end)
+        inherited_end = self._inherited_until
+        if self._former is not None:
+            inherited_end = self._former.of_owner(item).unanswered_until
+        return max(inherited_end, unanswered_end)
 
     def expiry_without_release(self, item):
         """Return when the keys may be reassigned without a release."""
         confirmed_end = self._confirmed_until.get(item.holder, 0.0)
+        inherited_end = self._inherited_until
+        if self._former is not None:
+            inherited_end = self._former.of_owner(item).held_until
         return max(
-            self._inherited_until,
+            inherited_end,
             confirmed_end,
             self.expiry_after_release(item),
         )
@@ -177,6 +218,11 @@
             if self._confirmed_until[holder] < now:
                 del self._confirmed_until[holder]
 
+    def _latest_end(self, call):
+        if call.in_progress:
+            return last_hold_end(self._clock.now(), self._longest_hold)
+        return call.until
+
     def _calls_of(self, item):
         calls = self._calls.get(item.holder)
         if not calls:
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -321,6 +321,58 @@
     rows: list = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(slots=True)
+class HoldRow:
+    """For how many seconds an upstream process may hold keys.
+
+    `unanswered` counts only grants without a response; `held` counts all.
+    """
+
+    upstream: str
+    incarnation: int
+    held: float
+    unanswered: float
+
+
+@dataclasses.dataclass(slots=True)
+class FormerTermHolds:
+    """The holds of a service from a former leader, which grants no more.
+
+    `inherited` is for how many seconds unknown holds may last.
+    """
+
+    router: str
+    service: str
+    era: int
+    table_revision: int
+    inherited: float
+    rows: list = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class TakeoverRequest:
+    """Asks other routers to lead in place of one that the store refuses.
+
+    `revision` and `lease` are those of its leader key.
+    """
+
+    router: str
+    revision: int
+    lease: int
+
+
+@dataclasses.dataclass(slots=True)
+class LeaderChange:
+    """Tells a former leader of the leader key that has replaced its own."""
+
+    router: str
+    key: str
+    value: bytes
+    revision: int
+    lease: int
+    era: int
+
+
 @dataclasses.dataclass(slots=True)
 class PaceRequest:
     """Asks the pacing router of an upstream when a request may be sent.
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -24,6 +24,7 @@
 
 import enum
 
+from bramleysill_kernel.former_holds import FormerHolds
 from bramleysill_kernel.hold_ledger import HoldLedger
 from bramleysill_kernel.hold_ledger import last_hold_end
 from bramleysill_kernel.key_ranges import Assignment
@@ -87,6 +88,8 @@
         self.service = service
         self.table = None
         self.revision = 0
+        # The revision of the table that the former leader left.
+        self._first_revision = 0
         self.loads = loads
         self.store_unresponsive = False
         self._clock = clock
@@ -131,6 +134,7 @@
         `settled_at` when unsettled keys may be granted if that is known.
         """
         now = self._clock.now()
+        self._first_revision = revision
         self._holds = HoldLedger(
             self._clock,
             max(now, former_leader_until),
@@ -180,6 +184,22 @@
         for renewal in self._renewals.values():
             renewal.due_at = 0.0
 
+    def use_former_holds(self, former):
+        """Use the FormerHolds of the last term; return whether they count."""
+        if former.table_revision != self._first_revision:
+            return False
+        self._holds.use_former_holds(former)
+        return True
+
+    def former_holds(self, era):
+        """Return the FormerHolds of this term; all calls must have ended."""
+        return FormerHolds(
+            era,
+            self.revision,
+            self._holds.inherited_until,
+            self._holds.holds(),
+        )
+
     def paused_ranges(self):
         """Return the PausedRange of each move whose keys nobody serves."""
         now = self._clock.now()
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -107,6 +107,7 @@
 
 _FEED_ITEM_FIELDS = _plain_fields(*messages.FeedItem.__slots__)
 _LIMIT_ROW_FIELDS = _plain_fields(*messages.LimitRow.__slots__)
+_HOLD_ROW_FIELDS = _plain_fields(*messages.HoldRow.__slots__)
 _PAUSED_RANGE_FIELDS = _plain_fields(*messages.PausedRangeRow.__slots__)
 _DEPARTURE_ROW_FIELDS = _plain_fields(*messages.DepartureRow.__slots__)
 
@@ -211,6 +212,20 @@
             ),
         ),
     ],
+    messages.FormerTermHolds: _plain_fields(
+        'router', 'service', 'era', 'table_revision', 'inherited'
+    )
+    + [
+        _list_field(
+            'rows',
+            lambda r: _to_dict(r, _HOLD_ROW_FIELDS),
+            lambda r: _from_struct(messages.HoldRow, r, _HOLD_ROW_FIELDS),
+        ),
+    ],
+    messages.TakeoverRequest: _plain_fields(
+        *messages.TakeoverRequest.__slots__
+    ),
+    messages.LeaderChange: _plain_fields(*messages.LeaderChange.__slots__),
     messages.PaceRequest: [
         *_plain_fields('number'),
         _Field(
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -219,6 +219,37 @@
   rows @2 :List(PausedRangeRow);
 }
 
+struct HoldRow {
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+  held @2 :Float64;
+  unanswered @3 :Float64;
+}
+
+struct FormerTermHolds {
+  router @0 :Text;
+  service @1 :Text;
+  era @2 :UInt64;
+  tableRevision @3 :UInt64;
+  inherited @4 :Float64;
+  rows @5 :List(HoldRow);
+}
+
+struct TakeoverRequest {
+  router @0 :Text;
+  revision @1 :UInt64;
+  lease @2 :UInt64;
+}
+
+struct LeaderChange {
+  router @0 :Text;
+  key @1 :Text;
+  value @2 :Data;
+  revision @3 :UInt64;
+  lease @4 :UInt64;
+  era @5 :UInt64;
+}
+
 struct PaceRequest {
   number @0 :UInt32;
   report @1 :LimitRow;
@@ -259,5 +290,8 @@
     paceReply @23 :PaceReply;
     upstreamDepartures @24 :UpstreamDepartures;
     pausedRangeList @25 :PausedRangeList;
+    formerTermHolds @26 :FormerTermHolds;
+    takeoverRequest @27 :TakeoverRequest;
+    leaderChange @28 :LeaderChange;
   }
 }
--- a/tests/range_fakes.py
+++ b/tests/range_fakes.py
@@ -210,10 +210,16 @@
         self.upstreams[name] = FakeUpstream(self.clock, name, incarnation)
         self.directory.put(make_entry(name, incarnation, domain))
 
-    def elect(self):
-        """Elect a new leader and stop the previous one."""
+    def elect(self, hands_over=False):
+        """Elect a new leader and stop the previous one.
+
+        With `hands_over` the previous one tells what holds it has granted.
+        """
+        former = None
         if self.calls is not None:
             self.calls.valid = False
+            if hands_over and self.coordinator.has_renewed_fences:
+                former = self.coordinator.former_holds(1)
         self.store.leader_revision += 1
         self.calls = FakeCalls(self)
         self.coordinator = RangeCoordinator(
@@ -226,6 +232,8 @@
             lambda entry: 33.0,
         )
         self.coordinator.start(self.store.table, self.store.revision)
+        if former is not None:
+            self.coordinator.use_former_holds(former)
 
     def call(self, entry, carry_out, done):
         """Send a call to an upstream process with the configured faults."""
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -55,6 +55,11 @@
     messages.PausedRangeList(
         'r1', 's', [messages.PausedRangeRow(5, 9, 12, 0.25)]
     ),
+    messages.FormerTermHolds(
+        'r1', 's', 1, 40, 0.5, [messages.HoldRow('u1', 12, 2.5, 0.25)]
+    ),
+    messages.TakeoverRequest('r1', 40, 77),
+    messages.LeaderChange('r1', 'sill/leader', b'{}', 41, 78, 1),
     messages.PaceRequest(7, messages.LimitRow('u1', 12, 5.5, 0.25), 0.5),
     messages.PaceReply(7, True, 0.125),
     messages.StoreFeed(
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -5,6 +5,7 @@
 import testtools
 
 from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.former_holds import FormerHolds
 from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
 from bramleysill_kernel.hold_ledger import HoldLedger
 from bramleysill_kernel.key_ranges import KeyRange
@@ -288,6 +289,28 @@
         cell.run(4.0, _AtMostOneHolder(self))
         self.assertEqual([], _unserved(cell))
 
+    def test_the_holds_of_the_former_leader_are_known(self):
+        """An owner is lost together with the leader, which answers yet.
+
+        Guards against keys without an owner for the longest possible hold,
+        8 s, instead of the one that was granted.
+        """
+        cell = _cell()
+        cell.upstreams['u1'].alive = False
+        cell.elect(hands_over=True)
+        # As long as without a change of leader.
+        cell.run(TIMINGS.hold + 2.5, _AtMostOneHolder(self))
+        self.assertEqual([], _unserved(cell))
+
+    def test_holds_of_an_earlier_term_do_not_count(self):
+        """Guards against the holds of a leader before the last one."""
+        cell = _cell()
+        former = cell.coordinator.former_holds(1)
+        cell.elect()
+        cell.run(1.0)
+        cell.elect()
+        self.assertFalse(cell.coordinator.use_former_holds(former))
+
     def test_holds_last_through_an_outage_of_the_store(self):
         """Guards against unserved keys in an outage longer than the lease."""
         cell = _cell()
@@ -324,7 +347,7 @@
             action = rng.randrange(6)
             name = rng.choice(sorted(cell.upstreams))
             if action == 0:
-                cell.elect()
+                cell.elect(hands_over=seed % 2 == 0)
             elif action == 1:
                 incarnations[name] += 1
                 cell.add(name, incarnations[name])
@@ -411,6 +434,24 @@
         self.assertGreater(ledger.expiry_after_release(self.RANGE), now)
         self.assertGreater(ledger.expiry_without_release(self.RANGE), now)
 
+    def test_former_holds_are_passed_on_with_calls_in_progress(self):
+        """Guards against a grant that arrives after the end of a term."""
+        clock, ledger = self._ledger()
+        ledger.record_grant_sent(self.RANGE, 1)
+        ledger.record_grant_confirmed(self.RANGE, 1, 3.0)
+        ledger.record_grant_sent(self.RANGE, 2)
+        hold = ledger.holds()['u1', 1]
+        self.assertGreater(hold.unanswered_until, 107.0 + 0.4)
+        self.assertGreaterEqual(hold.held_until, hold.unanswered_until)
+        following = HoldLedger(clock, 100.0, 7.0)
+        following.use_former_holds(FormerHolds(1, 5, 0.0, ledger.holds()))
+        self.assertEqual(
+            hold.unanswered_until, following.expiry_after_release(self.RANGE)
+        )
+        other = KeyRange(200, 300, 6, 'u2', 1)
+        self.assertEqual(0.0, following.expiry_without_release(other))
+        self.assertEqual(following.holds().keys(), ledger.holds().keys())
+
     def test_grants_of_other_keys_do_not_delay_a_release(self):
         """Guards against releases that wait for renewals without end."""
         _, ledger = self._ledger()
