Model the holds that a former leader tells

A leader whose lease is over may tell that its holds have ended. The next one relies on it only if the stored table is still the one that the former leader wrote last; the mutation that leaves this out is refuted in a scope of its own (two changes of leader, five fences).

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -53,6 +53,10 @@
         (MUTATION, 'range_takeovers', mutation)
         for mutation in range_protocol.MUTATIONS
     ]
+    checks += [
+        (MUTATION, 'range_handovers', mutation)
+        for mutation in range_protocol.HANDOVER_MUTATIONS
+    ]
     checks += [
         (MUTATION, 'range_restores', mutation)
         for mutation in range_protocol.RESTORE_MUTATIONS
--- a/model/range_protocol.py
+++ b/model/range_protocol.py
@@ -11,6 +11,10 @@
 own clock before the store gives the leader key to another; a leader is not
 suspended between the check of its lease and the send of a grant.
 
+A leader whose lease is over may tell that the holds which it has granted have
+ended. The next leader relies on it if the stored table is still the one that
+the former leader wrote last.
+
 The store may be restored once from a copy of its first state. A leader of the
 era before may go on sending grants until its lease is over.
 
@@ -29,6 +33,7 @@
     'range_moves': (4, 1, 0, 0),
     'range_takeovers': (4, 2, 0, 0),
     'range_restores': (3, 2, 1, 0),
+    'range_handovers': (5, 2, 0, 0),
     'range_restarts': (4, 2, 0, 1),
 }
 # The fences of an era lie above those of the era before.
@@ -44,6 +49,8 @@
     'no_fresh_fence',
     'write_without_conditions',
 )
+# The same for a leader that tells which holds are left.
+HANDOVER_MUTATIONS = ('former_holds_of_another_term',)
 # The same for a store that is restored.
 RESTORE_MUTATIONS = (
     'table_of_the_copy',
@@ -61,6 +68,7 @@
 ACTIONS = {
     'expire': 'Leadership.is_valid',
     'elect': 'Leadership.become_leader',
+    'tell': 'Coordinators.end_term',
     'refresh': 'RangeTable.renew_fences',
     'send': 'RangeCoordinator._grant',
     'take': 'environment',
@@ -90,6 +98,9 @@
     highest that it has applied, and `process_fence` the highest that its
     present process has applied.
 
+    `told_fence` is the fence of the table for which a former leader has told
+    that no hold is left, 0 if none has.
+
     `era` counts the restores of the store, `term_era` is the era of the
     present term and `table_era` that of the stored table. `settled` tells
     whether the owner is certain. `restarted` tells whether the present process
@@ -108,6 +119,7 @@
     held_fence: tuple = (0, 0)
     highest_fence: tuple = (0, 0)
     process_fence: tuple = (0, 0)
+    told_fence: int = 0
     restarts: int = 0
     restarted: tuple = (False, False)
     era: int = 0
@@ -147,7 +159,9 @@
     def _environment(self, s):
         if s.lease_valid:
             yield f'expire {s.leader}', s._replace(lease_valid=False)
-        elif s.elections < self.max_elections:
+        else:
+            yield from self._tell(s)
+        if not s.lease_valid and s.elections < self.max_elections:
             yield f'elect {1 - s.leader}', self._elect(s, 1 - s.leader)
             if s.term_era < s.era:
                 yield f'resume {s.leader}', self._resume(s)
@@ -165,6 +179,21 @@
         for grant in sorted(s.grants_in_flight):
             yield from self._receive_grant(s, grant)
 
+    def _tell(self, s):
+        """Tell, as the former leader, that its holds have ended."""
+        owner, fence = s.known_assignment[s.leader]
+        in_flight = any(grant[0] == owner for grant in s.grants_in_flight)
+        if not s.fence_renewed[s.leader] or in_flight or s.term_era < s.era:
+            return
+        if s.told_fence == fence:
+            return
+        yield (
+            f'tell {s.leader}',
+            s._replace(
+                told_fence=fence, held_fence=_with(s.held_fence, owner, 0)
+            ),
+        )
+
     def _restart(self, s, upstream):
         """Start the next process of an upstream under its id."""
         return s._replace(
@@ -183,6 +212,9 @@
         Without a table of this era, the one of the copy may be out of date.
         """
         is_certain = s.table_era == s.era and s.settled
+        holds_ended = s.told_fence == s.fence
+        if self.mutation == 'former_holds_of_another_term':
+            holds_ended = s.told_fence != 0
         return s._replace(
             leader=new,
             lease_valid=True,
@@ -191,7 +223,7 @@
                 s.known_assignment, new, (s.owner, s.fence)
             ),
             fence_renewed=_with(s.fence_renewed, new, False),
-            release_known=_with(s.release_known, new, False),
+            release_known=_with(s.release_known, new, holds_ended),
             term_era=s.era,
             settled=is_certain,
         )
