Start with the leader's copy of the store

It lists the routers' own keys now, and asks the leader for the rest: one compressed copy, encoded once for all that ask. Without a leader for 1.5 s, or after a restore of the store, it lists the keys as before.

--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -1,7 +1,8 @@
 """Replicates all keys below a prefix of the store.
 
-The copy starts with a listing and is updated by a watch. If the store has
-compacted its history past the last change seen, the keys are listed again.
+The copy starts with the leader's or with a listing, and is updated by a watch.
+If the store has compacted its history past the last change seen, the keys are
+listed again.
 
 While the leader sends feeds of its own copy, this router does not watch the
 store. Each feed names the range of revisions that it covers, so that a gap is
@@ -32,6 +33,10 @@
 FIRST_WATCH_DELAY_SECONDS = 0.3
 # The leader replies within milliseconds; after this time the store is called.
 LEADER_REPLY_TIMEOUT_SECONDS = 0.25
+# A router that starts asks the leader for its copy for this time before it
+# lists the keys itself, and this often. A leader is elected within a second.
+COPY_WAIT_SECONDS = 1.5
+COPY_REQUEST_INTERVAL_SECONDS = 0.1
 # Number of removed keys remembered for feed requests of other routers.
 MAX_REMOVED_KEYS = 1000
 
@@ -79,6 +84,10 @@
         # Requests missed changes from the leader; returns whether the request
         # was sent.
         self.request_from_leader = lambda: False
+        # Requests the leader's copy; returns False if this router must list
+        # the keys itself.
+        self.request_copy = lambda: False
+        self._copy_wait_until = 0.0
         # When the store is called instead; 0.0 if no request is pending.
         self._leader_reply_deadline = 0.0
         # Removed keys with their revisions; all removals after the revision
@@ -147,8 +156,29 @@
         return sorted(found, key=lambda item: item.revision)
 
     def start(self):
-        """Start with a listing of the prefix."""
-        self._list('')
+        """Start with the leader's copy or with a listing of the prefix."""
+        self._copy_wait_until = self._loop.now() + COPY_WAIT_SECONDS
+        self._ask_for_copy()
+
+    def apply_copy(self, revision, items):
+        """Start with the items that the leader has at a revision."""
+        if self.listed or self._stopped:
+            return
+        self._listing = {item.key: item for item in items}
+        self._listing_revision = revision
+        self._finish_listing(revision)
+
+    def _ask_for_copy(self):
+        now = self._loop.now()
+        if now >= self._copy_wait_until or not self.request_copy():
+            self._list('')
+            return
+
+        def ask_again():
+            if not self.listed and not self._stopped:
+                self._ask_for_copy()
+
+        self._call_after(COPY_REQUEST_INTERVAL_SECONDS, ask_again)
 
     def restart(self):
         """Read all keys anew: the store was restored from an older copy."""
@@ -211,20 +241,20 @@
         if reply.more and reply.items:
             self._list(reply.items[-1].key)
             return
-        self._finish_listing(reply)
+        self._finish_listing(reply.revision)
 
-    def _finish_listing(self, reply):
+    def _finish_listing(self, revision):
         listing = self._listing
         self._revision = self._listing_revision
         for key in set(self.items) - set(listing):
-            self._apply_listed(StoredItem(key, None, reply.revision))
+            self._apply_listed(StoredItem(key, None, revision))
         for item in listing.values():
             self._apply_listed(item)
         # Other routers may not have listed what was replaced.
         self._previous.clear()
         self.synced = True
         self.listed = True
-        self._removed_after = reply.revision
+        self._removed_after = revision
         log_event('store_listed', prefix=self.prefix, keys=len(listing))
         self._call_after(FIRST_WATCH_DELAY_SECONDS, self._watch)
 
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -327,6 +327,7 @@
             messages.KeyLoads: without_link(self.leader.note_report),
             messages.StoreFeed: without_link(self._feeder.on_feed),
             messages.FeedRequest: self._feeder.on_feed_request,
+            messages.StoreCopy: without_link(self._feeder.on_copy),
             messages.UpstreamLimits: without_link(self._pacing.on_reports),
             messages.UpstreamDepartures: without_link(
                 self._departures.on_message
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -16,6 +16,7 @@
 from bramleysill_kernel.value_deltas import make_delta
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
+from bramleysill_wire import codec
 
 # A leader sends no feeds if its last confirmed renewal is older than this.
 MAX_RENEWAL_AGE_SECONDS = 1.0
@@ -27,8 +28,8 @@
 # a second.
 COMPRESS_ABOVE_BYTES = 1024
 COMPRESSION_LEVEL = 1
-# The store accepts no longer values.
-MAX_ITEM_BYTES = 8 << 20
+# The longest value or copy after decompression.
+MAX_UNPACKED_BYTES = 32 << 20
 
 
 class FeedSpan:
@@ -74,6 +75,8 @@
         # The era of the store that the spans belong to.
         self._era = state.store_era
         self._spans = {}
+        # By prefix, the last StoreCopy and the revision and era it is of.
+        self._copies = {}
         self._last_tick_at = loop.now()
         self._watches = {
             watch.prefix: watch
@@ -87,6 +90,8 @@
             self._spans[watch.prefix] = FeedSpan()
             watch.on_batch = self._make_forwarder(watch)
             watch.request_from_leader = self._make_requester(watch)
+            if watch is not state.own_watch:
+                watch.request_copy = self._make_copy_requester(watch)
 
     def tick(self):
         """Send feeds without changes; called at the feed interval."""
@@ -138,6 +143,9 @@
             return
         if message.era != self._state.store_era:
             return
+        if not message.revision:
+            link.send(self._make_copy(watch))
+            return
         items = watch.changes_since(message.revision)
         if items is None or message.revision > watch.revision:
             return
@@ -154,6 +162,47 @@
             self._make_feed(watch, message.revision, watch.revision, rows)
         )
 
+    def on_copy(self, message):
+        """Start with the leader's copy of a prefix."""
+        watch = self._watches.get(message.prefix)
+        leader = self._leader.current_leader()
+        if watch is None or leader is None or leader[0] != message.router:
+            return
+        feed = codec.decode(_unpack(message.data))
+        if feed.era == self._state.store_era:
+            items = [_decode_item(row, None) for row in feed.items]
+            watch.apply_copy(feed.revision, items)
+
+    def _make_copy(self, watch):
+        """Return the StoreCopy of a prefix; the last one is kept."""
+        key = watch.revision, self._state.store_era
+        known = self._copies.get(watch.prefix)
+        if known is None or known[0] != key:
+            rows = [_encode_item(item) for item in watch.items.values()]
+            feed = self._make_feed(watch, 0, watch.revision, rows)
+            data = zlib.compress(codec.encode_body(feed), COMPRESSION_LEVEL)
+            known = key, messages.StoreCopy(self._name, watch.prefix, data)
+            self._copies[watch.prefix] = known
+        return known[1]
+
+    def _make_copy_requester(self, watch):
+        """Return a function that asks for a copy while there may be one."""
+
+        def request_copy():
+            if self._leader.leadership.leading or self._state.was_restored:
+                return False
+            leader = self._leader.current_leader()
+            if leader is not None and self._state.own_watch.listed:
+                self._links.send(
+                    leader[0],
+                    messages.FeedRequest(
+                        self._name, watch.prefix, 0, self._state.store_era
+                    ),
+                )
+            return True
+
+        return request_copy
+
     def _make_requester(self, watch):
         def request_feed():
             leader = self._leader.current_leader()
@@ -249,13 +298,19 @@
     return list(latest.values())
 
 
+def _unpack(data):
+    """Return compressed bytes, or raise FrameError if they are too long."""
+    unpacker = zlib.decompressobj()
+    value = unpacker.decompress(data, MAX_UNPACKED_BYTES)
+    if not unpacker.eof:
+        raise FrameError('a value is too long or truncated', 'decode')
+    return value
+
+
 def _decode_item(item, known):
     value = item.value
     if item.packed:
-        unpacker = zlib.decompressobj()
-        value = unpacker.decompress(value, MAX_ITEM_BYTES)
-        if not unpacker.eof:
-            raise FrameError('a value is too long or truncated', 'decode')
+        value = _unpack(value)
     if item.base:
         if known is None or known.revision != item.base:
             raise DeltaError('the value before is not known', 'decode')
--- a/packages/kernel/src/bramleysill_kernel/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/messages.py
@@ -238,7 +238,8 @@
 class FeedRequest:
     """Asks the leader for the changes below a prefix after a revision.
 
-    `era` is the era of the store that the revision belongs to.
+    The revision 0 asks for a StoreCopy of all that there is. `era` is the era
+    of the store that the revision belongs to.
     """
 
     router: str
@@ -247,6 +248,18 @@
     era: int
 
 
+@dataclasses.dataclass(slots=True)
+class StoreCopy:
+    """All items below a prefix, as the leader has them at a revision.
+
+    `data` is compressed with zlib and has an encoded StoreFeed.
+    """
+
+    router: str
+    prefix: str
+    data: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class StoreFeed:
     """Changes below a prefix that the leader has read from the store.
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -173,6 +173,7 @@
         _Field('answers', 'answers', list, list),
         _Field('busy_times', 'busyTimes', list, list),
     ],
+    messages.StoreCopy: _plain_fields(*messages.StoreCopy.__slots__),
     messages.FeedRequest: _plain_fields('router', 'prefix', 'revision', 'era'),
     messages.StoreFeed: _plain_fields(
         'router', 'prefix', 'base', 'revision', 'era'
@@ -279,6 +280,12 @@
 
 def encode(message):
     """Return the frame of a message, including its length."""
+    data = encode_body(message)
+    return _pack_length(len(data)) + data
+
+
+def encode_body(message):
+    """Return the frame of a message without its length, for `decode`."""
     cls = type(message)
     frame = _schema.Frame.new_message()
     item = frame.init(_UNION_NAMES[cls])
@@ -289,8 +296,7 @@
         if field.encode is not None:
             value = field.encode(value)
         setattr(item, field.name, value)
-    data = frame.to_bytes()
-    return _pack_length(len(data)) + data
+    return frame.to_bytes()
 
 
 def encoded_attributes():
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -177,6 +177,12 @@
   era @5 :UInt64;
 }
 
+struct StoreCopy {
+  router @0 :Text;
+  prefix @1 :Text;
+  data @2 :Data;
+}
+
 struct FeedRequest {
   router @0 :Text;
   prefix @1 :Text;
@@ -294,5 +300,6 @@
     formerTermHolds @26 :FormerTermHolds;
     takeoverRequest @27 :TakeoverRequest;
     leaderChange @28 :LeaderChange;
+    storeCopy @29 :StoreCopy;
   }
 }
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -50,6 +50,7 @@
     messages.ProbeResult('u', True),
     messages.KeyLoads('r1', 's', [4, 9], [2, 1], ['u'], [3], [0.25]),
     messages.FeedRequest('r1', 'p/', 7, 2),
+    messages.StoreCopy('r1', 'p/', b'x'),
     messages.UpstreamLimits('r1', [messages.LimitRow('u1', 12, 5.5, 0.25)]),
     messages.UpstreamDepartures('r1', [messages.DepartureRow('u1', 12)]),
     messages.RangeNoticeList(
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from bramleysill_gateway.prefix_watch import COPY_WAIT_SECONDS
 from bramleysill_gateway.prefix_watch import FIRST_WATCH_DELAY_SECONDS
 from bramleysill_gateway.prefix_watch import PrefixWatch
 from bramleysill_gateway.store_feed import StoreFeeder
@@ -38,6 +39,7 @@
         ]
         self.operator_watch, self.upstream_watch, self.own_watch = watches
         self.store_era = 1
+        self.was_restored = False
 
     def note_store_era(self, era):
         if era > self.store_era:
@@ -87,6 +89,8 @@
 class _FeedCase(testtools.TestCase):
     """A leader that sends feeds to one other router."""
 
+    asks_for_copies = False
+
     def setUp(self):
         super().setUp()
         self.loop = ManualLoop()
@@ -110,6 +114,8 @@
         feeder = StoreFeeder(
             self.loop, TIMINGS, name, self.links, state, leader
         )
+        if not self.asks_for_copies:
+            state.operator_watch.request_copy = lambda: False
         return store, leader, state, feeder
 
     def _start(self, watch, store):
@@ -118,6 +124,84 @@
         self.loop.advance(FIRST_WATCH_DELAY_SECONDS)
 
 
+class StoreCopyTest(_FeedCase):
+    """Routers that start beside a leader, some hundred at once."""
+
+    def setUp(self):
+        super().setUp()
+        self.links.connected = True
+        value = json.dumps([[i, i * i] for i in range(700)]).encode()
+        self.store.reply_to_watch(
+            make_reply(9, make_item('operator/t', 9, value))
+        )
+        self.asks_for_copies = True
+        self.started = self._router(False)
+        self.started_watch = self.started[2].operator_watch
+        self.started[2].own_watch.listed = True
+
+    def _answer_requests(self):
+        receiver = types.SimpleNamespace(send=self.started[3].on_copy)
+        for request in self.links.requests:
+            self.feeder.on_feed_request(receiver, request)
+        self.links.requests.clear()
+
+    def test_a_router_starts_with_the_copy_of_the_leader(self):
+        """Guards against a dozen listings by each router that starts.
+
+        On hhcr-gate-large quiet-1 the start of 195 routers was most of 2,410
+        calls to the store.
+        """
+        store, _, _, feeder = self.started
+        self.started_watch.start()
+        self._answer_requests()
+        self.assertEqual(
+            self.watch.items.keys(), self.started_watch.items.keys()
+        )
+        self.assertEqual(9, self.started_watch.revision)
+        self.assertIsNone(store.reply_to_list)
+        self.links.receiver = feeder
+        self.feeder.tick()
+        self.loop.advance(FIRST_WATCH_DELAY_SECONDS)
+        self.assertEqual([], store.watches)
+
+    def test_without_a_copy_the_prefix_is_listed(self):
+        """Guards against a router that waits for a leader for ever."""
+        store = self.started[0]
+        self.started_watch.start()
+        self.loop.advance(COPY_WAIT_SECONDS + 0.2)
+        store.reply_to_list(make_reply(5, make_item('operator/a', 3)))
+        self.assertTrue(self.started_watch.synced)
+        self._answer_requests()
+        self.assertEqual(5, self.started_watch.revision)
+
+    def test_the_leader_lists_the_prefix_itself(self):
+        """Guards against a leader that waits for its own copy."""
+        store, leader, state, _ = self._router(True)
+        state.operator_watch.start()
+        self.assertIsNotNone(store.reply_to_list)
+
+    def test_a_copy_of_another_router_is_ignored(self):
+        """Guards against the copy of a router that does not lead."""
+        self.started_watch.start()
+        (request,) = self.links.requests
+        copies = []
+        sender = types.SimpleNamespace(send=copies.append)
+        self.feeder.on_feed_request(sender, request)
+        copies[0].router = 'other'
+        self.started[3].on_copy(copies[0])
+        self.assertFalse(self.started_watch.listed)
+
+    def test_a_copy_is_made_once(self):
+        """Guards against a leader whose loop stops while all start."""
+        self.started_watch.start()
+        request = self.links.requests[0]
+        copies = []
+        sender = types.SimpleNamespace(send=copies.append)
+        for _ in range(5):
+            self.feeder.on_feed_request(sender, request)
+        self.assertEqual(1, len({id(copy) for copy in copies}))
+
+
 class _SizedLinks(_Links):
     """Records the number of bytes of values in the feeds."""
 
