--- a/packages/kernel/src/bramleysill_kernel/send_policy.py
+++ b/packages/kernel/src/bramleysill_kernel/send_policy.py
@@ -32,7 +32,7 @@
 MAX_RETRY_AFTER_SECONDS = 1.5
 # Load of the owner of a busy key that routers admit, as a multiple of what it
 # is expected to serve.
-ADMITTED_LOAD = 1.25
+ADMITTED_LOAD = 1.0
 # Retry-After of a request for a busy key, for each multiple of the requests
 # that its owner can serve.
 RETRY_AFTER_PER_OVERLOAD_SECONDS = 0.15
