--- a/tests/sessions/network.py
+++ b/tests/sessions/network.py
@@ -21,6 +21,9 @@
         self._unread = []
         loop.conns.append(self)
 
+    def now(self):
+        return self.loop.now()
+
     def write(self, data):
         if self.closed or not data or self.other is None:
             return
