--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -5,6 +5,7 @@
 KERNEL = 'kernel/src/bramleysill_kernel/'
 NET = 'net/src/bramleysill_net/'
 ROUTER = 'router/src/bramleysill_router/'
+GATEWAY = 'gateway/src/bramleysill_gateway/'
 
 _MECHANISM_TESTS = 'tests.sessions.test_mechanisms.'
 _GOLDEN_TESTS = 'tests.test_sessions.GoldenTest.'
@@ -179,7 +180,7 @@
     ),
     Mutation(
         'a release waits for a grant of its keys in progress',
-        KERNEL + 'range_coordinator.py',
+        KERNEL + 'range_releases.py',
         'if self._holds.has_grant_in_progress(move.old_range):',
         'if False:',
         'tests.test_range_coordinator.MovesTest',
@@ -199,6 +200,34 @@
         'self._clock.now()\n                - 1.0',
         'tests.test_range_coordinator.HoldLedgerTest',
     ),
+    Mutation(
+        'a call may arrive half a second after its end',
+        KERNEL + 'hold_ledger.py',
+        'MAX_TRANSIT_SECONDS = 0.5',
+        'MAX_TRANSIT_SECONDS = 0.05',
+        'tests.test_range_coordinator.CongestionTest',
+    ),
+    Mutation(
+        'holds of a former term count for its last table only',
+        KERNEL + 'range_coordinator.py',
+        'if former.table_revision != self._first_revision:',
+        'if False:',
+        'tests.test_range_coordinator.TakeoverTest',
+    ),
+    Mutation(
+        'a departure counts whatever the entry says',
+        KERNEL + 'upstream_directory.py',
+        'if self._departures.get(entry.upstream) == entry.incarnation:',
+        'if False:',
+        'tests.test_upstream_availability.DirectoryTest',
+    ),
+    Mutation(
+        'a pipelined request that runs once waits for its turn',
+        GATEWAY + 'frontend.py',
+        'return route is not None and route.repeatable',
+        'return route is not None',
+        'tests.test_pipelining',
+    ),
     Mutation(
         'a caller that closes is noticed before its data',
         NET + 'loop.py',
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/range_coordinator.py
@@ -22,8 +22,7 @@
 `write_table`.
 """
 
-import enum
-
+from bramleysill_kernel.call_outcome import CallOutcome
 from bramleysill_kernel.former_holds import FormerHolds
 from bramleysill_kernel.hold_ledger import HoldLedger
 from bramleysill_kernel.hold_ledger import last_hold_end
@@ -41,46 +40,23 @@
 from bramleysill_kernel.range_planner import Capacity
 from bramleysill_kernel.range_planner import plan_new_upstreams
 from bramleysill_kernel.range_planner import plan_vacant_ranges
+from bramleysill_kernel.range_releases import RETRY_DELAY_SECONDS
+from bramleysill_kernel.range_releases import WRITE_BATCH_SECONDS
+from bramleysill_kernel.range_releases import RangeReleases
 from bramleysill_kernel.reassignment import ReassignmentRules
 
-# Delay before a failed grant or release is sent again.
-RETRY_DELAY_SECONDS = 0.1
-# Upper bound of the delay between release attempts, which doubles each time.
-# An owner whose process has ended responds to none of them, and its hold
-# expires within seconds anyway.
-MAX_RETRY_DELAY_SECONDS = 0.8
 # After this many failed grants in a row the range is moved away. Further
 # grants would only extend the time for which the owner may hold the keys.
 MAX_GRANT_FAILURES = 2
-# Moves that become ready within this time share one write of the table.
-WRITE_BATCH_SECONDS = 0.03
 # Delay before the first placement. It is longer than a heartbeat interval,
 # within which every upstream has registered.
 FIRST_PLACEMENT_DELAY_SECONDS = 2.0
 # Interval at which a leader stores how long unsettled keys still wait.
 PROGRESS_INTERVAL_SECONDS = 1.0
-# Average time of a release before the first one, and the weight of a sample.
-INITIAL_RELEASE_SECONDS = 0.2
-RELEASE_TIME_WEIGHT = 0.1
 # Interval between plans that balance the load.
 BALANCE_INTERVAL_SECONDS = 0.4
 
 
-class CallOutcome(enum.Enum):
-    """The outcome of a grant, a release or a table write.
-
-    After `REFUSED` nothing was changed. After `NO_RESPONSE` the call may
-    have taken effect or may still do so. `REPLACED` means that another process
-    has the upstream's address, so the upstream's own process has ended.
-    """
-
-    OK = 'ok'
-    REFUSED = 'refused'
-    CONFLICT = 'conflict'
-    NO_RESPONSE = 'no_answer'
-    REPLACED = 'replaced'
-
-
 class RangeCoordinator:
     """Manages the owners of one service's keys while this router leads."""
 
@@ -101,6 +77,7 @@
         self._pool = OwnerPool(service, clock, directory, capacity_of)
         self._holds = None
         self._rules = None
+        self._releases = None
         self._moves = MoveList()
         self._renewals = {}
         self._handovers = {}
@@ -108,8 +85,6 @@
         self._fences_renewed = False
         self._next_balance_at = 0.0
         self._last_call_number = 0
-        # Average time in seconds until an owner has ended its work.
-        self._release_seconds = INITIAL_RELEASE_SECONDS
         self._busy_ranges = ()
         self._first_placement_at = 0.0
         self._lowest_fence = 0
@@ -155,6 +130,9 @@
         self._rules = ReassignmentRules(
             self._clock, self._directory, self._pool, self._holds
         )
+        self._releases = RangeReleases(
+            self._clock, self._directory, self._pool, self._holds, self._calls
+        )
         if table is None:
             table = RangeTable.empty()
             self._holds.discard_inherited_holds()
@@ -213,10 +191,9 @@
 
     def paused_ranges(self):
         """Return the PausedRange of each move whose keys nobody serves."""
-        now = self._clock.now()
         found = []
         for move in self._moves:
-            wait = self._pause_seconds(move, now)
+            wait = self._releases.pause_seconds(move)
             if wait is not None:
                 found.append(
                     PausedRange(
@@ -225,29 +202,6 @@
                 )
         return found
 
-    def _pause_seconds(self, move, now):
-        """Return until when the keys of a move have no owner, or None.
-
-        An owner accepts no new work from the arrival of a release.
-        """
-        old_range = move.old_range
-        if move.ready_at is not None:
-            return WRITE_BATCH_SECONDS
-        if move.release_pending:
-            return self._release_seconds
-        if move.released:
-            end = self._holds.expiry_after_release(old_range)
-            return max(WRITE_BATCH_SECONDS, end - now)
-        if not old_range.owner:
-            return None
-        entry = self._directory.owner_entry(
-            old_range.owner, old_range.incarnation
-        )
-        if entry is not None:
-            return None
-        end = self._holds.expiry_without_release(old_range)
-        return max(WRITE_BATCH_SECONDS, end - now)
-
     @property
     def has_renewed_fences(self):
         """Return whether the table of this leader is in the store."""
@@ -370,45 +324,7 @@
                 move.target_required = True
                 move.ready_at = now
             elif not move.released and not move.release_pending:
-                self._release(move, now)
-
-    def _release(self, move, now):
-        # After a restart under the same id the next process is asked: until it
-        # registered, it accepted the grants that were meant for the former.
-        entry = self._directory.last_known(move.old_range.owner)
-        if entry is None or entry.incarnation < move.old_range.incarnation:
-            return
-        if now < move.retry_at:
-            return
-        if self._holds.has_grant_in_progress(move.old_range):
-            # The release could overtake the grant, which would then undo it.
-            return
-        move.release_pending = True
-
-        def done(result, handover):
-            if result is CallOutcome.OK:
-                sample = self._clock.now() - now
-                self._release_seconds += RELEASE_TIME_WEIGHT * (
-                    sample - self._release_seconds
-                )
-            self._on_released(move, result, handover)
-
-        self._calls.release(entry, move.old_range, done)
-
-    def _on_released(self, move, result, handover):
-        move.release_pending = False
-        if result is CallOutcome.REPLACED:
-            self._pool.record_process_end(move.old_range)
-            return
-        if result is CallOutcome.OK:
-            move.released = True
-            move.handover = handover
-            return
-        pause = min(
-            RETRY_DELAY_SECONDS * 2**move.failures, MAX_RETRY_DELAY_SECONDS
-        )
-        move.failures += 1
-        move.retry_at = self._clock.now() + pause
+                self._releases.send(move)
 
     def _commit_ready_moves(self):
         if self._pending_write is not None:
--- a/tests/range_fakes.py
+++ b/tests/range_fakes.py
@@ -8,10 +8,10 @@
 import heapq
 import itertools
 
+from bramleysill_kernel.call_outcome import CallOutcome
 from bramleysill_kernel.clock import ManualClock
 from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
 from bramleysill_kernel.key_loads import KeyLoads
-from bramleysill_kernel.range_coordinator import CallOutcome
 from bramleysill_kernel.range_coordinator import RangeCoordinator
 from bramleysill_kernel.upstream_directory import UpstreamDirectory
 from bramleysill_kernel.upstream_directory import UpstreamEntry
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -12,10 +12,10 @@
 from bramleysill_gateway.cell_state import CellState
 from bramleysill_gateway.control_calls import ControlCalls
 from bramleysill_gateway.leader import LeaderElection
+from bramleysill_kernel.call_outcome import CallOutcome
 from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
 from bramleysill_kernel.named_limits import NamedLimits
 from bramleysill_kernel.node_settings import NodeSettings
-from bramleysill_kernel.range_coordinator import CallOutcome
 from bramleysill_kernel.store_types import StoreOutcome
 from bramleysill_kernel.store_types import StoreReply
 from bramleysill_platform.adapter import PlatformAdapter
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -3,8 +3,8 @@
 import testtools
 
 from bramleysill_gateway.control_calls import ControlCalls
+from bramleysill_kernel.call_outcome import CallOutcome
 from bramleysill_kernel.key_ranges import KeyRange
-from bramleysill_kernel.range_coordinator import CallOutcome
 from bramleysill_kernel.upstream_directory import UpstreamDirectory
 from bramleysill_kernel.upstream_directory import UpstreamEntry
 from bramleysill_net.conn import Listener
