--- a/tests/test_range_notices.py
+++ b/tests/test_range_notices.py
@@ -1,4 +1,4 @@
-"""Tests of ranges of keys between two owners, as all routers know of them."""
+"""Tests of what the leader announces of ranges without an owner or too busy."""
 
 import random
 
