--- a/packages/gateway/src/bramleysill_gateway/range_announcer.py
+++ b/packages/gateway/src/bramleysill_gateway/range_announcer.py
@@ -1,10 +1,13 @@
 """Announces paused and busy ranges to all routers, and keeps the latest."""
 
+import math
+
 from bramleysill_kernel import messages
 from bramleysill_kernel.range_notices import REPEAT_INTERVAL_SECONDS
 from bramleysill_kernel.range_notices import BusyRange
 from bramleysill_kernel.range_notices import PausedRange
 from bramleysill_kernel.range_notices import RangeNotices
+from bramleysill_kernel.range_notices import announcement_interval
 
 NO_NOTICES = RangeNotices((), (), 0.0)
 
@@ -36,15 +39,19 @@
     def announce(self, service, paused, busy):
         """Tell all routers, as the leader, of paused and busy ranges.
 
-        Called often; a message is sent after a change, and from time to time.
+        Called often; a message is sent after a change, and from time to time,
+        but no more than a part of the link is used.
         """
         now = self._loop.now()
         self._notices[service] = RangeNotices(paused, busy, now)
         keys = {(r.first, r.last, r.fence) for r in (*paused, *busy)}
-        last = self._announced.get(service)
-        known = last.keys if last is not None else set()
-        is_due = last is None or now >= last.sent_at + REPEAT_INTERVAL_SECONDS
-        if keys == known and not (keys and is_due):
+        last = self._announced.get(service, _Announcement(set(), -math.inf))
+        age = now - last.sent_at
+        interval = announcement_interval(len(keys), self.links.link_count())
+        if keys == last.keys:
+            if not keys or age < max(interval, REPEAT_INTERVAL_SECONDS):
+                return
+        elif age < interval:
             return
         self._announced[service] = _Announcement(keys, now)
         self.links.broadcast(
@@ -61,7 +68,8 @@
                     )
                     for r in busy
                 ],
-            )
+            ),
+            packed=True,
         )
 
     def on_message(self, message):
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -9,7 +9,6 @@
 import zlib
 
 from bramleysill_kernel import messages
-from bramleysill_kernel.exceptions import FrameError
 from bramleysill_kernel.store_types import StoredItem
 from bramleysill_kernel.value_deltas import DeltaError
 from bramleysill_kernel.value_deltas import apply_delta
@@ -28,8 +27,6 @@
 # a second.
 COMPRESS_ABOVE_BYTES = 1024
 COMPRESSION_LEVEL = 1
-# The longest value or copy after decompression.
-MAX_UNPACKED_BYTES = 32 << 20
 
 
 class FeedSpan:
@@ -168,7 +165,7 @@
         leader = self._leader.current_leader()
         if watch is None or leader is None or leader[0] != message.router:
             return
-        feed = codec.decode(_unpack(message.data))
+        feed = codec.decode(codec.unpack(message.data))
         if feed.era == self._state.store_era:
             items = [_decode_item(row, None) for row in feed.items]
             watch.apply_copy(feed.revision, items)
@@ -248,7 +245,7 @@
     def _broadcast(self, watch, span, items):
         rows = [_encode_item(item, watch.previous_of(item)) for item in items]
         self._links.broadcast(
-            self._make_feed(watch, span.base, span.revision, rows)
+            self._make_feed(watch, span.base, span.revision, rows), packed=True
         )
         span.restart()
 
@@ -298,19 +295,10 @@
     return list(latest.values())
 
 
-def _unpack(data):
-    """Return compressed bytes, or raise FrameError if they are too long."""
-    unpacker = zlib.decompressobj()
-    value = unpacker.decompress(data, MAX_UNPACKED_BYTES)
-    if not unpacker.eof:
-        raise FrameError('a value is too long or truncated', 'decode')
-    return value
-
-
 def _decode_item(item, known):
     value = item.value
     if item.packed:
-        value = _unpack(value)
+        value = codec.unpack(value)
     if item.base:
         if known is None or known.revision != item.base:
             raise DeltaError('the value before is not known', 'decode')
--- a/packages/kernel/src/bramleysill_kernel/range_notices.py
+++ b/packages/kernel/src/bramleysill_kernel/range_notices.py
@@ -16,6 +16,12 @@
 # An announcement counts for this time. The leader repeats it earlier.
 VALIDITY_SECONDS = 0.8
 REPEAT_INTERVAL_SECONDS = 0.25
+# What announcements to all routers may take of the leader's link, and what a
+# range takes in each of them.
+MAX_BYTES_PER_SECOND = 2_500_000
+BYTES_PER_RANGE = 24
+# No announcement waits longer, so that the one before still counts.
+MAX_INTERVAL_SECONDS = 0.5
 # A range counts as busy if it gets more than this multiple of the requests
 # that its owner can serve.
 MIN_OVERLOAD = 2.0
@@ -23,6 +29,12 @@
 MAX_BUSY_RANGES = 100
 
 
+def announcement_interval(ranges, routers):
+    """Return the shortest time in seconds between two announcements."""
+    seconds = ranges * routers * BYTES_PER_RANGE / MAX_BYTES_PER_SECOND
+    return min(seconds, MAX_INTERVAL_SECONDS)
+
+
 class PausedRange:
     """Keys `first` to `last` of the range with this fence, without an owner.
 
--- a/packages/router/src/bramleysill_router/peer_links.py
+++ b/packages/router/src/bramleysill_router/peer_links.py
@@ -227,12 +227,20 @@
         link.send(message)
         return True
 
-    def broadcast(self, message):
-        """Send a message to all peers with an open link."""
-        data = codec.encode(message)
+    def broadcast(self, message, packed=False):
+        """Send a message to all peers with an open link.
+
+        `packed` compresses a long one, once for all of them.
+        """
+        encode = codec.encode_packed if packed else codec.encode
+        data = encode(message)
         for link in self.open_links():
             link.send_encoded(message, data)
 
+    def link_count(self):
+        """Return the number of links."""
+        return len(self._links)
+
     def open_links(self):
         """Return the open links."""
         return [link for link in self._links.values() if not link.closed]
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -7,6 +7,7 @@
 
 import pathlib
 import struct
+import zlib
 
 import capnp
 
@@ -16,6 +17,12 @@
 
 MAX_FRAME_BYTES = 8 << 20
 LENGTH_PREFIX_BYTES = 4
+# Longer messages to all routers are compressed.
+PACK_ABOVE_BYTES = 512
+PACK_LEVEL = 1
+PACKED_NAME = 'packed'
+# The longest value or frame after decompression.
+MAX_UNPACKED_BYTES = 32 << 20
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(pathlib.Path(__file__).with_name('messages.capnp')))
@@ -284,6 +291,28 @@
     return _pack_length(len(data)) + data
 
 
+def encode_packed(message):
+    """Return the frame of a message, compressed if that saves much."""
+    data = encode_body(message)
+    if len(data) > PACK_ABOVE_BYTES:
+        frame = _schema.Frame.new_message()
+        frame.packed = zlib.compress(data, PACK_LEVEL)
+        data = frame.to_bytes()
+    return _pack_length(len(data)) + data
+
+
+def unpack(data):
+    """Return compressed bytes, or raise FrameError if they are too long."""
+    unpacker = zlib.decompressobj()
+    try:
+        value = unpacker.decompress(data, MAX_UNPACKED_BYTES)
+    except zlib.error as exc:
+        raise FrameError(f'malformed compression: {exc}', 'decode') from exc
+    if not unpacker.eof:
+        raise FrameError('a value is too long or truncated', 'decode')
+    return value
+
+
 def encode_body(message):
     """Return the frame of a message without its length, for `decode`."""
     cls = type(message)
@@ -306,14 +335,17 @@
     }
 
 
-def decode(data):
+def decode(data, may_unpack=True):
     """Return the message of a frame; `data` excludes the length.
 
-    Raises FrameError if the data doesn't match the schema.
+    A packed frame has another one in it, which is not packed. Raises
+    FrameError if the data doesn't match the schema.
     """
     try:
         with _schema.Frame.from_bytes(data) as frame:
             name = frame.which()
+            if str(name) == PACKED_NAME and may_unpack:
+                return decode(unpack(frame.packed), may_unpack=False)
             item = getattr(frame, str(name))
             cls = _CLASSES_BY_UNION_NAME[str(name)]
             return _from_struct(cls, item, _FIELDS_BY_CLASS[cls])
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -301,5 +301,6 @@
     takeoverRequest @27 :TakeoverRequest;
     leaderChange @28 :LeaderChange;
     storeCopy @29 :StoreCopy;
+    packed @30 :Data;
   }
 }
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -1,5 +1,7 @@
 """Tests of the codec for messages between routers."""
 
+import zlib
+
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
@@ -92,6 +94,29 @@
             decoded = codec.FrameReader().feed(codec.encode(message))
             self.assertEqual([message], decoded)
 
+    def test_long_messages_are_packed(self):
+        """Guards against a leader's link that similar entries fill."""
+        rows = [
+            messages.FeedItem(f'servers/i-{i:010x}', b'{"zone":"a"}' * 20, i)
+            for i in range(40)
+        ]
+        message = messages.StoreFeed('r1', 'servers/', 7, 9, 1, rows)
+        data = codec.encode_packed(message)
+        self.assertLess(len(data), len(codec.encode(message)) / 4)
+        self.assertEqual([message], codec.FrameReader().feed(data))
+        for short in _SAMPLES:
+            frame = codec.encode_packed(short)
+            self.assertEqual([short], codec.FrameReader().feed(frame))
+
+    def test_a_packed_frame_is_bounded(self):
+        """Guards against a frame that fills the memory, or has itself."""
+        for data in (
+            zlib.compress(bytes(codec.MAX_UNPACKED_BYTES + 1)),
+            zlib.compress(b'x' * 100)[:-9],
+            b'x',
+        ):
+            self.assertRaises(FrameError, codec.unpack, data)
+
     def test_every_message_has_a_sample(self):
         """Guards against a new message that no test sends."""
         sampled = {type(message) for message in _SAMPLES}
--- a/tests/test_range_notices.py
+++ b/tests/test_range_notices.py
@@ -1,4 +1,4 @@
-"""Tests of what the leader announces of ranges without an owner or too busy."""
+"""Tests of announced ranges that have no owner or are too busy."""
 
 import random
 
@@ -133,12 +133,16 @@
 
 
 class _Links:
-    def __init__(self):
+    def __init__(self, routers=1):
+        self.routers = routers
         self.messages = []
 
-    def broadcast(self, message):
+    def broadcast(self, message, packed=False):
         self.messages.append(message)
 
+    def link_count(self):
+        return self.routers
+
 
 class RangeAnnouncerTest(testtools.TestCase):
     def setUp(self):
@@ -166,6 +170,20 @@
         for router in (self.leader, self.other):
             self.assertIsNone(self._wait(router, 's'))
 
+    def test_a_large_cell_gets_fewer_messages(self):
+        """Guards against a leader whose link announcements fill.
+
+        On hhcr-gate-large trouble-1 200 moves at once changed the list in
+        each tick: 20 messages a second of 5 KB to 230 routers.
+        """
+        self.links.routers = 230
+        for step in range(40):
+            paused = [PausedRange(i, i, step, 0.5) for i in range(200)]
+            self._announce(*paused)
+            self.clock.advance(0.05)
+        self.assertLessEqual(len(self.links.messages), 2.0 / 0.4 + 1)
+        self.assertGreater(len(self.links.messages), 2.0 / VALIDITY_SECONDS)
+
     def test_messages_are_few(self):
         """Guards against a message to all routers on each tick."""
         for _ in range(20):
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -75,7 +75,7 @@
     def open_links(self):
         return [self.receiver]
 
-    def broadcast(self, message):
+    def broadcast(self, message, packed=False):
         if not self.lost:
             self.receiver.on_feed(message)
 
@@ -209,7 +209,7 @@
         super().__init__()
         self.value_bytes = 0
 
-    def broadcast(self, message):
+    def broadcast(self, message, packed=False):
         self.value_bytes += sum(len(item.value) for item in message.items)
         super().broadcast(message)
 
