Let the cost of a start grow with the entries, not with their square

Each wrote a log line, and each change of an entry dispatched all waiting requests, which wait for a change of owners only. Addresses are matched by an expression instead of being parsed.

--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -38,7 +38,7 @@
 class CellState:
     """The latest state of the cell: all routers and upstreams of the store.
 
-    Calls `on_changed()` after each change.
+    Calls `on_tables_changed()` after each change of owners.
     """
 
     def __init__(self, loop, rng, timings, store, adapter, metrics):
@@ -49,7 +49,7 @@
         # StoredItem of the leader key, or None.
         self.leader_item = None
         self.routers = KnownRouters(loop)
-        self.on_changed = lambda: None
+        self.on_tables_changed = lambda: None
         # Called when the store was restored from an older copy.
         self.on_restored = lambda: None
         # The era that the store names in its replies; 0 before the first one.
@@ -208,7 +208,7 @@
             return
         self._table_versions[service] = version
         self.tables[service] = table
-        self.on_changed()
+        self.on_tables_changed()
 
     def _on_store_recovered(self):
         self.directory.note_store_recovered()
@@ -230,7 +230,6 @@
                 domain = item.key[len(self._adapter.evacuation_prefix) :]
                 self._lost_evacuations.pop(domain, None)
             self._apply_evacuations()
-        self.on_changed()
 
     def _apply_evacuations(self):
         prefix = self._adapter.evacuation_prefix
@@ -251,7 +250,6 @@
             revision=self.operator_watch.revision,
         )
         self.directory.set_evacuated(domains)
-        self.on_changed()
 
     def _apply_config(self, item):
         try:
@@ -299,10 +297,12 @@
             self.directory.put(entry)
         else:
             self.directory.put_from_copy(entry)
-        if old is None or (old.incarnation, old.draining) != (
+        is_changed = old is None or (old.incarnation, old.draining) != (
             entry.incarnation,
             entry.draining,
-        ):
+        )
+        # The first listing of some hundred entries is one line of its own.
+        if is_changed and self.upstream_watch.synced:
             log_event(
                 'upstream_updated',
                 upstream=upstream,
@@ -312,7 +312,6 @@
                 cold_seconds=max(0.0, entry.cold_until - now),
                 revision=item.revision,
             )
-        self.on_changed()
 
     def _remove_upstream(self, upstream, item, reason):
         if self.directory.get(upstream) is not None:
@@ -323,7 +322,6 @@
                 revision=item.revision,
             )
         self.directory.remove(upstream)
-        self.on_changed()
 
     def _parse_own_key(self, key):
         """Return (era, name) of a key; the first era isn't in its keys."""
@@ -343,7 +341,6 @@
         elif name.startswith(TABLES_PREFIX) and item.value is not None:
             version = TableVersion(era, item.revision)
             self._on_table_item(name[len(TABLES_PREFIX) :], item, version)
-        self.on_changed()
 
     def _on_router_item(self, name, item):
         if item.value is None:
--- a/packages/gateway/src/bramleysill_gateway/departures.py
+++ b/packages/gateway/src/bramleysill_gateway/departures.py
@@ -59,7 +59,6 @@
             'upstream_leaves', upstream=upstream, incarnation=incarnation
         )
         self._unsent.add((upstream, incarnation))
-        self._state.on_changed()
 
     def _broadcast(self):
         rows = self._unsent
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -406,7 +406,7 @@
         """Call `exchange.dispatch` after the next change of owners."""
         self._exchanges_awaiting_table.append(exchange)
 
-    def on_state_changed(self):
+    def on_tables_changed(self):
         """Dispatch the requests that wait for a change of owners."""
         waiting, self._exchanges_awaiting_table = (
             self._exchanges_awaiting_table,
@@ -422,7 +422,7 @@
         for key in expired:
             del self._stale_until[key]
         if expired:
-            self.on_state_changed()
+            self.on_tables_changed()
 
     def on_finished(self, exchange, outcome, seconds):
         """Count the outcome of an exchange that has ended."""
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -145,7 +145,7 @@
             self._adapter,
             self.metrics,
         )
-        self.state.on_changed = self.frontend.on_state_changed
+        self.state.on_tables_changed = self.frontend.on_tables_changed
         self.leader = LeaderElection(
             self.loop,
             self._rng,
--- a/packages/kernel/src/bramleysill_kernel/bounded_values.py
+++ b/packages/kernel/src/bramleysill_kernel/bounded_values.py
@@ -4,7 +4,7 @@
 digits only, and a number is checked for its length before it is converted.
 """
 
-import ipaddress
+import re
 
 # The largest integer of a document or a message between routers.
 MAX_INTEGER = (1 << 63) - 1
@@ -13,6 +13,8 @@
 MAX_PORT = 65535
 # The longest text that is sent on in a header, such as an id.
 MAX_TOKEN_CHARS = 200
+_OCTET = '(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])'
+_IPV4_ADDRESS = re.compile(rf'(?:{_OCTET}\.){{3}}{_OCTET}')
 
 
 def parse_integer(text, maximum=MAX_INTEGER):
@@ -42,11 +44,7 @@
 
 def is_ipv4_literal(host):
     """Return whether a host is an IPv4 address in dotted decimal form."""
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return True
+    return _IPV4_ADDRESS.fullmatch(host) is not None
 
 
 def is_token(text):
--- a/packages/kernel/src/bramleysill_kernel/upstream_directory.py
+++ b/packages/kernel/src/bramleysill_kernel/upstream_directory.py
@@ -6,6 +6,8 @@
 the upstream has not registered again by then.
 """
 
+import collections
+
 # Upstreams whose entries expired during an outage register again within about
 # two seconds of its end. After that, a missing upstream has left.
 REREGISTRATION_SECONDS = 2.2
@@ -73,6 +75,7 @@
         '_timings',
         '_evacuated_until',
         '_by_service',
+        '_by_address',
         '_leaving',
         '_missing_until',
         '_store_recovered_at',
@@ -88,7 +91,10 @@
         self._clock = clock
         self._timings = timings
         self._evacuated_until = {}
-        self._by_service = {}
+        # Entries by service, None until they are asked for after a change.
+        self._by_service = None
+        # The ids of the entries with an address.
+        self._by_address = collections.defaultdict(set)
         # Upstreams that drain or have left, and the time until which they are
         # used: {upstream: (entry, until)}.
         self._leaving = {}
@@ -136,8 +142,10 @@
             self._note_leaving(entry)
         else:
             self._leaving.pop(entry.upstream, None)
+        self._forget_address(self.entries.get(entry.upstream))
         self.entries[entry.upstream] = entry
-        self._rebuild_index()
+        self._by_address[entry.address].add(entry.upstream)
+        self._note_change()
 
     def put_from_copy(self, entry):
         """Add an entry of a store that was restored from an older copy.
@@ -195,10 +203,14 @@
         self._evacuated_until = {
             d: self._evacuated_until.get(d, end) for d in domains
         }
-        self._rebuild_index()
+        self._note_change()
 
     def of_service(self, service):
         """Return the entries of a service."""
+        if self._by_service is None:
+            self._by_service = collections.defaultdict(list)
+            for entry in self.entries.values():
+                self._by_service[entry.service].append(entry)
         return self._by_service.get(service, ())
 
     def usable(self, service):
@@ -257,20 +269,21 @@
     def _drop_older_process(self, entry):
         # Two live processes can't share an address, so an entry with the same
         # address and an older incarnation belongs to an ended process.
-        for other in list(self.entries.values()):
+        for upstream in list(self._by_address.get(entry.address, ())):
+            other = self.entries[upstream]
             if (
-                other.upstream != entry.upstream
-                and other.address == entry.address
+                upstream != entry.upstream
                 and other.incarnation < entry.incarnation
             ):
-                self._drop(other.upstream)
+                self._drop(upstream)
 
     def _drop(self, upstream):
         self._missing_until.pop(upstream, None)
         entry = self.entries.pop(upstream, None)
         if entry is not None:
+            self._forget_address(entry)
             self._note_leaving(entry)
-            self._rebuild_index()
+            self._note_change()
 
     def _note_leaving(self, entry):
         end = self._clock.now() + self._timings.leaving_grace
@@ -297,8 +310,14 @@
         known = self.last_known(upstream)
         return known is None or known.incarnation > incarnation
 
-    def _rebuild_index(self):
+    def _forget_address(self, entry):
+        if entry is None:
+            return
+        upstreams = self._by_address[entry.address]
+        upstreams.discard(entry.upstream)
+        if not upstreams:
+            del self._by_address[entry.address]
+
+    def _note_change(self):
         self.serial += 1
-        self._by_service = {}
-        for entry in self.entries.values():
-            self._by_service.setdefault(entry.service, []).append(entry)
+        self._by_service = None
