--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -221,8 +221,8 @@
     def test_a_refused_leader_is_replaced_at_once(self):
         """Guards against holds that are lengthened for an outage.
 
-        Owners that were lost soon after had such holds: their keys were
-        without an owner for 8 s on omaruru-sill and hhcr-gate-large trouble-1.
+        An owner that is lost soon after has such a hold, and its keys are
+        without an owner until the hold is over.
         """
         cell = _Cell()
         name = self._refuse_leader(cell)
