--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -1,7 +1,8 @@
-"""A server turns long uploads away before their bodies are in.
+"""Servers turn some long uploads away before their bodies are in.
 
-It keeps the connection and reads the rest later. Without the disruption it
-reads the body first. Short requests of other callers go on all the while.
+Two of three servers do so with two in five long uploads; they keep the
+connection and read the rest later. Without the disruption they read the body
+first. Short requests of other callers go on all the while.
 """
 
 import collections
@@ -11,7 +12,7 @@
 import client
 import harness
 
-UPLOADS = 4
+UPLOADS = 10
 UPLOAD_BYTES = 4 << 20
 SHORT_BODY = b'capsule 4711 released to the family Chen'
 SHORT_INTERVAL_SECONDS = 0.15
@@ -32,10 +33,16 @@
             ],
         ),
     )
-    ledger = cell.start_server(1, 'intake', '--early' if trouble else '--late')
+    option = '--early' if trouble else '--late'
+    ledgers = [
+        cell.start_server(1, 'intake', option),
+        cell.start_server(2, 'intake', option),
+        cell.start_server(3, 'intake'),
+    ]
     host, _ = cell.start_router(1)
     cell.wait_ready()
     statuses = collections.Counter()
+    uploads = collections.Counter()
     done = threading.Event()
 
     def send_short():
@@ -65,12 +72,13 @@
             body[:UPLOAD_BYTES],
             pace=0.03,
         )
+        uploads[answer.status] += 1
         record.write(f'upload {request} answered {answer.status}')
-        time.sleep(1.5)
+        time.sleep(1.0)
     done.set()
     time.sleep(4.5)
     broken = 0
-    for event in harness.read_ledger(ledger):
+    for event in [e for path in ledgers for e in harness.read_ledger(path)]:
         if event['event'] != 'run':
             record.write(f'server: {event}')
         if event.get('foreign'):
@@ -79,7 +87,8 @@
                 f'UNASKED: other bytes came in the body of {event["id"]}'
             )
     record.write(
-        f'short requests by status {dict(statuses)}, rule broken {broken} times'
+        f'uploads by status {dict(uploads)}, short requests by status '
+        f'{dict(statuses)}, rule broken {broken} times'
     )
     return harness.BROKEN if broken else harness.HELD
 
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -3,13 +3,15 @@
 It registers in the store, runs requests and answers them, and writes to a
 ledger what it has run. Its options:
 
---early   a request whose body is longer than 1 MiB is turned away before its
-          body is in; the connection is kept and the rest is read later
+--early   two in five requests whose body is longer than 1 MiB are turned away
+          before their body is in; the connection is kept and the rest is read
+          later
 --late    the same, but the body is read before the request is turned away
 """
 
 import argparse
 import asyncio
+import base64
 import hashlib
 import http.client
 import json
@@ -18,8 +20,10 @@
 HEARTBEAT_SECONDS = 0.4
 WORK_SECONDS = 0.02
 IDLE_SECONDS = 10
-# A body longer than this is turned away with --early and --late.
+# With --early and --late, requests with a longer body than this are turned
+# away, those with these numbers of each five.
 LONG_BODY_BYTES = 1 << 20
+TURNED_AWAY_OF_FIVE = (0, 2)
 # How much of it is in before the answer, and when the rest is read.
 EARLY_BYTES = 256 << 10
 READ_ON_SECONDS = 0.5
@@ -37,6 +41,7 @@
         self._ledger = open(options.ledger, 'a', encoding='utf-8')
         self._born = time.time_ns() // 1_000_000
         self._sequence = 0
+        self._long_requests = 0
 
     def note(self, event, **values):
         """Write a line to the ledger."""
@@ -68,8 +73,6 @@
             'sequence': self._sequence,
             'born': self._born,
         }
-        import base64
-
         value = base64.b64encode(json.dumps(entry).encode()).decode()
         key = f'servers/{self.options.id}'
         body = json.dumps({'puts': [{'key': key, 'value': value}]})
@@ -110,18 +113,25 @@
         if path == '/health':
             await self._answer(writer, 200, headers, [])
             return True
-        long = int(headers.get('content-length', 0)) > LONG_BODY_BYTES
-        if long and self.options.early:
+        turned_away = self._is_turned_away(headers)
+        if turned_away and self.options.early:
             await self._turn_away_early(reader, writer, headers)
             return True
         body = await read_body(reader, headers)
-        if long and self.options.late:
+        if turned_away and self.options.late:
             self._note_body(headers, body)
             await self._answer(writer, 503, headers, [NOT_EXECUTED])
             return True
         await self._run(writer, method, path, headers, body)
         return True
 
+    def _is_turned_away(self, headers):
+        if int(headers.get('content-length', 0)) <= LONG_BODY_BYTES:
+            return False
+        number = self._long_requests
+        self._long_requests += 1
+        return number % 5 in TURNED_AWAY_OF_FIVE
+
     async def _run(self, writer, method, path, headers, body):
         request = headers.get('x-bramleysill-request-id', '')
         expected = headers.get('x-bramleysill-expect-instance')
