--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -7,6 +7,8 @@
           before their body is in; the connection is kept and the rest is read
           later
 --late    the same, but the body is read before the request is turned away
+--work S  an upload takes S seconds of work, which begins with its head
+--stream  it reads the body of an upload as its work ends instead of before
 """
 
 import argparse
@@ -15,6 +17,7 @@
 import hashlib
 import http.client
 import json
+import socket
 import time
 
 HEARTBEAT_SECONDS = 0.4
@@ -24,7 +27,11 @@
 # away, those with these numbers of each five.
 LONG_BODY_BYTES = 1 << 20
 TURNED_AWAY_OF_FIVE = (0, 2)
-# How much of it is in before the answer, and when the rest is read.
+# A request with a longer body than this is an upload for --work.
+UPLOAD_BYTES = 100_000
+WINDOW_BYTES = 64 << 10
+# How much of a long body is in before the early answer, and how long after it
+# the rest is read.
 EARLY_BYTES = 256 << 10
 READ_ON_SECONDS = 0.5
 
@@ -51,7 +58,13 @@
     async def run(self):
         """Serve until the process is ended."""
         host, port = self.options.address.split(':')
-        server = await asyncio.start_server(self._serve, host, int(port))
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.options.stream:
+            # A small window: a peer that does not read blocks the writer.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        sock.bind((host, int(port)))
+        server = await asyncio.start_server(self._serve, sock=sock)
         asyncio.create_task(self._beat())
         await server.serve_forever()
 
@@ -117,11 +130,18 @@
         if turned_away and self.options.early:
             await self._turn_away_early(reader, writer, headers)
             return True
+        upload = int(headers.get('content-length', 0)) > UPLOAD_BYTES
+        if upload:
+            self.note('begins', id=headers.get('x-bramleysill-request-id'))
+        if upload and self.options.stream:
+            await asyncio.sleep(self.options.work)
         body = await read_body(reader, headers)
         if turned_away and self.options.late:
             self._note_body(headers, body)
             await self._answer(writer, 503, headers, [NOT_EXECUTED])
             return True
+        if upload and not self.options.stream:
+            await asyncio.sleep(self.options.work)
         await self._run(writer, method, path, headers, body)
         return True
 
@@ -246,6 +266,8 @@
         parser.add_argument(f'--{name}', required=True)
     parser.add_argument('--early', action='store_true')
     parser.add_argument('--late', action='store_true')
+    parser.add_argument('--work', type=float, default=0.0)
+    parser.add_argument('--stream', action='store_true')
     asyncio.run(Server(parser.parse_args()).run())
 
 
