Send streamed chunked uploads with their chunk framing

Cause: RequestBody announced Transfer-Encoding: chunked for a body that was not complete when it was sent on, but the exchange wrote the decoded bytes as they were and no last chunk. The upstream took bytes of the file for chunk sizes.

Change: the framing of an attempt is decided once, in framing_headers, and every byte of the body passes through encode and encode_end, which follow it. An upload that its caller breaks off, that is malformed or that passes the size limit never gets its last chunk. packages/router frames its bodies in LocalAttempt and was right.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -73,8 +73,8 @@
         self._streaming = False
         self._ended = False
 
-    def start(self, head, body):
-        """Send the header and the chunks of the body received so far."""
+    def start(self, data):
+        """Send the encoded header and the body received so far."""
         now = self._loop.now()
         self.sent_at = now
         self._backlog = self.peer.load.backlog(now)
@@ -83,7 +83,6 @@
         self._conn, self._reused = self.peer.pool.acquire(
             self._exchange.refused_conns
         )
-        data = b''.join((head, *body))
         self._conn.request(data, self)
 
     def write(self, data):
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -135,7 +135,7 @@
             )
             return
         if self._streaming_request:
-            self._attempt.write(data)
+            self._attempt.write(self._body.encode(data))
             if self._attempt.unsent_bytes > MAX_UNSENT_REQUEST_BYTES:
                 self.stream.pause()
             return
@@ -147,7 +147,11 @@
     def on_end(self):
         """Handle the end of the request body."""
         self._body.complete = True
-        if not self.finished and not self._dispatched:
+        if self.finished:
+            return
+        if self._streaming_request:
+            self._attempt.write(self._body.encode_end())
+        if not self._dispatched:
             self._dispatched = True
             self.dispatch()
 
@@ -294,7 +298,8 @@
         self._attempt = attempt
         self.peer = peer
         self._streaming_request = not self._body.complete
-        attempt.start(self._encode_head(peer.entry, now), self._body.chunks)
+        head = self._encode_head(peer.entry, now)
+        attempt.start(head + self._body.encode_buffered())
         if self._attempt is attempt and not attempt.connected:
             at = min(now + CONNECT_TIMEOUT_SECONDS, self._deadline)
             self._connect_timer = self.frontend.loop.scheduler.call_at(
--- a/packages/gateway/src/bramleysill_gateway/request_body.py
+++ b/packages/gateway/src/bramleysill_gateway/request_body.py
@@ -1,4 +1,9 @@
-"""Buffers a request body and builds its framing headers."""
+"""Buffers a request body and frames it for the upstream.
+
+The framing is decided once for each attempt, by `framing_headers`. All bytes
+of the body that the attempt sends pass through `encode` and `encode_end`, so
+that they match the framing that the head announces.
+"""
 
 # A body up to this size is buffered, so that the request can be retried; a
 # larger one is streamed as it arrives.
@@ -8,13 +13,15 @@
 class RequestBody:
     """The chunks buffered so far; `size` includes streamed chunks."""
 
-    __slots__ = ('chunks', 'size', 'complete', '_req')
+    __slots__ = ('chunks', 'size', 'complete', '_req', '_is_chunked')
 
     def __init__(self, req):
         self.chunks = []
         self.size = 0
         self.complete = not req.has_body
         self._req = req
+        # Whether the current attempt sends the body in chunks.
+        self._is_chunked = False
 
     @property
     def exceeds_buffer(self):
@@ -34,12 +41,31 @@
         self.chunks = []
 
     def framing_headers(self):
-        """Return Content-Length or Transfer-Encoding lines for upstream."""
+        """Decide the framing of an attempt; return its header lines.
+
+        A body that is complete is sent with its length, any other one with
+        the framing that the caller has announced.
+        """
         req = self._req
+        self._is_chunked = req.chunked and not self.complete
         if self.complete:
             if self.size or req.has_body or req.has_content_length:
                 return [f'Content-Length: {self.size}']
             return []
-        if req.chunked:
+        if self._is_chunked:
             return ['Transfer-Encoding: chunked']
         return [f'Content-Length: {req.length}']
+
+    def encode_buffered(self):
+        """Return the framed bytes of the chunks buffered so far."""
+        return b''.join(self.encode(data) for data in self.chunks)
+
+    def encode(self, data):
+        """Return the framed bytes of a chunk."""
+        if not self._is_chunked or not data:
+            return data
+        return b'%x\r\n%b\r\n' % (len(data), data)
+
+    def encode_end(self):
+        """Return the bytes that end the body."""
+        return b'0\r\n\r\n' if self._is_chunked else b''
