Reuse a connection only after its whole request was sent

Cause: HttpClientConn handed a connection back as idle when the response was complete and did not know whether the request had been written completely. The caller stops sending once it has its response, so the rest never came. Bodies up to 1 MiB are written at once and did not show it.

Change: `request` says whether its data is the whole request, `end_request` that the rest was written. With a request that is not complete, or with bytes that the kernel has not accepted, the connection is reset after the response. Both ways of sending (gateway and router) use it; peer links have no HTTP.

Evidence: EarlyRefusalTest fails before (the next request arrives behind the body) and passes after; EarlyResponseTest covers the three cases of the connection.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -73,8 +73,11 @@
         self._streaming = False
         self._ended = False
 
-    def start(self, data):
-        """Send the encoded header and the body received so far."""
+    def start(self, data, complete):
+        """Send the encoded header and the body received so far.
+
+        If the body is not `complete`, `write` and `end` send the rest.
+        """
         now = self._loop.now()
         self.sent_at = now
         self._backlog = self.peer.load.backlog(now)
@@ -83,13 +86,19 @@
         self._conn, self._reused = self.peer.pool.acquire(
             self._exchange.refused_conns
         )
-        self._conn.request(data, self)
+        self._conn.request(data, self, complete=complete)
 
     def write(self, data):
         """Send another chunk of the body."""
         if not self._ended:
             self._conn.write(data)
 
+    def end(self, data):
+        """Send the bytes that end the body."""
+        if not self._ended:
+            self._conn.write(data)
+            self._conn.end_request()
+
     @property
     def connected(self):
         """Return whether the connection to the upstream is established."""
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -150,7 +150,7 @@
         if self.finished:
             return
         if self._streaming_request:
-            self._attempt.write(self._body.encode_end())
+            self._attempt.end(self._body.encode_end())
         if not self._dispatched:
             self._dispatched = True
             self.dispatch()
@@ -299,7 +299,7 @@
         self.peer = peer
         self._streaming_request = not self._body.complete
         head = self._encode_head(peer.entry, now)
-        attempt.start(head + self._body.encode_buffered())
+        attempt.start(head + self._body.encode_buffered(), self._body.complete)
         if self._attempt is attempt and not attempt.connected:
             at = min(now + CONNECT_TIMEOUT_SECONDS, self._deadline)
             self._connect_timer = self.frontend.loop.scheduler.call_at(
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -1,8 +1,9 @@
 """An HTTP/1.1 client connection, used for upstreams and the store.
 
-Requests on a connection are not pipelined. A connection whose exchange did not
-complete is closed instead of reused, so that bytes of its response cannot be
-taken for the response to a later request.
+Requests on a connection are not pipelined. A connection is reused only if both
+halves of its exchange are complete. Otherwise bytes of the response could be
+taken for the response to a later request, or the server would read a later
+request where the rest of a body is due.
 """
 
 import httptools
@@ -42,6 +43,7 @@
         '_on_idle',
         '_on_closed',
         '_head_only',
+        '_request_complete',
         '_response_complete',
         '_unsent',
         '_read_until_close',
@@ -72,6 +74,7 @@
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._head_only = False
+        self._request_complete = True
         self._response_complete = False
         self._unsent = []
         self._read_until_close = False
@@ -93,11 +96,12 @@
         """Return the number of bytes that the kernel has not accepted yet."""
         return self.conn.buffered + sum(len(d) for d in self._unsent)
 
-    def request(self, data, sink, head_only=False):
+    def request(self, data, sink, head_only=False, complete=True):
         """Send an encoded request; `sink` receives the response.
 
-        `data` is the head with all, part or none of the body. `head_only`
-        means that the response has no body, as for HEAD.
+        `data` is the head with all, part or none of the body. If it is not
+        `complete`, `write` sends the rest and `end_request` follows.
+        `head_only` means that the response has no body, as for HEAD.
         """
         self.busy = True
         self._sink = sink
@@ -105,6 +109,7 @@
         self._unparsed_bytes = 0
         self._discarded_bytes = 0
         self._head_only = head_only
+        self._request_complete = complete
         self._response_complete = False
         self._read_until_close = False
         self._in_body = False
@@ -126,6 +131,10 @@
         else:
             self._unsent.append(data)
 
+    def end_request(self):
+        """Record that the whole request was written."""
+        self._request_complete = True
+
     def pause(self):
         """Pause reading the response."""
         self.conn.pause()
@@ -285,9 +294,11 @@
 
     def _finish_exchange(self):
         sink, self._sink = self._sink, None
-        reusable = self._reusable and not self._has_extra_response
         self.busy = False
-        if not reusable:
+        if not self._request_complete or self.buffered:
+            # The server has responded before it has read the request.
+            self.conn.abort()
+        elif not self._reusable or self._has_extra_response:
             self.conn.close()
         elif self._on_idle is not None:
             # Called before on_end, so that a request started there can reuse
--- a/packages/router/src/bramleysill_router/local_attempt.py
+++ b/packages/router/src/bramleysill_router/local_attempt.py
@@ -91,8 +91,11 @@
         if self._finished:
             return
         self._body_complete = True
-        if self._conn is not None and self.head.length < 0:
+        if self._conn is None:
+            return
+        if self.head.length < 0:
             self._conn.write(b'0\r\n\r\n')
+        self._conn.end_request()
 
     def cancel(self):
         """Cancel at the entry's request, whether queued or running."""
@@ -128,7 +131,12 @@
             pieces.append(b'0\r\n\r\n')
         self._pending_body.clear()
         self._pending_bytes = 0
-        conn.request(b''.join(pieces), self, self.head.method == 'HEAD')
+        conn.request(
+            b''.join(pieces),
+            self,
+            self.head.method == 'HEAD',
+            self._body_complete,
+        )
         if self._sink is not None:
             self._sink.on_admitted()
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -59,10 +59,13 @@
     def __init__(self):
         self.data = b''
 
-    def request(self, data, sink, head_only=False):
+    def request(self, data, sink, head_only=False, complete=True):
         self.data += data
         self.sink = sink
 
+    def end_request(self):
+        pass
+
     def abort(self):
         pass
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -233,6 +233,71 @@
         self.assertEqual(b'next', self._exchange('2')[2])
 
 
+class EarlyResponseTest(testtools.TestCase):
+    """A server responds before it has read the whole request.
+
+    Guards against reusing the connection: the server read the next request
+    where the rest of the body was due.
+    """
+
+    BODY_BYTES = 16 << 20
+
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop()
+        self.server = None
+        listener = Listener(self.loop, '127.0.0.1', 0, self._accept)
+        self.addCleanup(listener.close)
+        self.idle = []
+        self.conn = HttpClientConn(
+            self.loop, *listener.address, on_idle=self.idle.append
+        )
+        self.addCleanup(self.conn.abort)
+        self.responses = []
+
+    def _accept(self, conn):
+        self.server = _ScriptedServer(conn, [])
+        return self.server
+
+    def _start(self, body, complete):
+        head = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n'
+        self.conn.request(
+            head % self.BODY_BYTES + body,
+            ResponseCollector(lambda *found: self.responses.append(found)),
+            complete=complete,
+        )
+        self.loop.run_until(
+            lambda: self.conn.connected and self.server, TIMEOUT_SECONDS
+        )
+
+    def _respond(self):
+        self.server.conn.write(_encode_response(b'1', b'early'))
+        self.loop.run_until(lambda: self.responses, TIMEOUT_SECONDS)
+        self.assertEqual(200, self.responses[0][0])
+
+    def test_half_sent_request_closes_the_connection(self):
+        self._start(b'x' * 1000, complete=False)
+        self._respond()
+        self.assertTrue(self.conn.closed)
+        self.assertEqual([], self.idle)
+
+    def test_unsent_bytes_close_the_connection(self):
+        self._start(b'x' * self.BODY_BYTES, complete=True)
+        self.server.conn.pause()
+        self._respond()
+        self.assertTrue(self.conn.closed)
+        self.assertEqual([], self.idle)
+
+    def test_connection_is_reused_after_the_whole_request(self):
+        self._start(b'x' * 1000, complete=False)
+        self.conn.write(b'x' * (self.BODY_BYTES - 1000))
+        self.loop.run_until(lambda: not self.conn.buffered, TIMEOUT_SECONDS)
+        self.conn.end_request()
+        self._respond()
+        self.assertFalse(self.conn.closed)
+        self.assertEqual([self.conn], self.idle)
+
+
 class TimeoutTest(testtools.TestCase):
     def test_timeout_does_not_complete_a_response_without_length(self):
         """Guards against a partial response that looks complete.
--- a/tests/test_upload_framing.py
+++ b/tests/test_upload_framing.py
@@ -14,9 +14,12 @@
 from bramleysill_net.request_parser import HEAD
 from bramleysill_net.request_parser import HttpRequest
 from bramleysill_net.request_parser import RequestParser
+from tests.gateway_helpers import NOT_RUN_LINE
 from tests.gateway_helpers import REQUEST_ID_HEADER
 from tests.gateway_helpers import TIMEOUT_SECONDS
 from tests.gateway_helpers import GatewayTestCase
+from tests.gateway_helpers import signed_response
+from tests.gateway_helpers import unsigned_response
 
 # Larger than what an exchange buffers, so that the body is streamed.
 UPLOAD_BYTES = 1536 << 10
@@ -199,3 +202,30 @@
         self.assertEqual(400, self._wait_for_response(responses))
         self.loop.run_until(lambda: self.upstream.bodies, 0.1)
         self.assertEqual([], self.upstream.bodies)
+
+
+class EarlyRefusalTest(GatewayTestCase):
+    """Guards against a connection that is reused with half an upload on it.
+
+    An upstream that turns an upload away before it has read the body found
+    the next caller's request where the rest of the body was due.
+    """
+
+    def test_next_request_has_a_connection_of_its_own(self):
+        self.state.config.limits.body_bytes = MAX_BODY_BYTES
+        refusal = unsigned_response(503, NOT_RUN_LINE)
+        upstream = self.add_upstream('u1', lambda request_id: refusal)
+        conn = HttpClientConn(self.loop, *self.listener.address)
+        self.addCleanup(conn.abort)
+        responses = []
+        conn.request(
+            f'POST /write/1 HTTP/1.1\r\nHost: h\r\n{REQUEST_ID_HEADER}: r1\r\n'
+            f'Content-Length: {2 * UPLOAD_BYTES}\r\n\r\n'.encode(),
+            ResponseCollector(lambda *response: responses.append(response)),
+        )
+        conn.write(b'x' * UPLOAD_BYTES)
+        self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        self.assertEqual(503, responses[0][0])
+        upstream.make_response = signed_response
+        self.assertEqual(200, self.request('/write/2', body=b'short')[0])
+        self.assertTrue(upstream.requests[1].startswith('POST /write/2 '))
