--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,9 +15,9 @@
 import re
 
 from bench import slopes as slopes_bench
-from bramleysill_kernel import election
-from bramleysill_kernel import lease
-from bramleysill_kernel import moves
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.election import election
+from bramleysill_kernel.units import moves
 from bramleysill_router import control_loop
 from bramleysill_router import store_client
 
--- a/bench/control.py
+++ b/bench/control.py
@@ -13,15 +13,15 @@
 import random
 import time
 
-from bramleysill_kernel import clock as clock_module
-from bramleysill_kernel import coordinator
-from bramleysill_kernel import effects
-from bramleysill_kernel import election
-from bramleysill_kernel import lease
-from bramleysill_kernel import manifest
-from bramleysill_kernel import membership
-from bramleysill_kernel import messages
-from bramleysill_kernel import state
+from bramleysill_kernel.common import clock as clock_module
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.config import manifest
+from bramleysill_kernel.election import election
+from bramleysill_kernel.units import coordinator
+from bramleysill_kernel.units import membership
+from bramleysill_kernel.units import state
 
 CELL_SIZES = (10, 20, 40, 80)
 UPSTREAMS_PER_ROUTER = 3
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -18,12 +18,12 @@
 import collections
 import random
 
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.named_limits import NamedLimits
-from bramleysill_kernel.rate_pacer import UpstreamPacers
-from bramleysill_kernel.registry import Registry
-from bramleysill_kernel.shared_limits import USED_SHARE_OF_LIMIT
-from bramleysill_kernel.shared_limits import share_of_total
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.common.registry import Registry
+from bramleysill_kernel.load.named_limits import NamedLimits
+from bramleysill_kernel.load.rate_pacer import UpstreamPacers
+from bramleysill_kernel.load.shared_limits import USED_SHARE_OF_LIMIT
+from bramleysill_kernel.load.shared_limits import share_of_total
 
 ROUTER_COUNTS = (12, 64, 1700)
 LIMIT_PER_SECOND = 5.0
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -9,7 +9,7 @@
 import random
 import time
 
-from bramleysill_kernel import placement
+from bramleysill_kernel.units import placement
 
 UNITS_PER_UPSTREAM = 16
 FAILURE_DOMAINS = 3
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -13,22 +13,22 @@
 import random
 import sys
 
-from bramleysill_kernel.admission import ADMITTED
-from bramleysill_kernel.admission import QUEUED
-from bramleysill_kernel.admission import RESULT_CANCELLED
-from bramleysill_kernel.admission import RESULT_LOST
-from bramleysill_kernel.admission import RESULT_OK
-from bramleysill_kernel.admission import Admission
-from bramleysill_kernel.balancer import Candidate
-from bramleysill_kernel.balancer import balancers
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
-from bramleysill_kernel.hedging import Hedge
-from bramleysill_kernel.hedging import HedgePolicy
-from bramleysill_kernel.outliers import OutlierDetector
-from bramleysill_kernel.queueing import WorkItem
-from bramleysill_kernel.retries import RetryPolicy
-from bramleysill_kernel.slow_start import SlowStart
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.common.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.load.admission import ADMITTED
+from bramleysill_kernel.load.admission import QUEUED
+from bramleysill_kernel.load.admission import RESULT_CANCELLED
+from bramleysill_kernel.load.admission import RESULT_LOST
+from bramleysill_kernel.load.admission import RESULT_OK
+from bramleysill_kernel.load.admission import Admission
+from bramleysill_kernel.load.balancer import Candidate
+from bramleysill_kernel.load.balancer import balancers
+from bramleysill_kernel.load.hedging import Hedge
+from bramleysill_kernel.load.hedging import HedgePolicy
+from bramleysill_kernel.load.outliers import OutlierDetector
+from bramleysill_kernel.load.queueing import WorkItem
+from bramleysill_kernel.load.retries import RetryPolicy
+from bramleysill_kernel.load.slow_start import SlowStart
 
 SEED = 20261204
 SLOTS_PER_UPSTREAM = 4
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -1,5 +1,5 @@
 """Registry of the scenarios of the availability benchmark."""
 
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.registry import Registry
 
 scenarios = Registry('scenario')
--- a/bench/restores.py
+++ b/bench/restores.py
@@ -16,8 +16,8 @@
 
 from absl import logging
 
-from bramleysill_kernel.former_term import FormerTerm
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.registry import Registry
+from bramleysill_kernel.ranges.former_term import FormerTerm
 from tests.simulated_cell import STEP_SECONDS
 from tests.simulated_cell import SimulatedCell
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,10 +19,10 @@
 
 from bench import control
 from bench import placement as placement_bench
-from bramleysill_kernel import messages
-from bramleysill_kernel import ownership
-from bramleysill_kernel import state
-from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.config.manifest_parser import parse_manifest
+from bramleysill_kernel.units import ownership
+from bramleysill_kernel.units import state
 from bramleysill_net.http_client import encode_request
 from bramleysill_wire import codec
 
--- a/demo/cell.py
+++ b/demo/cell.py
@@ -7,8 +7,8 @@
 import urllib.error
 import urllib.request
 
-from bramleysill_kernel.ownership import KeySpace
-from bramleysill_kernel.ownership import OwnershipTable
+from bramleysill_kernel.units.ownership import KeySpace
+from bramleysill_kernel.units.ownership import OwnershipTable
 from demo.manifest import make_manifest
 
 HOST = '127.0.0.1'
--- a/packages/ctl/src/sillctl/collector.py
+++ b/packages/ctl/src/sillctl/collector.py
@@ -2,7 +2,7 @@
 
 import concurrent.futures
 
-from bramleysill_kernel.exceptions import SettingsError
+from bramleysill_kernel.common.exceptions import SettingsError
 from sillctl import router_client
 from sillctl.exceptions import RouterUnavailable
 from sillctl.snapshots import Snapshot
--- a/packages/ctl/src/sillctl/commands.py
+++ b/packages/ctl/src/sillctl/commands.py
@@ -5,9 +5,9 @@
 
 from fire import decorators
 
-from bramleysill_kernel import exceptions
-from bramleysill_kernel.ini_reader import closest_match
-from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.common import exceptions
+from bramleysill_kernel.config.ini_reader import closest_match
+from bramleysill_kernel.config.manifest_parser import parse_manifest
 from sillctl import apply_checks
 from sillctl import drains as drain_list
 from sillctl import key_moves
--- a/packages/ctl/src/sillctl/drains.py
+++ b/packages/ctl/src/sillctl/drains.py
@@ -2,8 +2,8 @@
 
 import json
 
-from bramleysill_kernel.exceptions import StoreConflict
-from bramleysill_kernel.exceptions import StoreError
+from bramleysill_kernel.common.exceptions import StoreConflict
+from bramleysill_kernel.common.exceptions import StoreError
 from sillctl import store_writes
 from sillctl.exceptions import NoUpstreamLeft
 from sillctl.store_clients import StoreValue
--- a/packages/ctl/src/sillctl/exceptions.py
+++ b/packages/ctl/src/sillctl/exceptions.py
@@ -1,6 +1,6 @@
 """Error classes of sillctl and the exit code of each class."""
 
-from bramleysill_kernel import exceptions
+from bramleysill_kernel.common import exceptions
 
 EXIT_OK = 0
 EXIT_INTERNAL = 1
--- a/packages/ctl/src/sillctl/key_moves.py
+++ b/packages/ctl/src/sillctl/key_moves.py
@@ -10,10 +10,10 @@
 import math
 import random
 
-from bramleysill_kernel.hashing import rendezvous_score
-from bramleysill_kernel.manifest import KIND_KEYED
-from bramleysill_kernel.ownership import NO_OWNER
-from bramleysill_kernel.ownership import KeySpace
+from bramleysill_kernel.common.hashing import rendezvous_score
+from bramleysill_kernel.config.manifest import KIND_KEYED
+from bramleysill_kernel.units.ownership import NO_OWNER
+from bramleysill_kernel.units.ownership import KeySpace
 from sillctl.ownership_view import is_current
 
 SAMPLE_COUNT = 4096
@@ -23,7 +23,7 @@
 HASH_BITS = 64
 DEFAULT_PARTITION = 'default'
 METHOD_ESTIMATE = 'estimate'
-PLACEMENT_MODULE = 'bramleysill_kernel.placement'
+PLACEMENT_MODULE = 'bramleysill_kernel.units.placement'
 
 
 def find_placement(name):
--- a/packages/ctl/src/sillctl/main.py
+++ b/packages/ctl/src/sillctl/main.py
@@ -4,7 +4,7 @@
 
 import fire
 
-from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.common.exceptions import SillError
 from sillctl import output
 from sillctl.commands import Commands
 from sillctl.exceptions import EXIT_OK
--- a/packages/ctl/src/sillctl/manifest_diff.py
+++ b/packages/ctl/src/sillctl/manifest_diff.py
@@ -1,7 +1,7 @@
 """Differences between two manifests."""
 
-from bramleysill_kernel.exceptions import ManifestError
-from bramleysill_kernel.manifest_parser import option_texts
+from bramleysill_kernel.common.exceptions import ManifestError
+from bramleysill_kernel.config.manifest_parser import option_texts
 
 
 def _options_by_section(text):
--- a/packages/ctl/src/sillctl/manifest_storage.py
+++ b/packages/ctl/src/sillctl/manifest_storage.py
@@ -12,9 +12,9 @@
 import pathlib
 import socket
 
-from bramleysill_kernel import exceptions
-from bramleysill_kernel.manifest import Manifest
-from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.common import exceptions
+from bramleysill_kernel.config.manifest import Manifest
+from bramleysill_kernel.config.manifest_parser import parse_manifest
 from sillctl import store_writes
 
 MANIFEST_KEY = 'manifest'
--- a/packages/ctl/src/sillctl/outcomes.py
+++ b/packages/ctl/src/sillctl/outcomes.py
@@ -3,7 +3,7 @@
 docs/report.md has the same table; a test compares the two.
 """
 
-from bramleysill_kernel.refusals import refusals
+from bramleysill_kernel.common.refusals import refusals
 
 OK = 'ok'
 # Failures caused by the caller, which no router or upstream could avoid.
--- a/packages/ctl/src/sillctl/ownership_view.py
+++ b/packages/ctl/src/sillctl/ownership_view.py
@@ -1,12 +1,12 @@
 """Views of the stored ownership tables: of one key and of a service."""
 
-from bramleysill_kernel.exceptions import SillError
-from bramleysill_kernel.exceptions import StoreError
-from bramleysill_kernel.manifest import KIND_KEYED
-from bramleysill_kernel.ownership import NO_OWNER
-from bramleysill_kernel.ownership import SINGLE_KEY_PREFIX
-from bramleysill_kernel.ownership import KeySpace
-from bramleysill_kernel.ownership import OwnershipTable
+from bramleysill_kernel.common.exceptions import SillError
+from bramleysill_kernel.common.exceptions import StoreError
+from bramleysill_kernel.config.manifest import KIND_KEYED
+from bramleysill_kernel.units.ownership import NO_OWNER
+from bramleysill_kernel.units.ownership import SINGLE_KEY_PREFIX
+from bramleysill_kernel.units.ownership import KeySpace
+from bramleysill_kernel.units.ownership import OwnershipTable
 from sillctl.exceptions import NotFound
 
 # Number of a block of shards in the store key of its table. A service has a
--- a/packages/ctl/src/sillctl/report_command.py
+++ b/packages/ctl/src/sillctl/report_command.py
@@ -4,7 +4,7 @@
 import pathlib
 import time
 
-from bramleysill_kernel.exceptions import SettingsError
+from bramleysill_kernel.common.exceptions import SettingsError
 from sillctl import collector
 from sillctl import snapshot_files
 from sillctl.alert_rules import alert_rules
--- a/packages/ctl/src/sillctl/snapshot_files.py
+++ b/packages/ctl/src/sillctl/snapshot_files.py
@@ -8,7 +8,7 @@
 import pathlib
 import re
 
-from bramleysill_kernel.exceptions import SettingsError
+from bramleysill_kernel.common.exceptions import SettingsError
 from sillctl.snapshots import STARTED_METRIC
 from sillctl.snapshots import decode
 from sillctl.snapshots import encode
--- a/packages/ctl/src/sillctl/store_clients.py
+++ b/packages/ctl/src/sillctl/store_clients.py
@@ -17,8 +17,8 @@
 import time
 import urllib.parse
 
-from bramleysill_kernel import exceptions
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common import exceptions
+from bramleysill_kernel.common.registry import Registry
 from sillctl.exceptions import StoreNotReached
 
 store_clients = Registry('store client')
--- a/packages/ctl/src/sillctl/store_writes.py
+++ b/packages/ctl/src/sillctl/store_writes.py
@@ -2,8 +2,8 @@
 
 import uuid
 
-from bramleysill_kernel.exceptions import StoreConflict
-from bramleysill_kernel.exceptions import StoreUnavailable
+from bramleysill_kernel.common.exceptions import StoreConflict
+from bramleysill_kernel.common.exceptions import StoreUnavailable
 from sillctl.exceptions import OutcomeUnknown
 from sillctl.exceptions import StoreNotReached
 
--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -6,8 +6,8 @@
 responses are streamed as they arrive.
 """
 
-from bramleysill_kernel.bounded_values import parse_milliseconds
-from bramleysill_kernel.retry_rules import AttemptOutcome
+from bramleysill_kernel.common.bounded_values import parse_milliseconds
+from bramleysill_kernel.load.retry_rules import AttemptOutcome
 from bramleysill_net.http_headers import end_to_end_fields
 from bramleysill_net.http_headers import first_value
 from bramleysill_net.http_headers import keep_alive_seconds
--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -8,11 +8,11 @@
 import typing
 
 from bramleysill_gateway.prefix_watch import PrefixWatch
-from bramleysill_kernel.exceptions import SillError
-from bramleysill_kernel.key_ranges import FIRST_ERA
-from bramleysill_kernel.key_ranges import RangeTable
-from bramleysill_kernel.shared_limits import KnownRouters
-from bramleysill_kernel.upstream_directory import UpstreamDirectory
+from bramleysill_kernel.common.exceptions import SillError
+from bramleysill_kernel.discovery.upstream_directory import UpstreamDirectory
+from bramleysill_kernel.load.shared_limits import KnownRouters
+from bramleysill_kernel.ranges.key_ranges import FIRST_ERA
+from bramleysill_kernel.ranges.key_ranges import RangeTable
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -4,13 +4,13 @@
 from bramleysill_gateway.cell_state import TABLES_PREFIX
 from bramleysill_gateway.cell_state import TableVersion
 from bramleysill_gateway.control_client import ControlClient
-from bramleysill_kernel.call_outcome import CallOutcome
-from bramleysill_kernel.exceptions import SillError
-from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
-from bramleysill_kernel.key_ranges import RangeTable
-from bramleysill_kernel.store_types import Condition
-from bramleysill_kernel.store_types import Put
-from bramleysill_kernel.store_types import StoreOutcome
+from bramleysill_kernel.common.call_outcome import CallOutcome
+from bramleysill_kernel.common.exceptions import SillError
+from bramleysill_kernel.common.store_types import Condition
+from bramleysill_kernel.common.store_types import Put
+from bramleysill_kernel.common.store_types import StoreOutcome
+from bramleysill_kernel.ranges.hold_ledger import CALL_TIMEOUT_SECONDS
+from bramleysill_kernel.ranges.key_ranges import RangeTable
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
--- a/packages/gateway/src/bramleysill_gateway/coordinators.py
+++ b/packages/gateway/src/bramleysill_gateway/coordinators.py
@@ -2,16 +2,16 @@
 
 from bramleysill_gateway.cell_state import TableVersion
 from bramleysill_gateway.control_calls import ControlCalls
-from bramleysill_kernel.former_term import FormerTerm
-from bramleysill_kernel.key_loads import KeyLoads
-from bramleysill_kernel.key_loads import UpstreamServiceTimes
-from bramleysill_kernel.key_ranges import ALL_KEYS
-from bramleysill_kernel.key_ranges import RangeTable
-from bramleysill_kernel.key_ranges import first_fence
-from bramleysill_kernel.range_coordinator import RangeCoordinator
-from bramleysill_kernel.rate_pacer import paced_rate
-from bramleysill_kernel.upstream_load import INITIAL_SERVICE_SECONDS
-from bramleysill_kernel.upstream_load import MIN_SERVICE_SECONDS
+from bramleysill_kernel.load.rate_pacer import paced_rate
+from bramleysill_kernel.load.upstream_load import INITIAL_SERVICE_SECONDS
+from bramleysill_kernel.load.upstream_load import MIN_SERVICE_SECONDS
+from bramleysill_kernel.ranges.former_term import FormerTerm
+from bramleysill_kernel.ranges.key_loads import KeyLoads
+from bramleysill_kernel.ranges.key_loads import UpstreamServiceTimes
+from bramleysill_kernel.ranges.key_ranges import ALL_KEYS
+from bramleysill_kernel.ranges.key_ranges import RangeTable
+from bramleysill_kernel.ranges.key_ranges import first_fence
+from bramleysill_kernel.ranges.range_coordinator import RangeCoordinator
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
--- a/packages/gateway/src/bramleysill_gateway/departures.py
+++ b/packages/gateway/src/bramleysill_gateway/departures.py
@@ -5,7 +5,7 @@
 moves the keys and tells all others.
 """
 
-from bramleysill_kernel import messages
+from bramleysill_kernel.common import messages
 from bramleysill_router.logs import log_event
 
 # The leader repeats all departures at this interval for routers that have
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -13,12 +13,12 @@
 from bramleysill_gateway.limit_wait import LimitWait
 from bramleysill_gateway.owner_search import OwnerSearch
 from bramleysill_gateway.request_body import RequestBody
-from bramleysill_kernel import refusals
-from bramleysill_kernel.bounded_values import parse_milliseconds
-from bramleysill_kernel.problems import to_problem
-from bramleysill_kernel.retry_rules import AttemptOutcome
-from bramleysill_kernel.retry_rules import may_retry
-from bramleysill_kernel.send_policy import Action
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.bounded_values import parse_milliseconds
+from bramleysill_kernel.common.problems import to_problem
+from bramleysill_kernel.load.retry_rules import AttemptOutcome
+from bramleysill_kernel.load.retry_rules import may_retry
+from bramleysill_kernel.load.send_policy import Action
 from bramleysill_net.http_headers import end_to_end_fields
 
 # Reading from the caller pauses while more request bytes than this wait to be
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -4,12 +4,12 @@
 import math
 
 from bramleysill_gateway.exchange import Exchange
-from bramleysill_kernel import refusals
-from bramleysill_kernel import send_policy
-from bramleysill_kernel.problems import to_problem
-from bramleysill_kernel.routing_config import TrafficSplitter
-from bramleysill_kernel.shared_limits import RetryBudget
-from bramleysill_kernel.shared_limits import SlowStartLimiter
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.problems import to_problem
+from bramleysill_kernel.config.routing_config import TrafficSplitter
+from bramleysill_kernel.load import send_policy
+from bramleysill_kernel.load.shared_limits import RetryBudget
+from bramleysill_kernel.load.shared_limits import SlowStartLimiter
 from bramleysill_net.http_server import HttpServerConn
 from bramleysill_router.logs import log_event
 
--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -4,15 +4,15 @@
 
 from bramleysill_gateway.cell_state import LEADER_KEY
 from bramleysill_gateway.coordinators import Coordinators
-from bramleysill_kernel.bounded_values import is_token
-from bramleysill_kernel.bounded_values import parse_address
-from bramleysill_kernel.leadership import RENEW_INTERVAL_SECONDS
-from bramleysill_kernel.leadership import Leadership
-from bramleysill_kernel.leadership import is_preferred_leader
-from bramleysill_kernel.store_types import Condition
-from bramleysill_kernel.store_types import Put
-from bramleysill_kernel.store_types import StoredItem
-from bramleysill_kernel.store_types import StoreOutcome
+from bramleysill_kernel.common.bounded_values import is_token
+from bramleysill_kernel.common.bounded_values import parse_address
+from bramleysill_kernel.common.store_types import Condition
+from bramleysill_kernel.common.store_types import Put
+from bramleysill_kernel.common.store_types import StoredItem
+from bramleysill_kernel.common.store_types import StoreOutcome
+from bramleysill_kernel.election.leadership import RENEW_INTERVAL_SECONDS
+from bramleysill_kernel.election.leadership import Leadership
+from bramleysill_kernel.election.leadership import is_preferred_leader
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
--- a/packages/gateway/src/bramleysill_gateway/limit_wait.py
+++ b/packages/gateway/src/bramleysill_gateway/limit_wait.py
@@ -5,7 +5,7 @@
 one for a key, which only its owner can serve, is refused.
 """
 
-from bramleysill_kernel.send_policy import max_upstream_seconds
+from bramleysill_kernel.load.send_policy import max_upstream_seconds
 
 
 class LimitWait:
--- a/packages/gateway/src/bramleysill_gateway/owner_search.py
+++ b/packages/gateway/src/bramleysill_gateway/owner_search.py
@@ -5,7 +5,7 @@
 """
 
 from bramleysill_gateway import request_refusals
-from bramleysill_kernel.send_policy import Action
+from bramleysill_kernel.load.send_policy import Action
 
 # A request that waits for a new owner is decided on again this long after the
 # owner was expected.
--- a/packages/gateway/src/bramleysill_gateway/pacing.py
+++ b/packages/gateway/src/bramleysill_gateway/pacing.py
@@ -4,10 +4,10 @@
 tells all others, so that a router applies a limit before its first response.
 """
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.named_limits import LimitReport
-from bramleysill_kernel.rate_pacer import UpstreamPacers
-from bramleysill_kernel.rate_pacer import pacing_router
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.load.named_limits import LimitReport
+from bramleysill_kernel.load.rate_pacer import UpstreamPacers
+from bramleysill_kernel.load.rate_pacer import pacing_router
 from bramleysill_router.logs import log_warning
 
 # A pacing router replies within milliseconds. Without a reply, this router
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -15,8 +15,8 @@
 
 from absl import logging
 
-from bramleysill_kernel.store_types import StoredItem
-from bramleysill_kernel.store_types import StoreOutcome
+from bramleysill_kernel.common.store_types import StoredItem
+from bramleysill_kernel.common.store_types import StoreOutcome
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -15,9 +15,9 @@
 from bramleysill_gateway.store_feed import StoreFeeder
 from bramleysill_gateway.takeover import Takeover
 from bramleysill_gateway.upstreams import Upstreams
-from bramleysill_kernel import messages
-from bramleysill_kernel.exceptions import SillError
-from bramleysill_kernel.leadership import is_preferred_leader
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.exceptions import SillError
+from bramleysill_kernel.election.leadership import is_preferred_leader
 from bramleysill_net.conn import Listener
 from bramleysill_net.loop import Loop
 from bramleysill_router.logs import log_event
--- a/packages/gateway/src/bramleysill_gateway/range_announcer.py
+++ b/packages/gateway/src/bramleysill_gateway/range_announcer.py
@@ -2,12 +2,12 @@
 
 import math
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.range_notices import REPEAT_INTERVAL_SECONDS
-from bramleysill_kernel.range_notices import BusyRange
-from bramleysill_kernel.range_notices import PausedRange
-from bramleysill_kernel.range_notices import RangeNotices
-from bramleysill_kernel.range_notices import announcement_interval
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.ranges.range_notices import REPEAT_INTERVAL_SECONDS
+from bramleysill_kernel.ranges.range_notices import BusyRange
+from bramleysill_kernel.ranges.range_notices import PausedRange
+from bramleysill_kernel.ranges.range_notices import RangeNotices
+from bramleysill_kernel.ranges.range_notices import announcement_interval
 
 NO_NOTICES = RangeNotices((), (), 0.0)
 
--- a/packages/gateway/src/bramleysill_gateway/registration.py
+++ b/packages/gateway/src/bramleysill_gateway/registration.py
@@ -4,8 +4,8 @@
 """
 
 from bramleysill_gateway.cell_state import ROUTERS_PREFIX
-from bramleysill_kernel.store_types import Put
-from bramleysill_kernel.store_types import StoreOutcome
+from bramleysill_kernel.common.store_types import Put
+from bramleysill_kernel.common.store_types import StoreOutcome
 from bramleysill_router.logs import log_warning
 
 # The registration of a failed router expires after this time. KnownRouters
--- a/packages/gateway/src/bramleysill_gateway/request_refusals.py
+++ b/packages/gateway/src/bramleysill_gateway/request_refusals.py
@@ -3,9 +3,9 @@
 `bound(seconds)` limits a Retry-After by the time left to the caller.
 """
 
-from bramleysill_kernel import refusals
-from bramleysill_kernel.retry_rules import AttemptOutcome
-from bramleysill_kernel.send_policy import Action
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.load.retry_rules import AttemptOutcome
+from bramleysill_kernel.load.send_policy import Action
 
 # A failed owner is replaced once its hold has expired. Callers retry before
 # that, possibly at another router.
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -8,11 +8,11 @@
 
 import zlib
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.store_types import StoredItem
-from bramleysill_kernel.value_deltas import DeltaError
-from bramleysill_kernel.value_deltas import apply_delta
-from bramleysill_kernel.value_deltas import make_delta
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.store_types import StoredItem
+from bramleysill_kernel.common.value_deltas import DeltaError
+from bramleysill_kernel.common.value_deltas import apply_delta
+from bramleysill_kernel.common.value_deltas import make_delta
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 from bramleysill_wire import codec
--- a/packages/gateway/src/bramleysill_gateway/takeover.py
+++ b/packages/gateway/src/bramleysill_gateway/takeover.py
@@ -10,12 +10,12 @@
 longest possible hold of an owner that was lost.
 """
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.former_holds import FormerHold
-from bramleysill_kernel.former_holds import FormerHolds
-from bramleysill_kernel.hashing import rendezvous_score
-from bramleysill_kernel.leadership import MAX_STORE_CLOCK_RATE_ERROR
-from bramleysill_kernel.store_types import StoredItem
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.hashing import rendezvous_score
+from bramleysill_kernel.common.store_types import StoredItem
+from bramleysill_kernel.election.leadership import MAX_STORE_CLOCK_RATE_ERROR
+from bramleysill_kernel.ranges.former_holds import FormerHold
+from bramleysill_kernel.ranges.former_holds import FormerHolds
 from bramleysill_router.logs import log_event
 
 # Interval between requests of a leader that the store refuses.
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -3,9 +3,9 @@
 import collections
 
 from bramleysill_gateway.upstream_pool import UpstreamPool
-from bramleysill_kernel.named_limits import NamedLimits
-from bramleysill_kernel.upstream_load import ServiceTime
-from bramleysill_kernel.upstream_load import UpstreamLoad
+from bramleysill_kernel.load.named_limits import NamedLimits
+from bramleysill_kernel.load.upstream_load import ServiceTime
+from bramleysill_kernel.load.upstream_load import UpstreamLoad
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/common/__init__.py
@@ -0,0 +1,1 @@
+"""Values, clocks, errors, messages and registries that all subpackages use."""
--- a/packages/kernel/src/bramleysill_kernel/refusals.py
+++ b/packages/kernel/src/bramleysill_kernel/common/refusals.py
@@ -3,9 +3,9 @@
 Callers see the codes, so they stay as they are.
 """
 
-from bramleysill_kernel.exceptions import OUTCOME_UNKNOWN
-from bramleysill_kernel.exceptions import Refusal
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.common.exceptions import Refusal
+from bramleysill_kernel.common.registry import Registry
 
 refusals = Registry('refusal')
 
--- a/packages/kernel/src/bramleysill_kernel/registry.py
+++ b/packages/kernel/src/bramleysill_kernel/common/registry.py
@@ -11,7 +11,7 @@
     balancers.get('random')
 """
 
-from bramleysill_kernel.exceptions import SettingsError
+from bramleysill_kernel.common.exceptions import SettingsError
 
 
 class Registry:
--- a/packages/kernel/src/bramleysill_kernel/value_deltas.py
+++ b/packages/kernel/src/bramleysill_kernel/common/value_deltas.py
@@ -14,7 +14,7 @@
 import struct
 import zlib
 
-from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.common.exceptions import SillError
 
 _CHUNK = re.compile(rb'[^\]}]*[\]}]|[^\]}]+')
 # The CRC-32 of the new version.
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/config/__init__.py
@@ -0,0 +1,1 @@
+"""The manifest, the routing configuration, settings and timings."""
--- a/packages/kernel/src/bramleysill_kernel/manifest.py
+++ b/packages/kernel/src/bramleysill_kernel/config/manifest.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.common.exceptions import SillError
 
 KIND_KEYED = 'keyed'
 KIND_SHARED = 'shared'
--- a/packages/kernel/src/bramleysill_kernel/manifest_checks.py
+++ b/packages/kernel/src/bramleysill_kernel/config/manifest_checks.py
@@ -8,13 +8,13 @@
 
 import dataclasses
 
-from bramleysill_kernel import manifest_options
-from bramleysill_kernel.ini_reader import Problem
-from bramleysill_kernel.ini_reader import closest_match
-from bramleysill_kernel.ini_reader import quote
-from bramleysill_kernel.manifest import KIND_KEYED
-from bramleysill_kernel.manifest_options import section_kinds
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.registry import Registry
+from bramleysill_kernel.config import manifest_options
+from bramleysill_kernel.config.ini_reader import Problem
+from bramleysill_kernel.config.ini_reader import closest_match
+from bramleysill_kernel.config.ini_reader import quote
+from bramleysill_kernel.config.manifest import KIND_KEYED
+from bramleysill_kernel.config.manifest_options import section_kinds
 
 manifest_checks = Registry('manifest check')
 
--- a/packages/kernel/src/bramleysill_kernel/manifest_options.py
+++ b/packages/kernel/src/bramleysill_kernel/config/manifest_options.py
@@ -6,8 +6,8 @@
 
 import dataclasses
 
-from bramleysill_kernel import manifest
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.registry import Registry
+from bramleysill_kernel.config import manifest
 
 section_kinds = Registry('section')
 
@@ -180,14 +180,14 @@
         'variant',
         'Method by which a shared service selects an upstream.',
         default='power_of_two',
-        registry=('bramleysill_kernel.balancer', 'balancers'),
+        registry=('bramleysill_kernel.load.balancer', 'balancers'),
     ),
     Option(
         'placement',
         'variant',
         'Method by which shards are assigned to upstreams.',
         default='bounded',
-        registry=('bramleysill_kernel.placement', 'placements'),
+        registry=('bramleysill_kernel.units.placement', 'placements'),
     ),
     Option(
         'hedge',
--- a/packages/kernel/src/bramleysill_kernel/manifest_parser.py
+++ b/packages/kernel/src/bramleysill_kernel/config/manifest_parser.py
@@ -9,23 +9,23 @@
             print(problem)
 """
 
-from bramleysill_kernel import manifest
-from bramleysill_kernel import manifest_options
-from bramleysill_kernel.exceptions import ManifestError
-from bramleysill_kernel.ini_reader import Problem
-from bramleysill_kernel.ini_reader import closest_match
-from bramleysill_kernel.ini_reader import quote
-from bramleysill_kernel.ini_reader import read_ini
-from bramleysill_kernel.manifest_checks import ManifestSection
-from bramleysill_kernel.manifest_checks import ParsedManifest
-from bramleysill_kernel.manifest_checks import manifest_checks
-from bramleysill_kernel.manifest_options import section_kinds
-from bramleysill_kernel.manifest_values import NAME_PATTERN
-from bramleysill_kernel.manifest_values import SAFE_METHODS
-from bramleysill_kernel.manifest_values import OptionValueError
-from bramleysill_kernel.manifest_values import format_value
-from bramleysill_kernel.manifest_values import parse_value
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.exceptions import ManifestError
+from bramleysill_kernel.common.registry import Registry
+from bramleysill_kernel.config import manifest
+from bramleysill_kernel.config import manifest_options
+from bramleysill_kernel.config.ini_reader import Problem
+from bramleysill_kernel.config.ini_reader import closest_match
+from bramleysill_kernel.config.ini_reader import quote
+from bramleysill_kernel.config.ini_reader import read_ini
+from bramleysill_kernel.config.manifest_checks import ManifestSection
+from bramleysill_kernel.config.manifest_checks import ParsedManifest
+from bramleysill_kernel.config.manifest_checks import manifest_checks
+from bramleysill_kernel.config.manifest_options import section_kinds
+from bramleysill_kernel.config.manifest_values import NAME_PATTERN
+from bramleysill_kernel.config.manifest_values import SAFE_METHODS
+from bramleysill_kernel.config.manifest_values import OptionValueError
+from bramleysill_kernel.config.manifest_values import format_value
+from bramleysill_kernel.config.manifest_values import parse_value
 
 __all__ = ('Problem', 'options_table', 'parse_manifest', 'option_texts')
 
--- a/packages/kernel/src/bramleysill_kernel/manifest_values.py
+++ b/packages/kernel/src/bramleysill_kernel/config/manifest_values.py
@@ -8,9 +8,9 @@
 import ipaddress
 import re
 
-from bramleysill_kernel.ini_reader import closest_match
-from bramleysill_kernel.ini_reader import quote
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.registry import Registry
+from bramleysill_kernel.config.ini_reader import closest_match
+from bramleysill_kernel.config.ini_reader import quote
 
 option_types = Registry('option type')
 
--- a/packages/kernel/src/bramleysill_kernel/node_settings.py
+++ b/packages/kernel/src/bramleysill_kernel/config/node_settings.py
@@ -1,6 +1,6 @@
 """Typed settings of a router process on the users' platform."""
 
-from bramleysill_kernel.timings import Timings
+from bramleysill_kernel.config.timings import Timings
 
 
 class ListenAddresses:
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of the upstreams that have registered in the store."""
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/election/__init__.py
@@ -0,0 +1,1 @@
+"""Which router leads a cell, and for how long."""
--- a/packages/kernel/src/bramleysill_kernel/candidates.py
+++ b/packages/kernel/src/bramleysill_kernel/election/candidates.py
@@ -9,11 +9,11 @@
 candidates are required.
 """
 
-from bramleysill_kernel import effects
-from bramleysill_kernel import election as election_module
-from bramleysill_kernel import lease
-from bramleysill_kernel.leader_record import LeaderRecord
-from bramleysill_kernel.leader_record import leader_key
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.election import election as election_module
+from bramleysill_kernel.election.leader_record import LeaderRecord
+from bramleysill_kernel.election.leader_record import leader_key
 
 MAX_CANDIDATES = 3
 RECORD_RETRY_DELAY_SECONDS = 0.5
--- a/packages/kernel/src/bramleysill_kernel/election.py
+++ b/packages/kernel/src/bramleysill_kernel/election/election.py
@@ -36,13 +36,13 @@
 
 import json
 
-from bramleysill_kernel import effects
-from bramleysill_kernel import lease
-from bramleysill_kernel.eligibility import EligibilityRules
-from bramleysill_kernel.leader_lease import LeaderLease
-from bramleysill_kernel.leader_lease import lease_key
-from bramleysill_kernel.leader_record import LeaderRecord
-from bramleysill_kernel.leader_record import leader_key
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.election.eligibility import EligibilityRules
+from bramleysill_kernel.election.leader_lease import LeaderLease
+from bramleysill_kernel.election.leader_lease import lease_key
+from bramleysill_kernel.election.leader_record import LeaderRecord
+from bramleysill_kernel.election.leader_record import leader_key
 
 FOLLOWER = 'follower'
 STANDING = 'standing'
--- a/packages/kernel/src/bramleysill_kernel/eligibility.py
+++ b/packages/kernel/src/bramleysill_kernel/election/eligibility.py
@@ -1,6 +1,6 @@
 """The rules that decide whether a router may stand for election."""
 
-from bramleysill_kernel import lease
+from bramleysill_kernel.common import lease
 
 
 class EligibilityRules:
--- a/packages/kernel/src/bramleysill_kernel/leader_lease.py
+++ b/packages/kernel/src/bramleysill_kernel/election/leader_lease.py
@@ -8,10 +8,10 @@
 
 import json
 
-from bramleysill_kernel import effects
-from bramleysill_kernel import lease
-from bramleysill_kernel.leader_record import LeaderRecord
-from bramleysill_kernel.leader_record import leader_key
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.election.leader_record import LeaderRecord
+from bramleysill_kernel.election.leader_record import leader_key
 
 
 def lease_key(cell):
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/load/__init__.py
@@ -0,0 +1,1 @@
+"""Whether and where a request is sent: queues, limits, retries, health."""
--- a/packages/kernel/src/bramleysill_kernel/admission.py
+++ b/packages/kernel/src/bramleysill_kernel/load/admission.py
@@ -27,17 +27,17 @@
         send(item)
 """
 
-from bramleysill_kernel.queueing import STATE_ABANDONED
-from bramleysill_kernel.queueing import STATE_DONE
-from bramleysill_kernel.queueing import STATE_HELD
-from bramleysill_kernel.queueing import STATE_NEW
-from bramleysill_kernel.queueing import STATE_QUEUED
-from bramleysill_kernel.queueing import STATE_RUNNING
-from bramleysill_kernel.queueing import FairQueue
-from bramleysill_kernel.refusals import DeadlineNotRun
-from bramleysill_kernel.refusals import Overloaded
-from bramleysill_kernel.refusals import OwnerMoving
-from bramleysill_kernel.slow_start import SlowStart
+from bramleysill_kernel.common.refusals import DeadlineNotRun
+from bramleysill_kernel.common.refusals import Overloaded
+from bramleysill_kernel.common.refusals import OwnerMoving
+from bramleysill_kernel.load.queueing import STATE_ABANDONED
+from bramleysill_kernel.load.queueing import STATE_DONE
+from bramleysill_kernel.load.queueing import STATE_HELD
+from bramleysill_kernel.load.queueing import STATE_NEW
+from bramleysill_kernel.load.queueing import STATE_QUEUED
+from bramleysill_kernel.load.queueing import STATE_RUNNING
+from bramleysill_kernel.load.queueing import FairQueue
+from bramleysill_kernel.load.slow_start import SlowStart
 
 ADMITTED = 'admitted'
 QUEUED = 'queued'
--- a/packages/kernel/src/bramleysill_kernel/balancer.py
+++ b/packages/kernel/src/bramleysill_kernel/load/balancer.py
@@ -15,7 +15,7 @@
     second = balancer.pick(candidates, exclude=(chosen.name,))
 """
 
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.registry import Registry
 
 balancers = Registry('balancer')
 
--- a/packages/kernel/src/bramleysill_kernel/health.py
+++ b/packages/kernel/src/bramleysill_kernel/load/health.py
@@ -21,10 +21,10 @@
 often.
 """
 
-from bramleysill_kernel.messages import UPSTREAM_LEAVING
-from bramleysill_kernel.messages import UPSTREAM_OK
-from bramleysill_kernel.messages import UPSTREAM_SUSPECT
-from bramleysill_kernel.slow_start import STATE_LEAVING
+from bramleysill_kernel.common.messages import UPSTREAM_LEAVING
+from bramleysill_kernel.common.messages import UPSTREAM_OK
+from bramleysill_kernel.common.messages import UPSTREAM_SUSPECT
+from bramleysill_kernel.load.slow_start import STATE_LEAVING
 
 # Failures in a row that make an upstream suspect, and successes in a row that
 # make it ok again.
--- a/packages/kernel/src/bramleysill_kernel/rate_pacer.py
+++ b/packages/kernel/src/bramleysill_kernel/load/rate_pacer.py
@@ -13,9 +13,9 @@
 
 import collections
 
-from bramleysill_kernel.hashing import rendezvous_score
-from bramleysill_kernel.shared_limits import USED_SHARE_OF_LIMIT
-from bramleysill_kernel.shared_limits import share_of_total
+from bramleysill_kernel.common.hashing import rendezvous_score
+from bramleysill_kernel.load.shared_limits import USED_SHARE_OF_LIMIT
+from bramleysill_kernel.load.shared_limits import share_of_total
 
 # The pacing router permits this much of a second's requests at once.
 BURST_SECONDS = 0.25
--- a/packages/kernel/src/bramleysill_kernel/retries.py
+++ b/packages/kernel/src/bramleysill_kernel/load/retries.py
@@ -18,8 +18,8 @@
     wait = policy.delay(OUTCOME_NOT_RUN, repeatable=True, deadline=9.0)
 """
 
-from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
-from bramleysill_kernel.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.common.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.common.exceptions import OUTCOME_UNKNOWN
 
 DEFAULT_RATIO = 0.1
 # Without this, a service with few requests would hardly ever earn a token.
--- a/packages/kernel/src/bramleysill_kernel/shared_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/load/shared_limits.py
@@ -7,7 +7,7 @@
 
 import collections
 
-from bramleysill_kernel.hashing import rendezvous_score
+from bramleysill_kernel.common.hashing import rendezvous_score
 
 # Share of a common limit that is used. The rest covers routers that don't
 # know of each other yet.
--- a/packages/kernel/src/bramleysill_kernel/former_term.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/former_term.py
@@ -6,8 +6,8 @@
 lease of this one, and moves no keys for some time.
 """
 
-from bramleysill_kernel.key_ranges import ALL_KEYS
-from bramleysill_kernel.reassignment import FIRST_MOVE_DELAY_SECONDS
+from bramleysill_kernel.ranges.key_ranges import ALL_KEYS
+from bramleysill_kernel.ranges.reassignment import FIRST_MOVE_DELAY_SECONDS
 
 
 class FormerTerm:
--- a/packages/kernel/src/bramleysill_kernel/hold_ledger.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/hold_ledger.py
@@ -14,7 +14,7 @@
 import collections
 import math
 
-from bramleysill_kernel.former_holds import FormerHold
+from bramleysill_kernel.ranges.former_holds import FormerHold
 
 # An upstream's clock may run 2% slow while it measures a hold.
 MAX_UPSTREAM_CLOCK_RATE_ERROR = 0.02
--- a/packages/kernel/src/bramleysill_kernel/key_ranges.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/key_ranges.py
@@ -14,7 +14,7 @@
 import bisect
 import json
 
-from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.common.exceptions import SillError
 
 KEY_SPACE = 65536
 ALL_KEYS = (0, KEY_SPACE - 1)
--- a/packages/kernel/src/bramleysill_kernel/owner_pool.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/owner_pool.py
@@ -4,7 +4,7 @@
 were assigned any, they might go unserved until their hold had expired.
 """
 
-from bramleysill_kernel.range_planner import Capacity
+from bramleysill_kernel.ranges.range_planner import Capacity
 
 # An upstream that did not accept a grant gets no keys for this time, unless
 # it accepts one earlier.
--- a/packages/kernel/src/bramleysill_kernel/range_balance.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/range_balance.py
@@ -9,9 +9,9 @@
 
 import heapq
 
-from bramleysill_kernel.key_ranges import Assignment
-from bramleysill_kernel.key_rates import KeyRates
-from bramleysill_kernel.range_planner import max_moves
+from bramleysill_kernel.ranges.key_ranges import Assignment
+from bramleysill_kernel.ranges.key_rates import KeyRates
+from bramleysill_kernel.ranges.range_planner import max_moves
 
 # An upstream is overloaded if its utilisation exceeds both the mean of all
 # upstreams times this factor and MIN_OVERLOAD_UTILISATION.
--- a/packages/kernel/src/bramleysill_kernel/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/range_coordinator.py
@@ -22,28 +22,28 @@
 `write_table`.
 """
 
-from bramleysill_kernel.call_outcome import CallOutcome
-from bramleysill_kernel.former_holds import FormerHolds
-from bramleysill_kernel.hold_ledger import HoldLedger
-from bramleysill_kernel.hold_ledger import last_hold_end
-from bramleysill_kernel.key_ranges import Assignment
-from bramleysill_kernel.key_ranges import RangeTable
-from bramleysill_kernel.key_rates import KeyRates
-from bramleysill_kernel.owner_pool import OwnerPool
-from bramleysill_kernel.range_balance import plan_balance
-from bramleysill_kernel.range_moves import GrantRenewal
-from bramleysill_kernel.range_moves import MoveList
-from bramleysill_kernel.range_moves import RangeMove
-from bramleysill_kernel.range_moves import is_committed
-from bramleysill_kernel.range_notices import PausedRange
-from bramleysill_kernel.range_notices import busy_ranges
-from bramleysill_kernel.range_planner import Capacity
-from bramleysill_kernel.range_planner import plan_new_upstreams
-from bramleysill_kernel.range_planner import plan_vacant_ranges
-from bramleysill_kernel.range_releases import RETRY_DELAY_SECONDS
-from bramleysill_kernel.range_releases import WRITE_BATCH_SECONDS
-from bramleysill_kernel.range_releases import RangeReleases
-from bramleysill_kernel.reassignment import ReassignmentRules
+from bramleysill_kernel.common.call_outcome import CallOutcome
+from bramleysill_kernel.ranges.former_holds import FormerHolds
+from bramleysill_kernel.ranges.hold_ledger import HoldLedger
+from bramleysill_kernel.ranges.hold_ledger import last_hold_end
+from bramleysill_kernel.ranges.key_ranges import Assignment
+from bramleysill_kernel.ranges.key_ranges import RangeTable
+from bramleysill_kernel.ranges.key_rates import KeyRates
+from bramleysill_kernel.ranges.owner_pool import OwnerPool
+from bramleysill_kernel.ranges.range_balance import plan_balance
+from bramleysill_kernel.ranges.range_moves import GrantRenewal
+from bramleysill_kernel.ranges.range_moves import MoveList
+from bramleysill_kernel.ranges.range_moves import RangeMove
+from bramleysill_kernel.ranges.range_moves import is_committed
+from bramleysill_kernel.ranges.range_notices import PausedRange
+from bramleysill_kernel.ranges.range_notices import busy_ranges
+from bramleysill_kernel.ranges.range_planner import Capacity
+from bramleysill_kernel.ranges.range_planner import plan_new_upstreams
+from bramleysill_kernel.ranges.range_planner import plan_vacant_ranges
+from bramleysill_kernel.ranges.range_releases import RETRY_DELAY_SECONDS
+from bramleysill_kernel.ranges.range_releases import WRITE_BATCH_SECONDS
+from bramleysill_kernel.ranges.range_releases import RangeReleases
+from bramleysill_kernel.ranges.reassignment import ReassignmentRules
 
 # After this many failed grants in a row the range is moved away. Further
 # grants would only extend the time for which the owner may hold the keys.
--- a/packages/kernel/src/bramleysill_kernel/range_planner.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/range_planner.py
@@ -6,9 +6,9 @@
 that take load off busy upstreams.
 """
 
-from bramleysill_kernel.key_ranges import KEY_SPACE
-from bramleysill_kernel.key_ranges import Assignment
-from bramleysill_kernel.key_rates import KeyRates
+from bramleysill_kernel.ranges.key_ranges import KEY_SPACE
+from bramleysill_kernel.ranges.key_ranges import Assignment
+from bramleysill_kernel.ranges.key_rates import KeyRates
 
 # A fair share of the keys is divided by this number to get the maximum width
 # of the pieces in which the ranges of a lost owner are placed. A full share is
--- a/packages/kernel/src/bramleysill_kernel/range_releases.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/range_releases.py
@@ -1,6 +1,6 @@
 """Asks owners to release the keys that move away from them."""
 
-from bramleysill_kernel.call_outcome import CallOutcome
+from bramleysill_kernel.common.call_outcome import CallOutcome
 
 # Delay before a failed grant or release is sent again.
 RETRY_DELAY_SECONDS = 0.1
--- a/packages/kernel/src/bramleysill_kernel/reassignment.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/reassignment.py
@@ -4,7 +4,7 @@
 more by the HoldLedger.
 """
 
-from bramleysill_kernel.key_ranges import Assignment
+from bramleysill_kernel.ranges.key_ranges import Assignment
 
 # A new leader moves no keys for this time. If the store is restored, the
 # leader before it still knows all owners by then.
--- a/packages/kernel/src/bramleysill_kernel/coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/units/coordinator.py
@@ -27,21 +27,21 @@
 
 import json
 
-from bramleysill_kernel import candidates
-from bramleysill_kernel import dispatchers
-from bramleysill_kernel import effects
-from bramleysill_kernel import hot_units
-from bramleysill_kernel import lease
-from bramleysill_kernel import losses
-from bramleysill_kernel import manifest as manifest_module
-from bramleysill_kernel import members
-from bramleysill_kernel import messages
-from bramleysill_kernel import moves
-from bramleysill_kernel import planner
-from bramleysill_kernel import publisher
-from bramleysill_kernel import table_builder
-from bramleysill_kernel import tables
-from bramleysill_kernel.role_assignment import RoleAssignment
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.config import manifest as manifest_module
+from bramleysill_kernel.election import candidates
+from bramleysill_kernel.units import dispatchers
+from bramleysill_kernel.units import hot_units
+from bramleysill_kernel.units import losses
+from bramleysill_kernel.units import members
+from bramleysill_kernel.units import moves
+from bramleysill_kernel.units import planner
+from bramleysill_kernel.units import publisher
+from bramleysill_kernel.units import table_builder
+from bramleysill_kernel.units import tables
+from bramleysill_kernel.units.role_assignment import RoleAssignment
 
 REPLAN_INTERVAL_SECONDS = 5.0
 
--- a/packages/kernel/src/bramleysill_kernel/dispatchers.py
+++ b/packages/kernel/src/bramleysill_kernel/units/dispatchers.py
@@ -8,8 +8,8 @@
 
 import math
 
-from bramleysill_kernel import hashing
-from bramleysill_kernel import lease
+from bramleysill_kernel.common import hashing
+from bramleysill_kernel.common import lease
 
 # Least time between two role changes that only balance the load.
 REBALANCE_INTERVAL_SECONDS = 1.0
--- a/packages/kernel/src/bramleysill_kernel/grants.py
+++ b/packages/kernel/src/bramleysill_kernel/units/grants.py
@@ -35,8 +35,8 @@
 it, so that tests run the logic that a real upstream has to implement.
 """
 
-from bramleysill_kernel import lease
-from bramleysill_kernel.ownership import SINGLE_KEY_PREFIX
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.units.ownership import SINGLE_KEY_PREFIX
 
 MS_PER_SECOND = 1000.0
 
--- a/packages/kernel/src/bramleysill_kernel/hot_units.py
+++ b/packages/kernel/src/bramleysill_kernel/units/hot_units.py
@@ -7,7 +7,7 @@
 only if it has the owner of its shard; the shard then gets a fence above both.
 """
 
-from bramleysill_kernel import ownership
+from bramleysill_kernel.units import ownership
 
 # A key is hot if it receives at least this ratio of its upstream's requests.
 HOT_KEY_MIN_REQUEST_RATIO = 0.2
--- a/packages/kernel/src/bramleysill_kernel/losses.py
+++ b/packages/kernel/src/bramleysill_kernel/units/losses.py
@@ -12,9 +12,9 @@
 both may have failed together.
 """
 
-from bramleysill_kernel import effects
-from bramleysill_kernel import lease
-from bramleysill_kernel import messages
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.common import messages
 
 MAX_PROBERS = 2
 PROBE_TIMEOUT_SECONDS = 0.5
--- a/packages/kernel/src/bramleysill_kernel/members.py
+++ b/packages/kernel/src/bramleysill_kernel/units/members.py
@@ -1,6 +1,6 @@
 """The routers that a coordinator knows, with their leases and promises."""
 
-from bramleysill_kernel import lease
+from bramleysill_kernel.common import lease
 
 STATE_RESEND_INTERVAL_SECONDS = 0.4
 
--- a/packages/kernel/src/bramleysill_kernel/membership.py
+++ b/packages/kernel/src/bramleysill_kernel/units/membership.py
@@ -18,11 +18,11 @@
 when a coordinator assigns the role with a newer generation.
 """
 
-from bramleysill_kernel import lease
-from bramleysill_kernel import state as state_module
-from bramleysill_kernel.messages import UPSTREAM_OK
-from bramleysill_kernel.messages import Heartbeat
-from bramleysill_kernel.messages import HeartbeatReply
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.common.messages import UPSTREAM_OK
+from bramleysill_kernel.common.messages import Heartbeat
+from bramleysill_kernel.common.messages import HeartbeatReply
+from bramleysill_kernel.units import state as state_module
 
 # If the coordinator has not replied for this long, heartbeats go to the other
 # routers in turn.
--- a/packages/kernel/src/bramleysill_kernel/moves.py
+++ b/packages/kernel/src/bramleysill_kernel/units/moves.py
@@ -6,9 +6,9 @@
 All ready moves of a service are written in one compare-and-swap.
 """
 
-from bramleysill_kernel import effects
-from bramleysill_kernel import lease
-from bramleysill_kernel import messages
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.common import messages
 
 # Maximum number of planned moves at a time from and to one upstream.
 MAX_MOVES_PER_UPSTREAM = 8
--- a/packages/kernel/src/bramleysill_kernel/ownership.py
+++ b/packages/kernel/src/bramleysill_kernel/units/ownership.py
@@ -12,8 +12,8 @@
 import dataclasses
 import json
 
-from bramleysill_kernel.exceptions import SillError
-from bramleysill_kernel.hashing import hash64
+from bramleysill_kernel.common.exceptions import SillError
+from bramleysill_kernel.common.hashing import hash64
 
 NO_OWNER = ''
 SINGLE_KEY_PREFIX = 'key:'
--- a/packages/kernel/src/bramleysill_kernel/placement.py
+++ b/packages/kernel/src/bramleysill_kernel/units/placement.py
@@ -21,9 +21,9 @@
 import heapq
 import math
 
-from bramleysill_kernel.hashing import rendezvous_score
-from bramleysill_kernel.ownership import NO_OWNER
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.hashing import rendezvous_score
+from bramleysill_kernel.common.registry import Registry
+from bramleysill_kernel.units.ownership import NO_OWNER
 
 placements = Registry('placement')
 
--- a/packages/kernel/src/bramleysill_kernel/planner.py
+++ b/packages/kernel/src/bramleysill_kernel/units/planner.py
@@ -1,8 +1,8 @@
 """Planning of unit owners from the manifest and the usable upstreams."""
 
-from bramleysill_kernel import losses as losses_module
-from bramleysill_kernel import ownership
-from bramleysill_kernel import placement
+from bramleysill_kernel.units import losses as losses_module
+from bramleysill_kernel.units import ownership
+from bramleysill_kernel.units import placement
 
 # Maximum number of balancing moves in one plan, over all upstreams.
 MAX_BALANCING_MOVES = 64
--- a/packages/kernel/src/bramleysill_kernel/publisher.py
+++ b/packages/kernel/src/bramleysill_kernel/units/publisher.py
@@ -1,9 +1,9 @@
 """How a coordinator distributes its state to the members."""
 
-from bramleysill_kernel import effects
-from bramleysill_kernel import members as members_module
-from bramleysill_kernel import messages
-from bramleysill_kernel import state
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.units import members as members_module
+from bramleysill_kernel.units import state
 
 
 class Publisher:
--- a/packages/kernel/src/bramleysill_kernel/role_assignment.py
+++ b/packages/kernel/src/bramleysill_kernel/units/role_assignment.py
@@ -4,8 +4,8 @@
 that are lost or removed.
 """
 
-from bramleysill_kernel import lease
-from bramleysill_kernel import manifest as manifest_module
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.config import manifest as manifest_module
 
 # A new coordinator waits until the router leases of the former term have
 # expired. Upstreams whose dispatcher role no router has claimed are probed
--- a/packages/kernel/src/bramleysill_kernel/state.py
+++ b/packages/kernel/src/bramleysill_kernel/units/state.py
@@ -13,10 +13,10 @@
 
 import dataclasses
 
-from bramleysill_kernel import ownership
-from bramleysill_kernel.exceptions import SillError
-from bramleysill_kernel.messages import StateUpdate
-from bramleysill_kernel.messages import TableUpdate
+from bramleysill_kernel.common.exceptions import SillError
+from bramleysill_kernel.common.messages import StateUpdate
+from bramleysill_kernel.common.messages import TableUpdate
+from bramleysill_kernel.units import ownership
 
 PART_MANIFEST = 'manifest'
 PART_DISPATCHERS = 'dispatchers'
--- a/packages/kernel/src/bramleysill_kernel/table_builder.py
+++ b/packages/kernel/src/bramleysill_kernel/units/table_builder.py
@@ -1,8 +1,8 @@
 """Builds the next version of a table from ready moves and hot keys."""
 
-from bramleysill_kernel import hot_units
-from bramleysill_kernel import ownership
-from bramleysill_kernel import placement
+from bramleysill_kernel.units import hot_units
+from bramleysill_kernel.units import ownership
+from bramleysill_kernel.units import placement
 
 
 class TableBuilder:
--- a/packages/kernel/src/bramleysill_kernel/tables.py
+++ b/packages/kernel/src/bramleysill_kernel/units/tables.py
@@ -13,8 +13,8 @@
 
 import dataclasses
 
-from bramleysill_kernel import effects
-from bramleysill_kernel import ownership
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.units import ownership
 
 RETRY_DELAY_SECONDS = 0.2
 
--- a/packages/router/src/bramleysill_router/authority.py
+++ b/packages/router/src/bramleysill_router/authority.py
@@ -3,12 +3,12 @@
 An upstream that checks authority serves a unit only while it holds a grant of
 the unit from its dispatcher. The `Authority` sends these grants and releases
 units that move to another owner. It sends no more grants once the coordinator
-has suspended the upstream. The rules are in `bramleysill_kernel.grants`; this
-module does the I/O for them.
+has suspended the upstream. The rules are in
+`bramleysill_kernel.units.grants`; this module does the I/O for them.
 """
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.ownership import SINGLE_KEY_PREFIX
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.units.ownership import SINGLE_KEY_PREFIX
 from bramleysill_router.logs import log_event
 
 GRANT_RENEW_INTERVAL_SECONDS = 0.3
--- a/packages/router/src/bramleysill_router/control_loop.py
+++ b/packages/router/src/bramleysill_router/control_loop.py
@@ -8,13 +8,13 @@
 import itertools
 import json
 
-from bramleysill_kernel import effects
-from bramleysill_kernel import lease
-from bramleysill_kernel import messages
-from bramleysill_kernel.coordinator import Coordinator
-from bramleysill_kernel.election import LEADING
-from bramleysill_kernel.exceptions import SillError
-from bramleysill_kernel.manifest_parser import parse_manifest
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.exceptions import SillError
+from bramleysill_kernel.config.manifest_parser import parse_manifest
+from bramleysill_kernel.election.election import LEADING
+from bramleysill_kernel.units.coordinator import Coordinator
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 from bramleysill_router.store_watch import StoreWatch
--- a/packages/router/src/bramleysill_router/dispatchers.py
+++ b/packages/router/src/bramleysill_router/dispatchers.py
@@ -1,7 +1,7 @@
 """The dispatchers of all upstreams that this router serves."""
 
-from bramleysill_kernel import refusals
-from bramleysill_kernel.manifest import KIND_KEYED
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.config.manifest import KIND_KEYED
 from bramleysill_router.dispatcher import UpstreamDispatcher
 from bramleysill_router.upstream_control import UpstreamControl
 from bramleysill_router.upstream_pool import UpstreamPool
--- a/packages/router/src/bramleysill_router/entry.py
+++ b/packages/router/src/bramleysill_router/entry.py
@@ -2,9 +2,9 @@
 
 import itertools
 
-from bramleysill_kernel import refusals
-from bramleysill_kernel.exceptions import Refusal
-from bramleysill_kernel.problems import to_problem
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.exceptions import Refusal
+from bramleysill_kernel.common.problems import to_problem
 from bramleysill_net.http_server import HttpServerConn
 from bramleysill_router import headers
 from bramleysill_router.exchange import Exchange
--- a/packages/router/src/bramleysill_router/exchange.py
+++ b/packages/router/src/bramleysill_router/exchange.py
@@ -1,10 +1,10 @@
 """Runs one request of a caller: its attempts and its response."""
 
-from bramleysill_kernel import refusals
-from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
-from bramleysill_kernel.exceptions import OUTCOME_UNKNOWN
-from bramleysill_kernel.exceptions import Refusal
-from bramleysill_kernel.problems import to_problem
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.common.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.common.exceptions import Refusal
+from bramleysill_kernel.common.problems import to_problem
 from bramleysill_router import headers
 from bramleysill_router.attempts import WINDOW_BYTES
 from bramleysill_router.attempts import RequestHead
--- a/packages/router/src/bramleysill_router/hedged.py
+++ b/packages/router/src/bramleysill_router/hedged.py
@@ -10,12 +10,12 @@
 
 import copy
 
-from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
-from bramleysill_kernel.exceptions import OUTCOME_UNKNOWN
-from bramleysill_kernel.exceptions import Refusal
-from bramleysill_kernel.hedging import Hedge
-from bramleysill_kernel.hedging import HedgePolicy
-from bramleysill_kernel.manifest import KIND_SHARED
+from bramleysill_kernel.common.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.common.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.common.exceptions import Refusal
+from bramleysill_kernel.config.manifest import KIND_SHARED
+from bramleysill_kernel.load.hedging import Hedge
+from bramleysill_kernel.load.hedging import HedgePolicy
 
 _HEDGED_METHODS = frozenset(('GET', 'HEAD'))
 # The lowest status that counts as a failure of the upstream. Such a response
--- a/packages/router/src/bramleysill_router/local_attempt.py
+++ b/packages/router/src/bramleysill_router/local_attempt.py
@@ -1,11 +1,11 @@
 """An attempt at an upstream that this router dispatches for."""
 
-from bramleysill_kernel import refusals
-from bramleysill_kernel.admission import RESULT_LOST
-from bramleysill_kernel.admission import RESULT_OK
-from bramleysill_kernel.admission import RESULT_SHED
-from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
-from bramleysill_kernel.queueing import WorkItem
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.load.admission import RESULT_LOST
+from bramleysill_kernel.load.admission import RESULT_OK
+from bramleysill_kernel.load.admission import RESULT_SHED
+from bramleysill_kernel.load.queueing import WorkItem
 from bramleysill_router import headers
 
 _NOT_RUN_STATUSES = frozenset((409, 503))
--- a/packages/router/src/bramleysill_router/locator.py
+++ b/packages/router/src/bramleysill_router/locator.py
@@ -1,10 +1,10 @@
 """Selects the upstream and the dispatching router of a request."""
 
-from bramleysill_kernel import refusals
-from bramleysill_kernel.balancer import Candidate
-from bramleysill_kernel.balancer import balancers
-from bramleysill_kernel.manifest import KIND_KEYED
-from bramleysill_kernel.outliers import OutlierDetector
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.config.manifest import KIND_KEYED
+from bramleysill_kernel.load.balancer import Candidate
+from bramleysill_kernel.load.balancer import balancers
+from bramleysill_kernel.load.outliers import OutlierDetector
 
 # Weight of one response in the exponentially weighted average of latency.
 LATENCY_EWMA_WEIGHT = 0.2
--- a/packages/router/src/bramleysill_router/peer_links.py
+++ b/packages/router/src/bramleysill_router/peer_links.py
@@ -7,8 +7,8 @@
 
 from absl import logging
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.exceptions import FrameError
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.exceptions import FrameError
 from bramleysill_net.conn import Conn
 from bramleysill_net.conn import Listener
 from bramleysill_router.logs import log_event
--- a/packages/router/src/bramleysill_router/process.py
+++ b/packages/router/src/bramleysill_router/process.py
@@ -7,12 +7,12 @@
 
 from circuits.net import events
 
-from bramleysill_kernel import messages
-from bramleysill_kernel import refusals
-from bramleysill_kernel.election import Election
-from bramleysill_kernel.manifest_parser import parse_manifest
-from bramleysill_kernel.membership import RouterAgent
-from bramleysill_kernel.state import RouterState
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.config.manifest_parser import parse_manifest
+from bramleysill_kernel.election.election import Election
+from bramleysill_kernel.units.membership import RouterAgent
+from bramleysill_kernel.units.state import RouterState
 from bramleysill_net.conn import Listener
 from bramleysill_net.loop import Loop
 from bramleysill_router.admin import serve_admin
--- a/packages/router/src/bramleysill_router/recording.py
+++ b/packages/router/src/bramleysill_router/recording.py
@@ -1,8 +1,8 @@
 """Records responses in the idempotency cache of a dispatcher."""
 
-from bramleysill_kernel import idempotency
-from bramleysill_kernel import refusals
-from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.load import idempotency
 
 
 class NoRecording:
--- a/packages/router/src/bramleysill_router/remote_attempt.py
+++ b/packages/router/src/bramleysill_router/remote_attempt.py
@@ -4,10 +4,10 @@
 with StreamWindow messages as it takes the data.
 """
 
-from bramleysill_kernel import refusals
-from bramleysill_kernel.exceptions import OUTCOME_UNKNOWN
-from bramleysill_kernel.exceptions import Refusal
-from bramleysill_kernel.exceptions import SettingsError
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.common.exceptions import Refusal
+from bramleysill_kernel.common.exceptions import SettingsError
 from bramleysill_router.attempts import WINDOW_BYTES
 from bramleysill_router.attempts import RequestHead
 from bramleysill_wire import streams
--- a/packages/router/src/bramleysill_router/retry_budgets.py
+++ b/packages/router/src/bramleysill_router/retry_budgets.py
@@ -1,6 +1,6 @@
 """The retry budget of each service, as the manifest declares it."""
 
-from bramleysill_kernel.retries import RetryPolicy
+from bramleysill_kernel.load.retries import RetryPolicy
 
 
 class RetryBudgets:
--- a/packages/router/src/bramleysill_router/routing.py
+++ b/packages/router/src/bramleysill_router/routing.py
@@ -2,7 +2,7 @@
 
 from urllib.parse import unquote
 
-from bramleysill_kernel import refusals
+from bramleysill_kernel.common import refusals
 from bramleysill_router import headers
 
 # Methods whose requests may be repeated if they match no route.
--- a/packages/router/src/bramleysill_router/settings.py
+++ b/packages/router/src/bramleysill_router/settings.py
@@ -17,7 +17,7 @@
 import ipaddress
 import math
 
-from bramleysill_kernel.exceptions import SettingsError
+from bramleysill_kernel.common.exceptions import SettingsError
 
 SECTION = 'router'
 DEFAULT_STORE_CLIENT = 'http'
--- a/packages/router/src/bramleysill_router/startup.py
+++ b/packages/router/src/bramleysill_router/startup.py
@@ -3,7 +3,7 @@
 import signal
 import sys
 
-from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.common.exceptions import SillError
 
 EXIT_START_FAILED = 2
 
--- a/packages/router/src/bramleysill_router/store_client.py
+++ b/packages/router/src/bramleysill_router/store_client.py
@@ -7,8 +7,8 @@
 
 import urllib.parse
 
-from bramleysill_kernel import effects
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common.registry import Registry
 from bramleysill_net.http_client import HttpClientConn
 from bramleysill_net.http_client import ResponseCollector
 from bramleysill_net.http_client import encode_request
--- a/packages/router/src/bramleysill_router/store_watch.py
+++ b/packages/router/src/bramleysill_router/store_watch.py
@@ -1,6 +1,6 @@
 """A watch of one store key that continues after failed calls."""
 
-from bramleysill_kernel import effects
+from bramleysill_kernel.common import effects
 
 # Delay after a failed call, so that a store that recovers is not overloaded.
 RETRY_DELAY_SECONDS = 0.3
--- a/packages/standins/src/bramleysill_standins/arrivals.py
+++ b/packages/standins/src/bramleysill_standins/arrivals.py
@@ -1,6 +1,6 @@
 """Arrival processes: infinite iterators of seconds since the start."""
 
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.registry import Registry
 
 arrivals = Registry('arrivals')
 
--- a/packages/standins/src/bramleysill_standins/key_pickers.py
+++ b/packages/standins/src/bramleysill_standins/key_pickers.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.registry import Registry
 
 # Exponent of the Zipf distribution; with 1, the hottest key of 1,000 takes
 # an eighth of the requests.
--- a/packages/standins/src/bramleysill_standins/kinds.py
+++ b/packages/standins/src/bramleysill_standins/kinds.py
@@ -3,7 +3,7 @@
 import hashlib
 import json
 
-from bramleysill_kernel.registry import Registry
+from bramleysill_kernel.common.registry import Registry
 from bramleysill_standins.client_conn import HttpCall
 from bramleysill_standins.pattern import iter_pattern
 from bramleysill_standins.pattern import pattern_digest
--- a/packages/standins/src/bramleysill_standins/stepped.py
+++ b/packages/standins/src/bramleysill_standins/stepped.py
@@ -1,6 +1,6 @@
 """Drives stand-ins in tests, without sockets and on a manual clock."""
 
-from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.common.clock import ManualClock
 from bramleysill_net.loop import Scheduler
 
 # Maximum step of the manual clock, so that timers run close to their deadline.
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -11,8 +11,8 @@
 
 import capnp
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.exceptions import FrameError
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.exceptions import FrameError
 from bramleysill_wire import streams
 
 MAX_FRAME_BYTES = 8 << 20
--- a/packages/wire/src/bramleysill_wire/streams.py
+++ b/packages/wire/src/bramleysill_wire/streams.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 
-from bramleysill_kernel.exceptions import FrameError
+from bramleysill_kernel.common.exceptions import FrameError
 
 NO_RETRY_AFTER = -1
 CHUNKED = -1
--- a/tests/bounds.py
+++ b/tests/bounds.py
@@ -1,7 +1,7 @@
 """Default platform bounds, and the timings derived from them, for tests."""
 
-from bramleysill_kernel.node_settings import Bounds
-from bramleysill_kernel.timings import Timings
+from bramleysill_kernel.config.node_settings import Bounds
+from bramleysill_kernel.config.timings import Timings
 
 MIN_LEASE_SECONDS = 1.0
 HEARTBEAT_SECONDS = 1.0
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,17 +10,17 @@
 import json
 import random
 
-from bramleysill_kernel import clock as clock_module
-from bramleysill_kernel import coordinator
-from bramleysill_kernel import effects
-from bramleysill_kernel import election
-from bramleysill_kernel import grants
-from bramleysill_kernel import lease
-from bramleysill_kernel import manifest
-from bramleysill_kernel import membership
-from bramleysill_kernel import messages
-from bramleysill_kernel import ownership
-from bramleysill_kernel import state
+from bramleysill_kernel.common import clock as clock_module
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.config import manifest
+from bramleysill_kernel.election import election
+from bramleysill_kernel.units import coordinator
+from bramleysill_kernel.units import grants
+from bramleysill_kernel.units import membership
+from bramleysill_kernel.units import ownership
+from bramleysill_kernel.units import state
 
 STEP_SECONDS = 0.02
 SUSPECT_AFTER_SECONDS = 0.35
--- a/tests/range_fakes.py
+++ b/tests/range_fakes.py
@@ -8,13 +8,13 @@
 import heapq
 import itertools
 
-from bramleysill_kernel.call_outcome import CallOutcome
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
-from bramleysill_kernel.key_loads import KeyLoads
-from bramleysill_kernel.range_coordinator import RangeCoordinator
-from bramleysill_kernel.upstream_directory import UpstreamDirectory
-from bramleysill_kernel.upstream_directory import UpstreamEntry
+from bramleysill_kernel.common.call_outcome import CallOutcome
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.discovery.upstream_directory import UpstreamDirectory
+from bramleysill_kernel.discovery.upstream_directory import UpstreamEntry
+from bramleysill_kernel.ranges.hold_ledger import CALL_TIMEOUT_SECONDS
+from bramleysill_kernel.ranges.key_loads import KeyLoads
+from bramleysill_kernel.ranges.range_coordinator import RangeCoordinator
 from tests.bounds import make_timings
 
 SERVICE = 'ledger'
--- a/tests/sessions/cell.py
+++ b/tests/sessions/cell.py
@@ -4,9 +4,9 @@
 import random
 from unittest import mock
 
-from bramleysill_kernel import effects
-from bramleysill_kernel.manifest_parser import parse_manifest
-from bramleysill_kernel.state import RouterState
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.config.manifest_parser import parse_manifest
+from bramleysill_kernel.units.state import RouterState
 from bramleysill_net import http_client
 from bramleysill_net.http_client import HttpClientConn
 from bramleysill_net.http_client import ResponseCollector
--- a/tests/sessions/message_fields.py
+++ b/tests/sessions/message_fields.py
@@ -4,8 +4,8 @@
 import dataclasses
 import json
 
-from bramleysill_kernel import messages
-from bramleysill_kernel import ownership
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.units import ownership
 from bramleysill_wire import streams
 
 # Messages that are repeated without change: a held request is retried every
--- a/tests/sessions/store.py
+++ b/tests/sessions/store.py
@@ -1,6 +1,6 @@
 """The simulated store of a session and clients that record their calls."""
 
-from bramleysill_kernel import effects
+from bramleysill_kernel.common import effects
 from bramleysill_router.store_client import HttpStoreClient
 from bramleysill_standins.store import CALL_MS
 from bramleysill_standins.store import StoreApp
--- a/tests/sessions/test_mechanisms.py
+++ b/tests/sessions/test_mechanisms.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from bramleysill_kernel import clock
-from bramleysill_kernel import membership
-from bramleysill_kernel import state
+from bramleysill_kernel.common import clock
+from bramleysill_kernel.units import membership
+from bramleysill_kernel.units import state
 from tests.sessions.cell import Cell
 
 LEASE_SECONDS = 1.0
--- a/tests/sessions/upstream.py
+++ b/tests/sessions/upstream.py
@@ -2,7 +2,7 @@
 
 import json
 
-from bramleysill_kernel.grants import GrantTable
+from bramleysill_kernel.units.grants import GrantTable
 from bramleysill_net.http_server import HttpServerConn
 from tests.sessions import message_fields
 
--- a/tests/store_fakes.py
+++ b/tests/store_fakes.py
@@ -3,9 +3,9 @@
 import heapq
 import itertools
 
-from bramleysill_kernel.store_types import StoredItem
-from bramleysill_kernel.store_types import StoreOutcome
-from bramleysill_kernel.store_types import StoreReply
+from bramleysill_kernel.common.store_types import StoredItem
+from bramleysill_kernel.common.store_types import StoreOutcome
+from bramleysill_kernel.common.store_types import StoreReply
 
 
 class _Timer:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,16 +5,16 @@
 from hypothesis import strategies as st
 import testtools
 
-from bramleysill_kernel import admission
-from bramleysill_kernel import refusals
-from bramleysill_kernel.admission import ADMITTED
-from bramleysill_kernel.admission import QUEUED
-from bramleysill_kernel.admission import RESULT_OK
-from bramleysill_kernel.admission import Admission
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
-from bramleysill_kernel.queueing import WorkItem
-from bramleysill_kernel.slow_start import SlowStart
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.common.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.load import admission
+from bramleysill_kernel.load.admission import ADMITTED
+from bramleysill_kernel.load.admission import QUEUED
+from bramleysill_kernel.load.admission import RESULT_OK
+from bramleysill_kernel.load.admission import Admission
+from bramleysill_kernel.load.queueing import WorkItem
+from bramleysill_kernel.load.slow_start import SlowStart
 
 
 def _item(number, clock, unit='1', timeout=10.0, caller='a', priority=1):
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from bramleysill_kernel.balancer import Candidate
-from bramleysill_kernel.balancer import balancers
+from bramleysill_kernel.load.balancer import Candidate
+from bramleysill_kernel.load.balancer import balancers
 
 SEED = 7
 
--- a/tests/test_caller_leaves.py
+++ b/tests/test_caller_leaves.py
@@ -6,8 +6,8 @@
 
 import socket
 
-from bramleysill_kernel.routing_config import Limits
-from bramleysill_kernel.routing_config import RoutingConfig
+from bramleysill_kernel.config.routing_config import Limits
+from bramleysill_kernel.config.routing_config import RoutingConfig
 from bramleysill_net.http_client import encode_request
 from tests.gateway_helpers import REQUEST_ID_HEADER
 from tests.gateway_helpers import TIMEOUT_SECONDS
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 import testtools
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.exceptions import FrameError
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.exceptions import FrameError
 from bramleysill_wire import codec
 from bramleysill_wire import streams
 
--- a/tests/test_control_calls.py
+++ b/tests/test_control_calls.py
@@ -3,10 +3,10 @@
 import testtools
 
 from bramleysill_gateway.control_calls import ControlCalls
-from bramleysill_kernel.call_outcome import CallOutcome
-from bramleysill_kernel.key_ranges import KeyRange
-from bramleysill_kernel.upstream_directory import UpstreamDirectory
-from bramleysill_kernel.upstream_directory import UpstreamEntry
+from bramleysill_kernel.common.call_outcome import CallOutcome
+from bramleysill_kernel.discovery.upstream_directory import UpstreamDirectory
+from bramleysill_kernel.discovery.upstream_directory import UpstreamEntry
+from bramleysill_kernel.ranges.key_ranges import KeyRange
 from bramleysill_net.conn import Listener
 from bramleysill_net.loop import Loop
 from bramleysill_platform.adapter import PlatformAdapter
--- a/tests/test_control_loop.py
+++ b/tests/test_control_loop.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.manifest import Manifest
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.config.manifest import Manifest
 from bramleysill_router.control_loop import ControlLoop
 
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -7,10 +7,10 @@
 
 import testtools
 
-from bramleysill_kernel import lease
-from bramleysill_kernel import manifest
-from bramleysill_kernel import messages
-from bramleysill_kernel import ownership
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.config import manifest
+from bramleysill_kernel.units import ownership
 from tests import fakes
 
 RECOVERY_SECONDS = 3.0
--- a/tests/test_ctl_commands.py
+++ b/tests/test_ctl_commands.py
@@ -11,11 +11,11 @@
 import fixtures
 import testtools
 
-from bramleysill_kernel import exceptions
-from bramleysill_kernel import refusals
-from bramleysill_kernel.manifest_parser import parse_manifest
-from bramleysill_kernel.ownership import KeySpace
-from bramleysill_kernel.ownership import OwnershipTable
+from bramleysill_kernel.common import exceptions
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.config.manifest_parser import parse_manifest
+from bramleysill_kernel.units.ownership import KeySpace
+from bramleysill_kernel.units.ownership import OwnershipTable
 from sillctl import exceptions as ctl_exceptions
 from sillctl import key_moves
 from sillctl import main
--- a/tests/test_ctl_store.py
+++ b/tests/test_ctl_store.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from bramleysill_kernel import exceptions
+from bramleysill_kernel.common import exceptions
 from sillctl import store_clients
 from sillctl import store_writes
 from sillctl.exceptions import OutcomeUnknown
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from bramleysill_kernel import manifest
+from bramleysill_kernel.config import manifest
 from bramleysill_router.attempts import RequestHead
 from bramleysill_router.dispatch_context import DispatchContext
 from bramleysill_router.dispatcher import UpstreamDispatcher
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,10 +9,10 @@
 from aioprometheus import Counter
 import testtools
 
-from bramleysill_kernel.balancer import Candidate
-from bramleysill_kernel.balancer import balancers
-from bramleysill_kernel.manifest_parser import parse_manifest
-from bramleysill_kernel.placement import placements
+from bramleysill_kernel.config.manifest_parser import parse_manifest
+from bramleysill_kernel.load.balancer import Candidate
+from bramleysill_kernel.load.balancer import balancers
+from bramleysill_kernel.units.placement import placements
 from bramleysill_router import metrics
 from bramleysill_router import settings
 from bramleysill_router import store_client
@@ -159,8 +159,8 @@
         }
         # Other tests also register variants; count only the module's own.
         for module, registry in (
-            ('bramleysill_kernel.balancer', balancers),
-            ('bramleysill_kernel.placement', placements),
+            ('bramleysill_kernel.load.balancer', balancers),
+            ('bramleysill_kernel.units.placement', placements),
             ('bramleysill_router.store_client', store_client.store_clients),
             ('sillctl.store_clients', store_clients.store_clients),
         ):
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -5,11 +5,11 @@
 
 import testtools
 
-from bramleysill_kernel import clock as clock_module
-from bramleysill_kernel import effects
-from bramleysill_kernel import election
-from bramleysill_kernel import leader_record
-from bramleysill_kernel import lease
+from bramleysill_kernel.common import clock as clock_module
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.election import election
+from bramleysill_kernel.election import leader_record
 from tests import fakes
 
 STEP_SECONDS = 0.1
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,9 +4,9 @@
 
 import testtools
 
-from bramleysill_kernel import manifest
-from bramleysill_kernel import refusals
-from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.config import manifest
 from bramleysill_net.http_server import HttpRequest
 from bramleysill_router.exchange import REPLAY_BUFFER_BYTES
 from bramleysill_router.exchange import Exchange
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -11,8 +11,8 @@
 
 import testtools
 
-from bramleysill_kernel import lease
-from bramleysill_kernel import manifest
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.config import manifest
 from tests import fakes
 
 # Required: a key is served again within 3 s of a loss.
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -10,8 +10,8 @@
 from bramleysill_gateway.process import GRACE_RESERVE_SECONDS
 from bramleysill_gateway.process import SHUTDOWN_ACCEPT_SECONDS
 from bramleysill_gateway.process import GatewayProcess
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.store_types import StoredItem
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.common.store_types import StoredItem
 from bramleysill_platform.adapter import PlatformAdapter
 from bramleysill_router.metrics import Metrics
 from tests.bounds import make_timings
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from bramleysill_kernel import clock as clock_module
-from bramleysill_kernel import grants
-from bramleysill_kernel import lease
+from bramleysill_kernel.common import clock as clock_module
+from bramleysill_kernel.common import lease
+from bramleysill_kernel.units import grants
 
 
 class _Agent:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -4,11 +4,11 @@
 
 import testtools
 
-from bramleysill_kernel import health
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.messages import UPSTREAM_LEAVING
-from bramleysill_kernel.messages import UPSTREAM_OK
-from bramleysill_kernel.messages import UPSTREAM_SUSPECT
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.common.messages import UPSTREAM_LEAVING
+from bramleysill_kernel.common.messages import UPSTREAM_OK
+from bramleysill_kernel.common.messages import UPSTREAM_SUSPECT
+from bramleysill_kernel.load import health
 
 SEED = 17
 
--- a/tests/test_hedged.py
+++ b/tests/test_hedged.py
@@ -4,9 +4,9 @@
 
 import testtools
 
-from bramleysill_kernel import manifest
-from bramleysill_kernel import refusals
-from bramleysill_kernel.hedging import MIN_LATENCIES
+from bramleysill_kernel.common import refusals
+from bramleysill_kernel.config import manifest
+from bramleysill_kernel.load.hedging import MIN_LATENCIES
 from bramleysill_net.http_server import HttpRequest
 from bramleysill_router.exchange import Exchange
 from bramleysill_router.hedged import HedgePolicies
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from bramleysill_kernel import hedging
+from bramleysill_kernel.load import hedging
 
 
 class HedgePolicyTest(testtools.TestCase):
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from bramleysill_kernel import idempotency as idem
-from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.load import idempotency as idem
 
 
 class IdempotencyCacheTest(testtools.TestCase):
--- a/tests/test_key_ranges.py
+++ b/tests/test_key_ranges.py
@@ -4,11 +4,11 @@
 
 import testtools
 
-from bramleysill_kernel.key_ranges import KEY_SPACE
-from bramleysill_kernel.key_ranges import Assignment
-from bramleysill_kernel.key_ranges import RangeTable
-from bramleysill_kernel.key_ranges import TableError
-from bramleysill_kernel.key_ranges import first_fence
+from bramleysill_kernel.ranges.key_ranges import KEY_SPACE
+from bramleysill_kernel.ranges.key_ranges import Assignment
+from bramleysill_kernel.ranges.key_ranges import RangeTable
+from bramleysill_kernel.ranges.key_ranges import TableError
+from bramleysill_kernel.ranges.key_ranges import first_fence
 
 
 def _table(*rows):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -37,6 +37,16 @@
     'sillctl': {'bramleysill_kernel', 'bramleysill_net'},
     'bramleysill_standins': {'bramleysill_kernel', 'bramleysill_net'},
 }
+# What the subpackages of the kernel may import of each other.
+KERNEL_IMPORTS = {
+    'common': set(),
+    'config': {'common'},
+    'discovery': {'common', 'config'},
+    'election': {'common', 'config'},
+    'load': {'common', 'config', 'discovery'},
+    'ranges': {'common', 'config', 'discovery', 'load'},
+    'units': {'common', 'config', 'election', 'load'},
+}
 # Modules that do I/O, block, or run code concurrently.
 IO_MODULES = {
     'absl',
@@ -157,6 +167,28 @@
                 violations = _forbidden_imports(package, _parse(path))
                 self.assertEqual(set(), violations, str(path))
 
+    def test_subpackages_of_the_kernel_import_only_downward(self):
+        """Guards against two ways of owning that depend on each other."""
+        for name, allowed in KERNEL_IMPORTS.items():
+            for path in _source_files('bramleysill_kernel'):
+                if path.parent.name != name:
+                    continue
+                imported = {
+                    full.split('.')[1]
+                    for full in _imported_names(_parse(path))
+                    if full.startswith('bramleysill_kernel.')
+                }
+                self.assertEqual(set(), imported - allowed - {name}, str(path))
+
+    def test_every_module_of_the_kernel_is_in_a_subpackage(self):
+        """Guards against a flat folder in which no subject can be found."""
+        found = {
+            path.parent.name
+            for path in _source_files('bramleysill_kernel')
+            if path.name != '__init__.py'
+        }
+        self.assertEqual(set(KERNEL_IMPORTS), found)
+
     def test_the_kernel_does_no_io(self):
         """Guards against logic that needs real I/O in tests and the model."""
         for path in _source_files('bramleysill_kernel'):
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -5,11 +5,11 @@
 import testtools
 
 from bramleysill_gateway.leader import LeaderElection
-from bramleysill_kernel.named_limits import NamedLimits
-from bramleysill_kernel.node_settings import NodeSettings
-from bramleysill_kernel.store_types import StoredItem
-from bramleysill_kernel.store_types import StoreOutcome
-from bramleysill_kernel.store_types import StoreReply
+from bramleysill_kernel.common.store_types import StoredItem
+from bramleysill_kernel.common.store_types import StoreOutcome
+from bramleysill_kernel.common.store_types import StoreReply
+from bramleysill_kernel.config.node_settings import NodeSettings
+from bramleysill_kernel.load.named_limits import NamedLimits
 from bramleysill_platform.adapter import PlatformAdapter
 from tests.bounds import make_bounds
 from tests.store_fakes import ManualLoop
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -4,9 +4,11 @@
 
 import testtools
 
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.leadership import NON_PREFERRED_CAMPAIGN_DELAY_SECONDS
-from bramleysill_kernel.leadership import Leadership
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.election.leadership import (
+    NON_PREFERRED_CAMPAIGN_DELAY_SECONDS,
+)
+from bramleysill_kernel.election.leadership import Leadership
 
 LEASE_SECONDS = 2.0
 
--- a/tests/test_manifest_parser.py
+++ b/tests/test_manifest_parser.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies as st
 import testtools
 
-from bramleysill_kernel import manifest_parser
-from bramleysill_kernel.exceptions import ManifestError
-from bramleysill_kernel.manifest import Manifest
+from bramleysill_kernel.common.exceptions import ManifestError
+from bramleysill_kernel.config import manifest_parser
+from bramleysill_kernel.config.manifest import Manifest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -5,11 +5,11 @@
 
 import testtools
 
-from bramleysill_kernel import clock as clock_module
-from bramleysill_kernel import effects
-from bramleysill_kernel import grants
-from bramleysill_kernel import ownership
-from bramleysill_kernel import tables
+from bramleysill_kernel.common import clock as clock_module
+from bramleysill_kernel.common import effects
+from bramleysill_kernel.units import grants
+from bramleysill_kernel.units import ownership
+from bramleysill_kernel.units import tables
 from model import __main__ as checks
 from model import protocol
 from tests import fakes
--- a/tests/test_moves_outage.py
+++ b/tests/test_moves_outage.py
@@ -2,10 +2,10 @@
 
 import testtools
 
-from bramleysill_kernel import messages
-from bramleysill_kernel import moves
-from bramleysill_kernel import placement
-from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.units import moves
+from bramleysill_kernel.units import placement
 
 
 class PlannedMoveTest(testtools.TestCase):
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -2,10 +2,10 @@
 
 import testtools
 
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.named_limits import MIN_RETENTION_SECONDS
-from bramleysill_kernel.named_limits import LimitReport
-from bramleysill_kernel.named_limits import NamedLimits
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.load.named_limits import MIN_RETENTION_SECONDS
+from bramleysill_kernel.load.named_limits import LimitReport
+from bramleysill_kernel.load.named_limits import NamedLimits
 from bramleysill_platform import upstream_calls
 
 
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from bramleysill_kernel import outliers
-from bramleysill_kernel.clock import ManualClock
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.load import outliers
 
 SEED = 11
 NAMES = ('a', 'b', 'c', 'd', 'e', 'f')
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -13,8 +13,8 @@
 import testtools
 
 from bramleysill_gateway.cell_state import CellState
-from bramleysill_kernel.exceptions import SillError
-from bramleysill_kernel.key_ranges import RangeTable
+from bramleysill_kernel.common.exceptions import SillError
+from bramleysill_kernel.ranges.key_ranges import RangeTable
 from bramleysill_net.conn import Conn
 from bramleysill_net.loop import Loop
 from bramleysill_platform import documents
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from bramleysill_kernel import manifest
-from bramleysill_kernel import ownership
-from bramleysill_kernel.exceptions import SillError
+from bramleysill_kernel.common.exceptions import SillError
+from bramleysill_kernel.config import manifest
+from bramleysill_kernel.units import ownership
 
 
 def _service():
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -4,11 +4,11 @@
 
 from bramleysill_gateway.pacing import REPLY_TIMEOUT_SECONDS
 from bramleysill_gateway.pacing import Pacing
-from bramleysill_kernel import messages
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.named_limits import NamedLimits
-from bramleysill_kernel.rate_pacer import RatePacer
-from bramleysill_kernel.rate_pacer import pacing_router
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.load.named_limits import NamedLimits
+from bramleysill_kernel.load.rate_pacer import RatePacer
+from bramleysill_kernel.load.rate_pacer import pacing_router
 from tests.gateway_helpers import SettledRouters
 from tests.store_fakes import ManualLoop
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from bramleysill_kernel import placement
+from bramleysill_kernel.units import placement
 
 NAMES = tuple(f'u{n}' for n in range(10))
 
--- a/tests/test_placement_stability.py
+++ b/tests/test_placement_stability.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from bramleysill_kernel.placement import placements
+from bramleysill_kernel.units.placement import placements
 
 
 class PlacementStabilityTest(testtools.TestCase):
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -5,9 +5,9 @@
 
 import testtools
 
-from bramleysill_kernel.exceptions import SettingsError
-from bramleysill_kernel.key_ranges import KeyRange
-from bramleysill_kernel.routing_config import Repeatability
+from bramleysill_kernel.common.exceptions import SettingsError
+from bramleysill_kernel.config.routing_config import Repeatability
+from bramleysill_kernel.ranges.key_ranges import KeyRange
 from bramleysill_platform import documents
 from bramleysill_platform import fields
 from bramleysill_platform import settings
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from bramleysill_kernel.store_types import StoreOutcome
+from bramleysill_kernel.common.store_types import StoreOutcome
 from bramleysill_net.http_calls import CallResult
 from bramleysill_platform import store
 
--- a/tests/test_prefix_watch.py
+++ b/tests/test_prefix_watch.py
@@ -6,8 +6,8 @@
 
 from bramleysill_gateway.prefix_watch import FIRST_WATCH_DELAY_SECONDS
 from bramleysill_gateway.prefix_watch import PrefixWatch
-from bramleysill_kernel.store_types import StoreOutcome
-from bramleysill_kernel.store_types import StoreReply
+from bramleysill_kernel.common.store_types import StoreOutcome
+from bramleysill_kernel.common.store_types import StoreReply
 from tests.bounds import make_timings
 from tests.store_fakes import NO_REPLY
 from tests.store_fakes import ManualLoop
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -5,10 +5,10 @@
 
 import testtools
 
-from bramleysill_kernel import messages
-from bramleysill_kernel.manifest_parser import parse_manifest
-from bramleysill_kernel.planner import Planner
-from bramleysill_kernel.state import full_table
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.config.manifest_parser import parse_manifest
+from bramleysill_kernel.units.planner import Planner
+from bramleysill_kernel.units.state import full_table
 from bramleysill_router.process import RouterProcess
 from bramleysill_router.settings import check_options
 
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from bramleysill_kernel.queueing import FairQueue
-from bramleysill_kernel.queueing import WorkItem
+from bramleysill_kernel.load.queueing import FairQueue
+from bramleysill_kernel.load.queueing import WorkItem
 
 SEED = 20261204
 
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -4,11 +4,11 @@
 
 import testtools
 
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.former_holds import FormerHolds
-from bramleysill_kernel.hold_ledger import CALL_TIMEOUT_SECONDS
-from bramleysill_kernel.hold_ledger import HoldLedger
-from bramleysill_kernel.key_ranges import KeyRange
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.ranges.former_holds import FormerHolds
+from bramleysill_kernel.ranges.hold_ledger import CALL_TIMEOUT_SECONDS
+from bramleysill_kernel.ranges.hold_ledger import HoldLedger
+from bramleysill_kernel.ranges.key_ranges import KeyRange
 from tests.bounds import make_timings
 from tests.range_fakes import STEP_SECONDS
 from tests.range_fakes import FakeCell
--- a/tests/test_range_moves.py
+++ b/tests/test_range_moves.py
@@ -4,9 +4,9 @@
 
 import testtools
 
-from bramleysill_kernel.key_ranges import KeyRange
-from bramleysill_kernel.range_moves import MoveList
-from bramleysill_kernel.range_moves import RangeMove
+from bramleysill_kernel.ranges.key_ranges import KeyRange
+from bramleysill_kernel.ranges.range_moves import MoveList
+from bramleysill_kernel.ranges.range_moves import RangeMove
 
 RANGES = 2000
 MOVES = 600
--- a/tests/test_range_planner.py
+++ b/tests/test_range_planner.py
@@ -2,12 +2,12 @@
 
 import testtools
 
-from bramleysill_kernel.key_ranges import Assignment
-from bramleysill_kernel.key_ranges import RangeTable
-from bramleysill_kernel.range_balance import plan_balance
-from bramleysill_kernel.range_planner import Capacity
-from bramleysill_kernel.range_planner import plan_new_upstreams
-from bramleysill_kernel.range_planner import plan_vacant_ranges
+from bramleysill_kernel.ranges.key_ranges import Assignment
+from bramleysill_kernel.ranges.key_ranges import RangeTable
+from bramleysill_kernel.ranges.range_balance import plan_balance
+from bramleysill_kernel.ranges.range_planner import Capacity
+from bramleysill_kernel.ranges.range_planner import plan_new_upstreams
+from bramleysill_kernel.ranges.range_planner import plan_vacant_ranges
 
 # Requests/s of an upstream with four slots and 120 ms per request.
 RATE = 33.0
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -5,8 +5,8 @@
 import testtools
 
 from bramleysill_gateway.registration import Registration
-from bramleysill_kernel.store_types import StoreOutcome
-from bramleysill_kernel.store_types import StoreReply
+from bramleysill_kernel.common.store_types import StoreOutcome
+from bramleysill_kernel.common.store_types import StoreReply
 from bramleysill_platform.adapter import PlatformAdapter
 from tests.store_fakes import ManualLoop
 
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from bramleysill_kernel.manifest import Objective
-from bramleysill_kernel.manifest_parser import parse_manifest
-from bramleysill_kernel.ownership import OwnershipTable
+from bramleysill_kernel.config.manifest import Objective
+from bramleysill_kernel.config.manifest_parser import parse_manifest
+from bramleysill_kernel.units.ownership import OwnershipTable
 from bramleysill_router.metrics import Metrics
 from bramleysill_router.metrics import unit_gauges
 from sillctl import snapshots
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 import testtools
 
-from bramleysill_kernel import retries
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.exceptions import OUTCOME_NOT_RUN
-from bramleysill_kernel.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.common.exceptions import OUTCOME_NOT_RUN
+from bramleysill_kernel.common.exceptions import OUTCOME_UNKNOWN
+from bramleysill_kernel.load import retries
 
 SEED = 13
 
--- a/tests/test_send_policy.py
+++ b/tests/test_send_policy.py
@@ -6,16 +6,16 @@
 
 import testtools
 
-from bramleysill_kernel.routing_config import Repeatability
-from bramleysill_kernel.routing_config import Route
-from bramleysill_kernel.send_policy import Action
-from bramleysill_kernel.send_policy import choose_upstream
-from bramleysill_kernel.send_policy import decide
-from bramleysill_kernel.send_policy import max_upstream_seconds
-from bramleysill_kernel.upstream_load import BACKLOG_PER_SLOT_AT_LIMIT
-from bramleysill_kernel.upstream_load import LoadReport
-from bramleysill_kernel.upstream_load import ServiceTime
-from bramleysill_kernel.upstream_load import UpstreamLoad
+from bramleysill_kernel.config.routing_config import Repeatability
+from bramleysill_kernel.config.routing_config import Route
+from bramleysill_kernel.load.send_policy import Action
+from bramleysill_kernel.load.send_policy import choose_upstream
+from bramleysill_kernel.load.send_policy import decide
+from bramleysill_kernel.load.send_policy import max_upstream_seconds
+from bramleysill_kernel.load.upstream_load import BACKLOG_PER_SLOT_AT_LIMIT
+from bramleysill_kernel.load.upstream_load import LoadReport
+from bramleysill_kernel.load.upstream_load import ServiceTime
+from bramleysill_kernel.load.upstream_load import UpstreamLoad
 
 SLOTS = 4
 SERVICE_SECONDS = 0.12
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 
 import testtools
 
-from bramleysill_kernel.exceptions import SettingsError
+from bramleysill_kernel.common.exceptions import SettingsError
 from bramleysill_router import settings
 
 ADDRESSES = ('listen', 'peer_listen', 'admin_listen', 'store', 'seeds')
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -2,13 +2,15 @@
 
 import testtools
 
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.shared_limits import EXPIRED_ROUTER_RETENTION_SECONDS
-from bramleysill_kernel.shared_limits import REGISTRATION_WAIT_SECONDS
-from bramleysill_kernel.shared_limits import KnownRouters
-from bramleysill_kernel.shared_limits import RetryBudget
-from bramleysill_kernel.shared_limits import SlowStartLimiter
-from bramleysill_kernel.shared_limits import slow_start_share
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.load.shared_limits import (
+    EXPIRED_ROUTER_RETENTION_SECONDS,
+)
+from bramleysill_kernel.load.shared_limits import REGISTRATION_WAIT_SECONDS
+from bramleysill_kernel.load.shared_limits import KnownRouters
+from bramleysill_kernel.load.shared_limits import RetryBudget
+from bramleysill_kernel.load.shared_limits import SlowStartLimiter
+from bramleysill_kernel.load.shared_limits import slow_start_share
 
 ROUTERS = [f'router-{n}' for n in range(12)]
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -4,9 +4,9 @@
 
 import testtools
 
-from bramleysill_kernel import slow_start
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.slow_start import SlowStart
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.load import slow_start
+from bramleysill_kernel.load.slow_start import SlowStart
 
 SEED = 19
 
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -10,7 +10,7 @@
 from bramleysill_gateway.prefix_watch import FIRST_WATCH_DELAY_SECONDS
 from bramleysill_gateway.prefix_watch import PrefixWatch
 from bramleysill_gateway.store_feed import StoreFeeder
-from bramleysill_kernel.store_types import StoredItem
+from bramleysill_kernel.common.store_types import StoredItem
 from tests.bounds import make_timings
 from tests.store_fakes import ManualLoop
 from tests.store_fakes import ScriptedStore
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from bramleysill_kernel.hold_ledger import last_hold_end
+from bramleysill_kernel.ranges.hold_ledger import last_hold_end
 from tests.bounds import make_timings
 from tests.simulated_cell import SERVICE
 from tests.simulated_cell import STEP_SECONDS
--- a/tests/test_timings.py
+++ b/tests/test_timings.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from bramleysill_kernel.timings import CHANGE_LOOKUP_SECONDS
-from bramleysill_kernel.timings import TAKEOVER_MARGIN_SECONDS
+from bramleysill_kernel.config.timings import CHANGE_LOOKUP_SECONDS
+from bramleysill_kernel.config.timings import TAKEOVER_MARGIN_SECONDS
 from tests.bounds import make_bounds
 from tests.bounds import make_timings
 from tests.range_fakes import FakeCell
--- a/tests/test_upstream_availability.py
+++ b/tests/test_upstream_availability.py
@@ -11,16 +11,16 @@
 
 from bramleysill_gateway.departures import REPEAT_INTERVAL_SECONDS
 from bramleysill_gateway.departures import Departures
-from bramleysill_kernel import messages
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.retry_rules import MIN_ATTEMPT_SECONDS
-from bramleysill_kernel.routing_config import Repeatability
-from bramleysill_kernel.routing_config import Route
-from bramleysill_kernel.send_policy import Action
-from bramleysill_kernel.send_policy import decide
-from bramleysill_kernel.upstream_directory import UpstreamDirectory
-from bramleysill_kernel.upstream_load import ServiceTime
-from bramleysill_kernel.upstream_load import UpstreamLoad
+from bramleysill_kernel.common import messages
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.config.routing_config import Repeatability
+from bramleysill_kernel.config.routing_config import Route
+from bramleysill_kernel.discovery.upstream_directory import UpstreamDirectory
+from bramleysill_kernel.load.retry_rules import MIN_ATTEMPT_SECONDS
+from bramleysill_kernel.load.send_policy import Action
+from bramleysill_kernel.load.send_policy import decide
+from bramleysill_kernel.load.upstream_load import ServiceTime
+from bramleysill_kernel.load.upstream_load import UpstreamLoad
 from bramleysill_platform import upstream_calls
 from tests.bounds import make_timings
 from tests.gateway_helpers import NOT_RUN_LINE
--- a/tests/test_upstream_directory.py
+++ b/tests/test_upstream_directory.py
@@ -2,9 +2,11 @@
 
 import testtools
 
-from bramleysill_kernel.clock import ManualClock
-from bramleysill_kernel.upstream_directory import REREGISTRATION_SECONDS
-from bramleysill_kernel.upstream_directory import UpstreamDirectory
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.discovery.upstream_directory import (
+    REREGISTRATION_SECONDS,
+)
+from bramleysill_kernel.discovery.upstream_directory import UpstreamDirectory
 from tests.bounds import make_timings
 from tests.range_fakes import SERVICE
 from tests.range_fakes import make_entry
--- a/tests/test_value_deltas.py
+++ b/tests/test_value_deltas.py
@@ -7,11 +7,11 @@
 from hypothesis import strategies as st
 import testtools
 
-from bramleysill_kernel.key_ranges import Assignment
-from bramleysill_kernel.key_ranges import RangeTable
-from bramleysill_kernel.value_deltas import DeltaError
-from bramleysill_kernel.value_deltas import apply_delta
-from bramleysill_kernel.value_deltas import make_delta
+from bramleysill_kernel.common.value_deltas import DeltaError
+from bramleysill_kernel.common.value_deltas import apply_delta
+from bramleysill_kernel.common.value_deltas import make_delta
+from bramleysill_kernel.ranges.key_ranges import Assignment
+from bramleysill_kernel.ranges.key_ranges import RangeTable
 
 _VALUES = st.lists(
     st.sampled_from([b'[1,2],', b'{"a":1},', b'x', b']', b'[3]', b'']),
