Keep the wait in a queue out of the service time of upstreams

The capacity of 160 owners was put at a third, a hundred ranges at more than twice their load, and each router turned half of their requests away. Callers came back, which raised the counted load further.

Cause: the time from sending to the response was divided by the queue that the sending router knew of. Of 80 routers each sends rarely to an owner, so that it knew of no queue, and the wait counted as service time.

Change: the queue is taken from the requests that the response leaves behind, as a request finds on average as many as it leaves; responses that leave a queue count a tenth; a sample counts at most four times the average; the time ends with the head of the response.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -35,6 +35,7 @@
         'status',
         'response_complete',
         'sent_at',
+        '_responded_at',
         '_exchange',
         '_adapter',
         '_loop',
@@ -64,6 +65,8 @@
         self._reused = False
         # When the attempt was started, in seconds of the loop's clock.
         self.sent_at = 0.0
+        # When the head of the response arrived.
+        self._responded_at = 0.0
         self._backlog = 0.0
         self._headers = []
         self._chunks = []
@@ -142,6 +145,7 @@
     def on_head(self, status, headers, length):
         """Decide from the header whether a response is usable."""
         self.status = status
+        self._responded_at = self._loop.now()
         self._headers = headers
         self._length = length
         self._note_load(headers)
@@ -187,9 +191,10 @@
 
     def on_end(self):
         """Report the complete response to the exchange."""
-        seconds = self._loop.now() - self.sent_at
         self.response_complete = True
         if self._usable:
+            # A long body or a slow caller takes no time of the upstream.
+            seconds = self._responded_at - self.sent_at
             self.peer.load.note_response(
                 self._loop.now(), seconds, self._backlog
             )
--- a/packages/kernel/src/bramleysill_kernel/load/upstream_load.py
+++ b/packages/kernel/src/bramleysill_kernel/load/upstream_load.py
@@ -16,6 +16,12 @@
 # Weight of a new sample in the moving average of service times, which all
 # upstreams of a service share.
 SERVICE_TIME_WEIGHT = 0.05
+# Weight of a response that leaves requests waiting. It has probably waited
+# itself, for a time that can only be estimated.
+QUEUED_SERVICE_TIME_WEIGHT = 0.005
+# A sample counts as at most this multiple of the average. Keys whose state is
+# not warm and disturbed upstreams take many times the usual time.
+MAX_SAMPLE_FACTOR = 4.0
 INITIAL_SERVICE_SECONDS = 0.1
 # Weight of a new sample in the slowdown of one upstream.
 SLOWDOWN_WEIGHT = 0.3
@@ -49,9 +55,10 @@
     def __init__(self, seconds=INITIAL_SERVICE_SECONDS):
         self.seconds = seconds
 
-    def add(self, sample):
+    def add(self, sample, weight=SERVICE_TIME_WEIGHT):
         """Add the service time of one response to the average."""
-        self.seconds += SERVICE_TIME_WEIGHT * (sample - self.seconds)
+        sample = min(sample, MAX_SAMPLE_FACTOR * self.seconds)
+        self.seconds += weight * (sample - self.seconds)
 
 
 class LoadReport:
@@ -86,6 +93,7 @@
         '_other_requests',
         '_other_requests_at',
         '_average_other_requests',
+        '_remaining_requests',
         '_slowdown',
         '_slowdown_at',
         '_reports_slowdown',
@@ -107,6 +115,8 @@
         self._other_requests = 0.0
         self._other_requests_at = 0.0
         self._average_other_requests = 0.0
+        # Requests at the upstream after its last response, None if unknown.
+        self._remaining_requests = None
         self._slowdown = 1.0
         self._slowdown_at = 0.0
         self._reports_slowdown = False
@@ -158,18 +168,30 @@
             self._update_slowdown(now, report.slowdown)
             self._count_response(now)
         total = report.running + report.waiting
+        self._remaining_requests = total
         self._update_other_requests(now, total - max(0, self.in_flight - 1))
 
     def note_response(self, now, seconds, backlog_at_send):
         """Add the service time of a response to the shared average.
 
+        The wait for a slot is not part of it. It is estimated from the
+        requests that the response leaves behind, if the upstream reports
+        them: on average a request finds as many as it leaves. What this
+        router knew when it sent the request is often too old.
+
         If the upstream does not report its slowdown, this also updates it.
         """
         self.failures = 0
         self.down_until = 0.0
-        queued = max(1.0, (backlog_at_send + 1) / self.slots)
+        found = self._remaining_requests
+        if found is None:
+            found = backlog_at_send
+        queued = max(1.0, (found + 1) / self.slots)
         sample = max(MIN_SERVICE_SECONDS, seconds / queued)
-        self.shared_service_time.add(sample / self.slowdown(now))
+        weight = SERVICE_TIME_WEIGHT
+        if found > self.slots:
+            weight = QUEUED_SERVICE_TIME_WEIGHT
+        self.shared_service_time.add(sample / self.slowdown(now), weight)
         if not self._reports_slowdown:
             self._update_slowdown(
                 now, sample / self.shared_service_time.seconds
