Let new connections settle while upstreams reset some of them

Callers of requests that must not run twice got 502 for requests that had reached no upstream, and could not send them again.

Cause: an upstream resets connections over its limit right after it has accepted them. The request was written in the moment of the connect, so that the reset no longer proved that it had not run.

Change: for 5 s after such a reset, new connections to the upstreams of the service send nothing for another round trip. A reset in this time is known not to have run: the request is sent again or refused with 503. Without resets nothing changes.

Evidence: ConnectionLimitTest; its first case got 502 twice before.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -87,7 +87,8 @@
         self.peer.load.in_flight += 1
         self.peer.requests_sent += 1
         self._conn, self._reused = self.peer.pool.acquire(
-            self._exchange.refused_conns
+            self._exchange.refused_conns,
+            self.peer.load.resets_connections(now),
         )
         self._conn.request(data, self, complete=complete)
 
--- a/packages/gateway/src/bramleysill_gateway/upstream_pool.py
+++ b/packages/gateway/src/bramleysill_gateway/upstream_pool.py
@@ -26,10 +26,11 @@
             DEFAULT_IDLE_TIMEOUT_SECONDS * IDLE_REUSE_FRACTION
         )
 
-    def acquire(self, avoided=()):
+    def acquire(self, avoided=(), settles=False):
         """Return (connection, whether it is reused).
 
-        The connections `avoided` are not reused.
+        The connections `avoided` are not reused. `settles` is for a new one,
+        see HttpClientConn.
         """
         self.in_use += 1
         conn = self._take_idle(avoided)
@@ -40,6 +41,7 @@
             *self._address,
             on_idle=self._on_idle,
             unacknowledged_timeout_ms=UNACKNOWLEDGED_TIMEOUT_MS,
+            settles=settles,
         )
         return conn, False
 
--- a/packages/kernel/src/bramleysill_kernel/load/upstream_load.py
+++ b/packages/kernel/src/bramleysill_kernel/load/upstream_load.py
@@ -34,6 +34,9 @@
 MIN_SERVICE_SECONDS = 0.002
 # Assumed requests per slot at an upstream that refuses new connections.
 BACKLOG_PER_SLOT_AT_LIMIT = 4
+# After a reset of a new connection, the upstreams of a service are assumed to
+# reset more of them for this time: their queues have grown.
+CONNECTION_RESETS_SECONDS = 5.0
 # How long an upstream that refused a request counts as full.
 FULL_BACKOFF_SECONDS = 0.05
 # Delay before the next attempt after a failed connection; it doubles up to the
@@ -47,13 +50,15 @@
 
     With many routers, each one sends rarely to a single upstream. The average
     is therefore taken over all upstreams of the service and multiplied by the
-    slowdown of each.
+    slowdown of each. For the same reason `resets_until`, until when upstreams
+    are assumed to reset new connections, is kept for the service.
     """
 
-    __slots__ = ('seconds',)
+    __slots__ = ('seconds', 'resets_until')
 
     def __init__(self, seconds=INITIAL_SERVICE_SECONDS):
         self.seconds = seconds
+        self.resets_until = 0.0
 
     def add(self, sample, weight=SERVICE_TIME_WEIGHT):
         """Add the service time of one response to the average."""
@@ -223,10 +228,15 @@
     def note_connection_limit(self, now):
         """Record a reset of a new connection: the queue there is long."""
         self.note_full(now)
+        self.shared_service_time.resets_until = now + CONNECTION_RESETS_SECONDS
         self._update_other_requests(
             now, max(self.backlog(now), BACKLOG_PER_SLOT_AT_LIMIT * self.slots)
         )
 
+    def resets_connections(self, now):
+        """Return whether new connections may be reset before their use."""
+        return now < self.shared_service_time.resets_until
+
     def note_unreachable(self, now):
         """Record a failed connection, or one that no longer responds."""
         self.failures += 1
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -13,6 +13,10 @@
 # Also limits chunk extensions, trailers and interim responses: anything that
 # is received without a byte of the response's body.
 MAX_RESPONSE_HEAD_BYTES = 65536
+# Added to the time that a connection takes to be established; the server needs
+# some of it to accept the connection.
+SETTLE_MARGIN_SECONDS = 0.002
+MAX_SETTLE_SECONDS = 0.05
 # Limit for the bodies of responses that belong to earlier requests.
 MAX_DISCARDED_BODY_BYTES = 1 << 20
 
@@ -25,6 +29,10 @@
     a single `on_failure(exc)` if the exchange fails. The callbacks
     `on_idle(conn)` and `on_closed(conn)` notify the connection pool.
 
+    With `settles`, a new connection sends nothing until a server that resets
+    connections over its limit would have done so. Such a reset then proves
+    that the request has not run.
+
     A sink may have a method `accepts(status, headers)`. If it returns False,
     the response belongs to an earlier request on this connection; it is
     discarded, and the next response is read instead.
@@ -51,6 +59,9 @@
         '_reusable',
         '_discarding',
         '_has_extra_response',
+        '_settles',
+        '_settled',
+        '_started_at',
     )
 
     def __init__(
@@ -61,6 +72,7 @@
         on_idle=None,
         on_closed=None,
         unacknowledged_timeout_ms=0,
+        settles=False,
     ):
         self.connected = False
         self.busy = False
@@ -82,6 +94,9 @@
         self._reusable = False
         self._discarding = False
         self._has_extra_response = False
+        self._settles = settles
+        self._settled = False
+        self._started_at = loop.now()
         self.conn = Conn.connect(loop, host, port, self)
         if unacknowledged_timeout_ms:
             self.conn.set_unacknowledged_timeout(unacknowledged_timeout_ms)
@@ -123,7 +138,7 @@
 
     def write(self, data):
         """Send part of the request, or queue it until connected."""
-        if self.connected:
+        if self._settled:
             # From here on the bytes count as sent: any part of them may reach
             # the server.
             self.sent_bytes += len(data)
@@ -163,11 +178,14 @@
     def on_connect(self):
         """Send the data that was queued while connecting."""
         self.connected = True
-        unsent, self._unsent = self._unsent, []
-        for data in unsent:
-            self.write(data)
-        if not self.busy and self._on_idle is not None:
-            self._on_idle(self)
+        if not self._settles:
+            self._send_queued()
+            return
+        loop = self.conn.loop
+        delay = loop.now() - self._started_at + SETTLE_MARGIN_SECONDS
+        loop.scheduler.call_at(
+            loop.now() + min(delay, MAX_SETTLE_SECONDS), self._finish_settling
+        )
 
     def on_data(self, data):
         """Parse part of the response."""
@@ -270,6 +288,21 @@
 
     # Internal.
 
+    def _finish_settling(self):
+        if self.conn.closed:
+            return
+        self._send_queued()
+        if not self.conn.buffered:
+            self.on_drain()
+
+    def _send_queued(self):
+        self._settled = True
+        unsent, self._unsent = self._unsent, []
+        for data in unsent:
+            self.write(data)
+        if not self.busy and self._on_idle is not None:
+            self._on_idle(self)
+
     def _check_unparsed_bytes(self):
         # The parser buffers a status line or header field of any size before
         # it reports it, so the bytes are counted as they arrive.
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -60,7 +60,8 @@
     """Responds to each request with `make_response(request_id)`.
 
     The result is bytes, None for a reset, or 'no_response'. While `reads` is
-    false, new connections accept no bytes.
+    false, new connections accept no bytes; while `resets` is true, they are
+    reset.
     """
 
     def __init__(self, loop, make_response):
@@ -70,11 +71,14 @@
         self.last_conn = None
         self.closed = 0
         self.reads = True
+        self.resets = False
         self.listener = Listener(loop, '127.0.0.1', 0, self._accept)
 
     def _accept(self, conn):
         if not self.reads:
             conn.pause()
+        if self.resets:
+            conn.loop.scheduler.call_at(conn.loop.now(), conn.abort)
         return _ScriptedConn(self, conn)
 
 
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -147,3 +147,29 @@
         self.assertEqual((200, 'close'), (status, headers['connection']))
         self.frontend.refusing = True
         self.assertEqual(503, self.request('/read/x')[0])
+
+
+class ConnectionLimitTest(GatewayTestCase):
+    """An upstream resets new connections over its limit."""
+
+    def test_reset_of_a_new_connection_is_known_not_to_have_run(self):
+        """Guards against 502 for a request that reached no upstream.
+
+        Its caller may not send it again, although it certainly has not run.
+        """
+        upstream = self.add_upstream('u1', lambda request_id: None)
+        upstream.resets = True
+        status, _, _ = self.request('/write/1', body=b'x')
+        self.assertEqual(502, status)
+        status, headers, _ = self.request('/write/2', body=b'x')
+        self.assertEqual(503, status)
+        self.assertIn('retry-after', headers)
+        self.assertEqual([], upstream.requests)
+
+    def test_request_is_sent_once_the_connection_has_settled(self):
+        """Guards against a request that is never sent after a reset."""
+        self.add_upstream('u1', signed_response)
+        (entry,) = self.state.directory.usable('shared')
+        average = self.upstreams.peer(entry).load.shared_service_time
+        average.resets_until = self.loop.now() + 5.0
+        self.assertEqual(200, self.request('/write/2', body=b'x')[0])
