--- a/packages/kernel/src/bramleysill_kernel/config/node_settings.py
+++ b/packages/kernel/src/bramleysill_kernel/config/node_settings.py
@@ -2,6 +2,12 @@
 
 from bramleysill_kernel.config.timings import Timings
 
+# Bounds of organisations that the settings may omit.
+DEFAULT_REVOKE_SECONDS = 5.0
+DEFAULT_QUOTA_WINDOW_SECONDS = 5.0
+DEFAULT_QUOTA_OVER = 0.1
+DEFAULT_QUOTA_SLACK = 20.0
+
 
 class ListenAddresses:
     """Listen addresses as (host, port); `peer` is for links to routers."""
@@ -24,6 +30,11 @@
     upstream in slow start may get `cold_factor` times its rate plus
     `cold_extra` requests/s. After `address_reuse`, another process may get the
     address of one that has ended.
+
+    With `strict_revoke`, no request may run that arrives more than `revoke`
+    after the store acknowledged a configuration without its API key. In any
+    span of `quota_window`, the requests of an organisation that run may exceed
+    its quota by the fraction `quota_over` and by `quota_slack` requests.
     """
 
     __slots__ = (
@@ -39,6 +50,11 @@
         'cold_factor',
         'cold_extra',
         'address_reuse',
+        'strict_revoke',
+        'revoke',
+        'quota_window',
+        'quota_over',
+        'quota_slack',
     )
 
     def __init__(
@@ -55,6 +71,11 @@
         cold_factor,
         cold_extra,
         address_reuse,
+        strict_revoke=False,
+        revoke=DEFAULT_REVOKE_SECONDS,
+        quota_window=DEFAULT_QUOTA_WINDOW_SECONDS,
+        quota_over=DEFAULT_QUOTA_OVER,
+        quota_slack=DEFAULT_QUOTA_SLACK,
     ):
         self.shutdown_grace = shutdown_grace
         # Time after a disturbance within which all bounds must hold again.
@@ -69,6 +90,11 @@
         self.cold_factor = cold_factor
         self.cold_extra = cold_extra
         self.address_reuse = address_reuse
+        self.strict_revoke = strict_revoke
+        self.revoke = revoke
+        self.quota_window = quota_window
+        self.quota_over = quota_over
+        self.quota_slack = quota_slack
 
 
 class NodeSettings:
--- a/packages/kernel/src/bramleysill_kernel/config/routing_config.py
+++ b/packages/kernel/src/bramleysill_kernel/config/routing_config.py
@@ -31,7 +31,7 @@
     `max_wait` is the longest time that a caller is kept waiting and
     `objective` the latency up to which a response meets the service level
     objective, both in seconds. `repeatability` is a Repeatability. `priority`
-    0 is the most urgent.
+    0 is the most urgent. Requests of a `public` route need no API key.
     """
 
     __slots__ = (
@@ -44,6 +44,7 @@
         'priority',
         'max_attempts',
         'services',
+        'public',
     )
 
     def __init__(
@@ -57,6 +58,7 @@
         priority,
         max_attempts,
         services,
+        public=False,
     ):
         self.name = name
         self.host = host
@@ -67,6 +69,7 @@
         self.priority = priority
         self.max_attempts = max_attempts
         self.services = services
+        self.public = public
 
     @property
     def repeatable(self):
@@ -140,7 +143,8 @@
     """One version of the configuration; immutable.
 
     `unknown_kinds` has the kinds, by route, that this version of the router
-    does not know. Requests of these routes run at most once.
+    does not know. Requests of these routes run at most once. `organisations`
+    is the OrganisationTable, or None if callers need no API key.
     """
 
     __slots__ = (
@@ -149,15 +153,25 @@
         'services',
         'limits',
         'unknown_kinds',
+        'organisations',
         '_by_host',
     )
 
-    def __init__(self, version, routes, services, limits, unknown_kinds=None):
+    def __init__(
+        self,
+        version,
+        routes,
+        services,
+        limits,
+        unknown_kinds=None,
+        organisations=None,
+    ):
         self.version = version
         self.routes = routes
         self.services = services
         self.limits = limits
         self.unknown_kinds = unknown_kinds or {}
+        self.organisations = organisations
         self._by_host = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,73 @@
+"""Tests of how recent the knowledge of a prefix is."""
+
+import math
+
+import testtools
+
+from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.discovery.freshness import Freshness
+
+
+class FreshnessTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.freshness = Freshness(self.clock)
+
+    def test_nothing_is_recent_without_evidence(self):
+        """Guards against a router that serves keys before its first reply."""
+        self.assertFalse(self.freshness.is_within(1e9))
+        self.assertEqual(math.inf, self.freshness.age())
+
+    def test_a_delayed_reply_counts_from_its_call(self):
+        """Guards against a buffered reply that seems to be news."""
+        self.clock.advance(10.0)
+        self.freshness.note_store_reply(100.0)
+        self.assertEqual(10.0, self.freshness.age())
+        self.assertFalse(self.freshness.is_within(9.9))
+
+    def test_older_evidence_changes_nothing(self):
+        """Guards against replies out of order that take back what is known."""
+        self.clock.advance(1.0)
+        self.freshness.note_store_reply(101.0)
+        self.freshness.note_leader_reply(101.0, 0.5)
+        self.freshness.note_store_reply(99.0)
+        self.assertEqual(101.0, self.freshness.as_of)
+
+    def test_a_suspended_process_is_not_recent(self):
+        """Guards against a paused VM that goes on with old keys."""
+        self.freshness.note_store_reply(100.0)
+        self.clock.advance(5.0)
+        self.assertFalse(self.freshness.is_within(4.5))
+
+    def test_the_age_of_the_leader_is_taken_off(self):
+        """Guards against a follower that seems newer than its source.
+
+        The leader's clock may run slower by 2%.
+        """
+        self.clock.advance(0.1)
+        self.freshness.note_leader_reply(100.0, 2.0)
+        self.assertLessEqual(self.freshness.as_of, 98.0 - 0.04)
+
+    def test_an_impossible_age_is_ignored(self):
+        """Guards against a message that makes a router seem up to date."""
+        for age in (-1.0, math.nan, math.inf, -math.inf):
+            self.freshness.note_leader_reply(100.0, age)
+        self.assertIsNone(self.freshness.as_of)
+
+    def test_a_full_watch_proves_its_wait(self):
+        """Guards against evidence that is older than it needs to be."""
+        self.clock.advance(1.0)
+        self.freshness.note_full_watch(100.0, 1.0)
+        self.assertTrue(100.9 < self.freshness.as_of <= 101.0)
+
+    def test_a_watch_that_returned_early_proves_its_start(self):
+        """Guards against a store that shortens the wait of a watch."""
+        self.clock.advance(0.3)
+        self.freshness.note_full_watch(100.0, 1.0)
+        self.assertEqual(100.0, self.freshness.as_of)
+
+    def test_evidence_is_never_from_the_future(self):
+        """Guards against a fault that makes a router serve for ever."""
+        self.freshness.note_store_reply(500.0)
+        self.assertEqual(100.0, self.freshness.as_of)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -112,7 +112,7 @@
     return json.dumps(document).encode()
 
 
-def _config(**changes):
+def decode(**changes):
     return documents.decode_config(_encode({**CONFIG, **changes}))
 
 
@@ -131,7 +131,7 @@
 class ConfigTest(testtools.TestCase):
     def test_the_longest_prefix_is_matched(self):
         """Guards against a write that is routed as a lookup."""
-        config = _config()
+        config = decode()
         self.assertEqual(
             'record', config.match('a.example', '/ledger/record/1').name
         )
@@ -143,7 +143,7 @@
 
     def test_fields_have_units(self):
         """Guards against milliseconds that are taken as seconds."""
-        config = _config()
+        config = decode()
         route = config.match('a.example', '/ledger/1')
         self.assertEqual((1.2, 0.4), (route.max_wait, route.objective))
         self.assertIs(Repeatability.IDEMPOTENT, route.repeatability)
@@ -174,7 +174,7 @@
             _service_change(health_check_path=1),
             _service_change(health_check_path=['/']),
         ):
-            self.assertRaises(fields.FieldError, _config, **changes)
+            self.assertRaises(fields.FieldError, decode, **changes)
         for data in (b'', b'[1]', b'\xff', b'{"version":'):
             self.assertRaises(fields.FieldError, documents.decode_config, data)
 
@@ -188,7 +188,7 @@
                 'kind': kind,
             }
         }
-        config = _config(routes={**CONFIG['routes'], **routes})
+        config = decode(routes={**CONFIG['routes'], **routes})
         route = config.match('b.example', '/ledger/record/1')
         return config, route.repeatability
 
