--- a/packages/ctl/src/sillctl/outcomes.py
+++ b/packages/ctl/src/sillctl/outcomes.py
@@ -15,6 +15,7 @@
         'body_too_large',
         'head_too_large',
         'key_mismatch',
+        'quota_exceeded',
         'caller_left',
     )
 )
--- a/packages/gateway/src/bramleysill_gateway/request_refusals.py
+++ b/packages/gateway/src/bramleysill_gateway/request_refusals.py
@@ -6,6 +6,7 @@
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.load.retry_rules import AttemptOutcome
 from bramleysill_kernel.load.send_policy import Action
+from bramleysill_kernel.load.token_leases import QuotaAction
 
 # A failed owner is replaced once its hold has expired. Callers retry before
 # that, possibly at another router.
@@ -78,6 +79,27 @@
     )
 
 
+def over_quota(organisation, decision, bound):
+    """Refuse a request for which the organisation has no token.
+
+    `decision` is the QuotaDecision.
+    """
+    retry_after = bound(decision.retry_after)
+    if decision.action is QuotaAction.REFUSE:
+        return refusals.QuotaExceeded(
+            'the request quota of the organisation is used up',
+            'quota',
+            organisation,
+            retry_after=retry_after,
+        )
+    return refusals.QuotaUnavailable(
+        'the router that keeps the request quota could not be asked',
+        'quota',
+        organisation,
+        retry_after=retry_after,
+    )
+
+
 def not_admitted(upstream, decision, bound):
     """Refuse a request to a busy or unreachable upstream."""
     refusal_class = refusals.Overloaded
--- a/packages/kernel/src/bramleysill_kernel/common/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/common/messages.py
@@ -410,3 +410,31 @@
     number: int
     permitted: bool
     delay: float
+
+
+@dataclasses.dataclass(slots=True)
+class QuotaRequest:
+    """Asks the quota owner of an organisation for tokens.
+
+    `waiting` requests wait for one, and `wanted` includes those that are
+    expected soon.
+    """
+
+    number: int
+    organisation: str
+    waiting: int
+    wanted: int
+
+
+@dataclasses.dataclass(slots=True)
+class QuotaReply:
+    """The tokens that the sender of a QuotaRequest may use.
+
+    `delay` is the seconds until more can be granted if there are fewer than
+    requests that wait. It is negative if the receiver of the request does not
+    own the organisation.
+    """
+
+    number: int
+    granted: int
+    delay: float
--- a/packages/kernel/src/bramleysill_kernel/common/refusals.py
+++ b/packages/kernel/src/bramleysill_kernel/common/refusals.py
@@ -103,3 +103,15 @@
     422,
     'The idempotency key was used for another request.',
 )
+QuotaExceeded = _refusal(
+    'QuotaExceeded',
+    'quota_exceeded',
+    429,
+    'The organisation has used up its quota.',
+)
+QuotaUnavailable = _refusal(
+    'QuotaUnavailable',
+    'quota_unavailable',
+    503,
+    'The router that keeps the quota could not be asked.',
+)
--- a/packages/kernel/src/bramleysill_kernel/load/shared_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/load/shared_limits.py
@@ -28,6 +28,7 @@
     """The routers that share the limits, as far as this one knows."""
 
     __slots__ = (
+        'version',
         '_clock',
         '_counted_until',
         '_addresses',
@@ -36,6 +37,8 @@
     )
 
     def __init__(self, clock):
+        # Rises with each change of the registrations.
+        self.version = 0
         self._clock = clock
         # The time until which each router is counted; None while it is
         # registered.
@@ -53,12 +56,15 @@
 
     def add(self, router, address=''):
         """Count a router that has registered with its peer address."""
+        if self._counted_until.get(router, 0.0) is not None:
+            self.version += 1
         self._counted_until[router] = None
         self._addresses[router] = address
 
     def remove(self, router):
         """Record that the registration of a router has expired."""
         if router in self._counted_until:
+            self.version += 1
             self._counted_until[router] = (
                 self._clock.now() + EXPIRED_ROUTER_RETENTION_SECONDS
             )
@@ -71,6 +77,10 @@
         """Return whether the others have had this time since the start."""
         return self._clock.now() >= self._first_settled_at
 
+    def is_registered(self, router):
+        """Return whether a router has a registration now."""
+        return self._counted_until.get(router, 0.0) is None
+
     def address(self, router):
         """Return the peer address of a counted router."""
         return self._addresses[router]
--- a/packages/router/src/bramleysill_router/metrics.py
+++ b/packages/router/src/bramleysill_router/metrics.py
@@ -64,6 +64,19 @@
         'Longest delay of a timer within the last second.',
     ),
     'bramleysill_manifest_version': (Gauge, 'Version of the manifest in use.'),
+    'bramleysill_quota_decisions_total': (
+        Counter,
+        'Requests of organisations with a limit, by decision.',
+    ),
+    'bramleysill_quota_buckets': (Gauge, 'Token buckets kept as an owner.'),
+    'bramleysill_quota_organisations': (
+        Gauge,
+        'Organisations with a limit in use at this router.',
+    ),
+    'bramleysill_quota_owner_active': (
+        Gauge,
+        '1 while the router may own quotas.',
+    ),
     'bramleysill_units': (Gauge, 'Units by condition.'),
 }
 
@@ -74,7 +87,8 @@
     `requests` counts by (service, outcome code) and `latency` by (service,
     upper bound of the bucket). `latency_sum` is in seconds by service,
     `control_bytes` counts by direction (`sent` or `received`), `events` by
-    name and `domain_transitions` by (failure domain, `out` or `back`).
+    name, `quota_decisions` by decision and `domain_transitions` by (failure
+    domain, `out` or `back`).
     """
 
     __slots__ = (
@@ -83,6 +97,7 @@
         'latency_sum',
         'control_bytes',
         'events',
+        'quota_decisions',
         'domain_transitions',
         '_domains_out',
         '_gauges',
@@ -96,6 +111,7 @@
         self.latency_sum = collections.Counter()
         self.control_bytes = collections.Counter()
         self.events = collections.Counter()
+        self.quota_decisions = collections.Counter()
         self.domain_transitions = collections.Counter()
         self._domains_out = None
         self._gauges = []
@@ -159,6 +175,11 @@
         for event, value in self.events.items():
             labels = {'event': event}
             self._set_counter('bramleysill_events_total', labels, value)
+        for decision, value in self.quota_decisions.items():
+            labels = {'decision': decision}
+            self._set_counter(
+                'bramleysill_quota_decisions_total', labels, value
+            )
         self._publish_domains()
         for callback in self._gauges:
             for name, labels, value in callback():
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -239,6 +239,8 @@
         *_plain_fields('max_wait'),
     ],
     messages.PaceReply: _plain_fields(*messages.PaceReply.__slots__),
+    messages.QuotaRequest: _plain_fields(*messages.QuotaRequest.__slots__),
+    messages.QuotaReply: _plain_fields(*messages.QuotaReply.__slots__),
     streams.StreamOpen: _plain_fields(*streams.StreamOpen.__slots__),
     streams.StreamHead: _plain_fields(*streams.StreamHead.__slots__),
     streams.StreamData: _plain_fields(*streams.StreamData.__slots__),
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -265,6 +265,19 @@
   delay @2 :Float64;
 }
 
+struct QuotaRequest {
+  number @0 :UInt32;
+  organisation @1 :Text;
+  waiting @2 :UInt32;
+  wanted @3 :UInt32;
+}
+
+struct QuotaReply {
+  number @0 :UInt32;
+  granted @1 :UInt32;
+  delay @2 :Float64;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -298,5 +311,7 @@
     leaderChange @28 :LeaderChange;
     storeCopy @29 :StoreCopy;
     packed @30 :Data;
+    quotaRequest @31 :QuotaRequest;
+    quotaReply @32 :QuotaReply;
   }
 }
