--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -235,4 +235,25 @@
         'if False:',
         'tests.test_caller_leaves',
     ),
+    Mutation(
+        'a quota owner stops when its list of routers is old',
+        KERNEL + 'load/token_owner.py',
+        'and now <= as_of + MAX_LIST_AGE_SECONDS',
+        'and True',
+        'tests.test_quotas.OwnershipTest',
+    ),
+    Mutation(
+        'a new quota owner waits until the former one has stopped',
+        KERNEL + 'load/token_owner.py',
+        'TAKEOVER_WAIT_SECONDS = 2.0 * (1.0 + CLOCK_RATE_TOLERANCE)',
+        'TAKEOVER_WAIT_SECONDS = 0.0',
+        'tests.test_quotas.OwnerTest',
+    ),
+    Mutation(
+        'a quota owner starts over after a gap in its knowledge',
+        KERNEL + 'load/token_owner.py',
+        'or now > self._last_as_of + MAX_LIST_AGE_SECONDS',
+        'or False',
+        'tests.test_quotas.OwnershipTest',
+    ),
 )
--- a/packages/kernel/src/bramleysill_kernel/load/organisation_quotas.py
+++ b/packages/kernel/src/bramleysill_kernel/load/organisation_quotas.py
@@ -85,12 +85,23 @@
         `organisations` maps names to Organisation. The result is a list of
         (waiter, QuotaDecision).
         """
+        unchanged = set()
+        if bounds is self._bounds:
+            unchanged = {
+                name
+                for name in self._limits
+                if _has_same_limit(
+                    self._organisations[name], organisations.get(name)
+                )
+            }
         self._organisations = organisations
         self._bounds = bounds
-        self._limits = {}
+        self._limits = {name: self._limits[name] for name in unchanged}
         self._shares = {}
         settled = []
         for name, leased in list(self._leases.items()):
+            if name in unchanged:
+                continue
             limit = self.limit(name)
             if limit is None:
                 del self._leases[name]
@@ -252,3 +263,10 @@
                 limit.fallback, name, self._name, self._routers.names()
             )
         return share
+
+
+def _has_same_limit(organisation, other):
+    return other is not None and (organisation.rate, organisation.burst) == (
+        other.rate,
+        other.burst,
+    )
