Identify callers by the API keys of organisations

A configuration with tenants asks for Authorization: Bearer KEY on all routes that are not public. A request without exactly one valid key is refused with 401 (code unauthenticated). Upstreams get X-Bramleysill-Tenant with the name of the organisation and neither the key nor the caller's own field; the priority of the organisation replaces the route's. Without tenants, requests are forwarded as before.

With strict_revoke, requests with keys need a recent configuration, else they are refused with 503 (code config_stale). The watches of the store already give the evidence for that; followers of the leader's feed get theirs with the next change.

--- a/packages/ctl/src/sillctl/outcomes.py
+++ b/packages/ctl/src/sillctl/outcomes.py
@@ -10,6 +10,7 @@
 CALLER_ERROR_CODES = frozenset(
     (
         'bad_request',
+        'unauthenticated',
         'unknown_service',
         'unknown_key',
         'body_too_large',
--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -89,6 +89,9 @@
             adapter.upstream_prefix, self._on_upstream_item
         )
         self.own_watch = watch(adapter.own_prefix, self._on_own_item)
+        # How recent the configuration and the registered routers are.
+        self.config_freshness = self.operator_watch.freshness
+        self.own_freshness = self.own_watch.freshness
         self._watches = (
             self.operator_watch,
             self.upstream_watch,
@@ -279,6 +282,18 @@
                 kind=kind,
                 version=config.version,
             )
+        if config.organisations is not None:
+            self._note_unusable_keys(config)
+
+    def _note_unusable_keys(self, config):
+        for name, count in config.organisations.unusable_keys.items():
+            self._metrics.events['api_key_unusable'] += count
+            log_warning(
+                'api_key_unusable',
+                organisation=name,
+                keys=count,
+                version=config.version,
+            )
 
     def _on_upstream_item(self, item):
         upstream = item.key[len(self._adapter.upstream_prefix) :]
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -14,7 +14,6 @@
 from bramleysill_gateway.owner_search import OwnerSearch
 from bramleysill_gateway.request_body import RequestBody
 from bramleysill_kernel.common import refusals
-from bramleysill_kernel.common.bounded_values import parse_milliseconds
 from bramleysill_kernel.common.problems import to_problem
 from bramleysill_kernel.load.retry_rules import AttemptOutcome
 from bramleysill_kernel.load.retry_rules import may_retry
@@ -43,6 +42,7 @@
         'req',
         'route',
         'service',
+        'organisation',
         'key',
         'request_id',
         'dropped_response_headers',
@@ -53,6 +53,7 @@
         'peer',
         'expected_seconds',
         'refused_conns',
+        '_dropped_fields',
         '_deadline',
         '_caller_deadline',
         '_body',
@@ -70,7 +71,17 @@
         '_limit_wait',
     )
 
-    def __init__(self, frontend, stream, req, route, service, version):
+    def __init__(
+        self,
+        frontend,
+        stream,
+        req,
+        route,
+        service,
+        version,
+        organisation=None,
+        dropped_fields=frozenset(),
+    ):
         # A pipelined request may have waited for its turn.
         now = req.arrived_at
         adapter = frontend.adapter
@@ -79,6 +90,10 @@
         self.req = req
         self.route = route
         self.service = service
+        # The Organisation that holds the key of the request, or None.
+        self.organisation = organisation
+        # Further fields of the caller that are not forwarded.
+        self._dropped_fields = dropped_fields
         self.request_id = req.header(adapter.request_id)
         self.key = None
         self.dropped_response_headers = frontend.dropped_response_headers
@@ -86,7 +101,7 @@
         self.received_at = now
         self.config_version = version
         # Until when the caller waits; None if it has not told.
-        self._caller_deadline = self._read_caller_deadline(now)
+        self._caller_deadline = frontend.read_caller_deadline(req)
         self._deadline = now + route.max_wait
         if self._caller_deadline is not None:
             self._deadline = min(self._deadline, self._caller_deadline)
@@ -115,11 +130,6 @@
             self._deadline + DEADLINE_SLACK_SECONDS, self._on_deadline
         )
 
-    def _read_caller_deadline(self, now):
-        text = self.req.header(self.frontend.adapter.time_left_ms)
-        seconds = parse_milliseconds(text)
-        return None if seconds is None else now + seconds
-
     # Events from the caller.
 
     def on_body(self, data):
@@ -312,9 +322,14 @@
         left = max(1, int((self._deadline - now) * 1000))
         lines = [f'{req.method} {req.target} HTTP/1.1']
         kept = end_to_end_fields(
-            req.headers, self.frontend.dropped_request_headers
+            req.headers,
+            self.frontend.dropped_request_headers | self._dropped_fields,
         )
         lines += [f'{name}: {value}' for name, value in kept]
+        if self.organisation is not None:
+            lines.append(
+                f'{adapter.organisation_header}: {self.organisation.name}'
+            )
         if self.request_id:
             lines.append(f'{adapter.request_id_header}: {self.request_id}')
         lines.append(f'{adapter.time_left_ms_header}: {left}')
@@ -461,12 +476,9 @@
         )
 
     def bound_retry_after(self, seconds):
-        """Return a Retry-After of at most a third of the time left.
-
-        Callers ignore a longer one.
-        """
+        """Return a Retry-After that fits into the time left."""
         left = self._deadline - self.frontend.loop.now()
-        return max(0.05, min(seconds, left / 3))
+        return request_refusals.bound_retry_after(seconds, left)
 
     def give_up(self, refusal):
         """Refuse the request without a false claim that it has not run.
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -4,7 +4,10 @@
 import math
 
 from bramleysill_gateway.exchange import Exchange
+from bramleysill_gateway.identification import Identification
+from bramleysill_gateway.organisation_counts import OrganisationCounts
 from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.bounded_values import parse_milliseconds
 from bramleysill_kernel.common.problems import to_problem
 from bramleysill_kernel.config.routing_config import TrafficSplitter
 from bramleysill_kernel.load import send_policy
@@ -98,6 +101,10 @@
         self._cfg = cfg
         self._rng = rng
         self._metrics = metrics
+        self._organisation_counts = OrganisationCounts(state, metrics)
+        self._identification = Identification(
+            cfg, adapter, state.config_freshness, self._organisation_counts
+        )
         self._splitter = TrafficSplitter(rng)
         self._slow_start_limiter = SlowStartLimiter(loop)
         self._retry_budgets = {}
@@ -196,6 +203,18 @@
                 stream, refusal, request_id, config.version
             )
             return None
+        identity = self._identification.identify(config, route, req)
+        if identity.refusal_class is not None:
+            refusal = self._identification.make_refusal(
+                identity, self._time_left(req, route)
+            )
+            self._refuse_before_exchange(
+                stream, refusal, request_id, config.version
+            )
+            return None
+        organisation = identity.organisation
+        if organisation is not None and organisation.priority is not None:
+            route = route.with_priority(organisation.priority)
         if req.length > config.limits.body_bytes:
             refusal = refusals.BodyTooLarge(
                 'the request body is too large', 'route'
@@ -205,7 +224,16 @@
             )
             return None
         service = config.services[self._splitter.pick(route)]
-        exchange = Exchange(self, stream, req, route, service, config.version)
+        exchange = Exchange(
+            self,
+            stream,
+            req,
+            route,
+            service,
+            config.version,
+            organisation,
+            self._identification.dropped_fields(config),
+        )
         self.active_exchanges.add(exchange)
         now = self.loop.now()
         if exchange.time_left(now) > self.stop_at - now:
@@ -213,6 +241,19 @@
             exchange.refuse(_make_shutdown_refusal())
         return exchange
 
+    def read_caller_deadline(self, req):
+        """Return until when the caller waits, or None if it doesn't tell."""
+        text = req.header(self.adapter.time_left_ms)
+        seconds = parse_milliseconds(text)
+        return None if seconds is None else req.arrived_at + seconds
+
+    def _time_left(self, req, route):
+        deadline = req.arrived_at + route.max_wait
+        caller_deadline = self.read_caller_deadline(req)
+        if caller_deadline is not None:
+            deadline = min(deadline, caller_deadline)
+        return deadline - self.loop.now()
+
     def _refuse_before_exchange(self, stream, refusal, request_id, version):
         self._metrics.requests['-', refusal.code] += 1
         log_event(
@@ -428,6 +469,8 @@
         """Count the outcome of an exchange that has ended."""
         self.active_exchanges.discard(exchange)
         self._metrics.observe(exchange.service.name, outcome, seconds)
+        if exchange.organisation is not None:
+            self._organisation_counts.note(exchange.organisation, outcome)
 
 
 def _make_shutdown_refusal():
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -13,10 +13,13 @@
 read anew, and its items replace the known ones whatever their revision.
 """
 
+import math
+
 from absl import logging
 
 from bramleysill_kernel.common.store_types import StoredItem
 from bramleysill_kernel.common.store_types import StoreOutcome
+from bramleysill_kernel.discovery.freshness import Freshness
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
@@ -57,6 +60,13 @@
         self.synced = False
         self.listed = False
         self.reachable = False
+        # How recent the copy is, by replies of the store and of the leader.
+        self.freshness = Freshness(loop)
+        # The revision of the last change of the prefix that is known.
+        self.last_change = 0
+        # Returns the longest wait of a watch in seconds; a reply to a shorter
+        # one proves sooner that nothing has changed.
+        self.longest_wait = lambda: math.inf
         self._loop = loop
         self._rng = rng
         self._timings = timings
@@ -193,6 +203,7 @@
         self._generation += 1
         self.listed = False
         self._revision = 0
+        self.last_change = 0
         self._removed.clear()
         self._failures = 0
         self._feed_valid_until = 0.0
@@ -227,15 +238,21 @@
         if self._cancel_watch is not None:
             self._cancel_watch()
 
-    def _list(self, after):
+    def _list(self, after, sent_at=None):
+        """Read a page; `sent_at` is when the first one was asked for."""
         if self._stopped:
             return
         if not after:
             self._listing = {}
             self._listing_revision = 0
-        self._store.list(self.prefix, after, self._if_current(self._on_page))
+            sent_at = self._loop.now()
+
+        def on_page(reply):
+            self._on_page(sent_at, reply)
+
+        self._store.list(self.prefix, after, self._if_current(on_page))
 
-    def _on_page(self, reply):
+    def _on_page(self, sent_at, reply):
         if not reply.ok:
             self._failed(reply, lambda: self._list(''))
             return
@@ -247,13 +264,16 @@
         for item in reply.items:
             self._listing[item.key] = item
         if reply.more and reply.items:
-            self._list(reply.items[-1].key)
+            self._list(reply.items[-1].key, sent_at)
             return
         self._finish_listing(reply.revision)
+        self.freshness.note_store_reply(sent_at)
 
     def _finish_listing(self, revision):
         listing = self._listing
         self._revision = self._listing_revision
+        # Keys may have been removed up to this revision.
+        self.last_change = max(self.last_change, revision)
         for key in set(self.items) - set(listing):
             self._apply_listed(StoredItem(key, None, revision))
         for item in listing.values():
@@ -279,14 +299,20 @@
         # at once instead of at the next change.
         needs_reply = self._failures or self._feed_received
         self._feed_received = False
-        self._call_watch(0.0 if needs_reply else self._timings.watch_timeout)
+        wait = min(self._timings.watch_timeout, self.longest_wait())
+        self._call_watch(0.0 if needs_reply else wait)
 
     def _call_watch(self, wait):
+        sent_at = self._loop.now()
+
+        def on_events(reply):
+            self._on_events(sent_at, wait, reply)
+
         self._cancel_watch = self._store.watch(
             self.prefix,
             self._revision,
             wait,
-            self._if_current(self._on_events),
+            self._if_current(on_events),
         )
 
     def _fetch_missed(self):
@@ -307,7 +333,7 @@
             self._watch_timer = None
             self._call_watch(0.0)
 
-    def _on_events(self, reply):
+    def _on_events(self, sent_at, wait, reply):
         self._cancel_watch = None
         has_feed = self._loop.now() < self._feed_valid_until
         if has_feed and reply.outcome is StoreOutcome.NO_REPLY:
@@ -327,6 +353,10 @@
             self._apply(item)
             self._revision = max(self._revision, item.revision)
         self._revision = max(self._revision, reply.revision)
+        if reply.items:
+            self.freshness.note_store_reply(sent_at)
+        else:
+            self.freshness.note_full_watch(sent_at, wait)
         if self.on_batch is not None:
             self.on_batch(base, self._revision, reply.items)
         delay = self._timings.batch_delay if reply.items else 0.0
@@ -354,6 +384,7 @@
 
     def _replace(self, item):
         known = self.items.get(item.key)
+        self.last_change = max(self.last_change, item.revision)
         if item.value is None:
             self.items.pop(item.key, None)
             self._previous.pop(item.key, None)
--- a/packages/gateway/src/bramleysill_gateway/request_refusals.py
+++ b/packages/gateway/src/bramleysill_gateway/request_refusals.py
@@ -17,6 +17,36 @@
 # Keys that are being moved and upstreams that were full become available
 # within a fraction of a second.
 SHORT_RETRY_AFTER_SECONDS = 0.15
+# Another router may have a recent configuration, and this one asks again in
+# about this time.
+CONFIG_STALE_RETRY_AFTER_SECONDS = 0.3
+MIN_RETRY_AFTER_SECONDS = 0.05
+
+
+def bound_retry_after(seconds, time_left):
+    """Return a Retry-After of at most a third of the time left.
+
+    Callers ignore a longer one.
+    """
+    return max(MIN_RETRY_AFTER_SECONDS, min(seconds, time_left / 3))
+
+
+def unauthenticated():
+    """Refuse a request without a valid API key."""
+    return refusals.Unauthenticated(
+        'the route requires an API key', 'identify'
+    )
+
+
+def config_stale(time_left):
+    """Refuse a request whose API key may have been revoked."""
+    return refusals.ConfigStale(
+        'the configuration may be too old to accept API keys',
+        'identify',
+        retry_after=bound_retry_after(
+            CONFIG_STALE_RETRY_AFTER_SECONDS, time_left
+        ),
+    )
 
 
 def no_owner(message, peer, bound):
--- a/packages/kernel/src/bramleysill_kernel/common/problems.py
+++ b/packages/kernel/src/bramleysill_kernel/common/problems.py
@@ -30,5 +30,8 @@
         if whole_seconds:
             text = str(max(1, math.ceil(refusal.retry_after)))
         headers.append(('Retry-After', text))
+    if refusal.status == 401:
+        # RFC 9110 requires a challenge with this status.
+        headers.append(('WWW-Authenticate', 'Bearer'))
     body = json.dumps(document, separators=(',', ':')).encode()
     return refusal.status, headers, body
--- a/packages/kernel/src/bramleysill_kernel/common/refusals.py
+++ b/packages/kernel/src/bramleysill_kernel/common/refusals.py
@@ -21,6 +21,18 @@
 BadRequest = _refusal(
     'BadRequest', 'bad_request', 400, 'The request is malformed.'
 )
+Unauthenticated = _refusal(
+    'Unauthenticated',
+    'unauthenticated',
+    401,
+    'The request has no valid API key.',
+)
+ConfigStale = _refusal(
+    'ConfigStale',
+    'config_stale',
+    503,
+    'The configuration may be too old to accept API keys.',
+)
 UnknownService = _refusal(
     'UnknownService', 'unknown_service', 404, 'No service has this path.'
 )
--- a/packages/kernel/src/bramleysill_kernel/config/routing_config.py
+++ b/packages/kernel/src/bramleysill_kernel/config/routing_config.py
@@ -76,6 +76,23 @@
         """Return whether a request may run more than once."""
         return self.repeatability is Repeatability.IDEMPOTENT
 
+    def with_priority(self, priority):
+        """Return this route with another priority."""
+        if priority == self.priority:
+            return self
+        return Route(
+            self.name,
+            self.host,
+            self.prefix,
+            self.repeatability,
+            self.max_wait,
+            self.objective,
+            priority,
+            self.max_attempts,
+            self.services,
+            self.public,
+        )
+
 
 class Service:
     """A named set of upstreams.
--- a/packages/kernel/src/bramleysill_kernel/discovery/freshness.py
+++ b/packages/kernel/src/bramleysill_kernel/discovery/freshness.py
@@ -15,10 +15,24 @@
 
 import math
 
+# Requests with keys are refused at this fraction of the time within which a
+# revoked key must be refused. The rest covers clocks that run slow.
+SERVE_FRACTION = 0.9
 # The clocks of two VMs differ in rate by at most this fraction.
 CLOCK_RATE_TOLERANCE = 0.02
 
 
+def may_use_keys(freshness, bounds):
+    """Return whether requests with API keys may run now.
+
+    `freshness` is the Freshness of the configuration. Only `strict_revoke`
+    asks for a recent one.
+    """
+    if not bounds.strict_revoke:
+        return True
+    return freshness.is_within(SERVE_FRACTION * bounds.revoke)
+
+
 class Freshness:
     """The time up to which all changes of one prefix are known.
 
--- a/packages/router/src/bramleysill_router/metrics.py
+++ b/packages/router/src/bramleysill_router/metrics.py
@@ -64,6 +64,18 @@
         'Longest delay of a timer within the last second.',
     ),
     'bramleysill_manifest_version': (Gauge, 'Version of the manifest in use.'),
+    'bramleysill_organisation_requests_total': (
+        Counter,
+        'Requests by organisation and outcome code.',
+    ),
+    'bramleysill_organisations': (
+        Gauge,
+        'Organisations in the configuration in use.',
+    ),
+    'bramleysill_config_age_seconds': (
+        Gauge,
+        'Age of the last proof that the configuration is the latest.',
+    ),
     'bramleysill_units': (Gauge, 'Units by condition.'),
 }
 
@@ -73,7 +85,8 @@
 
     `requests` counts by (service, outcome code) and `latency` by (service,
     upper bound of the bucket). `latency_sum` is in seconds by service,
-    `control_bytes` counts by direction (`sent` or `received`), `events` by
+    `organisation_requests` counts by (organisation, outcome code),
+    `control_bytes` by direction (`sent` or `received`), `events` by
     name and `domain_transitions` by (failure domain, `out` or `back`).
     """
 
@@ -81,6 +94,7 @@
         'requests',
         'latency',
         'latency_sum',
+        'organisation_requests',
         'control_bytes',
         'events',
         'domain_transitions',
@@ -94,6 +108,7 @@
         self.requests = collections.Counter()
         self.latency = collections.Counter()
         self.latency_sum = collections.Counter()
+        self.organisation_requests = collections.Counter()
         self.control_bytes = collections.Counter()
         self.events = collections.Counter()
         self.domain_transitions = collections.Counter()
@@ -152,6 +167,11 @@
         for (service, code), value in self.requests.items():
             labels = {'service': service, 'code': code}
             self._set_counter('bramleysill_requests_total', labels, value)
+        for (organisation, code), value in self.organisation_requests.items():
+            labels = {'organisation': organisation, 'code': code}
+            self._set_counter(
+                'bramleysill_organisation_requests_total', labels, value
+            )
         self._publish_latency()
         for direction, value in self.control_bytes.items():
             labels = {'direction': direction}
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -16,6 +16,7 @@
 from bramleysill_kernel.config.routing_config import RoutingConfig
 from bramleysill_kernel.config.routing_config import Service
 from bramleysill_kernel.config.routing_config import WeightedService
+from bramleysill_kernel.discovery.freshness import Freshness
 from bramleysill_kernel.discovery.upstream_directory import UpstreamDirectory
 from bramleysill_kernel.discovery.upstream_directory import UpstreamEntry
 from bramleysill_kernel.load.shared_limits import KnownRouters
@@ -130,6 +131,7 @@
         self.tables = {}
         self.routers = SettledRouters(loop)
         self.routers.add('router')
+        self.config_freshness = Freshness(loop)
 
 
 class GatewayTestCase(testtools.TestCase):
@@ -153,7 +155,7 @@
             1, routes, services, Limits(16384, 1 << 20, 3.0, 15.0)
         )
         self.state = _State(self.loop, config)
-        cfg = NodeSettings(
+        self.cfg = cfg = NodeSettings(
             'router', 'a', ('a',), None, None, 1.0, 1.0, BOUNDS, 1000.0, 1.0
         )
         self.upstreams = Upstreams(self.loop, self.state.directory)
@@ -212,7 +214,7 @@
                 [Assignment(0, 65535, name, 1)]
             )
 
-    def start(self, path, left_ms=3000, body=None):
+    def start(self, path, left_ms=3000, body=None, fields=()):
         responses = []
         conn = HttpClientConn(self.loop, *self.listener.address)
         self.addCleanup(conn.abort)
@@ -220,6 +222,7 @@
             (REQUEST_ID_HEADER, 'r1'),
             ('X-Bramleysill-Deadline-Ms', str(left_ms)),
             ('X-Bramleysill-Shard-Key', '7'),
+            *fields,
         )
         method = 'POST' if body is not None else 'GET'
         conn.request(
@@ -228,8 +231,8 @@
         )
         return conn, responses
 
-    def request(self, path, left_ms=3000, body=None):
-        _, responses = self.start(path, left_ms, body)
+    def request(self, path, left_ms=3000, body=None, fields=()):
+        _, responses = self.start(path, left_ms, body, fields)
         self.assertTrue(
             self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
         )
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -181,6 +181,15 @@
         self.assertEqual(7, self.state.config.version)
         self.assertEqual(1, self.metrics.events['route_kind_unknown'])
 
+    def test_an_unusable_key_is_counted(self):
+        """Guards against a key that works nowhere, and nobody is told."""
+        tenants = {'acme': {'api_keys': ['with space', 'k1']}}
+        data = json.dumps({**CONFIG, 'tenants': tenants}).encode()
+        self._write('r7', 11, data)
+        organisations = self.state.config.organisations
+        self.assertEqual('acme', organisations.find('k1').name)
+        self.assertEqual(1, self.metrics.events['api_key_unusable'])
+
     def test_removed_configuration_stays_in_use(self):
         """Guards against a 404 for all routes when the key is deleted."""
         self._write('r7', 10)
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -66,7 +66,7 @@
             {'a': {'api_keys': [KEY, 1]}},
             {'a': {'api_keys': [KEY], 'priority': -1}},
             {'a': {'api_keys': [KEY], 'priority': True}},
-            {'a': {'api_keys': [KEY], 'rate_per_s': '5'}},
+            {'a': {'api_keys': [KEY], 'rate_per_s': KEY}},
             {'a': {'api_keys': [KEY], 'burst': -1}},
             {'a\r\nX: 1': {'api_keys': [KEY]}},
             {'\xe9': {'api_keys': [KEY]}},
