Send requests of organisations with a limit with a token

The exchange asks for a token before the checks of the upstream, since a token can go back and a place under an upstream's limit can't. A request that waits or is refused gives it back; an attempt that has certainly not run leaves it to the next one while it is valid; a repetition of what may have run takes another. No token gives 429 quota_exceeded or 503 quota_unavailable.

Organisations without a limit, public routes and configurations without organisations ask for nothing, and show no metrics of quotas.

--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -12,6 +12,7 @@
 from bramleysill_gateway.exchange_log import ExchangeLog
 from bramleysill_gateway.limit_wait import LimitWait
 from bramleysill_gateway.owner_search import OwnerSearch
+from bramleysill_gateway.quota_hold import QuotaHold
 from bramleysill_gateway.request_body import RequestBody
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.problems import to_problem
@@ -69,6 +70,7 @@
         '_failed_upstreams',
         '_dispatched',
         '_limit_wait',
+        '_quota',
     )
 
     def __init__(
@@ -124,6 +126,7 @@
         self.refused_conns = []
         self._dispatched = False
         self._limit_wait = LimitWait(self)
+        self._quota = QuotaHold(self)
         self._owner_search = OwnerSearch(self, now)
         stream.on_drained = self._on_caller_drained
         self._deadline_timer = frontend.loop.scheduler.call_at(
@@ -188,10 +191,13 @@
         if now >= self._deadline:
             self._on_deadline()
             return
+        if not self._quota.may_dispatch(now):
+            return
         if self.service.keyed:
             self._dispatch_keyed(now)
         else:
             self._dispatch_shared(now)
+        self._quota.release_unused()
 
     def _dispatch_keyed(self, now):
         if self.key is None:
@@ -306,6 +312,7 @@
             self, peer, self.frontend.adapter, self.frontend.loop
         )
         self._attempt = attempt
+        self._quota.note_sent()
         self.peer = peer
         self._streaming_request = not self._body.complete
         head = self._encode_head(peer.entry, now)
@@ -361,6 +368,7 @@
         if self.finished:
             return
         now = self.frontend.loop.now()
+        self._quota.note_failed(attempt.outcome)
         self._log.failed(attempt, self._attempt_count)
         if attempt.status == 421 and self.service.keyed:
             self.frontend.note_stale_owner(self.service.name, self.owned_range)
@@ -430,6 +438,7 @@
                 return
             attempt.cancel('deadline')
             self._attempt = None
+            self._quota.note_failed(attempt.outcome)
             self._last_failure = attempt
             self._log.failed(attempt, self._attempt_count)
         self.give_up(self._refusal_after_attempts('deadline', timed_out=True))
@@ -510,6 +519,7 @@
 
     def _finish(self, outcome, status):
         self.finished = True
+        self._quota.finish()
         self._body.clear()
         for timer in (
             self._deadline_timer,
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -76,6 +76,8 @@
         self.pacing = pacing
         self.departures = departures
         self.announcer = announcer
+        # The Quotas; set before the first request.
+        self.quotas = None
         self.adapter = adapter
         self.active_exchanges = set()
         # Phases of a shutdown: while draining, each connection closes after
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -9,6 +9,7 @@
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.leader import LeaderElection
 from bramleysill_gateway.pacing import Pacing
+from bramleysill_gateway.quotas import Quotas
 from bramleysill_gateway.range_announcer import RangeAnnouncer
 from bramleysill_gateway.readiness import Readiness
 from bramleysill_gateway.registration import Registration
@@ -109,6 +110,7 @@
             connections=self.frontend.connection_count,
         )
         self.leader.resign()
+        self._quotas.stop()
         self._registration.stop()
 
     # Construction.
@@ -131,6 +133,13 @@
         self._pacing = Pacing(
             self.loop, cfg.name, self.state.routers, self._upstreams.limits
         )
+        self._quotas = Quotas(
+            self.loop,
+            cfg,
+            self.state,
+            self.state.own_freshness,
+            self.metrics,
+        )
         self._departures = Departures(self.loop, cfg.name, self.state)
         self._announcer = RangeAnnouncer(self.loop, cfg.name)
         self.frontend = Frontend(
@@ -145,6 +154,7 @@
             self._adapter,
             self.metrics,
         )
+        self.frontend.quotas = self._quotas
         self.state.on_tables_changed = self.frontend.on_tables_changed
         self.leader = LeaderElection(
             self.loop,
@@ -172,6 +182,7 @@
         )
         self._links = PeerLinks(self.loop, hello, self.metrics)
         self._pacing.links = self._links
+        self._quotas.links = self._links
         self._departures.links = self._links
         self._announcer.links = self._links
         self._takeover.links = self._links
@@ -209,6 +220,7 @@
 
     def _tick(self):
         self.state.tick()
+        self._quotas.tick()
         self.leader.tick()
         self._takeover.tick()
         if self.leader.leadership.leading:
@@ -245,6 +257,7 @@
         self.frontend.sweep()
         self._upstreams.sweep()
         self._pacing.sweep()
+        self._quotas.sweep()
         self.leader.sweep()
 
     def _check_shutdown(self):
@@ -338,6 +351,8 @@
             messages.FormerTermHolds: without_link(self._takeover.on_holds),
             messages.PaceRequest: self._pacing.on_request,
             messages.PaceReply: without_link(self._pacing.on_reply),
+            messages.QuotaRequest: self._quotas.on_request,
+            messages.QuotaReply: without_link(self._quotas.on_reply),
         }
 
     # Settings.
--- a/packages/gateway/src/bramleysill_gateway/quotas.py
+++ b/packages/gateway/src/bramleysill_gateway/quotas.py
@@ -55,6 +55,8 @@
         self._config = None
         self._bounds = None
         self._has_limits = False
+        # A cell that never had a limit shows no metrics of quotas.
+        self._had_limits = False
         self._was_active = False
         self._pending = {}
         self._last_number = 0
@@ -145,6 +147,7 @@
         by_name = table.by_name if table is not None else {}
         settled = self._quotas.apply(by_name, bounds)
         self._has_limits = self._quotas.has_limits()
+        self._had_limits = self._had_limits or self._has_limits
         self._settle(settled)
 
     def _update(self):
@@ -224,6 +227,8 @@
             waiter.callback(decision)
 
     def _gauges(self):
+        if not self._had_limits:
+            return
         buckets, leases = self._quotas.counts()
         yield 'bramleysill_quota_buckets', {}, buckets
         yield 'bramleysill_quota_organisations', {}, leases
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -7,6 +7,7 @@
 from bramleysill_gateway.departures import Departures
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.pacing import Pacing
+from bramleysill_gateway.quotas import Quotas
 from bramleysill_gateway.range_announcer import RangeAnnouncer
 from bramleysill_gateway.upstreams import Upstreams
 from bramleysill_kernel.config.node_settings import NodeSettings
@@ -129,6 +130,7 @@
         self.config = config
         self.directory = UpstreamDirectory(loop, make_timings())
         self.tables = {}
+        self.store_era = 1
         self.routers = SettledRouters(loop)
         self.routers.add('router')
         self.config_freshness = Freshness(loop)
@@ -176,6 +178,9 @@
             self.adapter,
             self.metrics,
         )
+        self.frontend.quotas = Quotas(
+            self.loop, cfg, self.state, Freshness(self.loop), self.metrics
+        )
         self.listener = Listener(
             self.loop, '127.0.0.1', 0, self.frontend.accept
         )
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -86,6 +86,7 @@
         process.frontend = self.frontend = _Frontend()
         process.leader = self.leader = _CallRecorder()
         process.state = process._store = process._links = _CallRecorder()
+        process._quotas = self.quotas = _CallRecorder()
         process._registration = _CallRecorder()
         process._listener = self.listener = _Listener()
         process._stop_at = None
@@ -104,6 +105,10 @@
         self.assertFalse(self.frontend.refusing or self.listener.closed)
         self.assertTrue(self.process.not_ready_reason())
 
+    def test_quotas_are_owned_no_more_during_shutdown(self):
+        """Guards against two owners after the registration has ended."""
+        self.assertEqual(['stop'], self.quotas.calls)
+
     def test_late_requests_are_refused_during_shutdown(self):
         """Guards against requests aborted when the process ends.
 
