Read an ageing list of routers before owners stop

When the leader is lost, its replies end up to 0.8 s before routers watch the store themselves. Together with the age of the last reply that could exceed the 1.5 s after which quota owners stop, for all organisations at once. A router whose list is 1.2 s old reads it from the store, at most every 0.4 s, and only while an organisation has a limit.

--- a/packages/gateway/src/bramleysill_gateway/cell_state.py
+++ b/packages/gateway/src/bramleysill_gateway/cell_state.py
@@ -108,6 +108,10 @@
         for watch in self._watches:
             watch.end_feed()
 
+    def read_routers(self):
+        """Read the registered routers now, not at the end of the feed."""
+        self.own_watch.end_feed()
+
     def stop(self):
         """Stop all watches."""
         for watch in self._watches:
--- a/packages/gateway/src/bramleysill_gateway/quotas.py
+++ b/packages/gateway/src/bramleysill_gateway/quotas.py
@@ -127,8 +127,11 @@
     def tick(self):
         """Follow changes of the configuration and of the list of routers."""
         self._apply_config()
-        if self._has_limits:
-            self._update()
+        if not self._has_limits:
+            return
+        self._update()
+        if self._quotas.ownership.must_read_list():
+            self._state.read_routers()
 
     def sweep(self):
         """Remove the state that is no longer needed."""
--- a/packages/kernel/src/bramleysill_kernel/load/token_owner.py
+++ b/packages/kernel/src/bramleysill_kernel/load/token_owner.py
@@ -20,6 +20,11 @@
 
 # A list of routers is recent while all changes up to this long ago are known.
 MAX_LIST_AGE_SECONDS = 1.5
+# A router whose list is older than this reads it from the store, as the leader
+# may be lost. The leader's replies keep it below 0.9 s; the rest is for the
+# call.
+READ_LIST_AGE_SECONDS = 1.2
+READ_LIST_INTERVAL_SECONDS = 0.4
 # A new owner grants nothing for this time. The former one learns of the change
 # or stops within MAX_LIST_AGE_SECONDS of the change, by a clock that may be
 # slow.
@@ -180,6 +185,7 @@
         '_since',
         '_removals',
         '_starts',
+        '_read_at',
         '_stopped',
     )
 
@@ -199,6 +205,8 @@
         self._removals = collections.deque()
         # By organisation, when it may first be granted tokens.
         self._starts = {}
+        # When the list may be read again.
+        self._read_at = 0.0
         self._stopped = False
 
     def update(self, era):
@@ -229,6 +237,16 @@
         self._last_as_of = as_of
         self._era = era
 
+    def must_read_list(self):
+        """Return whether to read the list of routers from the store now."""
+        now = self._clock.now()
+        if now < self._read_at or self._freshness.is_within(
+            READ_LIST_AGE_SECONDS
+        ):
+            return False
+        self._read_at = now + READ_LIST_INTERVAL_SECONDS
+        return True
+
     def stop(self):
         """Own nothing any more, as the process ends."""
         self._stopped = True
--- a/tests/quota_cell.py
+++ b/tests/quota_cell.py
@@ -44,6 +44,7 @@
         self.in_contact = True
         self.running = True
         self.held_messages = []
+        self.reads = 0
         self.routers = SettledRouters(cell.loop)
         self.freshness = Freshness(cell.loop)
         self.quotas = Quotas(
@@ -66,6 +67,9 @@
             self.freshness.note_store_reply(self.cell.loop.now())
         self.quotas.tick()
 
+    def read_routers(self):
+        self.reads += 1
+
     def suspend(self):
         """Stop; messages are handled when the router goes on."""
         self.running = False
--- a/tests/test_quota_exchange.py
+++ b/tests/test_quota_exchange.py
@@ -237,6 +237,32 @@
         self.assertGreater(len(old.requests), 0)
         self.assertEqual(0, self.used())
 
+    def test_a_token_goes_back_while_the_request_waits(self):
+        """Guards against tokens that a request holds while keys move."""
+        self.add_upstream(
+            'u1', lambda i: unsigned_response(421, NOT_RUN_LINE), 'keyed'
+        )
+        self.request('/keyed/x', left_ms=100, fields=FIELDS)
+        asked = self.quotas.asked
+        _, responses = self.start('/keyed/x', fields=FIELDS)
+        self.run_until(lambda: self.quotas.asked > asked)
+        # The owner has just denied holding the key, so the request waits.
+        self.assertEqual([], responses)
+        self.assertEqual(0, self.used())
+
+    def test_a_request_that_waits_asks_once(self):
+        """Guards against a second request for a token by another event."""
+        self.add_upstream('u1', signed_response)
+        self.quotas.decides = False
+        _, responses = self.start('/read/x', fields=FIELDS)
+        self.run_until(lambda: self.quotas.callbacks)
+        (exchange,) = self.frontend.active_exchanges
+        exchange.dispatch()
+        self.assertEqual(1, self.quotas.asked)
+        self.quotas.decide(self.quotas.callbacks[0])
+        self.run_until(lambda: responses)
+        self.assertEqual(1, self.used())
+
     def test_a_limit_that_is_removed_while_a_request_waits(self):
         """Guards against requests that wait for a reply nobody needs."""
         self.add_upstream('u1', signed_response)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -300,6 +300,24 @@
         self.pass_time(2.0)
         self.assertIsNone(self.granted())
 
+    def test_an_ageing_list_is_read_before_it_is_too_old(self):
+        """Guards against owners that all stop when the leader is lost."""
+        self.pass_time(5.0)
+        reads = []
+        for _ in range(14):
+            self.clock.advance(0.1)
+            if self.ownership.must_read_list():
+                reads.append(self.clock.now())
+                self.freshness.note_store_reply(self.clock.now() - 0.1)
+            self.ownership.update(1)
+            self.assertTrue(self.ownership.is_active)
+        self.assertEqual(1, len(reads))
+        self.clock.advance(9.0)
+        self.assertTrue(self.ownership.must_read_list())
+        self.assertFalse(self.ownership.must_read_list())
+        self.clock.advance(0.5)
+        self.assertTrue(self.ownership.must_read_list())
+
     def test_a_gap_that_no_decision_has_seen(self):
         """Guards against an owner that goes on after a suspension.
 
@@ -505,6 +523,16 @@
         self.assertGreater(self.sent('small', since), 6.0 * 30 * 0.85)
         self.assertLessEqual(cell.excess(raised), 0.0)
 
+    def test_without_limits_the_store_is_not_called(self):
+        """Guards against calls for cells without limits."""
+        for organisations in ((), (Organisation('free'),), (SMALL,)):
+            cell = self.make_cell(3, organisations)
+            for router in cell.routers.values():
+                router.in_contact = False
+            cell.loop.advance(3.0)
+            reads = sum(r.reads for r in cell.routers.values())
+            self.assertEqual(SMALL in organisations, reads > 0)
+
     def test_removed_limits_leave_no_state(self):
         """Guards against memory that grows with each configuration."""
         unlimited = Organisation('small')
