Refuse revoked API keys within a bound at every router

With strict_revoke, a router serves keys only while it can prove that its configuration is recent. The leader's feed can't prove that, as it may have been buffered. Followers therefore ask the leader every 0.2 of revoke; the reply counts from the time at which the request was sent, less the age of the leader's own knowledge, and only for changes that the follower has applied. Knowledge older than 0.4 of revoke makes a router read the configuration from the store. Without strict_revoke none of this runs.

The same replies carry the prefix of the registered routers, for quotas.

--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -6,6 +6,7 @@
 
 from bramleysill_gateway.cell_state import CellState
 from bramleysill_gateway.departures import Departures
+from bramleysill_gateway.freshness_exchange import FreshnessExchange
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.leader import LeaderElection
 from bramleysill_gateway.pacing import Pacing
@@ -160,6 +161,15 @@
             self.loop, cfg, self.state, self.leader, is_preferred_leader(cfg)
         )
         self.state.on_restored = self._on_store_restored
+        self._freshness = FreshnessExchange(
+            self.loop,
+            self._rng,
+            cfg,
+            self.state,
+            self._store,
+            self.leader,
+            self.metrics,
+        )
         self._registration = Registration(
             self.loop, self._store, self._adapter, cfg, address
         )
@@ -172,6 +182,7 @@
         )
         self._links = PeerLinks(self.loop, hello, self.metrics)
         self._pacing.links = self._links
+        self._freshness.links = self._links
         self._departures.links = self._links
         self._announcer.links = self._links
         self._takeover.links = self._links
@@ -210,6 +221,7 @@
     def _tick(self):
         self.state.tick()
         self.leader.tick()
+        self._freshness.tick()
         self._takeover.tick()
         if self.leader.leadership.leading:
             self._announce_ranges()
@@ -338,6 +350,8 @@
             messages.FormerTermHolds: without_link(self._takeover.on_holds),
             messages.PaceRequest: self._pacing.on_request,
             messages.PaceReply: without_link(self._pacing.on_reply),
+            messages.FreshnessRequest: self._freshness.on_request,
+            messages.FreshnessReply: without_link(self._freshness.on_reply),
         }
 
     # Settings.
--- a/packages/kernel/src/bramleysill_kernel/common/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/common/messages.py
@@ -410,3 +410,32 @@
     number: int
     permitted: bool
     delay: float
+
+
+@dataclasses.dataclass(slots=True)
+class FreshnessRequest:
+    """Asks the leader how recent its knowledge of the store is."""
+
+    number: int
+
+
+@dataclasses.dataclass(slots=True)
+class FreshnessRow:
+    """The last change of a prefix, and the age of the knowledge of it.
+
+    The sender knows all changes that were acknowledged more than `age` seconds
+    ago; the last of them has this revision.
+    """
+
+    prefix: str
+    revision: int
+    age: float
+
+
+@dataclasses.dataclass(slots=True)
+class FreshnessReply:
+    """The leader's reply to a FreshnessRequest, with one row per prefix."""
+
+    number: int
+    era: int
+    rows: list[FreshnessRow]
--- a/packages/kernel/src/bramleysill_kernel/discovery/freshness.py
+++ b/packages/kernel/src/bramleysill_kernel/discovery/freshness.py
@@ -68,10 +68,13 @@
         """Note a reply of the leader whose revision was applied.
 
         `age` is the age of the leader's own `as_of` by its clock, when it
-        replied. An age that isn't a number from 0 is ignored.
+        replied. An age that isn't a number from 0 is ignored, and False is
+        returned.
         """
-        if math.isfinite(age) and age >= 0.0:
-            self._advance(sent_at - age * (1.0 + CLOCK_RATE_TOLERANCE))
+        if not (math.isfinite(age) and age >= 0.0):
+            return False
+        self._advance(sent_at - age * (1.0 + CLOCK_RATE_TOLERANCE))
+        return True
 
     def age(self):
         """Return the seconds since `as_of`; infinite without evidence."""
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -115,6 +115,7 @@
 _FEED_ITEM_FIELDS = _plain_fields(*messages.FeedItem.__slots__)
 _LIMIT_ROW_FIELDS = _plain_fields(*messages.LimitRow.__slots__)
 _HOLD_ROW_FIELDS = _plain_fields(*messages.HoldRow.__slots__)
+_FRESHNESS_ROW_FIELDS = _plain_fields(*messages.FreshnessRow.__slots__)
 _DEPARTURE_ROW_FIELDS = _plain_fields(*messages.DepartureRow.__slots__)
 
 _FIELDS_BY_CLASS = {
@@ -239,6 +240,17 @@
         *_plain_fields('max_wait'),
     ],
     messages.PaceReply: _plain_fields(*messages.PaceReply.__slots__),
+    messages.FreshnessRequest: _plain_fields('number'),
+    messages.FreshnessReply: _plain_fields('number', 'era')
+    + [
+        _list_field(
+            'rows',
+            lambda r: _to_dict(r, _FRESHNESS_ROW_FIELDS),
+            lambda r: _from_struct(
+                messages.FreshnessRow, r, _FRESHNESS_ROW_FIELDS
+            ),
+        ),
+    ],
     streams.StreamOpen: _plain_fields(*streams.StreamOpen.__slots__),
     streams.StreamHead: _plain_fields(*streams.StreamHead.__slots__),
     streams.StreamData: _plain_fields(*streams.StreamData.__slots__),
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -265,6 +265,22 @@
   delay @2 :Float64;
 }
 
+struct FreshnessRequest {
+  number @0 :UInt32;
+}
+
+struct FreshnessRow {
+  prefix @0 :Text;
+  revision @1 :UInt64;
+  age @2 :Float64;
+}
+
+struct FreshnessReply {
+  number @0 :UInt32;
+  era @1 :UInt64;
+  rows @2 :List(FreshnessRow);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -298,5 +314,7 @@
     leaderChange @28 :LeaderChange;
     storeCopy @29 :StoreCopy;
     packed @30 :Data;
+    freshnessRequest @31 :FreshnessRequest;
+    freshnessReply @32 :FreshnessReply;
   }
 }
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -71,6 +71,8 @@
     messages.LeaderChange('r1', 'sill/leader', b'{}', 41, 78, 1),
     messages.PaceRequest(7, messages.LimitRow('u1', 12, 5.5, 0.25), 0.5),
     messages.PaceReply(7, True, 0.125),
+    messages.FreshnessRequest(7),
+    messages.FreshnessReply(7, 2, [messages.FreshnessRow('op/', 41, 0.25)]),
     messages.StoreFeed(
         'r1',
         'p/',
