Replay random faults on quotas

Eight fixed orders of faults (partitions, suspensions, restarts, expired registrations, restores of the store) under changing load keep the bound in every window.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -3,16 +3,20 @@
 Each checks that in every window upstreams run no more requests than allowed.
 """
 
+import random
+
 import testtools
 
 from bramleysill_kernel.common.clock import ManualClock
 from bramleysill_kernel.config.organisations import Organisation
+from bramleysill_kernel.discovery.freshness import CLOCK_RATE_TOLERANCE
 from bramleysill_kernel.discovery.freshness import Freshness
 from bramleysill_kernel.load.quota_limits import TOKEN_VALIDITY_SECONDS
 from bramleysill_kernel.load.quota_limits import allowed_requests
 from bramleysill_kernel.load.quota_limits import make_limit
 from bramleysill_kernel.load.shared_limits import KnownRouters
 from bramleysill_kernel.load.token_leases import QuotaAction
+from bramleysill_kernel.load.token_owner import MAX_LIST_AGE_SECONDS
 from bramleysill_kernel.load.token_owner import MAX_REMOVALS
 from bramleysill_kernel.load.token_owner import TAKEOVER_WAIT_SECONDS
 from bramleysill_kernel.load.token_owner import QuotaOwnership
@@ -245,6 +249,49 @@
         self.assertIsNotNone(cell.owner_of('large'))
 
 
+class RandomFaultsTest(QuotaCellTest):
+    def test_any_order_of_faults_keeps_the_bound(self):
+        """Guards against two owners by faults that no other test combines."""
+        for seed in range(8):
+            rng = random.Random(seed)
+            self.organisations = (LARGE, SMALL)
+            count = rng.choice((2, 3, 6, 12))
+            cell = self.cell = QuotaCell(count, *self.organisations, seed=seed)
+            for _ in range(20):
+                self._inject_fault(rng, rng.choice(sorted(cell.routers)))
+                if not any(r.running for r in cell.routers.values()):
+                    cell.routers['r0'].resume()
+                load = rng.choice((0.05, 0.6, 5.0))
+                rates = {o.name: load * o.rate for o in self.organisations}
+                cell.load(rng.uniform(0.3, 2.0), rates)
+            self.check_bound()
+
+    def _inject_fault(self, rng, name):
+        cell = self.cell
+        router = cell.routers[name]
+        names = sorted(cell.routers)
+        fault = rng.randrange(7)
+        if fault == 0:
+            router.in_contact = not router.in_contact
+        elif fault == 1:
+            if router.running:
+                router.suspend()
+            else:
+                router.resume()
+        elif fault == 2:
+            # A registration may expire at any time.
+            cell.registered ^= {name}
+        elif fault == 3:
+            side = set(rng.sample(names, rng.randint(1, len(names))))
+            cell.cut(side, set(names) - side)
+        elif fault == 4:
+            cell.cut_pairs.clear()
+        elif fault == 5:
+            cell.start_router(name)
+        else:
+            router.store_era += 1
+
+
 class OwnershipTest(testtools.TestCase):
     """One router that is alone, so that it owns everything."""
 
@@ -339,6 +386,16 @@
         self.routers.remove('r0')
         self.assertIsNone(self.granted())
 
+    def test_the_clocks_of_two_owners_may_differ(self):
+        """Guards against lengths that only fit clocks of the same rate.
+
+        The former owner learns of the change by a list that is too old, on a
+        slow clock, and the new one at once, on a fast clock.
+        """
+        last = MAX_LIST_AGE_SECONDS / (1.0 - CLOCK_RATE_TOLERANCE)
+        first = TAKEOVER_WAIT_SECONDS / (1.0 + CLOCK_RATE_TOLERANCE)
+        self.assertLess(last, first)
+
     def test_a_registration_that_expired_in_an_outage(self):
         """Guards against a router that owns while it is counted only."""
         routers = KnownRouters(self.clock)
