Keep digests of API keys in the copy of the store

The copy of the store, which the leader feeds to all routers, had the document with the keys, although the decoded configuration has digests only. PlatformStore now replaces the keys of op/config by digests when it reads the document; it is decoded either way. Documents without tenants stay as they are. A value that is not JSON, or whose tenants are no table, is refused and stays in the copy as it was written.

--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -1,11 +1,17 @@
 """Tests of organisations and API keys in the configuration and settings."""
 
+import base64
+import json
 import tomllib
 
 import testtools
 
+from bramleysill_net.http_calls import CallResult
+from bramleysill_platform import documents
 from bramleysill_platform import fields
 from bramleysill_platform import settings
+from bramleysill_platform import store
+from bramleysill_platform import tenants
 from tests.test_platform_documents import CONFIG
 from tests.test_platform_documents import SETTINGS
 from tests.test_platform_documents import decode
@@ -50,6 +56,66 @@
         for value in (*table._by_digest, *table.by_name):
             self.assertNotIn('k-acme', repr(value))
 
+    def test_a_sealed_document_means_the_same(self):
+        """Guards against routers that differ in the keys that they accept."""
+        odd = {'api_keys': ['with space', 'k-odd'], 'rate_per_s': 5}
+        data = json.dumps({**CONFIG, 'tenants': {**TENANTS, 'odd': odd}})
+        sealed = tenants.seal_keys(data.encode())
+        for part in (b'k-acme', b'k-small', b'k-odd', b'with space'):
+            self.assertNotIn(part, sealed)
+        self.assertEqual(sealed, tenants.seal_keys(sealed))
+        plain, table = (
+            documents.decode_config(d).organisations for d in (data, sealed)
+        )
+        self.assertEqual(plain._by_digest.keys(), table._by_digest.keys())
+        self.assertEqual('odd', table.find('k-odd').name)
+        self.assertEqual(5.0, table.find('k-odd').rate)
+        self.assertEqual({'odd': 1}, table.unusable_keys)
+
+    def test_a_document_that_cannot_be_sealed_is_left_as_it_is(self):
+        """Guards against a copy of the store that ends with odd data."""
+        for data in (
+            b'',
+            b'\xff',
+            b'[1]',
+            b'[' * 100000,
+            b'{"tenants":[]}',
+            json.dumps(CONFIG).encode(),
+        ):
+            self.assertEqual(data, tenants.seal_keys(data))
+
+    def test_a_malformed_list_of_keys_is_refused_when_sealed_too(self):
+        """Guards against an organisation without keys for one odd value."""
+        for keys in (KEY, None, [KEY, 1], {KEY: 1}, [[KEY]]):
+            document = {**CONFIG, 'tenants': {'a': {'api_keys': keys}}}
+            sealed = tenants.seal_keys(json.dumps(document).encode())
+            self.assertNotIn(KEY.encode(), sealed)
+            self.assertRaises(
+                fields.FieldError, documents.decode_config, sealed
+            )
+        for digests in (['00'], ['zz' * 32], [None], 'ab', None):
+            value = {'a': {'api_key_digests': digests}}
+            self.assertRaises(fields.FieldError, decode, tenants=value)
+
+    def test_the_copy_of_the_store_has_no_key(self):
+        """Guards against keys in the memory and in feeds to other routers."""
+        data = json.dumps({**CONFIG, 'tenants': TENANTS}).encode()
+        row = {
+            'key': 'op/config',
+            'value': base64.b64encode(data).decode(),
+            'revision': 3,
+        }
+        for document, read in (
+            ({'items': [row]}, store._decode_page),
+            ({'events': [row]}, store._decode_events),
+            (row, store._decode_single_item),
+        ):
+            body = json.dumps({**document, 'current_rev': 3}).encode()
+            reply = CallResult(200, {}, body, True, False)
+            (item,) = store._decode_reply(reply, read).items
+            self.assertEqual(tenants.seal_keys(data), item.value)
+            self.assertNotIn(KEY.encode(), item.value)
+
     def test_without_the_table_there_are_no_organisations(self):
         """Guards against a cell without tenants that asks for keys."""
         self.assertIsNone(decode().organisations)
@@ -57,7 +123,7 @@
 
     def test_a_malformed_table_is_refused_without_showing_keys(self):
         """Guards against keys in the log line of a refused document."""
-        for tenants in (
+        for table in (
             [],
             None,
             {'a': [KEY]},
@@ -73,7 +139,7 @@
             {'': {'api_keys': [KEY]}},
             {'a': {'api_keys': [KEY]}, 'b': {'api_keys': ['x', KEY]}},
         ):
-            exc = self.assertRaises(fields.FieldError, decode, tenants=tenants)
+            exc = self.assertRaises(fields.FieldError, decode, tenants=table)
             self.assertNotIn(KEY, str(exc))
 
     def test_a_key_that_no_request_can_carry_is_left_out(self):
