--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,41 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a reply of the leader counts from its request',
+        GATEWAY + 'freshness_exchange.py',
+        'note_leader_reply(sent_at, row.age)',
+        'note_leader_reply(self._loop.now(), row.age)',
+        'tests.test_revocation.RevocationTest',
+    ),
+    Mutation(
+        "a follower adds the age of the leader's knowledge",
+        GATEWAY + 'freshness_exchange.py',
+        'note_leader_reply(sent_at, row.age)',
+        'note_leader_reply(sent_at, 0.0)',
+        'tests.test_revocation.RevocationTest',
+    ),
+    Mutation(
+        'a reply counts only for changes that were applied',
+        GATEWAY + 'freshness_exchange.py',
+        'if row.revision > watch.revision:',
+        'if False:',
+        'tests.test_revocation.RevocationTest',
+    ),
+    Mutation(
+        'a watch counts from its call',
+        GATEWAY + 'prefix_watch.py',
+        'self.freshness.note_full_watch(sent_at, wait)',
+        'self.freshness.note_store_reply(self._loop.now())',
+        'tests.test_revocation.RevocationTest',
+    ),
+    Mutation(
+        'keys need a recent configuration',
+        KERNEL + 'config/credentials.py',
+        'if is_recent():',
+        'if True:',
+        'tests.test_identification',
+    ),
     Mutation(
         'an upstream checks the fence',
         KERNEL + 'units/grants.py',
--- a/packages/gateway/src/bramleysill_gateway/freshness_exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/freshness_exchange.py
@@ -62,7 +62,7 @@
             self._ask_leader()
         uptime = now - self._started_at
         if now >= self._read_at and freshness_schedule.must_read(
-            bounds, freshness, uptime
+            bounds, freshness, uptime, self._state.operator_watch.listed
         ):
             self._read_config(now)
         self._note_acceptance()
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -101,7 +101,7 @@
         self._cfg = cfg
         self._rng = rng
         self._metrics = metrics
-        self._organisation_counts = OrganisationCounts(state, metrics)
+        self._organisation_counts = OrganisationCounts(cfg, state, metrics)
         self._identification = Identification(
             cfg, adapter, state.config_freshness, self._organisation_counts
         )
--- a/packages/gateway/src/bramleysill_gateway/organisation_counts.py
+++ b/packages/gateway/src/bramleysill_gateway/organisation_counts.py
@@ -9,7 +9,8 @@
     `state` has the configuration in force and its Freshness.
     """
 
-    def __init__(self, state, metrics):
+    def __init__(self, cfg, state, metrics):
+        self._cfg = cfg
         self._state = state
         self._metrics = metrics
         self._labels = OrganisationLabels()
@@ -32,5 +33,6 @@
             return
         yield 'bramleysill_organisations', {}, len(organisations)
         freshness = self._state.config_freshness
-        if freshness.as_of is not None:
+        # Otherwise nothing keeps it recent, and nothing depends on it.
+        if self._cfg.bounds.strict_revoke and freshness.as_of is not None:
             yield 'bramleysill_config_age_seconds', {}, freshness.age()
--- a/packages/kernel/src/bramleysill_kernel/discovery/freshness_schedule.py
+++ b/packages/kernel/src/bramleysill_kernel/discovery/freshness_schedule.py
@@ -51,13 +51,14 @@
     return min(intervals, default=None)
 
 
-def must_read(bounds, freshness, uptime):
+def must_read(bounds, freshness, uptime, listed):
     """Return whether to read the configuration from the store itself.
 
     A router that has started `uptime` seconds ago asks the leader first, so
     that a restart of all routers does not call the store from each of them.
+    Until it has `listed` the prefix, it can't use what it reads.
     """
-    if not bounds.strict_revoke:
+    if not (bounds.strict_revoke and listed):
         return False
     if freshness.as_of is None:
         return uptime > READ_INTERVAL_FRACTION * bounds.revoke
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -5,7 +5,10 @@
 import testtools
 
 from bramleysill_kernel.common.clock import ManualClock
+from bramleysill_kernel.config.organisations import Organisation
+from bramleysill_kernel.discovery import freshness_schedule
 from bramleysill_kernel.discovery.freshness import Freshness
+from tests.bounds import make_bounds
 
 
 class FreshnessTest(testtools.TestCase):
@@ -71,3 +74,68 @@
         """Guards against a fault that makes a router serve for ever."""
         self.freshness.note_store_reply(500.0)
         self.assertEqual(100.0, self.freshness.as_of)
+
+
+class ScheduleTest(testtools.TestCase):
+    STRICT = make_bounds(strict_revoke=True, revoke=5.0)
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.freshness = Freshness(self.clock)
+
+    def test_nothing_is_asked_unless_the_settings_ask_for_it(self):
+        """Guards against messages and store calls of cells without keys."""
+        bounds = make_bounds()
+        self.assertIsNone(
+            freshness_schedule.request_interval(bounds, self.freshness, False)
+        )
+        self.assertFalse(
+            freshness_schedule.must_read(bounds, self.freshness, 99.0, True)
+        )
+        unlimited = [Organisation('a')]
+        for wait in (
+            freshness_schedule.longest_config_wait(bounds, True),
+            freshness_schedule.longest_own_wait(False, True, None),
+            freshness_schedule.longest_own_wait(False, True, unlimited),
+        ):
+            self.assertEqual(math.inf, wait)
+
+    def test_a_router_that_starts_leaves_the_store_alone(self):
+        """Guards against 1,727 reads when all routers start at once."""
+        for uptime, listed, expected in (
+            (0.9, True, False),
+            (1.1, False, False),
+            (1.1, True, True),
+        ):
+            self.assertEqual(
+                expected,
+                freshness_schedule.must_read(
+                    self.STRICT, self.freshness, uptime, listed
+                ),
+            )
+
+    def test_intervals_are_never_zero(self):
+        """Guards against a loop that does nothing else."""
+        bounds = make_bounds(strict_revoke=True, revoke=0.0)
+        self.freshness.note_store_reply(100.0)
+        for interval in (
+            freshness_schedule.request_interval(bounds, self.freshness, False),
+            freshness_schedule.read_interval(bounds),
+            freshness_schedule.longest_config_wait(bounds, True),
+        ):
+            self.assertGreater(interval, 0.0)
+
+    def test_requests_without_a_reply_are_bounded(self):
+        """Guards against memory that grows while the leader is silent."""
+        first = freshness_schedule.MAX_REQUEST_NUMBER - 5
+        requests = freshness_schedule.SentRequests(self.clock, first)
+        numbers = [requests.add() for _ in range(100)]
+        self.assertLessEqual(
+            max(numbers), freshness_schedule.MAX_REQUEST_NUMBER
+        )
+        pending = [n for n in numbers if requests.take(n) is not None]
+        self.assertEqual(
+            numbers[-freshness_schedule.MAX_PENDING_REQUESTS :], pending
+        )
+        self.assertIsNone(requests.take(numbers[-1]))
