--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,41 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a reply of the leader counts from its request',
+        GATEWAY + 'freshness_exchange.py',
+        'note_leader_reply(sent_at, row.age)',
+        'note_leader_reply(self._loop.now(), row.age)',
+        'tests.test_revocation.RevocationTest',
+    ),
+    Mutation(
+        "a follower adds the age of the leader's knowledge",
+        GATEWAY + 'freshness_exchange.py',
+        'note_leader_reply(sent_at, row.age)',
+        'note_leader_reply(sent_at, 0.0)',
+        'tests.test_revocation.RevocationTest',
+    ),
+    Mutation(
+        'a reply counts only for changes that were applied',
+        GATEWAY + 'freshness_exchange.py',
+        'if row.revision > watch.revision:',
+        'if False:',
+        'tests.test_revocation.RevocationTest',
+    ),
+    Mutation(
+        'a watch counts from its call',
+        GATEWAY + 'prefix_watch.py',
+        'self.freshness.note_full_watch(sent_at, wait)',
+        'self.freshness.note_store_reply(self._loop.now())',
+        'tests.test_revocation.RevocationTest',
+    ),
+    Mutation(
+        'keys need a recent configuration',
+        KERNEL + 'config/credentials.py',
+        'if is_recent():',
+        'if True:',
+        'tests.test_identification',
+    ),
     Mutation(
         'an upstream checks the fence',
         KERNEL + 'units/grants.py',
@@ -235,4 +270,25 @@
         'if False:',
         'tests.test_caller_leaves',
     ),
+    Mutation(
+        'a quota owner stops when its list of routers is old',
+        KERNEL + 'load/token_owner.py',
+        'and now <= as_of + MAX_LIST_AGE_SECONDS',
+        'and True',
+        'tests.test_quotas.OwnershipTest',
+    ),
+    Mutation(
+        'a new quota owner waits until the former one has stopped',
+        KERNEL + 'load/token_owner.py',
+        'TAKEOVER_WAIT_SECONDS = 2.0 * (1.0 + CLOCK_RATE_TOLERANCE)',
+        'TAKEOVER_WAIT_SECONDS = 0.0',
+        'tests.test_quotas.OwnerTest',
+    ),
+    Mutation(
+        'a quota owner starts over after a gap in its knowledge',
+        KERNEL + 'load/token_owner.py',
+        'or now > self._last_as_of + MAX_LIST_AGE_SECONDS',
+        'or False',
+        'tests.test_quotas.OwnershipTest',
+    ),
 )
--- a/packages/ctl/src/sillctl/outcomes.py
+++ b/packages/ctl/src/sillctl/outcomes.py
@@ -10,11 +10,13 @@
 CALLER_ERROR_CODES = frozenset(
     (
         'bad_request',
+        'unauthenticated',
         'unknown_service',
         'unknown_key',
         'body_too_large',
         'head_too_large',
         'key_mismatch',
+        'quota_exceeded',
         'caller_left',
     )
 )
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -6,9 +6,11 @@
 
 from bramleysill_gateway.cell_state import CellState
 from bramleysill_gateway.departures import Departures
+from bramleysill_gateway.freshness_exchange import FreshnessExchange
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.leader import LeaderElection
 from bramleysill_gateway.pacing import Pacing
+from bramleysill_gateway.quotas import Quotas
 from bramleysill_gateway.range_announcer import RangeAnnouncer
 from bramleysill_gateway.readiness import Readiness
 from bramleysill_gateway.registration import Registration
@@ -109,6 +111,7 @@
             connections=self.frontend.connection_count,
         )
         self.leader.resign()
+        self._quotas.stop()
         self._registration.stop()
 
     # Construction.
@@ -131,6 +134,13 @@
         self._pacing = Pacing(
             self.loop, cfg.name, self.state.routers, self._upstreams.limits
         )
+        self._quotas = Quotas(
+            self.loop,
+            cfg,
+            self.state,
+            self.state.own_freshness,
+            self.metrics,
+        )
         self._departures = Departures(self.loop, cfg.name, self.state)
         self._announcer = RangeAnnouncer(self.loop, cfg.name)
         self.frontend = Frontend(
@@ -145,6 +155,7 @@
             self._adapter,
             self.metrics,
         )
+        self.frontend.quotas = self._quotas
         self.state.on_tables_changed = self.frontend.on_tables_changed
         self.leader = LeaderElection(
             self.loop,
@@ -160,6 +171,16 @@
             self.loop, cfg, self.state, self.leader, is_preferred_leader(cfg)
         )
         self.state.on_restored = self._on_store_restored
+        self._freshness = FreshnessExchange(
+            self.loop,
+            self._rng,
+            cfg,
+            self.state,
+            self._store,
+            self.leader,
+            self.metrics,
+        )
+        self._freshness.needs_own = lambda: self._quotas.has_limits
         self._registration = Registration(
             self.loop, self._store, self._adapter, cfg, address
         )
@@ -172,6 +193,8 @@
         )
         self._links = PeerLinks(self.loop, hello, self.metrics)
         self._pacing.links = self._links
+        self._freshness.links = self._links
+        self._quotas.links = self._links
         self._departures.links = self._links
         self._announcer.links = self._links
         self._takeover.links = self._links
@@ -209,7 +232,9 @@
 
     def _tick(self):
         self.state.tick()
+        self._quotas.tick()
         self.leader.tick()
+        self._freshness.tick()
         self._takeover.tick()
         if self.leader.leadership.leading:
             self._announce_ranges()
@@ -245,6 +270,7 @@
         self.frontend.sweep()
         self._upstreams.sweep()
         self._pacing.sweep()
+        self._quotas.sweep()
         self.leader.sweep()
 
     def _check_shutdown(self):
@@ -338,6 +364,10 @@
             messages.FormerTermHolds: without_link(self._takeover.on_holds),
             messages.PaceRequest: self._pacing.on_request,
             messages.PaceReply: without_link(self._pacing.on_reply),
+            messages.FreshnessRequest: self._freshness.on_request,
+            messages.FreshnessReply: without_link(self._freshness.on_reply),
+            messages.QuotaRequest: self._quotas.on_request,
+            messages.QuotaReply: without_link(self._quotas.on_reply),
         }
 
     # Settings.
--- a/packages/gateway/src/bramleysill_gateway/request_refusals.py
+++ b/packages/gateway/src/bramleysill_gateway/request_refusals.py
@@ -6,6 +6,7 @@
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.load.retry_rules import AttemptOutcome
 from bramleysill_kernel.load.send_policy import Action
+from bramleysill_kernel.load.token_leases import QuotaAction
 
 # A failed owner is replaced once its hold has expired. Callers retry before
 # that, possibly at another router.
@@ -17,6 +18,36 @@
 # Keys that are being moved and upstreams that were full become available
 # within a fraction of a second.
 SHORT_RETRY_AFTER_SECONDS = 0.15
+# Another router may have a recent configuration, and this one asks again in
+# about this time.
+CONFIG_STALE_RETRY_AFTER_SECONDS = 0.3
+MIN_RETRY_AFTER_SECONDS = 0.05
+
+
+def bound_retry_after(seconds, time_left):
+    """Return a Retry-After of at most a third of the time left.
+
+    Callers ignore a longer one.
+    """
+    return max(MIN_RETRY_AFTER_SECONDS, min(seconds, time_left / 3))
+
+
+def unauthenticated():
+    """Refuse a request without a valid API key."""
+    return refusals.Unauthenticated(
+        'the route requires an API key', 'identify'
+    )
+
+
+def config_stale(time_left):
+    """Refuse a request whose API key may have been revoked."""
+    return refusals.ConfigStale(
+        'the configuration may be too old to accept API keys',
+        'identify',
+        retry_after=bound_retry_after(
+            CONFIG_STALE_RETRY_AFTER_SECONDS, time_left
+        ),
+    )
 
 
 def no_owner(message, peer, bound):
@@ -78,6 +109,27 @@
     )
 
 
+def over_quota(organisation, decision, bound):
+    """Refuse a request for which the organisation has no token.
+
+    `decision` is the QuotaDecision.
+    """
+    retry_after = bound(decision.retry_after)
+    if decision.action is QuotaAction.REFUSE:
+        return refusals.QuotaExceeded(
+            'the request quota of the organisation is used up',
+            'quota',
+            organisation,
+            retry_after=retry_after,
+        )
+    return refusals.QuotaUnavailable(
+        'the router that keeps the request quota could not be asked',
+        'quota',
+        organisation,
+        retry_after=retry_after,
+    )
+
+
 def not_admitted(upstream, decision, bound):
     """Refuse a request to a busy or unreachable upstream."""
     refusal_class = refusals.Overloaded
--- a/packages/kernel/src/bramleysill_kernel/common/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/common/messages.py
@@ -410,3 +410,60 @@
     number: int
     permitted: bool
     delay: float
+
+
+@dataclasses.dataclass(slots=True)
+class FreshnessRequest:
+    """Asks the leader how recent its knowledge of the store is."""
+
+    number: int
+
+
+@dataclasses.dataclass(slots=True)
+class FreshnessRow:
+    """The last change of a prefix, and the age of the knowledge of it.
+
+    The sender knows all changes that were acknowledged more than `age` seconds
+    ago; the last of them has this revision.
+    """
+
+    prefix: str
+    revision: int
+    age: float
+
+
+@dataclasses.dataclass(slots=True)
+class FreshnessReply:
+    """The leader's reply to a FreshnessRequest, with one row per prefix."""
+
+    number: int
+    era: int
+    rows: list[FreshnessRow]
+
+
+@dataclasses.dataclass(slots=True)
+class QuotaRequest:
+    """Asks the quota owner of an organisation for tokens.
+
+    `waiting` requests wait for one, and `wanted` includes those that are
+    expected soon.
+    """
+
+    number: int
+    organisation: str
+    waiting: int
+    wanted: int
+
+
+@dataclasses.dataclass(slots=True)
+class QuotaReply:
+    """The tokens that the sender of a QuotaRequest may use.
+
+    `delay` is the seconds until more can be granted if there are fewer than
+    requests that wait. It is negative if the receiver of the request does not
+    own the organisation.
+    """
+
+    number: int
+    granted: int
+    delay: float
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -86,6 +86,7 @@
         process.frontend = self.frontend = _Frontend()
         process.leader = self.leader = _CallRecorder()
         process.state = process._store = process._links = _CallRecorder()
+        process._quotas = self.quotas = _CallRecorder()
         process._registration = _CallRecorder()
         process._listener = self.listener = _Listener()
         process._stop_at = None
@@ -104,6 +105,10 @@
         self.assertFalse(self.frontend.refusing or self.listener.closed)
         self.assertTrue(self.process.not_ready_reason())
 
+    def test_quotas_are_owned_no_more_during_shutdown(self):
+        """Guards against two owners after the registration has ended."""
+        self.assertEqual(['stop'], self.quotas.calls)
+
     def test_late_requests_are_refused_during_shutdown(self):
         """Guards against requests aborted when the process ends.
 
@@ -181,6 +186,15 @@
         self.assertEqual(7, self.state.config.version)
         self.assertEqual(1, self.metrics.events['route_kind_unknown'])
 
+    def test_an_unusable_key_is_counted(self):
+        """Guards against a key that works nowhere, and nobody is told."""
+        tenants = {'acme': {'api_keys': ['with space', 'k1']}}
+        data = json.dumps({**CONFIG, 'tenants': tenants}).encode()
+        self._write('r7', 11, data)
+        organisations = self.state.config.organisations
+        self.assertEqual('acme', organisations.find('k1').name)
+        self.assertEqual(1, self.metrics.events['api_key_unusable'])
+
     def test_removed_configuration_stays_in_use(self):
         """Guards against a 404 for all routes when the key is deleted."""
         self._write('r7', 10)
