Tell lost peers from peers with a closed window

Cause: TCP_USER_TIMEOUT of 1 s on connections to upstreams. Linux counts it also while the peer's window is closed and each window probe is answered.

The new module peer_loss samples TCP_INFO every 0.25 s while bytes of a connection are unsent or unacknowledged, and fails the connection if data, a SYN or a window probe stays unanswered for the timeout. Samples are counted, so that neither a suspended machine nor a late loop makes a peer look lost. The store's connections and peer links have the same check. Keep-alive sends one probe instead of two: without TCP_USER_TIMEOUT an idle connection to a lost peer would fail after 3 s instead of 2.

--- a/packages/gateway/src/bramleysill_gateway/upstream_pool.py
+++ b/packages/gateway/src/bramleysill_gateway/upstream_pool.py
@@ -8,7 +8,8 @@
 # If the upstream closed it while a request is in transit, it would be unknown
 # whether the request has run.
 IDLE_REUSE_FRACTION = 0.6
-# A connection with bytes unacknowledged for this long is closed.
+# A connection is closed if the upstream's TCP has not acknowledged what was
+# sent for this long. An upstream that only keeps its window closed is not.
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 
 
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -2,9 +2,14 @@
 
 import collections
 import errno
+import os
 import socket
 import struct
 
+from bramleysill_net.peer_loss import CHECK_INTERVAL_SECONDS
+from bramleysill_net.peer_loss import LossDetector
+from bramleysill_net.peer_loss import TcpInfo
+
 MAX_READ_BYTES = 65536
 # Buffers passed to one sendmsg call; must not exceed IOV_MAX, which is 1024 on
 # Linux.
@@ -16,11 +21,11 @@
 # How long a lingering close waits for the peer to close, while it discards the
 # received data.
 LINGER_TIMEOUT_SECONDS = 2.0
-# TCP keep-alive detects a peer that disappeared without a FIN or RST. The
-# first probe is sent after the connection was idle this long, the next ones at
-# the same interval.
+# TCP keep-alive detects a peer that disappeared without a FIN or RST while
+# nothing is unacknowledged. A probe is sent after the connection was idle this
+# long; the connection fails after the same time without an answer.
 KEEP_ALIVE_INTERVAL_SECONDS = 1
-KEEP_ALIVE_PROBES = 2
+KEEP_ALIVE_PROBES = 1
 
 _RETRYABLE_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 
@@ -50,6 +55,9 @@
         '_closing',
         '_lingering',
         '_closes_with_peer',
+        '_unacknowledged_timeout_ms',
+        '_loss_detector',
+        '_loss_timer',
     )
 
     def __init__(self, loop, sock, peer, protocol=None):
@@ -67,6 +75,10 @@
         self._closing = False
         self._lingering = False
         self._closes_with_peer = False
+        self._unacknowledged_timeout_ms = 0
+        self._loss_detector = None
+        # The timer of the next check, or None while nothing is sent.
+        self._loss_timer = None
 
     @classmethod
     def connect(cls, loop, host, port, protocol):
@@ -117,9 +129,11 @@
         return self._reading
 
     def set_unacknowledged_timeout(self, milliseconds):
-        """Fail the connection if sent data stays unacknowledged this long.
+        """Fail the connection if the peer's TCP is silent for this long.
 
-        Also enables TCP keep-alive, which covers an idle connection.
+        A peer that keeps its receive window closed is not silent as long as
+        it acknowledges window probes. Also enables TCP keep-alive, which
+        covers an idle connection.
         """
         if self.closed:
             return
@@ -129,7 +143,9 @@
         self._sock.setsockopt(tcp, socket.TCP_KEEPIDLE, interval)
         self._sock.setsockopt(tcp, socket.TCP_KEEPINTVL, interval)
         self._sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-        self._sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, milliseconds)
+        self._unacknowledged_timeout_ms = milliseconds
+        self._loss_detector = LossDetector(milliseconds)
+        self._schedule_loss_check()
 
     def now(self):
         """Return the time in seconds on the loop's clock."""
@@ -143,6 +159,8 @@
         """Send bytes and buffer those that the kernel does not accept yet."""
         if self.closed or not data:
             return
+        if self._loss_detector is not None and self._loss_timer is None:
+            self._schedule_loss_check()
         if not self._send_queue and not self._connecting:
             sent = self._send(data)
             if sent is None:
@@ -192,8 +210,7 @@
         """Reset the connection at once and discard the buffered bytes."""
         if self.closed:
             return
-        linger = struct.pack('ii', 1, 0)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self._reset_on_close()
         self._close_socket(None)
 
     def on_readable(self):
@@ -308,6 +325,39 @@
         if not self.closed:
             self.on_writable()
 
+    def _schedule_loss_check(self):
+        at = self.loop.now() + CHECK_INTERVAL_SECONDS
+        self._loss_timer = self.loop.scheduler.call_at(at, self._check_loss)
+
+    def _check_loss(self):
+        """Fail if the peer is lost, else check again while bytes wait."""
+        self._loss_timer = None
+        if self.closed:
+            return
+        info = TcpInfo.of(self._sock)
+        if self._loss_detector.is_lost(info):
+            self._reset_on_close()
+            self._close_socket(
+                OSError(errno.ETIMEDOUT, os.strerror(errno.ETIMEDOUT))
+            )
+        elif self.buffered or not info.idle:
+            self._schedule_loss_check()
+
+    def _stop_loss_checks(self):
+        if self._loss_timer is not None:
+            self._loss_timer.cancel()
+            self._loss_timer = None
+        # After the close only the kernel can give up on unsent bytes.
+        self._sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            self._unacknowledged_timeout_ms,
+        )
+
+    def _reset_on_close(self):
+        linger = struct.pack('ii', 1, 0)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _close_socket_later(self, exc):
         # A failed write must not call on_close while the caller of write()
         # is still running.
@@ -320,6 +370,8 @@
             return
         self.closed = True
         self.loop.poller.unwatch(self)
+        if self._loss_detector is not None:
+            self._stop_loss_checks()
         self._sock.close()
         self._send_queue.clear()
         self.buffered = 0
--- a/packages/net/src/bramleysill_net/http_calls.py
+++ b/packages/net/src/bramleysill_net/http_calls.py
@@ -11,8 +11,8 @@
 # Connections idle for longer are not reused: peers close them after a few
 # seconds, and may drop them without a FIN or RST.
 MAX_IDLE_SECONDS = 4.0
-# A connection fails if sent data stays unacknowledged this long, which detects
-# a peer that disappeared.
+# A connection fails if the peer's TCP has not acknowledged what was sent for
+# this long, which detects a peer that disappeared.
 UNACKNOWLEDGED_TIMEOUT_MS = 2000
 # A connect attempt is abandoned after this time: the kernel would resend a
 # lost SYN only after a second.
