Trust a feed no longer than its source knows the store

Cause: a leader that is cut off from the store sent "nothing has changed" for up to 1.0 s after its last confirmed renewal, and each receiver trusted that for 0.8 s from its arrival.

A feed now has the age of the leader's knowledge of the prefix, and counts from then. A new leader whose own watch had no reply yet knows no more than the last feed. feed_validity is 0.5 of the shortest bound instead of 0.4, as it includes that age; the grace for leaving owners is shorter by the same. The lease is renewed at least twice within it, so that routers with a healthy leader don't call the store.

--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -10,7 +10,6 @@
 from bramleysill_kernel.common.store_types import Put
 from bramleysill_kernel.common.store_types import StoredItem
 from bramleysill_kernel.common.store_types import StoreOutcome
-from bramleysill_kernel.election.leadership import RENEW_INTERVAL_SECONDS
 from bramleysill_kernel.election.leadership import Leadership
 from bramleysill_kernel.election.leadership import is_preferred_leader
 from bramleysill_router.logs import log_event
@@ -27,7 +26,8 @@
 TAKEOVER_AFTER_SECONDS = 1.15
 TAKEOVER_AFTER_REFUSALS = 2
 # A leader that was elected within this time does not ask for it unless it is
-# refused: where all are slow, the next leader is too.
+# refused: where all are slow, the next leader is too. Moves of keys then wait
+# for the rest of its lease, but no router trusts its feeds for that long.
 MIN_TERM_SECONDS = 5.0
 # A refused renewal is sent again after this time.
 REFUSED_RENEWAL_DELAY_SECONDS = 0.15
@@ -98,6 +98,11 @@
         """Return the name of the leader key in the store."""
         return self._state.own_key(LEADER_KEY)
 
+    @property
+    def last_renewal_sent_at(self):
+        """Return when the last confirmed renewal of the lease was sent."""
+        return self._last_renewal_sent_at
+
     def seconds_since_renewal(self):
         """Return the seconds since the last confirmed renewal was sent."""
         return self._loop.now() - self._last_renewal_sent_at
@@ -297,7 +302,7 @@
         self._campaigning = False
         self._lease = lease
         self.leadership.become_leader(lease, revision)
-        self._renew_at = self._loop.now() + RENEW_INTERVAL_SECONDS
+        self._renew_at = self._loop.now() + self._timings.leader_renewal
         self._last_renewal_sent_at = self._loop.now()
         log_event(
             'leader_elected',
@@ -356,7 +361,7 @@
         )
         if now < self._renew_at:
             return
-        self._renew_at = now + RENEW_INTERVAL_SECONDS
+        self._renew_at = now + self._timings.leader_renewal
         lease = self.leadership.lease
 
         def on_renewed(reply):
@@ -399,7 +404,7 @@
             return
         if item is None or item.lease != self._lease:
             return
-        self._renew_at = now + RENEW_INTERVAL_SECONDS
+        self._renew_at = now + self._timings.leader_renewal
         lease = self._lease
         era = self._state.own_era
 
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -37,6 +37,8 @@
 # lists the keys itself, and this often. A leader is elected within a second.
 COPY_WAIT_SECONDS = 1.5
 COPY_REQUEST_INTERVAL_SECONDS = 0.1
+# The clocks of two VMs differ in rate by at most this fraction.
+CLOCK_RATE_TOLERANCE = 0.02
 # Number of removed keys remembered for feed requests of other routers.
 MAX_REMOVED_KEYS = 1000
 
@@ -73,6 +75,11 @@
         self._cancel_watch = None
         self._watch_timer = None
         self._feed_received = False
+        # When the store last replied, or the time up to which the last feed
+        # was complete.
+        self._replied_at = 0.0
+        # Whether the last reply came from the store and not with a feed.
+        self._follows_store = False
         self._retry_timer = None
         self._retry_action = None
         # Rises with each restart; replies to earlier calls are ignored.
@@ -110,8 +117,21 @@
         """
         return self.listed and self.reachable and not self._failures
 
-    def apply_feed(self, base, revision, items):
-        """Apply changes that the leader has read from the store."""
+    def known_until(self, reached_at):
+        """Return the time up to which all changes are known.
+
+        `reached_at` is when a call was sent to which the store has replied; a
+        watch that was pending then would have told of a change before it.
+        """
+        if self._cancel_watch is not None and self._follows_store:
+            return reached_at
+        return min(reached_at, self._replied_at)
+
+    def apply_feed(self, base, revision, items, age=0.0):
+        """Apply changes that the leader has read from the store.
+
+        `age` is the age of the leader's knowledge in seconds, as in StoreFeed.
+        """
         if not self.listed:
             return
         if base > self._revision:
@@ -122,7 +142,15 @@
                 self._apply(item)
         self._revision = max(self._revision, revision)
         self._leader_reply_deadline = 0.0
-        self._feed_valid_until = self._loop.now() + self._timings.feed_validity
+        now = self._loop.now()
+        known_until = now - age * (1 + CLOCK_RATE_TOLERANCE)
+        self._feed_valid_until = max(
+            self._feed_valid_until, known_until + self._timings.feed_validity
+        )
+        if now >= self._feed_valid_until:
+            return
+        self._replied_at = max(self._replied_at, known_until)
+        self._follows_store = False
         self._feed_received = True
         if self._cancel_watch is not None:
             self._cancel_watch()
@@ -197,6 +225,8 @@
         self._failures = 0
         self._feed_valid_until = 0.0
         self._feed_received = False
+        self._replied_at = 0.0
+        self._follows_store = False
         self._leader_reply_deadline = 0.0
         self._cancel_timers()
         cancel_watch, self._cancel_watch = self._cancel_watch, None
@@ -322,6 +352,7 @@
             self._failed(reply, self._watch)
             return
         self._note_reply()
+        self._follows_store = True
         base = self._revision
         for item in reply.items:
             self._apply(item)
@@ -376,6 +407,7 @@
 
     def _note_reply(self):
         self._failures = 0
+        self._replied_at = self._loop.now()
         if not self.reachable:
             self.reachable = True
             log_event('store_recovered', prefix=self.prefix)
--- a/packages/gateway/src/bramleysill_gateway/store_feed.py
+++ b/packages/gateway/src/bramleysill_gateway/store_feed.py
@@ -1,11 +1,13 @@
 """Sends changes of the leader's copy of the store to all other routers.
 
 Routers that receive feeds do not watch the store, so the number of calls to
-the store does not grow with the number of routers. A leader sends feeds only
-if the store has confirmed its lease recently; routers without feeds watch the
-store themselves.
+the store does not grow with the number of routers. Each feed names the age of
+the leader's knowledge, and the others trust it until that is too old. A leader
+that has lost the store thus can't tell them that nothing has changed. Routers
+without feeds watch the store themselves.
 """
 
+import math
 import zlib
 
 from bramleysill_kernel.common import messages
@@ -17,8 +19,6 @@
 from bramleysill_router.logs import log_warning
 from bramleysill_wire import codec
 
-# A leader sends no feeds if its last confirmed renewal is older than this.
-MAX_RENEWAL_AGE_SECONDS = 1.0
 # A leader whose tick is later than this many feed intervals is overloaded.
 # Replies of the store may be unread, so it can't tell that nothing changed.
 MAX_TICK_GAP_INTERVALS = 2.0
@@ -102,10 +102,8 @@
         if late:
             log_warning('feed_tick_late', peers=len(self._links.open_links()))
             return
-        if not self._may_feed():
-            return
         for watch in self._watches.values():
-            if watch.up_to_date:
+            if watch.up_to_date and self._may_feed(watch):
                 span = self._span_of(watch)
                 span.extend(watch.revision, watch.revision)
                 self._broadcast(watch, span, ())
@@ -131,14 +129,18 @@
             log_event('feed_delta_unusable', prefix=message.prefix, error=exc)
             watch.fetch_missed()
             return
-        watch.apply_feed(message.base, message.revision, items)
+        age = message.age
+        if not age >= 0.0:
+            log_warning('feed_age_rejected', peer=message.router, age=age)
+            age = math.inf
+        watch.apply_feed(message.base, message.revision, items, age)
 
     def on_feed_request(self, link, message):
         """Send a router the changes that it has missed, if all are known."""
         watch = self._watches.get(message.prefix)
-        if watch is None or not watch.up_to_date or not self._may_feed():
+        if watch is None or not watch.up_to_date:
             return
-        if message.era != self._state.store_era:
+        if not self._may_feed(watch) or message.era != self._state.store_era:
             return
         if not message.revision:
             link.send(self._make_copy(watch))
@@ -223,7 +225,7 @@
             span.extend(base, revision)
             if not items:
                 return
-            if self._may_feed():
+            if self._may_feed(watch):
                 self._broadcast(watch, span, items)
             else:
                 span.restart()
@@ -237,10 +239,16 @@
                 span.reset()
         return self._spans[watch.prefix]
 
-    def _may_feed(self):
+    def _may_feed(self, watch):
+        """Return whether the others would trust a feed of a prefix."""
         if not self._leader.leadership.is_valid():
             return False
-        return self._leader.seconds_since_renewal() < MAX_RENEWAL_AGE_SECONDS
+        return self._age_of(watch) < self._timings.feed_validity
+
+    def _age_of(self, watch):
+        """Return the seconds since all changes of a prefix were known."""
+        known_until = watch.known_until(self._leader.last_renewal_sent_at)
+        return self._loop.now() - known_until
 
     def _broadcast(self, watch, span, items):
         rows = [_encode_item(item, watch.previous_of(item)) for item in items]
@@ -256,6 +264,7 @@
             base,
             revision,
             self._state.store_era,
+            self._age_of(watch),
             rows,
         )
 
--- a/packages/kernel/src/bramleysill_kernel/common/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/common/messages.py
@@ -266,7 +266,8 @@
 
     `items` are all changes after the revision `base` up to `revision`. It is
     empty if there were none. `era` is the era of the store that the revisions
-    belong to.
+    belong to. All changes are included that the store had acknowledged `age`
+    seconds before the feed was sent.
     """
 
     router: str
@@ -274,6 +275,7 @@
     base: int
     revision: int
     era: int
+    age: float
     items: list = dataclasses.field(default_factory=list)
 
 
--- a/packages/kernel/src/bramleysill_kernel/config/timings.py
+++ b/packages/kernel/src/bramleysill_kernel/config/timings.py
@@ -27,12 +27,20 @@
 # after this fraction of the time within which all bounds must hold again after
 # a disturbance. The rest leaves room for the timeout of the call itself.
 WATCH_TIMEOUT_FRACTION = 0.5
-# After the last feed a router watches the store again. A feed is trusted for
-# this fraction of the shortest time within which a change must be applied.
-FEED_VALIDITY_FRACTION = 0.4
+# A router watches the store again when the leader's knowledge in the last feed
+# is older than this fraction of the shortest time within which a change must
+# be applied.
+FEED_VALIDITY_FRACTION = 0.5
 # Number of feeds within that time. Feeds are sent without changes too, so that
 # the receivers know that they have not missed any.
-FEEDS_PER_VALIDITY_PERIOD = 3
+FEEDS_PER_VALIDITY_PERIOD = 4
+# A leader proves at least this often within that time that it reaches the
+# store, by renewing its lease. Its knowledge is thus never older than half of
+# the validity, and one feed may be late.
+PROOFS_PER_VALIDITY_PERIOD = 2
+# Short enough for several renewals per lease, so that it does not expire
+# because of a single slow call.
+MAX_LEADER_RENEWAL_SECONDS = 0.5
 # Delay before the next watch after a change, so that closely spaced changes
 # are fetched together; a fraction of the time to apply a configuration.
 BATCH_DELAY_FRACTION = 0.05
@@ -48,8 +56,9 @@
 
     `hold` and `outage_hold` are the lengths of grants in normal operation and
     while the store does not reply. `leaving_grace` is how long an owner that
-    leaves is still used for its keys. The entry of a process that has ended is
-    gone after `silent_entry`.
+    leaves is still used for its keys. `feed_validity` is the age of the
+    leader's knowledge up to which a router trusts a feed. The entry of a
+    process that has ended is gone after `silent_entry`.
     """
 
     __slots__ = (
@@ -61,6 +70,7 @@
         'watch_timeout',
         'feed_validity',
         'feed_interval',
+        'leader_renewal',
         'batch_delay',
         'silent_entry',
     )
@@ -89,6 +99,10 @@
             min(bounds.config_apply, leave_limit) * FEED_VALIDITY_FRACTION
         )
         self.feed_interval = self.feed_validity / FEEDS_PER_VALIDITY_PERIOD
+        self.leader_renewal = min(
+            MAX_LEADER_RENEWAL_SECONDS,
+            self.feed_validity / PROOFS_PER_VALIDITY_PERIOD,
+        )
         self.leaving_grace = max(
             0.0, leave_limit - self.feed_validity - CHANGE_LOOKUP_SECONDS
         )
--- a/packages/kernel/src/bramleysill_kernel/election/leadership.py
+++ b/packages/kernel/src/bramleysill_kernel/election/leadership.py
@@ -8,9 +8,6 @@
 leader fail.
 """
 
-# Short enough for several renewals per lease, so that it does not expire
-# because of a single slow call.
-RENEW_INTERVAL_SECONDS = 0.5
 # Bounds how far the rates of the store's and this machine's clocks differ.
 MAX_STORE_CLOCK_RATE_ERROR = 0.01
 # A leader forwards changes to all routers and renews all grants. A machine
--- a/packages/wire/src/bramleysill_wire/codec.py
+++ b/packages/wire/src/bramleysill_wire/codec.py
@@ -182,7 +182,7 @@
     messages.StoreCopy: _plain_fields(*messages.StoreCopy.__slots__),
     messages.FeedRequest: _plain_fields('router', 'prefix', 'revision', 'era'),
     messages.StoreFeed: _plain_fields(
-        'router', 'prefix', 'base', 'revision', 'era'
+        'router', 'prefix', 'base', 'revision', 'era', 'age'
     )
     + [
         _list_field(
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -175,6 +175,7 @@
   revision @3 :UInt64;
   items @4 :List(FeedItem);
   era @5 :UInt64;
+  age @6 :Float64;
 }
 
 struct StoreCopy {
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -77,6 +77,7 @@
         7,
         9,
         2,
+        0.25,
         [messages.FeedItem('p/k', b'x', 8, 5, False, True)],
     ),
     streams.StreamOpen(
@@ -103,7 +104,7 @@
             messages.FeedItem(f'servers/i-{i:010x}', b'{"zone":"a"}' * 20, i)
             for i in range(40)
         ]
-        message = messages.StoreFeed('r1', 'servers/', 7, 9, 1, rows)
+        message = messages.StoreFeed('r1', 'servers/', 7, 9, 1, 0.5, rows)
         data = codec.encode_packed(message)
         self.assertLess(len(data), len(codec.encode(message)) / 4)
         self.assertEqual([message], codec.FrameReader().feed(data))
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -1,6 +1,7 @@
 """Tests of feeds from the leader to the other routers."""
 
 import json
+import math
 import random
 import types
 
@@ -10,7 +11,10 @@
 from bramleysill_gateway.prefix_watch import FIRST_WATCH_DELAY_SECONDS
 from bramleysill_gateway.prefix_watch import PrefixWatch
 from bramleysill_gateway.store_feed import StoreFeeder
+from bramleysill_kernel.common import messages
 from bramleysill_kernel.common.store_types import StoredItem
+from bramleysill_kernel.config.timings import CHANGE_LOOKUP_SECONDS
+from tests.bounds import make_bounds
 from tests.bounds import make_timings
 from tests.store_fakes import ManualLoop
 from tests.store_fakes import ScriptedStore
@@ -18,6 +22,10 @@
 from tests.store_fakes import make_reply
 
 TIMINGS = make_timings()
+STEP_SECONDS = 0.01
+TICK_STEPS = round(TIMINGS.feed_interval / STEP_SECONDS)
+# Feed intervals between two renewals of the leader's lease.
+PROOF_STEPS = round(TIMINGS.leader_renewal / TIMINGS.feed_interval)
 
 
 class _State:
@@ -48,7 +56,8 @@
 
 
 class _Leader:
-    def __init__(self, leading):
+    def __init__(self, loop, leading):
+        self._loop = loop
         self.leadership = self
         self.leading = leading
         self.renewal_age = 0.0
@@ -56,8 +65,9 @@
     def is_valid(self):
         return self.leading
 
-    def seconds_since_renewal(self):
-        return self.renewal_age
+    @property
+    def last_renewal_sent_at(self):
+        return self._loop.now() - self.renewal_age
 
     def current_leader(self):
         return 'leader', '10.0.0.1:7000'
@@ -109,7 +119,7 @@
     def _router(self, leading):
         store = ScriptedStore()
         state = _State(self.loop, store)
-        leader = _Leader(leading)
+        leader = _Leader(self.loop, leading)
         name = 'leader' if leading else 'other'
         feeder = StoreFeeder(
             self.loop, TIMINGS, name, self.links, state, leader
@@ -324,6 +334,93 @@
         self.assertEqual((5, 0.0), self.receiver_store.watches[0][:2])
 
 
+class FeedAgeTest(_FeedCase):
+    """A leader that is cut off from the store, and goes on feeding.
+
+    Guards against routers that use an upstream for seconds after the store
+    has confirmed that it drains (DRAIN, case 4 of the review).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.store.reply_to_watch(make_reply(6))
+        self.feeder.tick()
+
+    def _cut_off_leader(self):
+        self.cut_off_at = self.loop.now()
+
+    def _seconds_until_store_is_called(self):
+        """Return how long the other router relies on feeds."""
+        for step in range(1000):
+            if self.receiver_store.watches:
+                return self.loop.now() - self.cut_off_at
+            self.leader.renewal_age = self.loop.now() - self.cut_off_at
+            if step % TICK_STEPS == 0:
+                self.feeder.tick()
+            self.loop.advance(STEP_SECONDS)
+        return None
+
+    def test_a_leaving_owner_is_used_for_less_than_the_bound(self):
+        """An upstream drains just after the leader was cut off."""
+        self._cut_off_leader()
+        learnt_after = self._seconds_until_store_is_called()
+        self.assertLessEqual(
+            learnt_after + CHANGE_LOOKUP_SECONDS + TIMINGS.leaving_grace,
+            make_bounds().drain + STEP_SECONDS,
+        )
+
+    def test_a_late_feed_extends_nothing(self):
+        """A feed may be as old as the leader's last contact."""
+        self.leader.renewal_age = TIMINGS.feed_validity - 0.01
+        self.loop.advance(TIMINGS.feed_interval)
+        self.feeder.tick()
+        self.loop.advance(TIMINGS.feed_validity - TIMINGS.feed_interval)
+        self.assertEqual(1, len(self.receiver_store.watches))
+
+    def test_a_renewal_without_a_pending_watch_proves_nothing(self):
+        """Guards against a feed of a leader whose watch was not answered."""
+        self.store.watches.clear()
+        self.watch._cancel_watch = None
+        self._cut_off_leader()
+        for _ in range(20):
+            # The renewals succeed all the time.
+            self.feeder.tick()
+            self.loop.advance(TIMINGS.feed_interval)
+        self.assertEqual(1, len(self.receiver_store.watches))
+
+    def test_a_new_leader_knows_no_more_than_the_last_feed(self):
+        """Guards against feeds of a leader that has not read the store yet.
+
+        Its lease is new, but its watch has had no reply.
+        """
+        other = self.receiver_state.operator_watch
+        self.loop.advance(TIMINGS.feed_validity / 2)
+        other.end_feed()
+        self.assertEqual(1, len(self.receiver_store.watches))
+        elected_at = self.loop.now()
+        self.assertLess(other.known_until(elected_at), elected_at)
+        self.receiver_store.reply_to_watch(make_reply(7))
+        self.assertEqual(elected_at, other.known_until(elected_at))
+
+    def test_steady_feeds_keep_other_routers_from_the_store(self):
+        """Guards against store calls by all routers between two renewals."""
+        for step in range(200):
+            proof = step % PROOF_STEPS
+            self.leader.renewal_age = proof * TIMINGS.feed_interval + 0.06
+            self.feeder.tick()
+            self.loop.advance(TIMINGS.feed_interval)
+        self.assertEqual([], self.receiver_store.watches)
+
+    def test_a_malformed_age_gives_no_trust(self):
+        """Guards against a feed that is trusted for ever."""
+        for age in (math.nan, -1.0, -math.inf):
+            self.links.receiver.on_feed(
+                messages.StoreFeed('leader', 'operator/', 6, 6, 1, age)
+            )
+        self.loop.advance(TIMINGS.feed_validity)
+        self.assertEqual(1, len(self.receiver_store.watches))
+
+
 class RestoredStoreTest(_FeedCase):
     """The store comes back from an older copy; the leader knows it first."""
 
