Grant no process a fence that a former one had

The next process of an upstream that restarts under its id accepted the renewals that were meant for the former one, until it had registered. No key had two holders, since keys move after a release only.

Cause: a grant names the upstream but not its process, and the leader knew the process only by the entry in the store.

Connections end with their process. Grants with the old fence still count for the new one, as the owner may be the same process, and failed grants count on. While the store is away grants go on as before, since no fence can be stored.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -193,6 +193,20 @@
         'self.restarted_owner(old_range):',
         'tests.test_range_coordinator.RestartTest',
     ),
+    Mutation(
+        'the next process of an upstream gets no fence of the former one',
+        KERNEL + 'ranges/process_fences.py',
+        'if fence <= self._barred and not any_process:',
+        'if False:',
+        'tests.test_range_coordinator.NextProcessTest',
+    ),
+    Mutation(
+        'grants with the old fence count after a new one',
+        KERNEL + 'ranges/process_fences.py',
+        '                holds.carry_over(part, item)\n',
+        '',
+        'tests.test_process_fences.FenceRenewalsTest',
+    ),
     Mutation(
         'an unanswered grant counts from the end of its call',
         KERNEL + 'ranges/hold_ledger.py',
--- a/model/range_protocol.py
+++ b/model/range_protocol.py
@@ -20,7 +20,10 @@
 
 An upstream may be restarted once under its id. Its next process holds nothing
 and has seen no fence, but accepts the grants that leaders send to it without
-knowing. A restart takes longer than a grant is on its way.
+knowing. A restart takes longer than a grant is on its way, and ends the
+connections of all leaders to the upstream. A leader without them gives the
+keys a new fence before it grants them again, so that a process is never
+granted a fence that the former one has applied.
 """
 
 import typing
@@ -61,6 +64,7 @@
 RESTART_MUTATIONS = (
     'restart_ends_hold',
     'release_of_unconfirmed',
+    'renewal_to_next_process',
 )
 
 # The platform function that performs each action of the model, or
@@ -79,6 +83,7 @@
     'resume': 'FormerTerm.knows_owners',
     'settle': 'RangeCoordinator._settle',
     'restart': 'environment',
+    'refence': 'RangeCoordinator._renew_fences',
     'return': 'ReassignmentRules.must_return_to_restarted',
 }
 
@@ -95,8 +100,10 @@
     election, and `release_known` whether it knows that the owner holds
     nothing. `grants_in_flight` holds (upstream, fence, sender). `held_fence`
     is the fence that an upstream holds, 0 for none, `highest_fence` the
-    highest that it has applied, and `process_fence` the highest that its
-    present process has applied.
+    highest that it has applied, `process_fence` the highest that its present
+    process has applied, and `former_fence` that of its former processes.
+    `disconnected` tells whether all connections of a leader to its known owner
+    have ended since it gave the keys their fence.
 
     `told_fence` is the fence of the table for which a former leader has told
     that no hold is left, 0 if none has.
@@ -119,6 +126,8 @@
     held_fence: tuple = (0, 0)
     highest_fence: tuple = (0, 0)
     process_fence: tuple = (0, 0)
+    former_fence: tuple = (0, 0)
+    disconnected: tuple = (False, False)
     told_fence: int = 0
     restarts: int = 0
     restarted: tuple = (False, False)
@@ -196,7 +205,17 @@
 
     def _restart(self, s, upstream):
         """Start the next process of an upstream under its id."""
+        disconnected = tuple(
+            was or known[0] == upstream
+            for was, known in zip(
+                s.disconnected, s.known_assignment, strict=True
+            )
+        )
         return s._replace(
+            disconnected=disconnected,
+            former_fence=_with(
+                s.former_fence, upstream, s.highest_fence[upstream]
+            ),
             held_fence=_with(s.held_fence, upstream, 0),
             process_fence=_with(s.process_fence, upstream, 0),
             restarts=s.restarts + 1,
@@ -224,6 +243,7 @@
             ),
             fence_renewed=_with(s.fence_renewed, new, False),
             release_known=_with(s.release_known, new, holds_ended),
+            disconnected=_with(s.disconnected, new, False),
             term_era=s.era,
             settled=is_certain,
         )
@@ -239,6 +259,7 @@
             known_assignment=_with(s.known_assignment, s.leader, known),
             fence_renewed=_with(s.fence_renewed, s.leader, False),
             release_known=_with(s.release_known, s.leader, False),
+            disconnected=_with(s.disconnected, s.leader, False),
             term_era=s.era,
         )
 
@@ -285,6 +306,8 @@
         )
         if not s.settled and self.mutation != 'grant_unsettled':
             may_send = False
+        if s.disconnected[i] and self.mutation != 'renewal_to_next_process':
+            may_send = False
         if may_send and s.fence_renewed[i] and not s.release_known[i]:
             yield (
                 f'send {i}',
@@ -350,6 +373,8 @@
                 )
             if s.restarted[owner]:
                 yield from self._return_to_restarted(s, i, owner, fence)
+            if s.disconnected[i]:
+                yield from self._refence(s, i, owner, fence)
             return
         next_fence = self._next_fence(s, fence)
         if not next_fence:
@@ -361,6 +386,7 @@
         after = s._replace(
             known_assignment=_with(s.known_assignment, i, reassigned),
             release_known=_with(s.release_known, i, False),
+            disconnected=_with(s.disconnected, i, False),
             restarted=_with(s.restarted, reassigned[0], False),
         )
         if self.mutation == 'grant_before_write':
@@ -375,6 +401,22 @@
             after._replace(owner=reassigned[0], fence=reassigned[1]),
         )
 
+    def _refence(self, s, i, owner, fence):
+        """Give the keys a new fence; they stay with their owner."""
+        next_fence = self._next_fence(s, fence)
+        if not next_fence or not self._is_stored(s, owner, fence):
+            return
+        yield (
+            f'refence {i}',
+            s._replace(
+                fence=next_fence,
+                known_assignment=_with(
+                    s.known_assignment, i, (owner, next_fence)
+                ),
+                disconnected=_with(s.disconnected, i, False),
+            ),
+        )
+
     def _return_to_restarted(self, s, i, owner, fence):
         """Give the keys of a former process to its next one."""
         next_fence = self._next_fence(s, fence)
@@ -389,6 +431,7 @@
                     s.known_assignment, i, (owner, next_fence)
                 ),
                 restarted=_with(s.restarted, owner, False),
+                disconnected=_with(s.disconnected, i, False),
             ),
         )
 
@@ -442,6 +485,16 @@
     return len(applied) == len(set(applied))
 
 
+def has_process_fences(state):
+    """Return whether no process has applied a fence of a former one."""
+    return all(
+        not fence or fence > former
+        for fence, former in zip(
+            state['process_fence'], state['former_fence'], strict=True
+        )
+    )
+
+
 def make_model(scope, mutation=''):
     """Return the model of a scope, without the rule `mutation` names."""
     rules = Rules(scope, mutation)
@@ -454,5 +507,6 @@
         invariants={
             'one_holder': has_one_holder,
             'rising_fences': has_distinct_fences,
+            'process_fences': has_process_fences,
         },
     )
--- a/packages/gateway/src/bramleysill_gateway/control_calls.py
+++ b/packages/gateway/src/bramleysill_gateway/control_calls.py
@@ -36,11 +36,25 @@
         self._on_departure = on_departure
         self._clients = {}
 
-    def grant(self, entry, key_range, hold, handover, done):
-        """Grant keys to an upstream, if this router still leads."""
+    def grant(self, entry, key_range, hold, handover, done, any_process=False):
+        """Grant keys to an upstream, if this router still leads.
+
+        The grant is not sent if it might reach the next process of the
+        upstream with a fence of the former one, unless `any_process` is set.
+        """
         if not self._leadership.is_valid():
             done(CallOutcome.REFUSED)
             return
+        client = self._client(entry)
+        if not client.may_grant(key_range.fence, any_process):
+            log_event(
+                'grant_needs_fence',
+                upstream=entry.upstream,
+                incarnation=entry.incarnation,
+                fence=key_range.fence,
+            )
+            done(CallOutcome.NEEDS_FENCE)
+            return
         data = self._adapter.encode_grant(entry, key_range, hold, handover)
 
         def on_response(response):
@@ -58,7 +72,7 @@
                 )
             done(result)
 
-        self._client(entry).grant(data, CALL_TIMEOUT_SECONDS, on_response)
+        client.grant(data, CALL_TIMEOUT_SECONDS, on_response)
 
     def release(self, entry, key_range, done):
         """Ask an upstream to release keys; calls `done(result, handover)`."""
--- a/packages/gateway/src/bramleysill_gateway/control_client.py
+++ b/packages/gateway/src/bramleysill_gateway/control_client.py
@@ -8,6 +8,7 @@
 
 import collections
 
+from bramleysill_kernel.ranges.process_fences import ProcessFences
 from bramleysill_net.http_calls import CallResult
 from bramleysill_net.http_calls import HttpCallClient
 from bramleysill_router.logs import log_event
@@ -23,15 +24,27 @@
     once more.
     """
 
-    __slots__ = ('_upstream', '_client', '_may_send', '_handovers')
+    __slots__ = (
+        '_upstream',
+        '_client',
+        '_may_send',
+        '_fences',
+        '_handovers',
+    )
 
     def __init__(self, loop, entry, may_send):
         self._upstream = entry.upstream
         self._client = HttpCallClient(loop, *entry.address)
         self._may_send = may_send
+        self._fences = ProcessFences()
         # Of the last releases; each release has a handover of its own.
         self._handovers = collections.deque(maxlen=REMEMBERED_HANDOVERS)
 
+    def may_grant(self, fence, any_process):
+        """Return whether to send a grant, as in ProcessFences."""
+        epoch = self._client.connection_epoch
+        return self._fences.may_send(fence, epoch, any_process)
+
     def grant(self, data, timeout_seconds, callback):
         """Send a grant; calls `callback(CallResult)` once.
 
--- a/packages/kernel/src/bramleysill_kernel/ranges/hold_ledger.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/hold_ledger.py
@@ -83,6 +83,7 @@
         '_clock',
         '_confirmed_until',
         '_calls',
+        '_former_holders',
         '_inherited_until',
         '_former',
         '_longest_hold',
@@ -94,6 +95,9 @@
         self._confirmed_until = {}
         # Grants without a response: {holder: {call number: _GrantCall}}.
         self._calls = {}
+        # The holders whose keys a holder has got from itself with a new fence:
+        # {holder: [former holder]}.
+        self._former_holders = {}
         self._inherited_until = last_hold_end(takeover_at, longest_hold)
         # The FormerHolds of the last term, or None if they aren't known.
         self._former = None
@@ -130,6 +134,14 @@
         """Record that no earlier leader has granted anything."""
         self._inherited_until = 0.0
 
+    def carry_over(self, old, new):
+        """Record that the owner of a range keeps its keys with a new fence.
+
+        What it was granted with the old one still counts.
+        """
+        former = self._former_holders.get(old.holder, ())
+        self._former_holders[new.holder] = [old.holder, *former]
+
     def record_grant_sent(self, item, call_number):
         """Record a grant that is sent now."""
         calls = self._calls.setdefault(item.holder, {})
@@ -194,7 +206,10 @@
 
     def expiry_without_release(self, item):
         """Return when the keys may be reassigned without a release."""
-        confirmed_end = self._confirmed_until.get(item.holder, 0.0)
+        confirmed_end = max(
+            self._confirmed_until.get(holder, 0.0)
+            for holder in self._holders_of(item)
+        )
         inherited_end = self._inherited_until
         if self._former is not None:
             inherited_end = self._former.of_owner(item).held_until
@@ -217,6 +232,7 @@
         for holder in set(self._confirmed_until) - current - set(self._calls):
             if self._confirmed_until[holder] < now:
                 del self._confirmed_until[holder]
+        self._prune_former_holders(current)
 
     def _latest_end(self, call):
         if call.in_progress:
@@ -224,7 +240,22 @@
         return call.until
 
     def _calls_of(self, item):
-        calls = self._calls.get(item.holder)
-        if not calls:
-            return ()
-        return [call for call in calls.values() if call.overlaps(item)]
+        return [
+            call
+            for holder in self._holders_of(item)
+            for call in self._calls.get(holder, {}).values()
+            if call.overlaps(item)
+        ]
+
+    def _holders_of(self, item):
+        holder = item.holder
+        return holder, *self._former_holders.get(holder, ())
+
+    def _prune_former_holders(self, current):
+        known = self._confirmed_until.keys() | self._calls.keys()
+        kept = {}
+        for holder in self._former_holders.keys() & current:
+            former = [h for h in self._former_holders[holder] if h in known]
+            if former:
+                kept[holder] = former
+        self._former_holders = kept
--- a/packages/kernel/src/bramleysill_kernel/ranges/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/range_coordinator.py
@@ -30,6 +30,7 @@
 from bramleysill_kernel.ranges.key_ranges import RangeTable
 from bramleysill_kernel.ranges.key_rates import KeyRates
 from bramleysill_kernel.ranges.owner_pool import OwnerPool
+from bramleysill_kernel.ranges.process_fences import FenceRenewals
 from bramleysill_kernel.ranges.range_balance import plan_balance
 from bramleysill_kernel.ranges.range_moves import GrantRenewal
 from bramleysill_kernel.ranges.range_moves import MoveList
@@ -80,6 +81,7 @@
         self._releases = None
         self._moves = MoveList()
         self._renewals = {}
+        self._fence_renewals = FenceRenewals(clock)
         self._handovers = {}
         self._pending_write = None
         self._fences_renewed = False
@@ -155,6 +157,7 @@
         self._settle()
         self._start_forced_moves()
         self._renew()
+        self._renew_fences()
         self._advance_moves()
         self._commit_ready_moves()
         self._balance()
@@ -285,7 +288,17 @@
         def done(result):
             self._on_granted(part, call, hold, result)
 
-        self._calls.grant(entry, part, hold, handover, done)
+        # In an outage no new fence can be stored, and keys stay served.
+        any_process = self.store_unresponsive
+        self._calls.grant(entry, part, hold, handover, done, any_process)
+
+    def _renew_fences(self):
+        """Write new fences for owners that may have been restarted."""
+        if self._pending_write is not None:
+            return
+        assignments = self._fence_renewals.take(self.table, self._moves)
+        if assignments:
+            self._write(self.table.assign(assignments), [])
 
     def _on_granted(self, part, call, hold, result):
         now = self._clock.now()
@@ -299,6 +312,12 @@
             if renewal is not None:
                 renewal.failures = 0
             return
+        if result is CallOutcome.NEEDS_FENCE:
+            self._holds.record_grant_refused(part, call)
+            self._fence_renewals.add(part)
+            if renewal is not None:
+                renewal.due_at = now + RETRY_DELAY_SECONDS
+            return
         if result is CallOutcome.REPLACED:
             self._pool.record_process_end(part)
         if result is CallOutcome.NO_RESPONSE:
@@ -460,6 +479,7 @@
         self._fences_renewed = True
         self.table = table
         self.revision = revision
+        self._fence_renewals.carry_over(table, self._holds, self._renewals)
         for move in moves:
             if move.handover:
                 self._keep_handover(move)
--- a/packages/net/src/bramleysill_net/http_calls.py
+++ b/packages/net/src/bramleysill_net/http_calls.py
@@ -44,6 +44,7 @@
     """
 
     __slots__ = (
+        'connection_epoch',
         '_loop',
         '_host',
         '_port',
@@ -53,6 +54,8 @@
     )
 
     def __init__(self, loop, host, port, max_body_bytes=16 << 20):
+        # Rises when the last established connection has ended.
+        self.connection_epoch = 0
         self._loop = loop
         self._host = host
         self._port = port
@@ -123,8 +126,16 @@
             self._host,
             self._port,
             on_idle=self._on_idle,
+            on_closed=self._on_closed,
             unacknowledged_timeout_ms=UNACKNOWLEDGED_TIMEOUT_MS,
         )
 
+    def _on_closed(self, conn):
+        if not conn.connected:
+            return
+        others = [c for c, _ in self._idle] + list(self._busy)
+        if not any(c.connected and not c.closed for c in others):
+            self.connection_epoch += 1
+
     def _on_idle(self, conn):
         self._idle.append((conn, self._loop.now()))
--- a/tests/range_fakes.py
+++ b/tests/range_fakes.py
@@ -5,6 +5,7 @@
 be delayed, lost, or carried out late without a response.
 """
 
+import collections
 import heapq
 import itertools
 
@@ -14,6 +15,7 @@
 from bramleysill_kernel.discovery.upstream_directory import UpstreamEntry
 from bramleysill_kernel.ranges.hold_ledger import CALL_TIMEOUT_SECONDS
 from bramleysill_kernel.ranges.key_loads import KeyLoads
+from bramleysill_kernel.ranges.process_fences import ProcessFences
 from bramleysill_kernel.ranges.range_coordinator import RangeCoordinator
 from tests.bounds import make_timings
 
@@ -111,12 +113,45 @@
         self.cell = cell
         self.key_revision = cell.store.leader_revision
         self.valid = True
-
-    def grant(self, entry, part, hold, handover, done):
-        self.cell.grants.append((entry.upstream, part.fence, handover))
+        # By upstream, the process that the connections lead to, the number of
+        # times that they have ended, and the ProcessFences.
+        self._processes = {}
+        self._epochs = collections.Counter()
+        self._fences = collections.defaultdict(ProcessFences)
+
+    def _connection_epoch(self, name):
+        """Return the epoch; connections end with their process."""
+        process = self.cell.upstreams.get(name)
+        known = self._processes.get(name)
+        if known is not None and (known is not process or not known.alive):
+            self._epochs[name] += 1
+            del self._processes[name]
+        if process is not None and process.alive and process.reachable:
+            self._processes[name] = process
+        return self._epochs[name]
+
+    def _note_result(self, name, result):
+        # A call without a response ends its connection, the only one here.
+        if result is CallOutcome.NO_RESPONSE and name in self._processes:
+            del self._processes[name]
+            self._epochs[name] += 1
+
+    def grant(self, entry, part, hold, handover, done, any_process=False):
         if not self.valid:
+            self.cell.grants.append((entry.upstream, part.fence, handover))
             done(CallOutcome.REFUSED)
             return
+        fences = self._fences[entry.upstream, entry.incarnation]
+        epoch = self._connection_epoch(entry.upstream)
+        if not fences.may_send(part.fence, epoch, any_process):
+            done(CallOutcome.NEEDS_FENCE)
+            return
+        self.cell.grants.append((entry.upstream, part.fence, handover))
+
+        def on_result(result):
+            self._note_result(entry.upstream, result)
+            done(result)
+
         self.cell.call(
             entry,
             lambda upstream, arrived: (
@@ -125,7 +160,7 @@
                     arrived, part.first, part.last, part.fence, hold
                 )
             ),
-            done,
+            on_result,
         )
 
     def release(self, entry, part, done):
--- a/tests/simulated_cell.py
+++ b/tests/simulated_cell.py
@@ -177,7 +177,7 @@
         super().__init__(*args)
         self._cell = cell
 
-    def grant(self, entry, key_range, hold, handover, done):
+    def grant(self, entry, key_range, hold, handover, done, any_process=False):
         if not self._leadership.is_valid():
             done(CallOutcome.REFUSED)
             return
--- a/tests/test_range_coordinator.py
+++ b/tests/test_range_coordinator.py
@@ -245,6 +245,39 @@
         cell.run(1.0)
         fences = cell.upstreams['u1'].accepted_fences()
         self.assertEqual([], [f for f in fences if f <= highest])
+        self.assertEqual([], _unserved(cell))
+
+    def test_its_keys_are_served_before_it_has_registered(self):
+        """Guards against keys that wait for the entry of the next process."""
+        cell = _cell()
+        cell.upstreams['u1'].alive = False
+        cell.upstreams['u1'] = FakeUpstream(cell.clock, 'u1', 2)
+        cell.run(TIMINGS.renew_interval + 0.5, _AtMostOneHolder(self))
+        self.assertEqual([], _unserved(cell))
+
+    def test_the_long_hold_of_an_outage_counts_after_a_new_fence(self):
+        """Guards against a second owner beside a hold with the old fence.
+
+        The owner goes on working, but no call reaches it. Its grants with the
+        new fence are over before the one of the outage.
+        """
+        cell = _cell()
+        cell.coordinator.extend_holds()
+        cell.run(0.2)
+        cell.coordinator.store_unresponsive = False
+        cell.upstreams['u1'].reachable = False
+        cell.run(TIMINGS.outage_hold + 1.0, _AtMostOneHolder(self))
+        self.assertEqual([], _unserved(cell))
+
+    def test_keys_are_renewed_in_an_outage_of_the_store(self):
+        """Guards against keys without an owner, as no fence can be stored."""
+        cell = _cell()
+        cell.store.available = False
+        cell.coordinator.extend_holds()
+        cell.upstreams['u1'].alive = False
+        cell.upstreams['u1'] = FakeUpstream(cell.clock, 'u1', 2)
+        cell.run(2.0, _AtMostOneHolder(self))
+        self.assertEqual([], _unserved(cell))
 
 
 class BalanceTest(testtools.TestCase):
