Choose upstreams by samples and the age of reports

Cause: choose_upstream took the least expected time of all candidates. Routers with the same old reports chose the same upstream, and idle fast upstreams of the router's own domain got most requests.

Change: a registry of choice policies. The default, `three_choices`, draws three candidates by capacity and takes the least loaded. The reported requests of others give way to the mean of the service as a report ages. Requests stay in the own failure domain up to 1.2 times the load of the others. The former policy stays as `least_time`. Reports beyond bounds are reduced. Admission is unchanged.

--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -7,6 +7,7 @@
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.problems import to_problem
 from bramleysill_kernel.config.routing_config import TrafficSplitter
+from bramleysill_kernel.load import choice_policies
 from bramleysill_kernel.load import send_policy
 from bramleysill_kernel.load.shared_limits import RetryBudget
 from bramleysill_kernel.load.shared_limits import SlowStartLimiter
@@ -98,6 +99,9 @@
         self._cfg = cfg
         self._rng = rng
         self._metrics = metrics
+        self._choice_policy = choice_policies.choice_policies.get(
+            choice_policies.DEFAULT_POLICY
+        )(rng)
         self._splitter = TrafficSplitter(rng)
         self._slow_start_limiter = SlowStartLimiter(loop)
         self._retry_budgets = {}
@@ -303,10 +307,9 @@
         return found[0] if found else None
 
     def _choose_among(self, peers, now, objective):
-        return send_policy.choose_upstream(
+        return self._choice_policy.choose(
             [(p, p.load) for p in peers],
             now,
-            self._rng,
             self.failure_domain,
             objective,
         )
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -4,6 +4,7 @@
 
 from bramleysill_gateway.upstream_pool import UpstreamPool
 from bramleysill_kernel.load.named_limits import NamedLimits
+from bramleysill_kernel.load.service_load import ServiceLoad
 from bramleysill_kernel.load.upstream_load import ServiceTime
 from bramleysill_kernel.load.upstream_load import UpstreamLoad
 from bramleysill_router.logs import log_event
@@ -30,9 +31,11 @@
         '_logged_sent',
     )
 
-    def __init__(self, loop, entry, service_time, limits):
+    def __init__(self, loop, entry, service_time, service_load, limits):
         self.entry = entry
-        self.load = UpstreamLoad(entry.slots, service_time)
+        self.load = UpstreamLoad(
+            entry.slots, service_time, service_load, entry.failure_domain
+        )
         self.pool = UpstreamPool(loop, entry.address)
         self.cold_until = entry.cold_until
         # Whether another process has responded at the address, which means
@@ -114,18 +117,22 @@
         self._loop = loop
         self._directory = directory
         self._peers = {}
-        # Average service time, by service.
+        # Average service time and load, by service.
         self._service_times = collections.defaultdict(ServiceTime)
+        self._service_loads = collections.defaultdict(ServiceLoad)
 
     def peer(self, entry):
         """Return the peer of an entry; create it on first use."""
         key = entry.upstream, entry.incarnation
         peer = self._peers.get(key)
         if peer is None or peer.entry.address != entry.address:
+            if peer is not None:
+                peer.load.forget_report()
             peer = self._peers[key] = UpstreamPeer(
                 self._loop,
                 entry,
                 self._service_times[entry.service],
+                self._service_loads[entry.service],
                 self.limits,
             )
         if peer.entry is not entry:
@@ -156,6 +163,8 @@
             peer.log_limited_sends()
             known = self._directory.last_known(key[0])
             ended = known is None or known.incarnation != key[1]
+            if ended:
+                peer.load.forget_report()
             if ended and peer.load.in_flight == 0:
                 peer.pool.close()
                 del self._peers[key]
--- /dev/null
+++ b/packages/kernel/src/bramleysill_kernel/load/choice_policies.py
@@ -0,0 +1,203 @@
+"""Selects the upstream of a shared service for one attempt.
+
+Load reports arrive with responses and are up to some seconds old, and dozens
+of routers choose at once. docs/design/even-load.md compares the variants;
+`python -m bench.even_load` measures them.
+
+A policy is made with a random generator. `choose(candidates, now, own_domain,
+objective)` returns one of the candidates, or None if none can take a request.
+Candidates are (entry, load) pairs that may get the request; `own_domain` is
+the failure domain of the router and `objective` the latency objective of the
+request in seconds.
+
+Example::
+
+    policy = choice_policies.get(DEFAULT_POLICY)(random.Random())
+    chosen = policy.choose(candidates, now, 'domain-1', 0.4)
+"""
+
+from itertools import accumulate
+
+from bramleysill_kernel.common.registry import Registry
+
+choice_policies = Registry('choice policy')
+
+DEFAULT_POLICY = 'three_choices'
+
+# An upstream in another failure domain must be faster by this share of the
+# latency objective: the links between failure domains are narrow and the
+# first to be cut, and a request with a long objective loses little by waiting.
+REMOTE_PENALTY_SHARE_OF_OBJECTIVE = 0.05
+# Load of the own failure domain relative to the others from which requests
+# are spread over all domains. At equal load all stay in the own domain.
+MAX_OWN_DOMAIN_LOAD = 1.2
+# Added to both loads, in requests per slot: at a low load the ratio of two
+# small numbers would move all requests to and fro.
+DOMAIN_LOAD_OFFSET = 0.1
+# Candidates that are compared. With one, the estimates are not used; with
+# more, routers with the same reports prefer the same few upstreams.
+SAMPLES = 3
+# Spare slots that `spare_capacity` assumes at a full upstream.
+MIN_SPARE_SLOTS = 0.05
+# A queue beyond this share of the objective would be refused by the admission
+# of the least urgent requests.
+MAX_SHARE_OF_OBJECTIVE = 0.9
+# An upstream without a report for this time gets at most MAX_UNREPORTED_PER_
+# SLOT requests at a time from one router, while there are others.
+REPORT_LOSS_SECONDS = 1.0
+MAX_UNREPORTED_PER_SLOT = 1.0
+
+
+@choice_policies.register('least_time')
+class LeastTime:
+    """The candidate that should respond first; ties go to a random one.
+
+    All routers with the same reports choose the same upstream.
+    """
+
+    __slots__ = ('_rng',)
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def choose(self, candidates, now, own_domain, objective):
+        """Return the candidate with the least expected time, or None."""
+        best = None
+        best_cost = 0.0
+        remote_penalty = objective * REMOTE_PENALTY_SHARE_OF_OBJECTIVE
+        start = self._rng.randrange(len(candidates)) if candidates else 0
+        for offset in range(len(candidates)):
+            entry, load = candidates[(start + offset) % len(candidates)]
+            if load.is_down(now) or load.is_closed(now):
+                continue
+            cost = load.expected_response_seconds(now)
+            if entry.failure_domain != own_domain:
+                cost += remote_penalty
+            if now < load.full_until:
+                cost += load.service_time(now)
+            if best is None or cost < best_cost:
+                best = (entry, load)
+                best_cost = cost
+        return best
+
+
+class _Sampling:
+    """Base of policies that draw random candidates in proportion to capacity.
+
+    `_pick` chooses among candidates of which none is full.
+    """
+
+    __slots__ = ('_rng',)
+
+    def __init__(self, rng):
+        self._rng = rng
+
+    def choose(self, candidates, now, own_domain, objective):
+        """Return a random candidate that favours idle ones, or None."""
+        open_ones = [
+            c
+            for c in candidates
+            if now >= c[1].down_until and now >= c[1].closed_until
+        ]
+        if not open_ones:
+            return None
+        group = self._prefer_own_domain(open_ones, own_domain)
+        found = self._pick(group, now)
+        if not is_full(found[1], now, objective):
+            return found
+        free = [c for c in open_ones if not is_full(c[1], now, objective)]
+        if free:
+            return self._pick(free, now)
+        return min(
+            open_ones, key=lambda c: c[1].expected_response_seconds(now)
+        )
+
+    def _prefer_own_domain(self, candidates, own_domain):
+        own = [c for c in candidates if c[0].failure_domain == own_domain]
+        if not own or len(own) == len(candidates):
+            return candidates
+        inside, outside = own[0][1].service_load.utilisation(own_domain)
+        share = own_domain_share(inside, outside)
+        return own if self._rng.random() < share else candidates
+
+    def _draw(self, candidates, count):
+        weights = [load.capacity for _, load in candidates]
+        return self._rng.choices(
+            candidates, cum_weights=list(accumulate(weights)), k=count
+        )
+
+
+@choice_policies.register('three_choices')
+class ThreeChoices(_Sampling):
+    """The least loaded of three candidates drawn by their capacity.
+
+    The older the reports, the more the estimates approach the mean of the
+    service, and the more the choice approaches a draw by capacity.
+    """
+
+    __slots__ = ()
+
+    def _pick(self, candidates, now):
+        drawn = self._draw(candidates, SAMPLES)
+        return min(drawn, key=lambda c: load_of(c[1], now))
+
+
+@choice_policies.register('capacity')
+class Capacity(_Sampling):
+    """A candidate drawn in proportion to its capacity."""
+
+    __slots__ = ()
+
+    def _pick(self, candidates, now):
+        return self._draw(candidates, 1)[0]
+
+
+@choice_policies.register('spare_capacity')
+class SpareCapacity(_Sampling):
+    """A candidate drawn in proportion to its estimated spare capacity."""
+
+    __slots__ = ()
+
+    def _pick(self, candidates, now):
+        weights = [
+            max(MIN_SPARE_SLOTS, load.slots - load.balanced_backlog(now))
+            / load.usual_slowdown
+            for _, load in candidates
+        ]
+        return self._rng.choices(candidates, weights)[0]
+
+
+def load_of(load, now):
+    """Return the estimated requests at an upstream for its capacity now.
+
+    The new request is not counted: idle upstreams are equal, so that the
+    draw by capacity decides and not the number of slots.
+    """
+    return load.balanced_backlog(now) / load.slots * load.slowdown(now)
+
+
+def is_full(load, now, objective):
+    """Return whether a request should rather go to another upstream."""
+    if now < load.full_until:
+        return True
+    if (
+        load.in_flight >= MAX_UNREPORTED_PER_SLOT * load.slots
+        and load.report_age(now) > REPORT_LOSS_SECONDS
+    ):
+        return True
+    if load.expected_wait_seconds(now) <= 0.0 and not load.is_slow(now):
+        return False
+    expected = load.expected_response_seconds(now)
+    return expected > objective * MAX_SHARE_OF_OBJECTIVE
+
+
+def own_domain_share(inside, outside):
+    """Return the share of requests that should stay in the own domain.
+
+    `inside` and `outside` are requests per slot, or None if not known.
+    """
+    if inside is None or outside is None:
+        return 0.0
+    ratio = (inside + DOMAIN_LOAD_OFFSET) / (outside + DOMAIN_LOAD_OFFSET)
+    share = (MAX_OWN_DOMAIN_LOAD - ratio) / (MAX_OWN_DOMAIN_LOAD - 1.0)
+    return min(1.0, max(0.0, share))
--- a/packages/kernel/src/bramleysill_kernel/load/send_policy.py
+++ b/packages/kernel/src/bramleysill_kernel/load/send_policy.py
@@ -1,4 +1,4 @@
-"""Decides whether a request is sent or refused, and to which upstream.
+"""Decides whether a request is sent, waits or is refused.
 
 These functions do no I/O. They handle these load patterns:
 
@@ -15,8 +15,8 @@
 - `decide_busy`: a single key gets many times the requests that its owner can
   serve. Each router admits the same share of them, so that the owner is fully
   used and has no queue; the others come back the later the more there are.
-- `choose_upstream`: some upstreams of a shared service are slow, full, down or
-  turn requests away. A request goes where it is expected to finish first.
+
+`choice_policies` chooses among the upstreams of a shared service.
 """
 
 import enum
@@ -38,10 +38,6 @@
 RETRY_AFTER_PER_OVERLOAD_SECONDS = 0.15
 # Most moves of keys take less.
 MIN_OWNER_WAIT_SECONDS = 0.35
-# An upstream in another failure domain must be faster by this share of the
-# latency objective: the links between failure domains are narrow and the
-# first to be cut, and a request with a long objective loses little by waiting.
-REMOTE_PENALTY_SHARE_OF_OBJECTIVE = 0.05
 
 
 class Action(enum.Enum):
@@ -138,30 +134,5 @@
     return Decision(Action.WAIT, wait)
 
 
-def choose_upstream(candidates, now, rng, own_domain, objective):
-    """Return the candidate that should finish first, or None.
-
-    `candidates` are (entry, load) pairs that may get the request; `objective`
-    is its latency objective in seconds. Ties go to a random candidate.
-    """
-    best = None
-    best_cost = 0.0
-    remote_penalty = objective * REMOTE_PENALTY_SHARE_OF_OBJECTIVE
-    start = rng.randrange(len(candidates)) if candidates else 0
-    for offset in range(len(candidates)):
-        entry, load = candidates[(start + offset) % len(candidates)]
-        if load.is_down(now) or load.is_closed(now):
-            continue
-        cost = load.expected_response_seconds(now)
-        if entry.failure_domain != own_domain:
-            cost += remote_penalty
-        if now < load.full_until:
-            cost += load.service_time(now)
-        if best is None or cost < best_cost:
-            best = (entry, load)
-            best_cost = cost
-    return best
-
-
 def _clamp_retry_after(seconds):
     return min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, seconds))
--- a/packages/kernel/src/bramleysill_kernel/load/upstream_load.py
+++ b/packages/kernel/src/bramleysill_kernel/load/upstream_load.py
@@ -7,6 +7,8 @@
 
 import math
 
+from bramleysill_kernel.load.service_load import ServiceLoad
+
 # Time constant with which a reported backlog of other routers' requests decays
 # to its average.
 REPORT_DECAY_SECONDS = 0.25
@@ -26,6 +28,22 @@
 # processes on its machine stay below.
 SLOW_THRESHOLD = 4.0
 MIN_SERVICE_SECONDS = 0.002
+# Time constant with which a report gives way to the mean of the service when
+# upstreams are compared. Queues change within a few service times (50 to
+# 400 ms).
+REPORT_TRUST_SECONDS = 0.3
+# Bounds of a plausible report. Upstreams queue up to 8 requests per slot, and
+# their slots seldom differ from the registered ones.
+MAX_REPORTED_PER_SLOT = 16
+MAX_SLOTS_FACTOR = 4
+MIN_PLAUSIBLE_SLOWDOWN = 0.1
+# Weight of a new sample in the usual slowdown of one upstream, which is its
+# speed; short slowdowns hardly change it.
+USUAL_SLOWDOWN_WEIGHT = 0.05
+# Bounds of the usual slowdown: an upstream that reports odd values neither
+# attracts all requests nor loses all.
+MIN_USUAL_SLOWDOWN = 0.25
+MAX_USUAL_SLOWDOWN = 8.0
 # Assumed requests per slot at an upstream that refuses new connections.
 BACKLOG_PER_SLOT_AT_LIMIT = 4
 # How long an upstream that refused a request counts as full.
@@ -77,6 +95,10 @@
         'slots',
         'in_flight',
         'shared_service_time',
+        'service_load',
+        'failure_domain',
+        'usual_slowdown',
+        'reported_at',
         'failures',
         'down_until',
         'full_until',
@@ -89,12 +111,26 @@
         '_slowdown',
         '_slowdown_at',
         '_reports_slowdown',
+        '_max_slots',
+        '_contribution',
     )
 
-    def __init__(self, slots, shared_service_time=None):
+    def __init__(
+        self,
+        slots,
+        shared_service_time=None,
+        service_load=None,
+        failure_domain='',
+    ):
         self.slots = max(1, slots)
         self.in_flight = 0
         self.shared_service_time = shared_service_time or ServiceTime()
+        self.service_load = service_load or ServiceLoad()
+        self.failure_domain = failure_domain
+        # Service time here relative to that of the service, over many reports.
+        self.usual_slowdown = 1.0
+        # When the last load report arrived, in seconds; None without one.
+        self.reported_at = None
         self.failures = 0
         self.down_until = 0.0
         self.full_until = 0.0
@@ -110,6 +146,9 @@
         self._slowdown = 1.0
         self._slowdown_at = 0.0
         self._reports_slowdown = False
+        self._max_slots = MAX_SLOTS_FACTOR * self.slots
+        # What this upstream adds to `service_load`.
+        self._contribution = (0, 0, 0)
 
     def slowdown(self, now):
         """Return the service time here relative to the usual one (1.0)."""
@@ -146,12 +185,47 @@
         """Return the seconds until the response to another request."""
         return self.expected_wait_seconds(now) + self.service_time(now)
 
+    def report_age(self, now):
+        """Return the seconds since the last load report; inf without one."""
+        if self.reported_at is None:
+            return math.inf
+        return max(0.0, now - self.reported_at)
+
+    def balanced_backlog(self, now):
+        """Return the requests at the upstream for a comparison with others.
+
+        Unlike `backlog`, the reported requests of other routers give way to
+        the mean of the service. Routers would otherwise compare reports of
+        different ages, and all prefer the upstream with the oldest one.
+        """
+        usual = self.service_load.usual_others() * self.slots
+        if self.reported_at is None:
+            return self.in_flight + usual
+        trust = math.exp((self.reported_at - now) / REPORT_TRUST_SECONDS)
+        others = usual + (self._other_requests - usual) * min(1.0, trust)
+        return self.in_flight + others
+
+    @property
+    def capacity(self):
+        """Return the requests per usual service time that it can serve."""
+        return self.slots / self.usual_slowdown
+
+    def forget_report(self):
+        """Remove the upstream from the mean of its service: it has ended."""
+        self.service_load.replace(
+            self.failure_domain, self._contribution, (0, 0, 0)
+        )
+        self._contribution = (0, 0, 0)
+
     def note_report(self, now, report):
         """Use the load report of a response that has just arrived.
 
         The report no longer contains the request of this response, but
-        `in_flight` still does.
+        `in_flight` still does. Returns whether the report is plausible; an
+        implausible one is used within bounds.
         """
+        plausible = self._bound_report(report)
+        self.reported_at = now
         self.slots = max(1, report.slots)
         self._reports_slowdown = report.slowdown is not None
         if self._reports_slowdown:
@@ -159,6 +233,26 @@
             self._count_response(now)
         total = report.running + report.waiting
         self._update_other_requests(now, total - max(0, self.in_flight - 1))
+        contribution = (total, int(self._other_requests), self.slots)
+        self.service_load.replace(
+            self.failure_domain, self._contribution, contribution
+        )
+        self._contribution = contribution
+        return plausible
+
+    def _bound_report(self, report):
+        """Reduce a report to its bounds; return whether it was within them."""
+        plausible = report.running <= report.slots <= self._max_slots
+        report.slots = min(report.slots, self._max_slots)
+        most = MAX_REPORTED_PER_SLOT * report.slots
+        if report.running + report.waiting > most:
+            plausible = False
+            report.running = min(report.running, report.slots)
+            report.waiting = min(report.waiting, most - report.running)
+        if report.slowdown is not None:
+            plausible &= report.slowdown >= MIN_PLAUSIBLE_SLOWDOWN
+            report.slowdown = max(report.slowdown, MIN_PLAUSIBLE_SLOWDOWN)
+        return plausible
 
     def note_response(self, now, seconds, backlog_at_send):
         """Add the service time of a response to the shared average.
@@ -214,6 +308,11 @@
     def _update_slowdown(self, now, sample):
         old = self.slowdown(now)
         self._slowdown = old + SLOWDOWN_WEIGHT * (sample - old)
+        usual = self.usual_slowdown
+        usual += USUAL_SLOWDOWN_WEIGHT * (sample - usual)
+        self.usual_slowdown = min(
+            MAX_USUAL_SLOWDOWN, max(MIN_USUAL_SLOWDOWN, usual)
+        )
         self._slowdown_at = now
 
     def _count_response(self, now):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,6 +12,7 @@
 from bramleysill_kernel.config.manifest_parser import parse_manifest
 from bramleysill_kernel.load.balancer import Candidate
 from bramleysill_kernel.load.balancer import balancers
+from bramleysill_kernel.load.choice_policies import choice_policies
 from bramleysill_kernel.units.placement import placements
 from bramleysill_router import metrics
 from bramleysill_router import settings
@@ -160,6 +161,7 @@
         # Other tests also register variants; count only the module's own.
         for module, registry in (
             ('bramleysill_kernel.load.balancer', balancers),
+            ('bramleysill_kernel.load.choice_policies', choice_policies),
             ('bramleysill_kernel.units.placement', placements),
             ('bramleysill_router.store_client', store_client.store_clients),
             ('sillctl.store_clients', store_clients.store_clients),
--- a/tests/test_send_policy.py
+++ b/tests/test_send_policy.py
@@ -8,8 +8,8 @@
 
 from bramleysill_kernel.config.routing_config import Repeatability
 from bramleysill_kernel.config.routing_config import Route
+from bramleysill_kernel.load.choice_policies import choice_policies
 from bramleysill_kernel.load.send_policy import Action
-from bramleysill_kernel.load.send_policy import choose_upstream
 from bramleysill_kernel.load.send_policy import decide
 from bramleysill_kernel.load.send_policy import max_upstream_seconds
 from bramleysill_kernel.load.upstream_load import BACKLOG_PER_SLOT_AT_LIMIT
@@ -276,14 +276,13 @@
         self.failure_domain = domain
 
 
-class ChooseUpstreamTest(testtools.TestCase):
+class LeastTimeTest(testtools.TestCase):
     def _choose(self, *loads, domains=('a', 'a', 'a')):
         candidates = [
             (_Entry(i, domains[i]), load) for i, load in enumerate(loads)
         ]
-        found = choose_upstream(
-            candidates, 10.0, random.Random(1), 'a', OBJECTIVE_SECONDS
-        )
+        policy = choice_policies.get('least_time')(random.Random(1))
+        found = policy.choose(candidates, 10.0, 'a', OBJECTIVE_SECONDS)
         return found[0].name if found else None
 
     def _load(self, in_flight=0, service_time=SERVICE_SECONDS):
