--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -37,7 +37,9 @@
 SLOTS = (3, 6)
 # Neighbours on the machine change the speed with each request.
 SLOWDOWN_SIGMA = 0.2
-UTILISATION = 0.55
+# With it, the busiest upstream gets 2.5 times the mean with today's policy in
+# steady load; 2.97 were measured in the whole system.
+UTILISATION = 0.4
 BURST_FACTOR = 1.9
 DOMAINS = 5
 SLOW_FACTOR = 3.0
