Explain where a request would go with `sillctl explain`

Cause: an operator could not see which route, owner or candidates a router would use now, nor what it would refuse.

Change: the metrics port answers /explain with the route, each service of it, the owner of a key or the candidates with state, load, age of the report and share of 50 choices, and the admission. The command prints text or JSON. Nothing is sent, counted or taken; a malformed question gets 400. The readiness port does not answer it. Organisations are not shown yet.

--- a/packages/ctl/src/sillctl/commands.py
+++ b/packages/ctl/src/sillctl/commands.py
@@ -223,6 +223,31 @@
             router=router_client.read_status(router) if router else None,
         )
 
+    @decorators.SetParseFns(
+        router=str, host=str, path=str, key=str, left_ms=str
+    )
+    def explain(self, router, host, path='/', key='', left_ms=''):
+        """Shows where a router would send a request now, and why.
+
+        Nothing is sent. The router is one on the users' platform.
+
+        Args:
+          router: HOST:PORT of the router's metrics port.
+          host: The request's Host.
+          path: The request's path.
+          key: The request's key, for a service that is divided by key.
+          left_ms: Milliseconds until the caller's deadline; by default the
+            route's longest wait.
+        """
+        question = {'host': host, 'path': path, 'key': key, 'left_ms': left_ms}
+        return self._document(
+            'explain',
+            router=router,
+            **router_client.read_explanation(
+                router, {n: v for n, v in question.items() if v}
+            ),
+        )
+
     @decorators.SetParseFns(
         routers=str,
         snapshots=str,
--- a/packages/ctl/src/sillctl/output.py
+++ b/packages/ctl/src/sillctl/output.py
@@ -75,6 +75,45 @@
 {%- if not is_current %}
 The table is older than the manifest; the owner may change soon.
 {%- endif %}""",
+    'explain': """\
+router   {{ router }}, failure domain {{ failure_domain }}, \
+configuration {{ 'none' if config is none else config }}, policy {{ policy }}
+route    {% if route -%}
+{{ route.name }}: {{ route.host }}{{ route.prefix }}, \
+priority {{ route.priority }}, {{ route.repeatability }}, \
+objective {{ route.objective }} s, longest wait {{ route.max_wait }} s
+{%- else %}none{% endif %}
+{%- if refusal %}
+refused  {{ refusal }}
+{%- endif %}
+{%- for service in services %}
+service  {{ service.service }}, weight {{ service.weight }}, \
+{% if not service.keyed -%}
+shared
+{%- elif service.key is none -%}
+divided by key
+{%- else -%}
+key {{ service.key }}, owner {{ service.owner or 'none' }}, \
+fence {{ service.fence }}
+{%- endif %}
+  {{ service.outcome }}
+{%- if service.upstream is defined %} {{ service.upstream }}: \
+expected {{ service.expected_seconds }} s, \
+allowed {{ service.allowed_seconds }} s{% endif %}
+{%- if service.reason %} ({{ service.reason }}){% endif %}
+{%- if service.get('retry_after') %}, \
+again in {{ service.retry_after }} s{% endif %}
+{%- for c in service.get('candidates', []) %}
+  {{ c.upstream }}  {{ c.state }}, \
+{% if c.share is defined %}{{ '%.0f' % (c.share * 100) }}% of choices, \
+{% endif %}{{ c.failure_domain }}, \
+{{ c.expected_requests }} requests for {{ c.slots }} slots \
+({{ c.own_requests }} own), slowdown {{ c.slowdown }}, \
+{% if c.report_age is none %}no report{% else -%}
+report {{ c.report_age }} s old{% endif %}
+{%- if c.limit is not none %}, limit {{ c.limit }}/s{% endif %}
+{%- endfor %}
+{%- endfor %}""",
     'status': """\
 store     {{ store }}
 manifest  {% if manifest.version -%}
--- a/packages/ctl/src/sillctl/router_client.py
+++ b/packages/ctl/src/sillctl/router_client.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import urllib.parse
 
 from sillctl.exceptions import RouterUnavailable
 from sillctl.snapshots import parse_exposition
@@ -11,6 +12,7 @@
 SOCKET_TIMEOUT_SECONDS = 5.0
 STATUS_PATH = '/status'
 METRICS_PATH = '/metrics'
+EXPLAIN_PATH = '/explain'
 
 
 def read_status(address):
@@ -34,6 +36,15 @@
     )
 
 
+def read_explanation(address, question):
+    """Return where the router at `host:port` would send a request, as a dict.
+
+    `question` has the parameters of the question. Raises RouterUnavailable.
+    """
+    path = f'{EXPLAIN_PATH}?{urllib.parse.urlencode(question)}'
+    return _read(address, path, 'explanation', json.loads)
+
+
 def _read(address, path, resource, decode):
     host, port = parse_address(address)
     conn = http.client.HTTPConnection(
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -6,6 +6,7 @@
 
 from bramleysill_gateway.cell_state import CellState
 from bramleysill_gateway.departures import Departures
+from bramleysill_gateway.explanation import Explainer
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.leader import LeaderElection
 from bramleysill_gateway.pacing import Pacing
@@ -196,7 +197,13 @@
         self._links.listen(*listen.peer)
         Listener(self.loop, *listen.readiness, readiness.accept)
         host = listen.peer[0]
-        Listener(self.loop, host, metrics_port, readiness.accept)
+        operations = Readiness(
+            self._adapter.readiness_path,
+            self.not_ready_reason,
+            self.metrics,
+            Explainer(self.frontend).explain,
+        )
+        Listener(self.loop, host, metrics_port, operations.accept)
         self._listener = Listener(
             self.loop, *listen.callers, self.frontend.accept
         )
--- a/tests/test_ctl_commands.py
+++ b/tests/test_ctl_commands.py
@@ -29,6 +29,15 @@
 EXAMPLE = ROOT / 'examples' / 'hsinchu.ini'
 CELL = 'tw-north-1'
 TABLE_KEY = f'cell/{CELL}/table/ledger/0'
+# A router's explanation of a request that matches no route.
+NO_ROUTE = {
+    'failure_domain': 'tw-a',
+    'config': 7,
+    'policy': 'three_choices',
+    'route': None,
+    'refusal': 'unknown_service',
+    'services': [],
+}
 # The store that `memory://` opens, under 'store'; each test sets its own.
 OPEN_STORES = {}
 
@@ -491,6 +500,11 @@
     def test_every_command_of_the_page_runs(self):
         """Guards against documented commands that fail."""
         self.patch(router_client, 'read_status', lambda address: {'ok': 1})
+        self.patch(
+            router_client,
+            'read_explanation',
+            lambda address, question: NO_ROUTE,
+        )
         self._put_example()
         self._put_table()
         self._put_leader()
