Move the encoding of a request's head out of the exchange

Change: request_head.encode_head does what Exchange._encode_head did. No behaviour changes.

Measured: test_gateway_exchange, test_upload_framing and test_caller_leaves, 27 tests, pass.

--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -13,13 +13,13 @@
 from bramleysill_gateway.limit_wait import LimitWait
 from bramleysill_gateway.owner_search import OwnerSearch
 from bramleysill_gateway.request_body import RequestBody
+from bramleysill_gateway.request_head import encode_head
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.bounded_values import parse_milliseconds
 from bramleysill_kernel.common.problems import to_problem
 from bramleysill_kernel.load.retry_rules import AttemptOutcome
 from bramleysill_kernel.load.retry_rules import may_retry
 from bramleysill_kernel.load.send_policy import Action
-from bramleysill_net.http_headers import end_to_end_fields
 
 # Reading from the caller pauses while more request bytes than this wait to be
 # sent to the upstream.
@@ -298,7 +298,12 @@
         self._attempt = attempt
         self.peer = peer
         self._streaming_request = not self._body.complete
-        head = self._encode_head(peer.entry, now)
+        head = encode_head(
+            self,
+            peer.entry,
+            self._deadline - now,
+            self._body.framing_headers(),
+        )
         attempt.start(head + self._body.encode_buffered(), self._body.complete)
         if self._attempt is attempt and not attempt.connected:
             at = min(now + CONNECT_TIMEOUT_SECONDS, self._deadline)
@@ -306,22 +311,6 @@
                 at, lambda: self._check_connected(attempt)
             )
 
-    def _encode_head(self, entry, now):
-        adapter = self.frontend.adapter
-        req = self.req
-        left = max(1, int((self._deadline - now) * 1000))
-        lines = [f'{req.method} {req.target} HTTP/1.1']
-        kept = end_to_end_fields(
-            req.headers, self.frontend.dropped_request_headers
-        )
-        lines += [f'{name}: {value}' for name, value in kept]
-        if self.request_id:
-            lines.append(f'{adapter.request_id_header}: {self.request_id}')
-        lines.append(f'{adapter.time_left_ms_header}: {left}')
-        lines.append(f'{adapter.expected_upstream_header}: {entry.upstream}')
-        lines += self._body.framing_headers()
-        return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
-
     def _check_connected(self, attempt):
         if self._attempt is not attempt or attempt.connected:
             return
