Move the receipt of a request's body out of the exchange

Cause: the exchange mixed the body's buffering, streaming and backpressure with the selection of upstreams. All of these change with the memory budget.

No behaviour changes.

--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -12,8 +12,8 @@
 from bramleysill_gateway.exchange_log import ExchangeLog
 from bramleysill_gateway.limit_wait import LimitWait
 from bramleysill_gateway.owner_search import OwnerSearch
-from bramleysill_gateway.request_body import RequestBody
 from bramleysill_gateway.request_head import encode_head
+from bramleysill_gateway.upload import Upload
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.bounded_values import parse_milliseconds
 from bramleysill_kernel.common.problems import to_problem
@@ -21,9 +21,6 @@
 from bramleysill_kernel.load.retry_rules import may_retry
 from bramleysill_kernel.load.send_policy import Action
 
-# Reading from the caller pauses while more request bytes than this wait to be
-# sent to the upstream.
-MAX_UNSENT_REQUEST_BYTES = 256 << 10
 # Added to the deadline, so that a response already in transit is accepted.
 DEADLINE_SLACK_SECONDS = 0.05
 # An attempt fails if its connection is not established within this time.
@@ -55,8 +52,7 @@
         'refused_conns',
         '_deadline',
         '_caller_deadline',
-        '_body',
-        '_streaming_request',
+        '_upload',
         '_log',
         '_attempt',
         '_attempt_count',
@@ -66,7 +62,6 @@
         '_dispatch_timer',
         '_last_failure',
         '_failed_upstreams',
-        '_dispatched',
         '_limit_wait',
     )
 
@@ -90,8 +85,7 @@
         self._deadline = now + route.max_wait
         if self._caller_deadline is not None:
             self._deadline = min(self._deadline, self._caller_deadline)
-        self._body = RequestBody(req)
-        self._streaming_request = False
+        self._upload = Upload(self)
         self._log = ExchangeLog(self)
         self._attempt = None
         self._attempt_count = 0
@@ -107,7 +101,6 @@
         self.expected_seconds = 0.0
         # Connections on which an upstream has refused this request.
         self.refused_conns = []
-        self._dispatched = False
         self._limit_wait = LimitWait(self)
         self._owner_search = OwnerSearch(self, now)
         stream.on_drained = self._on_caller_drained
@@ -126,34 +119,19 @@
         """Buffer a chunk of the request body, or send it on."""
         if self.finished:
             return
-        self._body.add_size(data)
-        if self._body.size > self.frontend.max_body_bytes:
+        size = self._upload.body.size + len(data)
+        if size > self.frontend.max_body_bytes:
             self.refuse(
                 refusals.BodyTooLarge(
                     'the request body is too large', 'receive'
                 )
             )
             return
-        if self._streaming_request:
-            self._attempt.write(self._body.encode(data))
-            if self._attempt.unsent_bytes > MAX_UNSENT_REQUEST_BYTES:
-                self.stream.pause()
-            return
-        self._body.buffer(data)
-        if self._body.exceeds_buffer and not self._dispatched:
-            self._dispatched = True
-            self.dispatch()
+        self._upload.on_data(data)
 
     def on_end(self):
         """Handle the end of the request body."""
-        self._body.complete = True
-        if self.finished:
-            return
-        if self._streaming_request:
-            self._attempt.end(self._body.encode_end())
-        if not self._dispatched:
-            self._dispatched = True
-            self.dispatch()
+        self._upload.on_end()
 
     def on_abort(self, exc):
         """Cancel the attempt: the caller has closed its connection."""
@@ -271,13 +249,11 @@
 
     def pause_body(self):
         """Stop reading a body that is too large to be buffered."""
-        if self._body.exceeds_buffer:
-            self.stream.pause()
+        self._upload.pause()
 
     def resume_body(self):
         """Read on after `pause_body`."""
-        if self._body.exceeds_buffer:
-            self.stream.resume()
+        self._upload.resume()
 
     def _passes_slow_start(self, peer, now):
         if peer.cold_until <= now:
@@ -297,14 +273,11 @@
         )
         self._attempt = attempt
         self.peer = peer
-        self._streaming_request = not self._body.complete
-        head = encode_head(
-            self,
-            peer.entry,
-            self._deadline - now,
-            self._body.framing_headers(),
+        framing = self._upload.body.framing_headers()
+        self._upload.start(
+            attempt,
+            encode_head(self, peer.entry, self._deadline - now, framing),
         )
-        attempt.start(head + self._body.encode_buffered(), self._body.complete)
         if self._attempt is attempt and not attempt.connected:
             at = min(now + CONNECT_TIMEOUT_SECONDS, self._deadline)
             self._connect_timer = self.frontend.loop.scheduler.call_at(
@@ -345,7 +318,7 @@
             attempt.peer.load.note_full(now)
         self._failed_upstreams.add(attempt.peer.entry.upstream)
         left = self._deadline - now
-        if self._streaming_request or not may_retry(
+        if self._upload.streaming or not may_retry(
             self.route, attempt.outcome, self._attempt_count, left
         ):
             self.give_up(self._refusal_after_attempts('no_more_attempts'))
@@ -385,8 +358,8 @@
 
     def on_request_drained(self):
         """Resume reading the body: the send buffer upstream is empty."""
-        if self._streaming_request and not self.finished:
-            self.stream.resume()
+        if not self.finished:
+            self._upload.on_drained()
 
     def _on_caller_drained(self):
         if self._attempt is not None:
@@ -487,7 +460,7 @@
 
     def _finish(self, outcome, status):
         self.finished = True
-        self._body.clear()
+        self._upload.close()
         for timer in (
             self._deadline_timer,
             self._connect_timer,
