Count queued bytes as they are held, and free streamed chunks

Cause: a body or response that came in chunks of one byte took 40 times what was counted, in the exchange as well as in send queues. An upload kept the first 1 MiB after streaming had begun, when no retry could use it, and each attempt joined the chunks into a second copy.

The exchange frees its chunks when streaming begins, and an attempt sends them without a copy.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -8,6 +8,7 @@
 
 from bramleysill_kernel.common.bounded_values import parse_milliseconds
 from bramleysill_kernel.load.retry_rules import AttemptOutcome
+from bramleysill_net.chunk_buffer import ChunkBuffer
 from bramleysill_net.http_headers import end_to_end_fields
 from bramleysill_net.http_headers import first_value
 from bramleysill_net.http_headers import keep_alive_seconds
@@ -43,7 +44,7 @@
         '_backlog',
         '_headers',
         '_chunks',
-        '_size',
+        '_skipped_bytes',
         '_length',
         '_usable',
         '_streaming',
@@ -66,15 +67,16 @@
         self.sent_at = 0.0
         self._backlog = 0.0
         self._headers = []
-        self._chunks = []
-        self._size = 0
+        self._chunks = ChunkBuffer()
+        # Bytes of the body of an unusable response.
+        self._skipped_bytes = 0
         self._length = None
         self._usable = False
         self._streaming = False
         self._ended = False
 
-    def start(self, data, complete):
-        """Send the encoded header and the body received so far.
+    def start(self, head, chunks, complete):
+        """Send the encoded header and the chunks received of the body.
 
         If the body is not `complete`, `write` and `end` send the rest.
         """
@@ -86,7 +88,7 @@
         self._conn, self._reused = self.peer.pool.acquire(
             self._exchange.refused_conns
         )
-        self._conn.request(data, self, complete=complete)
+        self._conn.request(head, self, complete=complete, body=chunks)
 
     def write(self, data):
         """Send another chunk of the body."""
@@ -181,8 +183,7 @@
                 self._conn.pause()
             return
         self._chunks.append(data)
-        self._size += len(data)
-        if self._size > MAX_BUFFERED_RESPONSE_BYTES:
+        if self._chunks.size > MAX_BUFFERED_RESPONSE_BYTES:
             self._start_streaming()
 
     def on_end(self):
@@ -203,7 +204,7 @@
             self._exchange.on_stream_end()
         else:
             self._exchange.on_response(
-                self.status, self._response_headers(), b''.join(self._chunks)
+                self.status, self._response_headers(), self._chunks.join()
             )
 
     def on_failure(self, exc):
@@ -280,8 +281,8 @@
 
     def _skip_body(self, data):
         """Skip the body of an unusable response, unless it is too large."""
-        self._size += len(data)
-        if self._size <= MAX_BUFFERED_RESPONSE_BYTES or self._ended:
+        self._skipped_bytes += len(data)
+        if self._skipped_bytes <= MAX_BUFFERED_RESPONSE_BYTES or self._ended:
             return
         self._end()
         self._conn.abort()
@@ -296,8 +297,7 @@
         self._exchange.on_stream_start(
             self.status, self._response_headers(), self._length
         )
-        chunks, self._chunks = self._chunks, []
-        for data in chunks:
+        for data in self._chunks.take():
             self._exchange.on_stream_data(data)
 
     def _response_headers(self):
--- a/packages/gateway/src/bramleysill_gateway/request_body.py
+++ b/packages/gateway/src/bramleysill_gateway/request_body.py
@@ -5,20 +5,22 @@
 that they match the framing that the head announces.
 """
 
+from bramleysill_net.chunk_buffer import ChunkBuffer
+
 # A body up to this size is buffered, so that the request can be retried; a
 # larger one is streamed as it arrives.
 MAX_BUFFERED_BODY_BYTES = 1 << 20
 
 
 class RequestBody:
-    """The chunks buffered so far; `size` includes streamed chunks."""
+    """What is buffered of a body; `size` includes streamed chunks."""
 
-    __slots__ = ('chunks', 'size', 'complete', '_req', '_is_chunked')
+    __slots__ = ('size', 'complete', '_buffered', '_req', '_is_chunked')
 
     def __init__(self, req):
-        self.chunks = []
         self.size = 0
         self.complete = not req.has_body
+        self._buffered = ChunkBuffer()
         self._req = req
         # Whether the current attempt sends the body in chunks.
         self._is_chunked = False
@@ -34,11 +36,11 @@
 
     def buffer(self, data):
         """Keep a chunk that `add_size` has counted."""
-        self.chunks.append(data)
+        self._buffered.append(data)
 
     def clear(self):
         """Free the buffered chunks."""
-        self.chunks = []
+        self._buffered.clear()
 
     def framing_headers(self):
         """Decide the framing of an attempt; return its header lines.
@@ -57,8 +59,8 @@
         return [f'Content-Length: {req.length}']
 
     def encode_buffered(self):
-        """Return the framed bytes of the chunks buffered so far."""
-        return b''.join(self.encode(data) for data in self.chunks)
+        """Return the framed chunks that are buffered, without copying them."""
+        return [self.encode(data) for data in self._buffered.chunks()]
 
     def encode(self, data):
         """Return the framed bytes of a chunk."""
--- a/packages/gateway/src/bramleysill_gateway/upload.py
+++ b/packages/gateway/src/bramleysill_gateway/upload.py
@@ -54,7 +54,10 @@
         """Send the head and what was received of the body."""
         self._attempt = attempt
         self.streaming = not self.body.complete
-        attempt.start(head + self.body.encode_buffered(), self.body.complete)
+        attempt.start(head, self.body.encode_buffered(), self.body.complete)
+        if self.streaming:
+            # No retry can use them any more.
+            self.body.clear()
 
     def pause(self):
         """Stop reading a body that is too large to be buffered."""
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -13,6 +13,9 @@
 # Also limits chunk extensions, trailers and interim responses: anything that
 # is received without a byte of the response's body.
 MAX_RESPONSE_HEAD_BYTES = 65536
+# The head and the start of the body are sent in one write up to this size;
+# larger bodies are not copied.
+MAX_JOINED_REQUEST_BYTES = 16384
 # Limit for the bodies of responses that belong to earlier requests.
 MAX_DISCARDED_BODY_BYTES = 1 << 20
 
@@ -96,12 +99,13 @@
         """Return the number of bytes that the kernel has not accepted yet."""
         return self.conn.buffered + sum(len(d) for d in self._unsent)
 
-    def request(self, data, sink, head_only=False, complete=True):
+    def request(self, data, sink, head_only=False, complete=True, body=()):
         """Send an encoded request; `sink` receives the response.
 
-        `data` is the head with all, part or none of the body. If it is not
-        `complete`, `write` sends the rest and `end_request` follows.
-        `head_only` means that the response has no body, as for HEAD.
+        `data` is the head with all, part or none of the body, and `body` are
+        chunks that follow it. If they are not `complete`, `write` sends the
+        rest and `end_request` follows. `head_only` means that the response
+        has no body, as for HEAD.
         """
         self.busy = True
         self._sink = sink
@@ -119,7 +123,13 @@
         self._parser = httptools.HttpResponseParser(self)
         # The previous exchange may have ended while reading was paused.
         self.conn.resume()
+        if body and len(data) + len(body[0]) <= MAX_JOINED_REQUEST_BYTES:
+            # One packet and one call for a small request.
+            data += body[0]
+            body = body[1:]
         self.write(data)
+        for chunk in body:
+            self.write(chunk)
 
     def write(self, data):
         """Send part of the request, or queue it until connected."""
--- a/packages/net/src/bramleysill_net/response_stream.py
+++ b/packages/net/src/bramleysill_net/response_stream.py
@@ -4,10 +4,10 @@
 response while an earlier one is incomplete is held back.
 """
 
-import collections
-
 from absl import logging
 
+from bramleysill_net.chunk_buffer import ChunkBuffer
+
 _REASON_PHRASES = {
     100: 'Continue',
     200: 'OK',
@@ -55,7 +55,6 @@
         '_server_conn',
         '_req',
         '_held',
-        '_held_bytes',
         '_is_first',
         'started',
         'finished',
@@ -72,8 +71,7 @@
         # Whether the connection must be reset at this response.
         self.aborted = False
         # Data that waits until all earlier responses are complete.
-        self._held = collections.deque()
-        self._held_bytes = 0
+        self._held = ChunkBuffer()
         self._is_first = is_first
         self._server_conn = server
         self._req = req
@@ -96,7 +94,7 @@
     def buffered(self):
         """Return the number of bytes that the kernel has not accepted yet."""
         if not self._is_first:
-            return self._held_bytes
+            return self._held.size
         return self._server_conn.conn.buffered
 
     @property
@@ -220,9 +218,9 @@
     def become_first(self):
         """Send what was held back; all earlier responses are complete."""
         self._is_first = True
-        self._held_bytes = 0
-        while self._held and not self.closed:
-            self._server_conn.conn.write(self._held.popleft())
+        for data in self._held.take():
+            if not self.closed:
+                self._server_conn.conn.write(data)
         if not self.closed and not self._server_conn.conn.buffered:
             self.notify_drain()
 
@@ -231,4 +229,3 @@
             self._server_conn.conn.write(data)
             return
         self._held.append(data)
-        self._held_bytes += len(data)
--- a/tests/test_upload_framing.py
+++ b/tests/test_upload_framing.py
@@ -65,7 +65,7 @@
     def _start(self, body):
         lines = ['POST / HTTP/1.1', 'Host: h', *body.framing_headers()]
         head = '\r\n'.join(lines) + '\r\n\r\n'
-        return head.encode() + body.encode_buffered()
+        return head.encode() + b''.join(body.encode_buffered())
 
 
 class _RecordingUpstream:
@@ -229,3 +229,30 @@
         upstream.make_response = signed_response
         self.assertEqual(200, self.request('/write/2', body=b'short')[0])
         self.assertTrue(upstream.requests[1].startswith('POST /write/2 '))
+
+
+class StreamedBufferTest(GatewayTestCase):
+    def test_chunks_are_freed_when_streaming_begins(self):
+        """Guards against 1 MiB of each upload that nobody can use any more.
+
+        A streamed request is not retried, so what was buffered is only
+        needed until it is sent.
+        """
+        self.state.config.limits.body_bytes = MAX_BODY_BYTES
+        self.add_upstream('u1', lambda request_id: 'no_response')
+        conn = HttpClientConn(self.loop, *self.listener.address)
+        self.addCleanup(conn.abort)
+        conn.request(
+            f'POST /write/1 HTTP/1.1\r\nHost: h\r\n{REQUEST_ID_HEADER}: r1\r\n'
+            f'Content-Length: {2 * UPLOAD_BYTES}\r\n\r\n'.encode(),
+            ResponseCollector(lambda *response: None),
+        )
+        conn.write(b'x' * UPLOAD_BYTES)
+
+        def is_streaming():
+            uploads = [e._upload for e in self.frontend.active_exchanges]
+            return any(upload.streaming for upload in uploads)
+
+        self.assertTrue(self.loop.run_until(is_streaming, TIMEOUT_SECONDS))
+        (exchange,) = self.frontend.active_exchanges
+        self.assertEqual([], exchange._upload.body.encode_buffered())
