Bound the unread responses of one caller connection

Cause: a caller that pipelines requests and does not read got the response to each into the send buffer, without bound. A connection whose caller stopped reading was closed only after the rest was sent, which is never.

Change: the next request waits while more than 256 KiB are unsent. A connection without progress for the idle timeout is reset. A response stream tells when none of its bytes is held any more, and the read size of a connection can be set; the memory budget needs both.

--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -37,16 +37,22 @@
 class _IdleTime:
     """Since when a caller connection is idle, as seen by periodic checks."""
 
-    __slots__ = ('_since', '_request_count')
+    __slots__ = ('_since', '_request_count', '_unsent')
 
     def __init__(self, now):
         self._since = now
         self._request_count = 0
+        self._unsent = 0
 
     def since(self, server, now):
-        """Return since when the connection is idle; `now` if it was used."""
-        if not server.idle or server.request_count != self._request_count:
-            self._request_count = server.request_count
+        """Return since when the connection is idle; `now` if it was used.
+
+        It is used while the caller reads the rest of a response.
+        """
+        seen = server.request_count, server.conn.buffered
+        busy = not server.idle and not server.awaits_reader
+        if busy or seen != (self._request_count, self._unsent):
+            self._request_count, self._unsent = seen
             self._since = now
         return self._since
 
@@ -129,7 +135,12 @@
         now = self.loop.now()
         timeout = limits.idle_timeout_seconds + IDLE_CLOSE_MARGIN_SECONDS
         for server, idle_time in list(self._conns.items()):
-            if now >= idle_time.since(server, now) + timeout:
+            if now < idle_time.since(server, now) + timeout:
+                continue
+            if server.conn.buffered:
+                # The caller has stopped reading; a close would wait for it.
+                server.conn.abort()
+            else:
                 server.conn.close()
 
     def close_idle(self):
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -44,6 +44,7 @@
         'peer',
         'buffered',
         'closed',
+        'max_read_bytes',
         '_sock',
         '_fileno',
         '_send_queue',
@@ -61,6 +62,8 @@
         self.peer = peer
         self.buffered = 0
         self.closed = False
+        # How much is read at once.
+        self.max_read_bytes = MAX_READ_BYTES
         self._sock = sock
         self._fileno = sock.fileno()
         self._send_queue = collections.deque()
@@ -246,8 +249,9 @@
         """Return whether more data may be available."""
         if self.closed or not self._reading or self._connecting:
             return False
+        size = self.max_read_bytes
         try:
-            data = self._sock.recv(MAX_READ_BYTES)
+            data = self._sock.recv(size)
         except OSError as exc:
             if exc.errno not in _RETRYABLE_ERRNOS:
                 self._close_socket(exc)
@@ -256,7 +260,7 @@
             self._close_socket(None)
             return False
         self.protocol.on_data(data)
-        return len(data) == MAX_READ_BYTES
+        return len(data) == size
 
     def _send(self, data):
         """Return the number of bytes sent, or None if the write failed."""
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -145,6 +145,10 @@
         """Record that the whole request was written."""
         self._request_complete = True
 
+    def set_read_size(self, size):
+        """Read at most this many bytes at once."""
+        self.conn.max_read_bytes = size
+
     def pause(self):
         """Pause reading the response."""
         self.conn.pause()
--- a/packages/net/src/bramleysill_net/http_server.py
+++ b/packages/net/src/bramleysill_net/http_server.py
@@ -22,6 +22,10 @@
 from bramleysill_net.response_stream import ResponseStream
 from bramleysill_net.response_stream import encode_head
 
+# The next request waits while more bytes of earlier responses than this are
+# unsent. A caller that pipelines and does not read is held up by that.
+MAX_UNSENT_RESPONSE_BYTES = 256 << 10
+
 __all__ = [
     'MAX_HEADERS',
     'MAX_HEAD_BYTES',
@@ -57,6 +61,7 @@
         '_parser',
         '_max_concurrent',
         '_streams',
+        '_unflushed',
         '_body_complete',
         '_closing',
         '_delivering',
@@ -71,6 +76,8 @@
         self._max_concurrent = max_concurrent
         # Responses in progress, in the order of their requests.
         self._streams = collections.deque()
+        # Complete responses with bytes in the send buffer.
+        self._unflushed = []
         # Whether the last request of these was read to its end.
         self._body_complete = False
         self._closing = False
@@ -90,14 +97,18 @@
         self._deliver_events()
 
     def on_drain(self):
-        """Notify the first response that the send buffer is empty."""
+        """Notify the responses that the send buffer is empty."""
+        self._notify_flushed()
         if self._streams:
             self._streams[0].notify_drain()
+        if self._parser.events:
+            self._deliver_events()
 
     def on_close(self, exc):
         """Abort the requests in progress."""
         self._parser.events.clear()
         self._abort_streams(exc)
+        self._notify_flushed()
         self.handler.on_disconnect(self)
 
     # Called by the response stream.
@@ -116,6 +127,7 @@
             if not first.finished:
                 break
             self._streams.popleft()
+            self._note_written(first)
             if not first.keeps_connection:
                 self._close_after(first)
                 return
@@ -124,6 +136,11 @@
         self.idle = not self._streams and not self._parser.events
         self._deliver_events()
 
+    @property
+    def awaits_reader(self):
+        """Return whether only the caller's reading is outstanding."""
+        return not self._streams and self.conn.buffered > 0
+
     def resume_body(self):
         """Resume reading the body of the request in progress."""
         if not self._body_complete:
@@ -139,13 +156,27 @@
             if kind == HEAD:
                 value.arrived_at = self.conn.now()
 
+    def _note_written(self, stream):
+        """Handle a complete response, which may be in the send buffer."""
+        if self.conn.buffered:
+            self._unflushed.append(stream)
+        else:
+            stream.notify_flushed()
+
+    def _notify_flushed(self):
+        streams, self._unflushed = self._unflushed, []
+        for stream in streams:
+            stream.notify_flushed()
+
     def _may_deliver(self):
         """Return whether the next event may be handled now."""
         if self._closing or not self._parser.events:
             return False
+        kind, value = self._parser.events[0]
+        if kind == HEAD and self.conn.buffered > MAX_UNSENT_RESPONSE_BYTES:
+            return False
         if not self._streams or not self._body_complete:
             return True
-        kind, value = self._parser.events[0]
         return (
             kind == HEAD
             and not value.has_body
@@ -256,6 +287,7 @@
             sink, stream.sink = stream.sink, None
             if sink is not None and not stream.finished:
                 sink.on_abort(exc)
+            stream.notify_flushed()
 
     def _close_lingering(self):
         # Closing a socket with unread bytes resets the connection, and the
--- a/packages/net/src/bramleysill_net/response_stream.py
+++ b/packages/net/src/bramleysill_net/response_stream.py
@@ -46,6 +46,8 @@
     Writes are ignored after the response is complete or the connection has
     closed, so that late data cannot become part of another response. If
     `on_drained` is set, it is called when the send buffer has become empty.
+    If `on_flushed` is set, it is called once when no byte of the response is
+    held any more: the kernel has accepted all, or the connection has closed.
     `sink` receives the request's body.
     """
 
@@ -60,6 +62,7 @@
         'finished',
         'closed',
         'on_drained',
+        'on_flushed',
         '_chunked',
         '_remaining_bytes',
         '_keep_alive',
@@ -79,6 +82,7 @@
         self.finished = False
         self.closed = False
         self.on_drained = None
+        self.on_flushed = None
         self._chunked = False
         # Body bytes still to be written; None without a Content-Length.
         self._remaining_bytes = None
@@ -215,6 +219,12 @@
         if self.on_drained is not None:
             self.on_drained()
 
+    def notify_flushed(self):
+        """Call `on_flushed` once, if set."""
+        callback, self.on_flushed = self.on_flushed, None
+        if callback is not None:
+            callback()
+
     def become_first(self):
         """Send what was held back; all earlier responses are complete."""
         self._is_first = True
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -21,6 +21,7 @@
 URGENT = 0
 LESS_URGENT = 2
 MB = 1_000_000
+SLOW_PER_STEP = 5
 
 
 class BudgetBytesTest(testtools.TestCase):
@@ -249,13 +250,13 @@
             else:
                 counts[kind][1] += 1
 
-        for step in range(seconds * 100):
+        for _ in range(seconds * 100):
             now = clock.now()
             for end, memory in list(ends):
                 if end <= now:
                     memory.close()
                     ends.remove((end, memory))
-            for _ in range(5):
+            for _ in range(SLOW_PER_STEP):
                 arrive('slow', priority_of_slow, 0, 10.0)
             arrive('urgent', URGENT, 4000, 0.05)
             most = max(most, budget.held)
