Reserve memory at the head of a request, and refuse without room

Cause: a router held up to 1 MiB of each upload and the unread part of each response, whatever the sum. With more slow callers than its memory allows it is killed, with all its requests. A body that waited for the owner of its key or for the limit of an upstream was read on, up to 64 MiB.

Change: with memory_mb in the settings, each request reserves room for its body up to 1 MiB and for a small response at its head. Without room it is refused with 503 memory_full and Retry-After. Beyond that, bytes are read only into reserved memory; otherwise the body or response is streamed in small steps and the faster side paused. A full body is not read while the request waits. All is released when the last byte of the response is sent or the connection has closed.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -17,9 +17,6 @@
 MAX_BUFFERED_RESPONSE_BYTES = 128 << 10
 # Statuses that tell the caller that its request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-# Reading from the upstream pauses while the caller has more response bytes
-# than this unread.
-MAX_UNREAD_RESPONSE_BYTES = 256 << 10
 
 
 class Attempt:
@@ -46,6 +43,7 @@
         '_chunks',
         '_skipped_bytes',
         '_length',
+        '_received_bytes',
         '_usable',
         '_streaming',
         '_ended',
@@ -71,6 +69,7 @@
         # Bytes of the body of an unusable response.
         self._skipped_bytes = 0
         self._length = None
+        self._received_bytes = 0
         self._usable = False
         self._streaming = False
         self._ended = False
@@ -88,6 +87,7 @@
         self._conn, self._reused = self.peer.pool.acquire(
             self._exchange.refused_conns
         )
+        self._conn.set_read_size(self._exchange.memory.first_read_size)
         self._conn.request(head, self, complete=complete, body=chunks)
 
     def write(self, data):
@@ -178,12 +178,13 @@
         if not self._usable:
             self._skip_body(data)
             return
+        self._received_bytes += len(data)
         if self._streaming:
-            if self._exchange.on_stream_data(data) > MAX_UNREAD_RESPONSE_BYTES:
-                self._conn.pause()
+            self._read_on(self._exchange.on_stream_data(data))
             return
         self._chunks.append(data)
-        if self._chunks.size > MAX_BUFFERED_RESPONSE_BYTES:
+        held = self._chunks.size
+        if held > MAX_BUFFERED_RESPONSE_BYTES or not self._read_on(held):
             self._start_streaming()
 
     def on_end(self):
@@ -235,7 +236,7 @@
 
     def resume(self):
         """Resume reading: the caller has read what was forwarded."""
-        if not self._ended and self._streaming:
+        if not self._ended and self._streaming and self._read_on(0):
             self._conn.resume()
 
     # Internal.
@@ -297,8 +298,26 @@
         self._exchange.on_stream_start(
             self.status, self._response_headers(), self._length
         )
+        held = 0
         for data in self._chunks.take():
-            self._exchange.on_stream_data(data)
+            held = self._exchange.on_stream_data(data)
+        self._read_on(held)
+
+    def _read_on(self, held):
+        """Set how much to read next; return false if that is nothing.
+
+        `held` bytes of the response wait for the caller. If reading must not
+        go on, it is paused until the caller has read them.
+        """
+        remaining = None
+        if self._length is not None:
+            remaining = max(0, self._length - self._received_bytes)
+        size = self._exchange.memory.response_read_size(held, remaining)
+        if size:
+            self._conn.set_read_size(size)
+        elif self._streaming:
+            self._conn.pause()
+        return size > 0
 
     def _response_headers(self):
         return end_to_end_fields(
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -50,9 +50,11 @@
         'peer',
         'expected_seconds',
         'refused_conns',
+        'memory',
         '_deadline',
         '_caller_deadline',
         '_upload',
+        '_has_memory',
         '_log',
         '_attempt',
         '_attempt_count',
@@ -85,7 +87,11 @@
         self._deadline = now + route.max_wait
         if self._caller_deadline is not None:
             self._deadline = min(self._deadline, self._caller_deadline)
-        self._upload = Upload(self)
+        # The RequestMemory of this request; see `check_memory`.
+        self.memory, self._has_memory = frontend.memory.open(
+            req, route.priority
+        )
+        self._upload = Upload(self, self.memory)
         self._log = ExchangeLog(self)
         self._attempt = None
         self._attempt_count = 0
@@ -104,6 +110,7 @@
         self._limit_wait = LimitWait(self)
         self._owner_search = OwnerSearch(self, now)
         stream.on_drained = self._on_caller_drained
+        stream.on_flushed = self.memory.close
         self._deadline_timer = frontend.loop.scheduler.call_at(
             self._deadline + DEADLINE_SLACK_SECONDS, self._on_deadline
         )
@@ -113,6 +120,14 @@
         seconds = parse_milliseconds(text)
         return None if seconds is None else now + seconds
 
+    def check_memory(self):
+        """Refuse the request if the router has no memory for it."""
+        if not self._has_memory:
+            refusal = self.frontend.memory.refuse(
+                self.memory, self.bound_retry_after
+            )
+            self.refuse(refusal)
+
     # Events from the caller.
 
     def on_body(self, data):
@@ -197,7 +212,7 @@
         """Send the request to an upstream that has room for it in time."""
         decision = self.frontend.check_admission(peer, now, self)
         if decision.action is Action.WAIT:
-            self._wait_until(now + decision.retry_after)
+            self.dispatch_at(now + decision.retry_after)
             return
         if decision.action is not Action.SEND:
             self._refuse_not_admitted(peer, decision)
@@ -237,24 +252,6 @@
             min(at, self._deadline), callback
         )
 
-    def _wait_until(self, at):
-        """Dispatch the request later, and read no more of its body until."""
-        self.pause_body()
-
-        def dispatch():
-            self.resume_body()
-            self.dispatch()
-
-        self.call_at(at, dispatch)
-
-    def pause_body(self):
-        """Stop reading a body that is too large to be buffered."""
-        self._upload.pause()
-
-    def resume_body(self):
-        """Read on after `pause_body`."""
-        self._upload.resume()
-
     def _passes_slow_start(self, peer, now):
         if peer.cold_until <= now:
             return True
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -4,6 +4,7 @@
 import math
 
 from bramleysill_gateway.exchange import Exchange
+from bramleysill_gateway.router_memory import RouterMemory
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.problems import to_problem
 from bramleysill_kernel.config.routing_config import TrafficSplitter
@@ -72,6 +73,7 @@
         announcer,
         adapter,
         metrics,
+        memory=None,
     ):
         self.loop = loop
         self.state = state
@@ -80,6 +82,8 @@
         self.departures = departures
         self.announcer = announcer
         self.adapter = adapter
+        # The RouterMemory of the process; without one, nothing is refused.
+        self.memory = memory or RouterMemory(loop, None, metrics)
         self.active_exchanges = set()
         # Phases of a shutdown: while draining, each connection closes after
         # its next response; later, new requests are also refused.
@@ -222,6 +226,8 @@
         if exchange.time_left(now) > self.stop_at - now:
             # It could still run when the process stops.
             exchange.refuse(_make_shutdown_refusal())
+        else:
+            exchange.check_memory()
         return exchange
 
     def _refuse_before_exchange(self, stream, refusal, request_id, version):
--- a/packages/gateway/src/bramleysill_gateway/limit_wait.py
+++ b/packages/gateway/src/bramleysill_gateway/limit_wait.py
@@ -44,7 +44,6 @@
         if peer.limit_room_at - now > max_wait:
             self._on_full(peer)
             return False
-        exchange.pause_body()
         exchange.frontend.pacing.ask(
             peer.entry,
             max_wait,
@@ -56,7 +55,6 @@
         exchange = self._exchange
         if exchange.finished:
             return
-        exchange.resume_body()
         at = exchange.frontend.loop.now() + decision.delay
         if not decision.permitted:
             peer.limit_room_at = at
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -12,12 +12,14 @@
 from bramleysill_gateway.range_announcer import RangeAnnouncer
 from bramleysill_gateway.readiness import Readiness
 from bramleysill_gateway.registration import Registration
+from bramleysill_gateway.router_memory import RouterMemory
 from bramleysill_gateway.store_feed import StoreFeeder
 from bramleysill_gateway.takeover import Takeover
 from bramleysill_gateway.upstreams import Upstreams
 from bramleysill_kernel.common import messages
 from bramleysill_kernel.common.exceptions import SillError
 from bramleysill_kernel.election.leadership import is_preferred_leader
+from bramleysill_kernel.load.memory_budget import budget_bytes
 from bramleysill_net.conn import Listener
 from bramleysill_net.loop import Loop
 from bramleysill_router.logs import log_event
@@ -133,6 +135,9 @@
         )
         self._departures = Departures(self.loop, cfg.name, self.state)
         self._announcer = RangeAnnouncer(self.loop, cfg.name)
+        self._memory = RouterMemory(
+            self.loop, budget_bytes(cfg.memory_mb), self.metrics
+        )
         self.frontend = Frontend(
             self.loop,
             self._rng,
@@ -144,6 +149,7 @@
             self._announcer,
             self._adapter,
             self.metrics,
+            self._memory,
         )
         self.state.on_tables_changed = self.frontend.on_tables_changed
         self.leader = LeaderElection(
@@ -244,6 +250,7 @@
         self._note_loop_lateness()
         self.frontend.sweep()
         self._upstreams.sweep()
+        self._memory.sweep()
         self._pacing.sweep()
         self.leader.sweep()
 
--- a/packages/gateway/src/bramleysill_gateway/request_body.py
+++ b/packages/gateway/src/bramleysill_gateway/request_body.py
@@ -7,10 +7,6 @@
 
 from bramleysill_net.chunk_buffer import ChunkBuffer
 
-# A body up to this size is buffered, so that the request can be retried; a
-# larger one is streamed as it arrives.
-MAX_BUFFERED_BODY_BYTES = 1 << 20
-
 
 class RequestBody:
     """What is buffered of a body; `size` includes streamed chunks."""
@@ -25,11 +21,6 @@
         # Whether the current attempt sends the body in chunks.
         self._is_chunked = False
 
-    @property
-    def exceeds_buffer(self):
-        """Return whether the body is too large to be buffered."""
-        return self.size > MAX_BUFFERED_BODY_BYTES
-
     def add_size(self, data):
         """Add the length of a received chunk to `size`."""
         self.size += len(data)
--- a/packages/gateway/src/bramleysill_gateway/upload.py
+++ b/packages/gateway/src/bramleysill_gateway/upload.py
@@ -1,44 +1,56 @@
 """Receives the body of a request and passes it to the upstream.
 
-The body is buffered up to a limit, so that the request can be retried. A
-larger one is streamed to the upstream as it arrives, with backpressure.
+The body is buffered as far as its memory allows, so that the request can be
+retried. A larger one is streamed to the upstream as it arrives, with
+backpressure.
 """
 
 from bramleysill_gateway.request_body import RequestBody
 
-# Reading from the caller pauses while more request bytes than this wait to be
-# sent to the upstream.
-MAX_UNSENT_REQUEST_BYTES = 256 << 10
-
 
 class Upload:
     """The body of one request.
 
-    It calls `exchange.dispatch` once, as soon as the body is complete or
-    too large to be buffered.
+    It calls `exchange.dispatch` once, as soon as the body is complete or no
+    more of it may be buffered. In the latter case the body is not read on
+    until it is sent. `memory` is the RequestMemory of the request.
     """
 
-    __slots__ = ('body', 'streaming', '_exchange', '_attempt', '_dispatched')
+    __slots__ = (
+        'body',
+        'streaming',
+        '_exchange',
+        '_memory',
+        '_attempt',
+        '_dispatched',
+    )
 
-    def __init__(self, exchange):
+    def __init__(self, exchange, memory):
         self.body = RequestBody(exchange.req)
         # Whether the body is sent on as it arrives; no retry is possible.
         self.streaming = False
         self._exchange = exchange
+        self._memory = memory
         self._attempt = None
         self._dispatched = False
 
+    @property
+    def size(self):
+        """Return the length of the body, as far as it is known."""
+        return max(self._exchange.req.length, self.body.size)
+
     def on_data(self, data):
         """Buffer a chunk, or send it on."""
         body = self.body
         body.add_size(data)
         if self.streaming:
             self._attempt.write(body.encode(data))
-            if self._attempt.unsent_bytes > MAX_UNSENT_REQUEST_BYTES:
+            if not self._memory.may_send_more(self._attempt.unsent_bytes):
                 self._exchange.stream.pause()
             return
         body.buffer(data)
-        if body.exceeds_buffer:
+        if not self._memory.may_buffer(body.size):
+            self._exchange.stream.pause()
             self._dispatch()
 
     def on_end(self):
@@ -48,6 +60,10 @@
             return
         if self.streaming:
             self._attempt.end(self.body.encode_end())
+            if not self._attempt.unsent_bytes:
+                self._memory.end_request()
+        else:
+            self._memory.note_buffered(self.body.size)
         self._dispatch()
 
     def start(self, attempt, head):
@@ -55,28 +71,27 @@
         self._attempt = attempt
         self.streaming = not self.body.complete
         attempt.start(head, self.body.encode_buffered(), self.body.complete)
-        if self.streaming:
-            # No retry can use them any more.
-            self.body.clear()
-
-    def pause(self):
-        """Stop reading a body that is too large to be buffered."""
-        if self.body.exceeds_buffer:
-            self._exchange.stream.pause()
-
-    def resume(self):
-        """Read on after `pause`."""
-        if self.body.exceeds_buffer:
+        if not self.streaming:
+            return
+        # No retry can use them any more.
+        self.body.clear()
+        if self._memory.may_send_more(attempt.unsent_bytes):
             self._exchange.stream.resume()
 
     def on_drained(self):
         """Resume reading: the send buffer to the upstream is empty."""
-        if self.streaming:
+        if not self.streaming:
+            return
+        if self.body.complete:
+            self._memory.end_request()
+        else:
+            self._memory.note_drained()
             self._exchange.stream.resume()
 
     def close(self):
         """Free the buffered chunks; the request has ended."""
         self.body.clear()
+        self._memory.end_request()
 
     def _dispatch(self):
         if not self._dispatched:
--- a/packages/kernel/src/bramleysill_kernel/common/refusals.py
+++ b/packages/kernel/src/bramleysill_kernel/common/refusals.py
@@ -80,6 +80,12 @@
     'The connection was lost after the request was sent.',
     OUTCOME_UNKNOWN,
 )
+MemoryFull = _refusal(
+    'MemoryFull',
+    'memory_full',
+    503,
+    'The router holds as many bytes for requests as it may.',
+)
 ShuttingDown = _refusal(
     'ShuttingDown', 'shutting_down', 503, 'The router is shutting down.'
 )
--- a/packages/kernel/src/bramleysill_kernel/config/node_settings.py
+++ b/packages/kernel/src/bramleysill_kernel/config/node_settings.py
@@ -91,6 +91,7 @@
         'timings',
         'link_mbps',
         'cores',
+        'memory_mb',
     )
 
     def __init__(
@@ -105,6 +106,7 @@
         bounds,
         link_mbps,
         cores,
+        memory_mb=None,
     ):
         self.name = name
         self.failure_domain = failure_domain
@@ -118,6 +120,8 @@
         # Resources of the machine: its network link and its share of cores.
         self.link_mbps = link_mbps
         self.cores = cores
+        # Limit of the process in megabytes, or None; beyond it, it is killed.
+        self.memory_mb = memory_mb
 
     def apply_bounds(self, other):
         """Apply the bounds of newly read settings."""
--- a/packages/router/src/bramleysill_router/metrics.py
+++ b/packages/router/src/bramleysill_router/metrics.py
@@ -63,6 +63,14 @@
         Gauge,
         'Longest delay of a timer within the last second.',
     ),
+    'bramleysill_memory_budget_bytes': (
+        Gauge,
+        'Bytes that may be held for callers and peers; 0 without a limit.',
+    ),
+    'bramleysill_memory_held_bytes': (
+        Gauge,
+        'Bytes reserved for callers and peers, by kind.',
+    ),
     'bramleysill_manifest_version': (Gauge, 'Version of the manifest in use.'),
     'bramleysill_units': (Gauge, 'Units by condition.'),
 }
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -287,6 +287,21 @@
         self.assertEqual(6.0, cfg.bounds.shutdown_grace)
         self.assertEqual([], cfg.differences(cfg))
 
+    def test_memory_limit_is_optional(self):
+        """Guards against a budget where the platform names no limit."""
+        cfg = settings.decode_settings(tomllib.loads(SETTINGS))
+        self.assertIsNone(cfg.memory_mb)
+        text = SETTINGS.replace('cores = 2\n', 'cores = 2\nmemory_mb = 160\n')
+        cfg = settings.decode_settings(tomllib.loads(text))
+        self.assertEqual(160.0, cfg.memory_mb)
+        for value in ('"160"', '-1', 'true', 'nan'):
+            malformed = text.replace('memory_mb = 160', f'memory_mb = {value}')
+            self.assertRaises(
+                fields.FieldError,
+                settings.decode_settings,
+                tomllib.loads(malformed),
+            )
+
     def test_a_missing_bound_is_an_error(self):
         """Guards against a bound that is silently zero."""
         text = SETTINGS.replace('grace = "6s"\n', '')
