Bound the bytes at an upstream that was lost with many

Cause: an upstream crashes when the requests that it holds exceed a limit that it does not disclose. The router sent the same uploads to the next process.

Change: InFlightBytes counts the bodies in flight at each process. Other requests go to another upstream, or are refused at once with step upstream_memory. Without such a loss nothing changes.

CrashedUpstreamTest has a crash over loopback.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -39,6 +39,7 @@
         '_conn',
         '_reused',
         '_backlog',
+        '_counted_bytes',
         '_headers',
         '_chunks',
         '_skipped_bytes',
@@ -64,6 +65,8 @@
         # When the attempt was started, in seconds of the loop's clock.
         self.sent_at = 0.0
         self._backlog = 0.0
+        # Bytes of the body that count as held by the upstream.
+        self._counted_bytes = 0
         self._headers = []
         self._chunks = ChunkBuffer()
         # Bytes of the body of an unusable response.
@@ -84,6 +87,7 @@
         self._backlog = self.peer.load.backlog(now)
         self.peer.load.in_flight += 1
         self.peer.requests_sent += 1
+        self._count_bytes()
         self._conn, self._reused = self.peer.pool.acquire(
             self._exchange.refused_conns
         )
@@ -93,6 +97,7 @@
     def write(self, data):
         """Send another chunk of the body."""
         if not self._ended:
+            self._count_bytes()
             self._conn.write(data)
 
     def end(self, data):
@@ -217,6 +222,10 @@
         else:
             self.outcome = AttemptOutcome.NOT_RUN
         self.reason = str(exc)
+        if self._conn.connected:
+            self.peer.in_flight_bytes.note_broken()
+        else:
+            self.peer.note_gone()
         if not self._conn.connected:
             self.reason = f'connect: {exc}'
             self.peer.load.note_unreachable(self._loop.now())
@@ -279,6 +288,7 @@
         if upstream_id and upstream_id != self.peer.entry.upstream:
             self.reason = f'replaced_by_{upstream_id}'
             self.peer.replaced = True
+            self.peer.note_gone()
 
     def _skip_body(self, data):
         """Skip the body of an unusable response, unless it is too large."""
@@ -339,6 +349,12 @@
             until = self._loop.now() + cold_seconds
             self.peer.cold_until = max(self.peer.cold_until, until)
 
+    def _count_bytes(self):
+        """Count what the upstream has to hold of the body."""
+        size = self._exchange.body_size
+        self.peer.in_flight_bytes.add(size - self._counted_bytes)
+        self._counted_bytes = size
+
     def _note_limit(self, value):
         """Record the limit that the upstream names, or that it names none.
 
@@ -358,4 +374,5 @@
     def _end(self):
         self._ended = True
         self.peer.load.in_flight -= 1
+        self.peer.in_flight_bytes.remove(self._counted_bytes)
         self.peer.pool.release()
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -14,6 +14,7 @@
 from bramleysill_gateway.owner_search import OwnerSearch
 from bramleysill_gateway.request_head import encode_head
 from bramleysill_gateway.upload import Upload
+from bramleysill_gateway.upstream_room import UpstreamRoom
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.bounded_values import parse_milliseconds
 from bramleysill_kernel.common.problems import to_problem
@@ -65,6 +66,7 @@
         '_last_failure',
         '_failed_upstreams',
         '_limit_wait',
+        '_upstream_room',
     )
 
     def __init__(self, frontend, stream, req, route, service, version):
@@ -108,6 +110,7 @@
         # Connections on which an upstream has refused this request.
         self.refused_conns = []
         self._limit_wait = LimitWait(self)
+        self._upstream_room = UpstreamRoom(self)
         self._owner_search = OwnerSearch(self, now)
         stream.on_drained = self._on_caller_drained
         stream.on_flushed = self.memory.close
@@ -157,6 +160,11 @@
             self._attempt.cancel('caller_left')
             self._log.cancelled(self._attempt)
 
+    @property
+    def body_size(self):
+        """Return the length of the body, as far as it is known."""
+        return self._upload.size
+
     def time_left(self, now):
         """Return the seconds until the deadline."""
         return self._deadline - now
@@ -186,7 +194,8 @@
 
     def _dispatch_shared(self, now):
         frontend = self.frontend
-        full_peers = self._limit_wait.full_peers
+        limited_peers = self._limit_wait.full_peers
+        full_peers = limited_peers | self._upstream_room.full_peers
         peer = self._limit_wait.permitted_peer() or frontend.choose_upstream(
             self.service,
             now,
@@ -194,8 +203,11 @@
             full_peers,
             self.route.objective,
         )
+        if peer is None and limited_peers:
+            self.refuse_limited(limited_peers)
+            return
         if peer is None and full_peers:
-            self.refuse_limited(full_peers)
+            self._upstream_room.refuse()
             return
         if peer is None:
             self.give_up(
@@ -210,6 +222,8 @@
 
     def _send_if_admitted(self, peer, now):
         """Send the request to an upstream that has room for it in time."""
+        if not self._upstream_room.has_room(peer):
+            return
         decision = self.frontend.check_admission(peer, now, self)
         if decision.action is Action.WAIT:
             self.dispatch_at(now + decision.retry_after)
@@ -285,6 +299,7 @@
         if self._attempt is not attempt or attempt.connected:
             return
         attempt.peer.load.note_unreachable(self.frontend.loop.now())
+        attempt.peer.note_gone()
         attempt.cancel('connect_timeout')
         self.on_failed(attempt)
 
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -235,6 +235,8 @@
 
     def _loop_gauges(self):
         yield 'bramleysill_loop_lateness_seconds', {}, self._loop_lateness
+        bounded = len(self._upstreams.memory_estimates.bounds())
+        yield 'bramleysill_upstreams_bounded', {}, bounded
 
     def _note_loop_lateness(self):
         self._loop_lateness = self.loop.scheduler.take_max_lateness()
--- a/packages/gateway/src/bramleysill_gateway/request_refusals.py
+++ b/packages/gateway/src/bramleysill_gateway/request_refusals.py
@@ -78,6 +78,19 @@
     )
 
 
+def upstream_memory(upstream, seconds, bound):
+    """Refuse a request whose body an upstream may not hold as well.
+
+    There should be room in `seconds`.
+    """
+    return refusals.Overloaded(
+        'the upstream was lost while it held as many bytes',
+        'upstream_memory',
+        upstream,
+        retry_after=bound(seconds),
+    )
+
+
 def not_admitted(upstream, decision, bound):
     """Refuse a request to a busy or unreachable upstream."""
     refusal_class = refusals.Overloaded
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -6,6 +6,8 @@
 from bramleysill_kernel.load.named_limits import NamedLimits
 from bramleysill_kernel.load.upstream_load import ServiceTime
 from bramleysill_kernel.load.upstream_load import UpstreamLoad
+from bramleysill_kernel.load.upstream_memory import InFlightBytes
+from bramleysill_kernel.load.upstream_memory import MemoryEstimates
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
 
@@ -20,6 +22,7 @@
         'entry',
         'load',
         'pool',
+        'in_flight_bytes',
         'cold_until',
         'replaced',
         'requests_sent',
@@ -30,10 +33,11 @@
         '_logged_sent',
     )
 
-    def __init__(self, loop, entry, service_time, limits):
+    def __init__(self, loop, entry, service_time, limits, estimates):
         self.entry = entry
         self.load = UpstreamLoad(entry.slots, service_time)
         self.pool = UpstreamPool(loop, entry.address)
+        self.in_flight_bytes = InFlightBytes(loop, entry.upstream, estimates)
         self.cold_until = entry.cold_until
         # Whether another process has responded at the address, which means
         # that this one has ended.
@@ -67,6 +71,17 @@
                 limit=-1.0 if rate is None else rate,
             )
 
+    def note_gone(self):
+        """Record that the process can't be reached, or was replaced."""
+        held = self.in_flight_bytes.note_gone()
+        if held:
+            log_warning(
+                'upstream_lost_with_bytes',
+                upstream=self.entry.upstream,
+                incarnation=self.entry.incarnation,
+                held=held,
+            )
+
     def note_malformed_limit(self, value):
         """Log the first malformed limit of the process; none applies."""
         if not self._malformed_limit:
@@ -111,6 +126,7 @@
 
     def __init__(self, loop, directory):
         self.limits = NamedLimits(loop)
+        self.memory_estimates = MemoryEstimates(loop)
         self._loop = loop
         self._directory = directory
         self._peers = {}
@@ -122,17 +138,25 @@
         key = entry.upstream, entry.incarnation
         peer = self._peers.get(key)
         if peer is None or peer.entry.address != entry.address:
+            self._note_replaced(entry.upstream)
             peer = self._peers[key] = UpstreamPeer(
                 self._loop,
                 entry,
                 self._service_times[entry.service],
                 self.limits,
+                self.memory_estimates,
             )
         if peer.entry is not entry:
             peer.entry = entry
             peer.cold_until = entry.cold_until
         return peer
 
+    def _note_replaced(self, upstream):
+        """Record that the former processes of an upstream have ended."""
+        for (name, _), peer in self._peers.items():
+            if name == upstream:
+                peer.note_gone()
+
     def service_seconds(self, service):
         """Return the average time that a request takes at a service."""
         return self._service_times[service].seconds
@@ -151,6 +175,7 @@
     def sweep(self):
         """Remove processes that have ended and close idle connections."""
         self.limits.sweep()
+        self.memory_estimates.sweep()
         for key, peer in list(self._peers.items()):
             peer.pool.sweep()
             peer.log_limited_sends()
--- a/packages/router/src/bramleysill_router/metrics.py
+++ b/packages/router/src/bramleysill_router/metrics.py
@@ -72,6 +72,10 @@
         'Bytes reserved for callers and peers, by kind.',
     ),
     'bramleysill_manifest_version': (Gauge, 'Version of the manifest in use.'),
+    'bramleysill_upstreams_bounded': (
+        Gauge,
+        'Upstreams that get fewer bytes after a loss.',
+    ),
     'bramleysill_units': (Gauge, 'Units by condition.'),
 }
 
--- a/tests/test_router_memory.py
+++ b/tests/test_router_memory.py
@@ -3,11 +3,15 @@
 import socket
 
 from bramleysill_gateway.router_memory import RouterMemory
+from bramleysill_kernel.discovery.upstream_directory import UpstreamEntry
 from bramleysill_kernel.load.memory_budget import MemoryBudget
 from bramleysill_kernel.load.request_memory import BASE_BYTES
 from bramleysill_kernel.load.request_memory import MAX_BUFFERED_BODY_BYTES
 from bramleysill_kernel.load.request_memory import MAX_UNREAD_RESPONSE_BYTES
 from bramleysill_kernel.load.request_memory import READ_BYTES
+from bramleysill_kernel.load.upstream_memory import CONFIRM_SECONDS
+from bramleysill_kernel.ranges.key_ranges import Assignment
+from bramleysill_kernel.ranges.key_ranges import RangeTable
 from bramleysill_net.conn import Listener
 from bramleysill_net.http_client import HttpClientConn
 from bramleysill_net.http_client import ResponseCollector
@@ -467,3 +471,159 @@
         upstream.body = b'fine'
         _, responses = self.upload('/write/x', 1000)
         self.assertEqual(200, self.status(responses))
+
+
+class _HoldingUpstream(CountingUpstream):
+    """Holds its requests, and crashes above a limit of bytes."""
+
+    def __init__(self, loop, limit):
+        super().__init__(loop)
+        self.limit = limit
+        self.crashed = False
+        self.streams = []
+        self.held = 0
+
+    def on_request(self, stream, req):
+        return _HeldUpload(self, stream, req)
+
+    def on_disconnect(self, server):
+        if not self.crashed:
+            super().on_disconnect(server)
+
+    def note(self, size):
+        """Count received bytes; crash above the limit."""
+        self.held += size
+        if self.held > self.limit and not self.crashed:
+            self.crashed = True
+            self.listener.close()
+            for conn in self.conns:
+                conn.abort()
+
+    def respond(self):
+        """Respond to the requests that are held."""
+        self.held = 0
+        uploads, self.streams = self.streams, []
+        for upload in uploads:
+            upload.respond()
+
+
+class _HeldUpload(_Upload):
+    def on_body(self, data):
+        super().on_body(data)
+        self._upstream.note(len(data))
+
+    def on_end(self):
+        self._upstream.streams.append(self)
+
+    def respond(self):
+        super().on_end()
+
+
+class CrashedUpstreamTest(MemoryTestCase):
+    """Guards against uploads that crash one process after the other."""
+
+    BODY_BYTES = 1 << 20
+    LIMIT = 6 << 20
+
+    def setUp(self):
+        super().setUp()
+        self._set_total(None)
+
+    def _add_holding(self, name, incarnation, service, limit=LIMIT):
+        upstream = _HoldingUpstream(self.loop, limit)
+        self.addCleanup(upstream.listener.close)
+        port = upstream.listener.address[1]
+        self.state.directory.put(
+            UpstreamEntry(
+                name,
+                incarnation,
+                service,
+                '127.0.0.1',
+                port,
+                'a',
+                100,
+                False,
+                0.0,
+            )
+        )
+        if service == 'keyed':
+            self.state.tables['keyed'] = RangeTable.empty().assign(
+                [Assignment(0, 65535, name, incarnation)]
+            )
+        return upstream
+
+    def _upload_many(self, path, count):
+        return [self.upload(path, self.BODY_BYTES)[1] for _ in range(count)]
+
+    def _crash(self, path, service):
+        """Crash the first process of u1; return the estimate."""
+        upstream = self._add_holding('u1', 1, service)
+        found = self._upload_many(path, 10)
+        self.run_until(lambda: upstream.crashed and all(found))
+        # At first the upstream counts as full. Then a request finds that the
+        # process can't be reached, which confirms the loss.
+        estimates = self.upstreams.memory_estimates
+        end = self.loop.now() + CONFIRM_SECONDS
+        while not estimates.bounds() and self.loop.now() < end:
+            _, responses = self.send(path)
+            self.assertEqual(503, self.status(responses))
+        estimate = estimates.estimate('u1')
+        self.assertGreaterEqual(estimate, self.LIMIT)
+        self.assertLessEqual(estimate, 10 * self.BODY_BYTES * 1.01)
+        return estimate
+
+    def _in_flight(self):
+        return sum(
+            p.in_flight_bytes.held for p in self.upstreams._peers.values()
+        )
+
+    def test_next_process_gets_fewer_bytes(self):
+        """Guards against a loss that repeats with the same uploads."""
+        estimate = self._crash('/keyed/x', 'keyed')
+        self.assertEqual(0, self._in_flight())
+        upstream = self._add_holding('u1', 2, 'keyed')
+        found = self._upload_many('/keyed/x', 10)
+        admitted = int(estimate * 0.5 / self.BODY_BYTES)
+        self.run_until(lambda: sum(map(bool, found)) >= 10 - admitted)
+        refused = [r[0] for r in found if r]
+        self.assertEqual({503}, {status for status, _, _ in refused})
+        for _, headers, body in refused:
+            self.assertIn(b'"upstream_memory"', body)
+            self.assertLessEqual(float(headers['retry-after']), 1.0)
+        self.assertFalse(upstream.crashed)
+        self.assertLessEqual(self._in_flight(), estimate * 0.5)
+        # A request without a body passes.
+        _, responses = self.send('/keyed/x')
+        self.run_until(lambda: len(upstream.streams) == admitted + 1)
+        upstream.respond()
+        self.assertEqual(200, self.status(responses))
+        self.run_until(lambda: all(found))
+        self.assertEqual(0, self._in_flight())
+
+    def test_uploads_of_a_shared_service_go_elsewhere(self):
+        """Guards against refusals while another upstream has room."""
+        estimate = self._crash('/write/x', 'shared')
+        upstream = self._add_holding('u1', 2, 'shared')
+        other = self._add_holding('u2', 1, 'shared', limit=1 << 30)
+        found = self._upload_many('/write/x', 20)
+        self.run_until(
+            lambda: len(upstream.streams) + len(other.streams) == 20
+        )
+        self.assertFalse(upstream.crashed)
+        self.assertLessEqual(
+            len(upstream.streams) * self.BODY_BYTES, estimate * 0.5
+        )
+        upstream.respond()
+        other.respond()
+        self.run_until(lambda: all(found))
+        self.assertEqual({200}, {r[0][0] for r in found})
+        self.assertEqual(0, self._in_flight())
+
+    def test_no_bound_without_a_loss(self):
+        """Guards against a change for upstreams that were never lost."""
+        upstream = self._add_holding('u1', 1, 'shared', limit=1 << 30)
+        found = self._upload_many('/write/x', 20)
+        self.run_until(lambda: len(upstream.streams) == 20)
+        upstream.respond()
+        self.run_until(lambda: all(found))
+        self.assertEqual({200}, {r[0][0] for r in found})
