Ask for a body only after the request was not refused

Cause: a request with Expect: 100-continue was asked for its body before the handler saw it, so that a caller sent it to a router without room.

Change: 100 Continue follows the handler's decision, unless a response has begun.

--- a/packages/net/src/bramleysill_net/http_server.py
+++ b/packages/net/src/bramleysill_net/http_server.py
@@ -230,11 +230,13 @@
         self._streams.append(stream)
         self._body_complete = False
         self.request_count += 1
-        if req.header('expect').lower() == '100-continue':
-            self.conn.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         sink = self.handler.on_request(stream, req)
         if not stream.finished:
             stream.sink = sink
+        expects = req.header('expect').lower() == '100-continue'
+        if expects and not stream.started:
+            # A request that was refused at once needs no body.
+            self.conn.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _finish_reading(self):
         """End the request whose response is complete before its body."""
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -285,3 +285,20 @@
             where = data.draw(st.integers(0, len(message) - 1))
             message[where] = data.draw(st.integers(0, 255))
         self._check(bytes(message), data.draw(st.sampled_from((3, None))))
+
+
+class RefusedAtHeadTest(testtools.TestCase):
+    def test_caller_is_not_asked_for_a_body_that_is_refused(self):
+        """Guards against a body that is sent to a router without room."""
+        handler = RecordingHandler()
+
+        def refuse(stream, req):
+            stream.send(503, [])
+
+        handler.on_request = refuse
+        handler.feed(
+            b'POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n'
+            b'Expect: 100-continue\r\n\r\n'
+        )
+        self.assertTrue(handler.conn.sent.startswith(b'HTTP/1.1 503 '))
+        self.assertEqual('linger', handler.conn.ending)
