Bound the unsent bytes of one link by the memory of the router

Cause: 64 MiB may wait for one router that does not read, which is more than the budget of a process with 160 MB. The budget also computed the rate of released bytes at each release, which only a refusal needs.

Change: with a budget, a link is closed above a quarter of it, and the metrics show what waits on all links. Links reserve nothing: a message for all routers is one object in many send queues. The rate is measured every second and at refusals.

--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -177,6 +177,9 @@
             address,
         )
         self._links = PeerLinks(self.loop, hello, self.metrics)
+        self._links.max_buffered_bytes = min(
+            self._links.max_buffered_bytes, self._memory.max_link_bytes
+        )
         self._pacing.links = self._links
         self._departures.links = self._links
         self._announcer.links = self._links
@@ -237,6 +240,8 @@
         yield 'bramleysill_loop_lateness_seconds', {}, self._loop_lateness
         bounded = len(self._upstreams.memory_estimates.bounds())
         yield 'bramleysill_upstreams_bounded', {}, bounded
+        unsent = self._links.unsent_bytes()
+        yield 'bramleysill_memory_held_bytes', {'kind': 'link'}, unsent
 
     def _note_loop_lateness(self):
         self._loop_lateness = self.loop.scheduler.take_max_lateness()
--- a/packages/gateway/src/bramleysill_gateway/router_memory.py
+++ b/packages/gateway/src/bramleysill_gateway/router_memory.py
@@ -1,7 +1,10 @@
 """Keeps the memory budget of the process, and reports its use."""
 
+import math
+
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.load.memory_budget import MemoryBudget
+from bramleysill_kernel.load.memory_budget import max_link_bytes
 from bramleysill_kernel.load.request_memory import RequestMemory
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
@@ -20,6 +23,12 @@
         self._refused_before = 0
         metrics.add_gauge(self._gauges)
 
+    @property
+    def max_link_bytes(self):
+        """Return how much may be unsent on one link to another router."""
+        total = self.budget.total
+        return math.inf if total is None else max_link_bytes(total)
+
     def open(self, req, priority):
         """Return (RequestMemory of a request, whether there was room)."""
         memory = RequestMemory(self.budget, priority)
@@ -49,8 +58,9 @@
         )
 
     def sweep(self):
-        """Log when the budget has ceased to refuse requests."""
+        """Log when the budget has ceased to refuse; call every second."""
         budget = self.budget
+        budget.measure_release_rate()
         if self._refusing and not budget.is_refusing():
             self._refusing = False
             log_event(
--- a/packages/kernel/src/bramleysill_kernel/load/memory_budget.py
+++ b/packages/kernel/src/bramleysill_kernel/load/memory_budget.py
@@ -23,8 +23,11 @@
 # Budget of a process with hardly more memory than it needs itself. With less,
 # it would refuse everything.
 MIN_BUDGET_BYTES = 4 << 20
-# Time constant of the rate at which bytes are released.
-RELEASE_RATE_SECONDS = 1.0
+# Share of the budget that may wait to be sent to one other router. It is not
+# reserved: a message for all routers is one object in many send queues.
+LINK_SHARE = 0.25
+# The rate at which bytes are released is measured over at least this time.
+MIN_RATE_SECONDS = 0.2
 # Bounds of the estimated time until there is room.
 MIN_ROOM_SECONDS = 0.1
 MAX_ROOM_SECONDS = 1.5
@@ -34,8 +37,7 @@
 # Kinds of held bytes.
 REQUEST = 'request'
 RESPONSE = 'response'
-LINK = 'link'
-KINDS = (REQUEST, RESPONSE, LINK)
+KINDS = (REQUEST, RESPONSE)
 
 
 def budget_bytes(memory_mb):
@@ -49,6 +51,11 @@
     return max(MIN_BUDGET_BYTES, int(rest * BUDGET_SHARE))
 
 
+def max_link_bytes(total):
+    """Return how much may be unsent on one link of a process with a budget."""
+    return int(total * LINK_SHARE)
+
+
 class MemoryBudget:
     """The bytes reserved by kind; their sum never exceeds `total`.
 
@@ -62,8 +69,9 @@
         '_held',
         '_held_by_kind',
         '_refusing_until',
+        '_released',
+        '_measured_at',
         '_release_rate',
-        '_released_at',
     )
 
     def __init__(self, clock, total=None):
@@ -74,9 +82,11 @@
         self._held = 0
         self._held_by_kind = dict.fromkeys(KINDS, 0)
         self._refusing_until = -math.inf
-        # In bytes/s, as of `_released_at`.
+        # Bytes released since the last measurement of the rate, its time, and
+        # the rate in bytes/s.
+        self._released = 0
+        self._measured_at = clock.now()
         self._release_rate = 0.0
-        self._released_at = clock.now()
 
     @property
     def held(self):
@@ -109,9 +119,7 @@
             raise ValueError(f'{size} bytes of kind {kind} are not reserved')
         self._held -= size
         self._held_by_kind[kind] -= size
-        now = self._clock.now()
-        self._release_rate = self._rate(now) + size / RELEASE_RATE_SECONDS
-        self._released_at = now
+        self._released += size
 
     def refuse(self, size, priority):
         """Record that a request is refused; return its Retry-After.
@@ -122,7 +130,8 @@
         now = self._clock.now()
         self._refusing_until = now + REFUSING_SECONDS
         missing = self._held + size - self.limit(priority)
-        rate = self._rate(now)
+        self.measure_release_rate()
+        rate = self._release_rate
         seconds = missing / rate if rate > 0.0 else MAX_ROOM_SECONDS
         return min(MAX_ROOM_SECONDS, max(MIN_ROOM_SECONDS, seconds))
 
@@ -130,6 +139,14 @@
         """Return whether a request was refused a moment ago."""
         return self._clock.now() < self._refusing_until
 
-    def _rate(self, now):
-        age = now - self._released_at
-        return self._release_rate * math.exp(-age / RELEASE_RATE_SECONDS)
+    def measure_release_rate(self):
+        """Measure how fast bytes are released; called every second or so.
+
+        A refusal measures as well, since a burst fills the budget faster.
+        """
+        now = self._clock.now()
+        seconds = now - self._measured_at
+        if seconds >= MIN_RATE_SECONDS:
+            self._release_rate = self._released / seconds
+            self._released = 0
+            self._measured_at = now
--- a/packages/router/src/bramleysill_router/peer_links.py
+++ b/packages/router/src/bramleysill_router/peer_links.py
@@ -15,7 +15,8 @@
 from bramleysill_router.logs import log_warning
 from bramleysill_wire import codec
 
-# A link is closed if more than this waits to be sent to a slow peer.
+# A link is closed if more than this waits to be sent to a slow peer, unless
+# the process has less memory (`PeerLinks.max_buffered_bytes`).
 MAX_BUFFERED_BYTES = 64 << 20
 HELLO_TIMEOUT_SECONDS = 1.0
 REDIAL_DELAY_SECONDS = 0.2
@@ -82,7 +83,7 @@
             return
         self.links.count_sent(message, len(data))
         self.conn.write(data)
-        if self.conn.buffered > MAX_BUFFERED_BYTES:
+        if self.conn.buffered > self.links.max_buffered_bytes:
             log_warning('peer_link_overrun', peer=self.router)
             self.conn.abort()
 
@@ -148,6 +149,7 @@
 
     __slots__ = (
         'hello',
+        'max_buffered_bytes',
         '_loop',
         '_metrics',
         '_links',
@@ -162,6 +164,8 @@
 
     def __init__(self, loop, hello, metrics):
         self.hello = hello
+        # A link is closed if more than this waits to be sent.
+        self.max_buffered_bytes = MAX_BUFFERED_BYTES
         self._loop = loop
         self._metrics = metrics
         self._links = {}
@@ -241,6 +245,10 @@
         """Return the number of links."""
         return len(self._links)
 
+    def unsent_bytes(self):
+        """Return the bytes that wait to be sent on all links."""
+        return sum(link.conn.buffered for link in self._links.values())
+
     def open_links(self):
         """Return the open links."""
         return [link for link in self._links.values() if not link.closed]
