--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -8,6 +8,7 @@
 
 from bramleysill_kernel.common.bounded_values import parse_milliseconds
 from bramleysill_kernel.load.retry_rules import AttemptOutcome
+from bramleysill_net.chunk_buffer import ChunkBuffer
 from bramleysill_net.http_headers import end_to_end_fields
 from bramleysill_net.http_headers import first_value
 from bramleysill_net.http_headers import keep_alive_seconds
@@ -16,9 +17,6 @@
 MAX_BUFFERED_RESPONSE_BYTES = 128 << 10
 # Statuses that tell the caller that its request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-# Reading from the upstream pauses while the caller has more response bytes
-# than this unread.
-MAX_UNREAD_RESPONSE_BYTES = 256 << 10
 
 
 class Attempt:
@@ -42,10 +40,12 @@
         '_conn',
         '_reused',
         '_backlog',
+        '_counted_bytes',
         '_headers',
         '_chunks',
-        '_size',
+        '_skipped_bytes',
         '_length',
+        '_received_bytes',
         '_usable',
         '_streaming',
         '_ended',
@@ -68,16 +68,20 @@
         # When the head of the response arrived.
         self._responded_at = 0.0
         self._backlog = 0.0
+        # Bytes of the body that count as held by the upstream.
+        self._counted_bytes = 0
         self._headers = []
-        self._chunks = []
-        self._size = 0
+        self._chunks = ChunkBuffer()
+        # Bytes of the body of an unusable response.
+        self._skipped_bytes = 0
         self._length = None
+        self._received_bytes = 0
         self._usable = False
         self._streaming = False
         self._ended = False
 
-    def start(self, data, complete):
-        """Send the encoded header and the body received so far.
+    def start(self, head, chunks, complete):
+        """Send the encoded header and the chunks received of the body.
 
         If the body is not `complete`, `write` and `end` send the rest.
         """
@@ -86,15 +90,18 @@
         self._backlog = self.peer.load.backlog(now)
         self.peer.load.in_flight += 1
         self.peer.requests_sent += 1
+        self._count_bytes()
         self._conn, self._reused = self.peer.pool.acquire(
             self._exchange.refused_conns,
             self.peer.load.resets_connections(now),
         )
-        self._conn.request(data, self, complete=complete)
+        self._conn.set_read_size(self._exchange.memory.first_read_size)
+        self._conn.request(head, self, complete=complete, body=chunks)
 
     def write(self, data):
         """Send another chunk of the body."""
         if not self._ended:
+            self._count_bytes()
             self._conn.write(data)
 
     def end(self, data):
@@ -181,13 +188,13 @@
         if not self._usable:
             self._skip_body(data)
             return
+        self._received_bytes += len(data)
         if self._streaming:
-            if self._exchange.on_stream_data(data) > MAX_UNREAD_RESPONSE_BYTES:
-                self._conn.pause()
+            self._read_on(self._exchange.on_stream_data(data))
             return
         self._chunks.append(data)
-        self._size += len(data)
-        if self._size > MAX_BUFFERED_RESPONSE_BYTES:
+        held = self._chunks.size
+        if held > MAX_BUFFERED_RESPONSE_BYTES or not self._read_on(held):
             self._start_streaming()
 
     def on_end(self):
@@ -209,7 +216,7 @@
             self._exchange.on_stream_end()
         else:
             self._exchange.on_response(
-                self.status, self._response_headers(), b''.join(self._chunks)
+                self.status, self._response_headers(), self._chunks.join()
             )
 
     def on_failure(self, exc):
@@ -221,6 +228,10 @@
         else:
             self.outcome = AttemptOutcome.NOT_RUN
         self.reason = str(exc)
+        if self._conn.connected:
+            self.peer.in_flight_bytes.note_broken()
+        else:
+            self.peer.note_gone()
         if not self._conn.connected:
             self.reason = f'connect: {exc}'
             self.peer.load.note_unreachable(self._loop.now())
@@ -240,7 +251,7 @@
 
     def resume(self):
         """Resume reading: the caller has read what was forwarded."""
-        if not self._ended and self._streaming:
+        if not self._ended and self._streaming and self._read_on(0):
             self._conn.resume()
 
     # Internal.
@@ -283,11 +294,12 @@
         if upstream_id and upstream_id != self.peer.entry.upstream:
             self.reason = f'replaced_by_{upstream_id}'
             self.peer.replaced = True
+            self.peer.note_gone()
 
     def _skip_body(self, data):
         """Skip the body of an unusable response, unless it is too large."""
-        self._size += len(data)
-        if self._size <= MAX_BUFFERED_RESPONSE_BYTES or self._ended:
+        self._skipped_bytes += len(data)
+        if self._skipped_bytes <= MAX_BUFFERED_RESPONSE_BYTES or self._ended:
             return
         self._end()
         self._conn.abort()
@@ -302,9 +314,26 @@
         self._exchange.on_stream_start(
             self.status, self._response_headers(), self._length
         )
-        chunks, self._chunks = self._chunks, []
-        for data in chunks:
-            self._exchange.on_stream_data(data)
+        held = 0
+        for data in self._chunks.take():
+            held = self._exchange.on_stream_data(data)
+        self._read_on(held)
+
+    def _read_on(self, held):
+        """Set how much to read next; return false if that is nothing.
+
+        `held` bytes of the response wait for the caller. If reading must not
+        go on, it is paused until the caller has read them.
+        """
+        remaining = None
+        if self._length is not None:
+            remaining = max(0, self._length - self._received_bytes)
+        size = self._exchange.memory.response_read_size(held, remaining)
+        if size:
+            self._conn.set_read_size(size)
+        elif self._streaming:
+            self._conn.pause()
+        return size > 0
 
     def _response_headers(self):
         return end_to_end_fields(
@@ -332,6 +361,12 @@
         if not plausible:
             self._exchange.frontend.note_odd_report(self.peer, value)
 
+    def _count_bytes(self):
+        """Count what the upstream has to hold of the body."""
+        size = self._exchange.body_size
+        self.peer.in_flight_bytes.add(size - self._counted_bytes)
+        self._counted_bytes = size
+
     def _note_limit(self, value):
         """Record the limit that the upstream names, or that it names none.
 
@@ -351,4 +386,5 @@
     def _end(self):
         self._ended = True
         self.peer.load.in_flight -= 1
+        self.peer.in_flight_bytes.remove(self._counted_bytes)
         self.peer.pool.release()
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -15,17 +15,15 @@
 from bramleysill_gateway.limit_wait import LimitWait
 from bramleysill_gateway.owner_search import OwnerSearch
 from bramleysill_gateway.quota_hold import QuotaHold
-from bramleysill_gateway.request_body import RequestBody
+from bramleysill_gateway.request_head import encode_head
+from bramleysill_gateway.upload import Upload
+from bramleysill_gateway.upstream_room import UpstreamRoom
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.problems import to_problem
 from bramleysill_kernel.load.retry_rules import AttemptOutcome
 from bramleysill_kernel.load.retry_rules import may_retry
 from bramleysill_kernel.load.send_policy import Action
-from bramleysill_net.http_headers import end_to_end_fields
 
-# Reading from the caller pauses while more request bytes than this wait to be
-# sent to the upstream.
-MAX_UNSENT_REQUEST_BYTES = 256 << 10
 # Added to the deadline, so that a response already in transit is accepted.
 DEADLINE_SLACK_SECONDS = 0.05
 # An attempt fails if its connection is not established within this time.
@@ -57,11 +55,12 @@
         'expected_seconds',
         'report_age',
         'refused_conns',
-        '_dropped_fields',
+        'dropped_fields',
+        'memory',
         '_deadline',
         '_caller_deadline',
-        '_body',
-        '_streaming_request',
+        '_upload',
+        '_has_memory',
         '_log',
         '_attempt',
         '_attempt_count',
@@ -71,9 +70,9 @@
         '_dispatch_timer',
         '_last_failure',
         '_failed_upstreams',
-        '_dispatched',
         '_limit_wait',
         '_quota',
+        '_upstream_room',
     )
 
     def __init__(
@@ -98,7 +97,7 @@
         # The Organisation that holds the key of the request, or None.
         self.organisation = organisation
         # Further fields of the caller that are not forwarded.
-        self._dropped_fields = dropped_fields
+        self.dropped_fields = dropped_fields
         self.request_id = req.header(adapter.request_id)
         self.key = None
         self.dropped_response_headers = frontend.dropped_response_headers
@@ -110,8 +109,11 @@
         self._deadline = now + route.max_wait
         if self._caller_deadline is not None:
             self._deadline = min(self._deadline, self._caller_deadline)
-        self._body = RequestBody(req)
-        self._streaming_request = False
+        # The RequestMemory of this request; see `check_memory`.
+        self.memory, self._has_memory = frontend.memory.open(
+            req, route.priority
+        )
+        self._upload = Upload(self, self.memory)
         self._log = ExchangeLog(self)
         self._attempt = None
         self._attempt_count = 0
@@ -129,49 +131,43 @@
         self.report_age = math.inf
         # Connections on which an upstream has refused this request.
         self.refused_conns = []
-        self._dispatched = False
         self._limit_wait = LimitWait(self)
         self._quota = QuotaHold(self)
+        self._upstream_room = UpstreamRoom(self)
         self._owner_search = OwnerSearch(self, now)
         stream.on_drained = self._on_caller_drained
+        stream.on_flushed = self.memory.close
         self._deadline_timer = frontend.loop.scheduler.call_at(
             self._deadline + DEADLINE_SLACK_SECONDS, self._on_deadline
         )
 
+    def check_memory(self):
+        """Refuse the request if the router has no memory for it."""
+        if not self._has_memory:
+            refusal = self.frontend.memory.refuse(
+                self.memory, self.bound_retry_after
+            )
+            self.refuse(refusal)
+
     # Events from the caller.
 
     def on_body(self, data):
         """Buffer a chunk of the request body, or send it on."""
         if self.finished:
             return
-        self._body.add_size(data)
-        if self._body.size > self.frontend.max_body_bytes:
+        size = self._upload.body.size + len(data)
+        if size > self.frontend.max_body_bytes:
             self.refuse(
                 refusals.BodyTooLarge(
                     'the request body is too large', 'receive'
                 )
             )
             return
-        if self._streaming_request:
-            self._attempt.write(self._body.encode(data))
-            if self._attempt.unsent_bytes > MAX_UNSENT_REQUEST_BYTES:
-                self.stream.pause()
-            return
-        self._body.buffer(data)
-        if self._body.exceeds_buffer and not self._dispatched:
-            self._dispatched = True
-            self.dispatch()
+        self._upload.on_data(data)
 
     def on_end(self):
         """Handle the end of the request body."""
-        self._body.complete = True
-        if self.finished:
-            return
-        if self._streaming_request:
-            self._attempt.end(self._body.encode_end())
-        if not self._dispatched:
-            self._dispatched = True
-            self.dispatch()
+        self._upload.on_end()
 
     def on_abort(self, exc):
         """Cancel the attempt: the caller has closed its connection."""
@@ -182,6 +178,11 @@
             self._attempt.cancel('caller_left')
             self._log.cancelled(self._attempt)
 
+    @property
+    def body_size(self):
+        """Return the length of the body, as far as it is known."""
+        return self._upload.size
+
     def time_left(self, now):
         """Return the seconds until the deadline."""
         return self._deadline - now
@@ -214,7 +215,8 @@
 
     def _dispatch_shared(self, now):
         frontend = self.frontend
-        full_peers = self._limit_wait.full_peers
+        limited_peers = self._limit_wait.full_peers
+        full_peers = limited_peers | self._upstream_room.full_peers
         peer = self._limit_wait.permitted_peer() or frontend.choose_upstream(
             self.service,
             now,
@@ -222,8 +224,11 @@
             full_peers,
             self.route.objective,
         )
+        if peer is None and limited_peers:
+            self.refuse_limited(limited_peers)
+            return
         if peer is None and full_peers:
-            self.refuse_limited(full_peers)
+            self._upstream_room.refuse()
             return
         if peer is None:
             self.give_up(
@@ -238,9 +243,11 @@
 
     def _send_if_admitted(self, peer, now):
         """Send the request to an upstream that has room for it in time."""
+        if not self._upstream_room.has_room(peer):
+            return
         decision = self.frontend.check_admission(peer, now, self)
         if decision.action is Action.WAIT:
-            self._wait_until(now + decision.retry_after)
+            self.dispatch_at(now + decision.retry_after)
             return
         if decision.action is not Action.SEND:
             self._refuse_not_admitted(peer, decision)
@@ -280,26 +287,6 @@
             min(at, self._deadline), callback
         )
 
-    def _wait_until(self, at):
-        """Dispatch the request later, and read no more of its body until."""
-        self.pause_body()
-
-        def dispatch():
-            self.resume_body()
-            self.dispatch()
-
-        self.call_at(at, dispatch)
-
-    def pause_body(self):
-        """Stop reading a body that is too large to be buffered."""
-        if self._body.exceeds_buffer:
-            self.stream.pause()
-
-    def resume_body(self):
-        """Read on after `pause_body`."""
-        if self._body.exceeds_buffer:
-            self.stream.resume()
-
     def _passes_slow_start(self, peer, now):
         if peer.cold_until <= now:
             return True
@@ -320,40 +307,22 @@
         self._quota.note_sent()
         self.peer = peer
         self.report_age = self.frontend.note_choice(self, peer, now)
-        self._streaming_request = not self._body.complete
-        head = self._encode_head(peer.entry, now)
-        attempt.start(head + self._body.encode_buffered(), self._body.complete)
+        framing = self._upload.body.framing_headers()
+        self._upload.start(
+            attempt,
+            encode_head(self, peer.entry, self._deadline - now, framing),
+        )
         if self._attempt is attempt and not attempt.connected:
             at = min(now + CONNECT_TIMEOUT_SECONDS, self._deadline)
             self._connect_timer = self.frontend.loop.scheduler.call_at(
                 at, lambda: self._check_connected(attempt)
             )
 
-    def _encode_head(self, entry, now):
-        adapter = self.frontend.adapter
-        req = self.req
-        left = max(1, int((self._deadline - now) * 1000))
-        lines = [f'{req.method} {req.target} HTTP/1.1']
-        kept = end_to_end_fields(
-            req.headers,
-            self.frontend.dropped_request_headers | self._dropped_fields,
-        )
-        lines += [f'{name}: {value}' for name, value in kept]
-        if self.organisation is not None:
-            lines.append(
-                f'{adapter.organisation_header}: {self.organisation.name}'
-            )
-        if self.request_id:
-            lines.append(f'{adapter.request_id_header}: {self.request_id}')
-        lines.append(f'{adapter.time_left_ms_header}: {left}')
-        lines.append(f'{adapter.expected_upstream_header}: {entry.upstream}')
-        lines += self._body.framing_headers()
-        return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
-
     def _check_connected(self, attempt):
         if self._attempt is not attempt or attempt.connected:
             return
         attempt.peer.load.note_unreachable(self.frontend.loop.now())
+        attempt.peer.note_gone()
         attempt.cancel('connect_timeout')
         self.on_failed(attempt)
 
@@ -390,7 +359,7 @@
         self._log.failed(attempt, self._attempt_count, others_free)
         self._failed_upstreams.add(attempt.peer.entry.upstream)
         left = self._deadline - now
-        if self._streaming_request or not may_retry(
+        if self._upload.streaming or not may_retry(
             self.route, attempt.outcome, self._attempt_count, left
         ):
             self.give_up(self._refusal_after_attempts('no_more_attempts'))
@@ -430,8 +399,8 @@
 
     def on_request_drained(self):
         """Resume reading the body: the send buffer upstream is empty."""
-        if self._streaming_request and not self.finished:
-            self.stream.resume()
+        if not self.finished:
+            self._upload.on_drained()
 
     def _on_caller_drained(self):
         if self._attempt is not None:
@@ -533,7 +502,7 @@
     def _finish(self, outcome, status):
         self.finished = True
         self._quota.finish()
-        self._body.clear()
+        self._upload.close()
         for timer in (
             self._deadline_timer,
             self._connect_timer,
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -6,6 +6,7 @@
 from bramleysill_gateway.exchange import Exchange
 from bramleysill_gateway.identification import Identification
 from bramleysill_gateway.organisation_counts import OrganisationCounts
+from bramleysill_gateway.router_memory import RouterMemory
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.bounded_values import parse_milliseconds
 from bramleysill_kernel.common.problems import to_problem
@@ -41,16 +42,22 @@
 class _IdleTime:
     """Since when a caller connection is idle, as seen by periodic checks."""
 
-    __slots__ = ('_since', '_request_count')
+    __slots__ = ('_since', '_request_count', '_unsent')
 
     def __init__(self, now):
         self._since = now
         self._request_count = 0
+        self._unsent = 0
 
     def since(self, server, now):
-        """Return since when the connection is idle; `now` if it was used."""
-        if not server.idle or server.request_count != self._request_count:
-            self._request_count = server.request_count
+        """Return since when the connection is idle; `now` if it was used.
+
+        It is used while the caller reads the rest of a response.
+        """
+        seen = server.request_count, server.conn.buffered
+        busy = not server.idle and not server.awaits_reader
+        if busy or seen != (self._request_count, self._unsent):
+            self._request_count, self._unsent = seen
             self._since = now
         return self._since
 
@@ -70,6 +77,7 @@
         announcer,
         adapter,
         metrics,
+        memory=None,
     ):
         self.loop = loop
         self.state = state
@@ -80,6 +88,8 @@
         # The Quotas; set before the first request.
         self.quotas = None
         self.adapter = adapter
+        # The RouterMemory of the process; without one, nothing is refused.
+        self.memory = memory or RouterMemory(loop, None, metrics)
         self.active_exchanges = set()
         # Phases of a shutdown: while draining, each connection closes after
         # its next response; later, new requests are also refused.
@@ -142,7 +152,12 @@
         now = self.loop.now()
         timeout = limits.idle_timeout_seconds + IDLE_CLOSE_MARGIN_SECONDS
         for server, idle_time in list(self._conns.items()):
-            if now >= idle_time.since(server, now) + timeout:
+            if now < idle_time.since(server, now) + timeout:
+                continue
+            if server.conn.buffered:
+                # The caller has stopped reading; a close would wait for it.
+                server.conn.abort()
+            else:
                 server.conn.close()
 
     def close_idle(self):
@@ -245,6 +260,8 @@
         if exchange.time_left(now) > self.stop_at - now:
             # It could still run when the process stops.
             exchange.refuse(_make_shutdown_refusal())
+        else:
+            exchange.check_memory()
         return exchange
 
     def read_caller_deadline(self, req):
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -6,8 +6,8 @@
 
 from bramleysill_gateway.cell_state import CellState
 from bramleysill_gateway.departures import Departures
-from bramleysill_gateway.freshness_exchange import FreshnessExchange
 from bramleysill_gateway.explanation import Explainer
+from bramleysill_gateway.freshness_exchange import FreshnessExchange
 from bramleysill_gateway.frontend import Frontend
 from bramleysill_gateway.leader import LeaderElection
 from bramleysill_gateway.pacing import Pacing
@@ -15,12 +15,14 @@
 from bramleysill_gateway.range_announcer import RangeAnnouncer
 from bramleysill_gateway.readiness import Readiness
 from bramleysill_gateway.registration import Registration
+from bramleysill_gateway.router_memory import RouterMemory
 from bramleysill_gateway.store_feed import StoreFeeder
 from bramleysill_gateway.takeover import Takeover
 from bramleysill_gateway.upstreams import Upstreams
 from bramleysill_kernel.common import messages
 from bramleysill_kernel.common.exceptions import SillError
 from bramleysill_kernel.election.leadership import is_preferred_leader
+from bramleysill_kernel.load.memory_budget import budget_bytes
 from bramleysill_net.conn import Listener
 from bramleysill_net.loop import Loop
 from bramleysill_router.logs import log_event
@@ -144,6 +146,9 @@
         )
         self._departures = Departures(self.loop, cfg.name, self.state)
         self._announcer = RangeAnnouncer(self.loop, cfg.name)
+        self._memory = RouterMemory(
+            self.loop, budget_bytes(cfg.memory_mb), self.metrics
+        )
         self.frontend = Frontend(
             self.loop,
             self._rng,
@@ -155,6 +160,7 @@
             self._announcer,
             self._adapter,
             self.metrics,
+            self._memory,
         )
         self.frontend.quotas = self._quotas
         self.state.on_tables_changed = self.frontend.on_tables_changed
@@ -193,6 +199,9 @@
             address,
         )
         self._links = PeerLinks(self.loop, hello, self.metrics)
+        self._links.max_buffered_bytes = min(
+            self._links.max_buffered_bytes, self._memory.max_link_bytes
+        )
         self._pacing.links = self._links
         self._freshness.links = self._links
         self._quotas.links = self._links
@@ -261,6 +270,10 @@
 
     def _loop_gauges(self):
         yield 'bramleysill_loop_lateness_seconds', {}, self._loop_lateness
+        bounded = len(self._upstreams.memory_estimates.bounds())
+        yield 'bramleysill_upstreams_bounded', {}, bounded
+        unsent = self._links.unsent_bytes()
+        yield 'bramleysill_memory_held_bytes', {'kind': 'link'}, unsent
 
     def _note_loop_lateness(self):
         self._loop_lateness = self.loop.scheduler.take_max_lateness()
@@ -276,6 +289,7 @@
         self._note_loop_lateness()
         self.frontend.sweep()
         self._upstreams.sweep()
+        self._memory.sweep()
         self._pacing.sweep()
         self._quotas.sweep()
         self.leader.sweep()
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -6,6 +6,8 @@
 import socket
 import struct
 
+from bramleysill_net.chunk_buffer import JOINED_CHUNK_BYTES
+from bramleysill_net.chunk_buffer import SMALL_CHUNK_BYTES
 from bramleysill_net.peer_loss import CHECK_INTERVAL_SECONDS
 from bramleysill_net.peer_loss import LossDetector
 from bramleysill_net.peer_loss import TcpInfo
@@ -46,6 +48,7 @@
         'peer',
         'buffered',
         'closed',
+        'max_read_bytes',
         '_sock',
         '_fileno',
         '_send_queue',
@@ -66,6 +69,8 @@
         self.peer = peer
         self.buffered = 0
         self.closed = False
+        # How much is read at once.
+        self.max_read_bytes = MAX_READ_BYTES
         self._sock = sock
         self._fileno = sock.fileno()
         self._send_queue = collections.deque()
@@ -168,7 +173,7 @@
             if sent == len(data):
                 return
             data = memoryview(data)[sent:]
-        self._send_queue.append(data)
+        self._enqueue(data)
         self.buffered += len(data)
         self._set_awaiting_writable(True)
 
@@ -260,8 +265,9 @@
         """Return whether more data may be available."""
         if self.closed or not self._reading or self._connecting:
             return False
+        size = self.max_read_bytes
         try:
-            data = self._sock.recv(MAX_READ_BYTES)
+            data = self._sock.recv(size)
         except OSError as exc:
             if exc.errno not in _RETRYABLE_ERRNOS:
                 self._close_socket(exc)
@@ -270,7 +276,7 @@
             self._close_socket(None)
             return False
         self.protocol.on_data(data)
-        return len(data) == MAX_READ_BYTES
+        return len(data) == size
 
     def _send(self, data):
         """Return the number of bytes sent, or None if the write failed."""
@@ -304,6 +310,20 @@
             self._send_queue.popleft()
         return True
 
+    def _enqueue(self, data):
+        """Add bytes to the send queue; join small ones (see ChunkBuffer)."""
+        queue = self._send_queue
+        if len(data) >= SMALL_CHUNK_BYTES:
+            # The queue must not extend a bytearray of the caller.
+            is_joinable = isinstance(data, bytearray)
+            queue.append(memoryview(data) if is_joinable else data)
+            return
+        last = queue[-1] if queue else None
+        if isinstance(last, bytearray) and len(last) < JOINED_CHUNK_BYTES:
+            last += data
+        else:
+            queue.append(bytearray(data))
+
     def _shutdown_write(self):
         try:
             self._sock.shutdown(socket.SHUT_WR)
--- a/packages/net/src/bramleysill_net/http_server.py
+++ b/packages/net/src/bramleysill_net/http_server.py
@@ -11,6 +11,7 @@
 
 from absl import logging
 
+from bramleysill_net.conn import MAX_READ_BYTES
 from bramleysill_net.request_parser import BODY
 from bramleysill_net.request_parser import END
 from bramleysill_net.request_parser import HEAD
@@ -22,6 +23,14 @@
 from bramleysill_net.response_stream import ResponseStream
 from bramleysill_net.response_stream import encode_head
 
+# The next request waits while more bytes of earlier responses than this are
+# unsent. A caller that pipelines and does not read is held up by that.
+MAX_UNSENT_RESPONSE_BYTES = 256 << 10
+
+# How much is read at once between requests. Pipelined requests are parsed as
+# they are read, and wait: parsed, they take some 12 times their bytes.
+HEAD_READ_BYTES = 8192
+
 __all__ = [
     'MAX_HEADERS',
     'MAX_HEAD_BYTES',
@@ -57,6 +66,7 @@
         '_parser',
         '_max_concurrent',
         '_streams',
+        '_unflushed',
         '_body_complete',
         '_closing',
         '_delivering',
@@ -64,6 +74,7 @@
 
     def __init__(self, conn, handler, max_concurrent=1):
         self.conn = conn
+        conn.max_read_bytes = HEAD_READ_BYTES
         self.handler = handler
         self.idle = True
         self.request_count = 0
@@ -71,6 +82,8 @@
         self._max_concurrent = max_concurrent
         # Responses in progress, in the order of their requests.
         self._streams = collections.deque()
+        # Complete responses with bytes in the send buffer.
+        self._unflushed = []
         # Whether the last request of these was read to its end.
         self._body_complete = False
         self._closing = False
@@ -90,14 +103,18 @@
         self._deliver_events()
 
     def on_drain(self):
-        """Notify the first response that the send buffer is empty."""
+        """Notify the responses that the send buffer is empty."""
+        self._notify_flushed()
         if self._streams:
             self._streams[0].notify_drain()
+        if self._parser.events:
+            self._deliver_events()
 
     def on_close(self, exc):
         """Abort the requests in progress."""
         self._parser.events.clear()
         self._abort_streams(exc)
+        self._notify_flushed()
         self.handler.on_disconnect(self)
 
     # Called by the response stream.
@@ -116,6 +133,7 @@
             if not first.finished:
                 break
             self._streams.popleft()
+            self._note_written(first)
             if not first.keeps_connection:
                 self._close_after(first)
                 return
@@ -124,6 +142,11 @@
         self.idle = not self._streams and not self._parser.events
         self._deliver_events()
 
+    @property
+    def awaits_reader(self):
+        """Return whether only the caller's reading is outstanding."""
+        return not self._streams and self.conn.buffered > 0
+
     def resume_body(self):
         """Resume reading the body of the request in progress."""
         if not self._body_complete:
@@ -139,13 +162,27 @@
             if kind == HEAD:
                 value.arrived_at = self.conn.now()
 
+    def _note_written(self, stream):
+        """Handle a complete response, which may be in the send buffer."""
+        if self.conn.buffered:
+            self._unflushed.append(stream)
+        else:
+            stream.notify_flushed()
+
+    def _notify_flushed(self):
+        streams, self._unflushed = self._unflushed, []
+        for stream in streams:
+            stream.notify_flushed()
+
     def _may_deliver(self):
         """Return whether the next event may be handled now."""
         if self._closing or not self._parser.events:
             return False
+        kind, value = self._parser.events[0]
+        if kind == HEAD and self.conn.buffered > MAX_UNSENT_RESPONSE_BYTES:
+            return False
         if not self._streams or not self._body_complete:
             return True
-        kind, value = self._parser.events[0]
         return (
             kind == HEAD
             and not value.has_body
@@ -188,7 +225,7 @@
             if not self._streams:
                 # The response was complete before the end of the request.
                 return
-            self._body_complete = True
+            self._end_body()
             if sink is not None:
                 sink.on_end()
         else:
@@ -198,12 +235,20 @@
         stream = ResponseStream(self, req, is_first=not self._streams)
         self._streams.append(stream)
         self._body_complete = False
+        if req.has_body:
+            self.conn.max_read_bytes = MAX_READ_BYTES
         self.request_count += 1
-        if req.header('expect').lower() == '100-continue':
-            self.conn.write(b'HTTP/1.1 100 Continue\r\n\r\n')
         sink = self.handler.on_request(stream, req)
         if not stream.finished:
             stream.sink = sink
+        expects = req.header('expect').lower() == '100-continue'
+        if expects and not stream.started:
+            # A request that was refused at once needs no body.
+            self.conn.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def _end_body(self):
+        self._body_complete = True
+        self.conn.max_read_bytes = HEAD_READ_BYTES
 
     def _finish_reading(self):
         """End the request whose response is complete before its body."""
@@ -219,7 +264,7 @@
         while events and events[0][0] in (BODY, END):
             kind, _ = events.popleft()
             if kind == END:
-                self._body_complete = True
+                self._end_body()
                 return
 
     def _reject(self, exc):
@@ -256,6 +301,7 @@
             sink, stream.sink = stream.sink, None
             if sink is not None and not stream.finished:
                 sink.on_abort(exc)
+            stream.notify_flushed()
 
     def _close_lingering(self):
         # Closing a socket with unread bytes resets the connection, and the
--- a/packages/net/src/bramleysill_net/response_stream.py
+++ b/packages/net/src/bramleysill_net/response_stream.py
@@ -4,10 +4,10 @@
 response while an earlier one is incomplete is held back.
 """
 
-import collections
-
 from absl import logging
 
+from bramleysill_net.chunk_buffer import ChunkBuffer
+
 _REASON_PHRASES = {
     100: 'Continue',
     200: 'OK',
@@ -46,6 +46,8 @@
     Writes are ignored after the response is complete or the connection has
     closed, so that late data cannot become part of another response. If
     `on_drained` is set, it is called when the send buffer has become empty.
+    If `on_flushed` is set, it is called once when no byte of the response is
+    held any more: the kernel has accepted all, or the connection has closed.
     `sink` receives the request's body.
     """
 
@@ -55,12 +57,12 @@
         '_server_conn',
         '_req',
         '_held',
-        '_held_bytes',
         '_is_first',
         'started',
         'finished',
         'closed',
         'on_drained',
+        'on_flushed',
         '_chunked',
         '_remaining_bytes',
         '_keep_alive',
@@ -72,8 +74,7 @@
         # Whether the connection must be reset at this response.
         self.aborted = False
         # Data that waits until all earlier responses are complete.
-        self._held = collections.deque()
-        self._held_bytes = 0
+        self._held = ChunkBuffer()
         self._is_first = is_first
         self._server_conn = server
         self._req = req
@@ -81,6 +82,7 @@
         self.finished = False
         self.closed = False
         self.on_drained = None
+        self.on_flushed = None
         self._chunked = False
         # Body bytes still to be written; None without a Content-Length.
         self._remaining_bytes = None
@@ -96,7 +98,7 @@
     def buffered(self):
         """Return the number of bytes that the kernel has not accepted yet."""
         if not self._is_first:
-            return self._held_bytes
+            return self._held.size
         return self._server_conn.conn.buffered
 
     @property
@@ -217,12 +219,18 @@
         if self.on_drained is not None:
             self.on_drained()
 
+    def notify_flushed(self):
+        """Call `on_flushed` once, if set."""
+        callback, self.on_flushed = self.on_flushed, None
+        if callback is not None:
+            callback()
+
     def become_first(self):
         """Send what was held back; all earlier responses are complete."""
         self._is_first = True
-        self._held_bytes = 0
-        while self._held and not self.closed:
-            self._server_conn.conn.write(self._held.popleft())
+        for data in self._held.take():
+            if not self.closed:
+                self._server_conn.conn.write(data)
         if not self.closed and not self._server_conn.conn.buffered:
             self.notify_drain()
 
@@ -231,4 +239,3 @@
             self._server_conn.conn.write(data)
             return
         self._held.append(data)
-        self._held_bytes += len(data)
--- a/packages/router/src/bramleysill_router/metrics.py
+++ b/packages/router/src/bramleysill_router/metrics.py
@@ -74,6 +74,14 @@
         Gauge,
         'Longest delay of a timer within the last second.',
     ),
+    'bramleysill_memory_budget_bytes': (
+        Gauge,
+        'Bytes that may be held for callers and peers; 0 without a limit.',
+    ),
+    'bramleysill_memory_held_bytes': (
+        Gauge,
+        'Bytes reserved for callers and peers, by kind.',
+    ),
     'bramleysill_manifest_version': (Gauge, 'Version of the manifest in use.'),
     'bramleysill_organisation_requests_total': (
         Counter,
@@ -100,6 +108,10 @@
         Gauge,
         '1 while the router may own quotas.',
     ),
+    'bramleysill_upstreams_bounded': (
+        Gauge,
+        'Upstreams that get fewer bytes after a loss.',
+    ),
     'bramleysill_units': (Gauge, 'Units by condition.'),
 }
 
