--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -19,6 +19,7 @@
 from bramleysill_soak.checks import History  # noqa: E402
 from bramleysill_soak.checks import run_checks  # noqa: E402
 from bramleysill_soak.key_gaps import GapLengths  # noqa: E402
+from bramleysill_soak.uploads import body_digest  # noqa: E402
 from bramleysill_soak.upstream_server import response_body  # noqa: E402
 
 FAULTS_END_AT = 100.0
@@ -58,8 +59,15 @@
     return {'event': 'release', 'at': at, 'first': 0, 'last': 9, 'fence': 1}
 
 
-def _run(request_id):
-    return {'event': 'run', 'at': 1.0, 'id': request_id, 'key': 5}
+def _run(request_id, path='/keyed/1', body=b''):
+    return {
+        'event': 'run',
+        'at': 1.0,
+        'id': request_id,
+        'key': 5,
+        'path': path,
+        'digest': body_digest(body),
+    }
 
 
 def _outcome(status=200, request_id='c-1', route='keyed', sent=120.0):
@@ -238,6 +246,59 @@
         )
         self.assertEqual({'requests run at most once'}, violated)
 
+    def test_a_request_that_nobody_sent_is_found(self):
+        """Guards against requests that stand in an upload and run."""
+        process = _FakeProcess('u1', _run('c-1'), _run('forged-c-1'))
+        self.assertEqual(
+            {'an upstream gets only what callers have sent'},
+            self._violated(process),
+        )
+
+    def test_another_body_or_path_is_found(self):
+        """Guards against an upload that arrives damaged."""
+        promise = {'an upstream gets only what callers have sent'}
+        outcome = _outcome()
+        for line in (_run('c-1', body=b'x'), _run('c-1', path='/read/1')):
+            process = _FakeProcess('u1', line)
+            self.assertEqual(
+                promise, self._violated(process, outcomes=[outcome])
+            )
+
+    def test_a_refused_upload_with_other_bytes_is_found(self):
+        """Guards against a request that ends up in the upload before it."""
+        line = {**_run('c-1', body=b'x'), 'event': 'discard'}
+        self.assertEqual(
+            {'an upstream gets only what callers have sent'},
+            self._violated(_FakeProcess('u1', line)),
+        )
+
+    def test_bytes_that_are_no_request_are_found(self):
+        """Guards against the rest of an upload on a connection."""
+        line = {'event': 'malformed', 'at': 1.0, 'reason': 'no method'}
+        self.assertEqual(
+            {'an upstream gets only what callers have sent'},
+            self._violated(_FakeProcess('u1', line)),
+        )
+
+    def test_a_request_that_is_broken_off_is_found(self):
+        """Guards against a live upstream that is taken for a lost one."""
+        promise = 'no request is broken off while all processes are sound'
+        fault = ((119.5, 119.6),)
+        line = {'event': 'truncate', 'at': 1.0, 'id': 'c-1'}
+        for status, ledger, router, is_violated in (
+            (502, (), _FakeRouter(), True),
+            (504, (), _FakeRouter(), True),
+            (503, (), _FakeRouter(), False),
+            (502, (), _FakeRouter(*fault), False),
+            (502, (line,), _FakeRouter(), False),
+        ):
+            violated = self._violated(
+                _FakeProcess('u1', *ledger),
+                outcomes=[_outcome(status, route='upload')],
+                router=router,
+            )
+            self.assertEqual(is_violated, promise in violated)
+
     def test_a_false_refusal_is_found(self):
         """Guards against a check that misses a "not run" request that ran."""
         outcomes = [_outcome(503, 'c-2')] + [
