Ask no router whose address is no longer known

The look-up of its address raised an error in the request that asked for tokens. It now has no address, so the request uses the fallback, and the ranking is computed again.

tests.test_shared_limits, test_quotas, test_pacing, test_quota_exchange: passed.

--- a/packages/kernel/src/bramleysill_kernel/load/shared_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/load/shared_limits.py
@@ -37,7 +37,7 @@
     )
 
     def __init__(self, clock):
-        # Rises with each change of the registrations.
+        # Rises with each change of the routers that are counted.
         self.version = 0
         self._clock = clock
         # The time until which each router is counted; None while it is
@@ -82,8 +82,8 @@
         return self._counted_until.get(router, 0.0) is None
 
     def address(self, router):
-        """Return the peer address of a counted router."""
-        return self._addresses[router]
+        """Return the peer address of a router, '' if it isn't counted."""
+        return self._addresses.get(router, '')
 
     def running_names(self):
         """Return the names of the routers that should be running.
@@ -106,6 +106,7 @@
             if until is not None and now >= until:
                 del self._counted_until[router]
                 del self._addresses[router]
+                self.version += 1
         return list(self._counted_until)
 
 
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -61,6 +61,24 @@
         self.clock.advance(EXPIRED_ROUTER_RETENTION_SECONDS)
         self.assertEqual([], self.routers.names())
 
+    def test_a_router_that_is_counted_no_more(self):
+        """Guards against an error in a request to a router that is gone.
+
+        Rankings of routers are computed again after each change.
+        """
+        self.routers.add('r1', '127.0.0.1:1')
+        self.assertEqual('127.0.0.1:1', self.routers.address('r1'))
+        versions = [self.routers.version]
+        self.routers.add('r1', '127.0.0.1:1')
+        self.assertEqual(versions, [self.routers.version])
+        self.routers.remove('r1')
+        versions.append(self.routers.version)
+        self.clock.advance(EXPIRED_ROUTER_RETENTION_SECONDS)
+        self.assertEqual([], self.routers.names())
+        versions.append(self.routers.version)
+        self.assertEqual(sorted(set(versions)), versions)
+        self.assertEqual('', self.routers.address('r1'))
+
     def test_a_router_that_starts_waits_for_the_others(self):
         """Guards against ignoring routers that are not registered yet."""
         self.assertFalse(self.routers.is_settled())
