Choose by the time left, and forget replaced processes

Cause: the choice used the latency objective only. A request with little time left could go to an upstream with a short queue, which the admission then refused as late while another was idle. A late response of a process whose address has changed stayed in the mean of its service for good.

Change: the choice gets the time left if that is less than the objective. A replaced process leaves the mean of its service.

Tests: ShortDeadlineTest fails before (503) and passes after.

--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -204,7 +204,7 @@
             now,
             self._failed_upstreams,
             full_peers,
-            self.route.objective,
+            min(self.route.objective, self.time_left(now)),
         )
         if peer is None and full_peers:
             self.refuse_limited(full_peers)
--- a/packages/gateway/src/bramleysill_gateway/explanation.py
+++ b/packages/gateway/src/bramleysill_gateway/explanation.py
@@ -52,6 +52,10 @@
             return self.route.max_wait
         return min(self._seconds_left, self.route.max_wait)
 
+    def objective(self, now):
+        """Return the seconds within which an upstream should respond."""
+        return min(self.route.objective, self.time_left(now))
+
 
 def parse_question(query, parse_key, now):
     """Return the Question of a query string; raises ValueError."""
@@ -207,7 +211,7 @@
 
     def _choose(self, question, now):
         return self._frontend.choose_upstream(
-            question.service, now, (), (), question.route.objective
+            question.service, now, (), (), question.objective(now)
         )
 
     def _candidate_fields(self, peer, question, now):
@@ -217,7 +221,7 @@
         return {
             'upstream': entry.upstream,
             'failure_domain': entry.failure_domain,
-            'state': _state(peer, question.route.objective, now),
+            'state': _state(peer, question.objective(now), now),
             'slots': load.slots,
             'own_requests': load.in_flight,
             'expected_requests': round(load.balanced_backlog(now), 2),
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -290,7 +290,8 @@
 
         Upstreams that have failed the request and upstreams in slow start
         are used only if there are no others; the peers in `excluded` are not
-        used. `objective` is the route's latency objective in seconds.
+        used. `objective` is the route's latency objective in seconds, or the
+        time left if that is less.
         """
         usable = self.state.directory.usable(service.name)
         peers = [self.upstreams.peer(e) for e in usable]
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -140,7 +140,7 @@
         peer = self._peers.get(key)
         if peer is None or peer.entry.address != entry.address:
             if peer is not None:
-                peer.load.forget_report()
+                peer.load.leave_service()
             peer = self._peers[key] = UpstreamPeer(
                 self._loop,
                 entry,
--- a/packages/kernel/src/bramleysill_kernel/load/upstream_load.py
+++ b/packages/kernel/src/bramleysill_kernel/load/upstream_load.py
@@ -218,6 +218,11 @@
         self.service_load.replace(self._contribution, (0, 0, 0))
         self._contribution = (0, 0, 0)
 
+    def leave_service(self):
+        """Remove the upstream from its service; later reports don't count."""
+        self.forget_report()
+        self.service_load = ServiceLoad()
+
     def note_report(self, now, report):
         """Use the load report of a response that has just arrived.
 
--- a/tests/test_choice_policies.py
+++ b/tests/test_choice_policies.py
@@ -267,6 +267,13 @@
         ended.forget_report()
         self.assertEqual(0.0, self.service_load.usual_others())
 
+    def test_a_replaced_process_no_longer_counts(self):
+        """Guards against late responses that stay in the mean for good."""
+        old = self.add('old')
+        old.leave_service()
+        old.note_report(NOW, LoadReport(SLOTS, SLOTS, SLOTS))
+        self.assertEqual(0.0, self.service_load.usual_others())
+
     def test_the_admission_keeps_its_own_estimate(self):
         """Guards against refusals for keys because other owners are busy."""
         owner = self.add('owner', at=None)
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -4,6 +4,7 @@
 
 from absl import logging
 
+from bramleysill_kernel.load.upstream_load import LoadReport
 from bramleysill_router.metrics import Metrics
 from tests.gateway_helpers import NOT_RUN_LINE
 from tests.gateway_helpers import REQUEST_ID_HEADER
@@ -106,6 +107,23 @@
         self.assertEqual({}, self._refusals())
 
 
+class ShortDeadlineTest(GatewayTestCase):
+    def test_a_request_with_little_time_goes_where_it_can_finish(self):
+        """Simulates callers that leave 300 ms, with an objective of 2 s.
+
+        Guards against choosing an upstream with a queue of 300 ms, to which
+        the admission refuses to send, while another is idle.
+        """
+        self.add_upstream('busy', _answer)
+        (entry,) = self.state.directory.usable('shared')
+        load = self.upstreams.peer(entry).load
+        load.in_flight = 11
+        load.note_report(self.loop.now(), LoadReport(4, 7, 4, 1.0))
+        self.add_upstream('idle', _answer)
+        for _ in range(40):
+            self.assertEqual(200, self.request('/read/x', left_ms=300)[0])
+
+
 class OddReportTest(GatewayTestCase):
     def _request_with(self, value, count=2):
         self.add_upstream(
