--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -158,7 +158,7 @@
         peer = self._peers.get(key)
         if peer is None or peer.entry.address != entry.address:
             if peer is not None:
-                peer.load.forget_report()
+                peer.load.leave_service()
             self._note_replaced(entry.upstream)
             peer = self._peers[key] = UpstreamPeer(
                 self._loop,
