State what the preference for the own domain costs

The bound up to which all requests stay in the own failure domain is a constant of its own, with the same value.

--- a/packages/kernel/src/bramleysill_kernel/load/choice_policies.py
+++ b/packages/kernel/src/bramleysill_kernel/load/choice_policies.py
@@ -28,8 +28,10 @@
 # latency objective: the links between failure domains are narrow and the
 # first to be cut, and a request with a long objective loses little by waiting.
 REMOTE_PENALTY_SHARE_OF_OBJECTIVE = 0.05
-# Load of the own failure domain relative to the others from which requests
-# are spread over all domains. At equal load all stay in the own domain.
+# Load of the own failure domain relative to the others up to which all
+# requests stay there, and from which they are spread over all domains. Higher
+# values save bytes between domains and make the load less even.
+EQUAL_DOMAIN_LOAD = 1.0
 MAX_OWN_DOMAIN_LOAD = 1.2
 # Added to both loads, in requests per slot: at a low load the ratio of two
 # small numbers would move all requests to and fro.
@@ -226,5 +228,6 @@
     if inside is None or outside is None:
         return 0.0
     ratio = (inside + DOMAIN_LOAD_OFFSET) / (outside + DOMAIN_LOAD_OFFSET)
-    share = (MAX_OWN_DOMAIN_LOAD - ratio) / (MAX_OWN_DOMAIN_LOAD - 1.0)
+    span = MAX_OWN_DOMAIN_LOAD - EQUAL_DOMAIN_LOAD
+    share = (MAX_OWN_DOMAIN_LOAD - ratio) / span
     return min(1.0, max(0.0, share))
