Let a listing prove as much as a watch for a feed

A leader that has listed a prefix anew, as after a restore of the store, counted only the time of the listing as known until its first watch ended, up to 1.5 s later, and so fed nobody for that time. And a reply that the history is gone counted as knowledge, although nothing was read.

The time up to which a prefix is complete is now taken from the start of a listing, and a pending watch after it counts like one after a watch.

--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -75,11 +75,12 @@
         self._cancel_watch = None
         self._watch_timer = None
         self._feed_received = False
-        # When the store last replied, or the time up to which the last feed
-        # was complete.
-        self._replied_at = 0.0
-        # Whether the last reply came from the store and not with a feed.
+        # When the store last replied to a watch or a listing began, or the
+        # time up to which the last feed was complete.
+        self._complete_until = 0.0
+        # Whether that was read from the store and not from a feed.
         self._follows_store = False
+        self._listing_began_at = 0.0
         self._retry_timer = None
         self._retry_action = None
         # Rises with each restart; replies to earlier calls are ignored.
@@ -125,7 +126,7 @@
         """
         if self._cancel_watch is not None and self._follows_store:
             return reached_at
-        return min(reached_at, self._replied_at)
+        return min(reached_at, self._complete_until)
 
     def apply_feed(self, base, revision, items, age=0.0):
         """Apply changes that the leader has read from the store.
@@ -149,7 +150,7 @@
         )
         if now >= self._feed_valid_until:
             return
-        self._replied_at = max(self._replied_at, known_until)
+        self._complete_until = max(self._complete_until, known_until)
         self._follows_store = False
         self._feed_received = True
         if self._cancel_watch is not None:
@@ -225,7 +226,7 @@
         self._failures = 0
         self._feed_valid_until = 0.0
         self._feed_received = False
-        self._replied_at = 0.0
+        self._complete_until = 0.0
         self._follows_store = False
         self._leader_reply_deadline = 0.0
         self._cancel_timers()
@@ -263,6 +264,7 @@
         if not after:
             self._listing = {}
             self._listing_revision = 0
+            self._listing_began_at = self._loop.now()
         self._store.list(self.prefix, after, self._if_current(self._on_page))
 
     def _on_page(self, reply):
@@ -279,6 +281,7 @@
         if reply.more and reply.items:
             self._list(reply.items[-1].key)
             return
+        self._note_complete(self._listing_began_at)
         self._finish_listing(reply.revision)
 
     def _finish_listing(self, revision):
@@ -352,7 +355,7 @@
             self._failed(reply, self._watch)
             return
         self._note_reply()
-        self._follows_store = True
+        self._note_complete(self._loop.now())
         base = self._revision
         for item in reply.items:
             self._apply(item)
@@ -405,9 +408,13 @@
         oldest = min(self._removed, key=self._removed.get)
         self._removed_after = self._removed.pop(oldest)
 
+    def _note_complete(self, at):
+        """Record that the store's changes before a time are known."""
+        self._complete_until = max(self._complete_until, at)
+        self._follows_store = True
+
     def _note_reply(self):
         self._failures = 0
-        self._replied_at = self._loop.now()
         if not self.reachable:
             self.reachable = True
             log_event('store_recovered', prefix=self.prefix)
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -13,6 +13,8 @@
 from bramleysill_gateway.store_feed import StoreFeeder
 from bramleysill_kernel.common import messages
 from bramleysill_kernel.common.store_types import StoredItem
+from bramleysill_kernel.common.store_types import StoreOutcome
+from bramleysill_kernel.common.store_types import StoreReply
 from bramleysill_kernel.config.timings import CHANGE_LOOKUP_SECONDS
 from tests.bounds import make_bounds
 from tests.bounds import make_timings
@@ -402,6 +404,28 @@
         self.receiver_store.reply_to_watch(make_reply(7))
         self.assertEqual(elected_at, other.known_until(elected_at))
 
+    def test_a_watch_after_a_listing_proves_what_a_renewal_does(self):
+        """Guards against a leader that can't feed until its first watch ends.
+
+        After a restore of the store it lists all keys anew.
+        """
+        self.watch.restart()
+        self.store.reply_to_list(make_reply(12, make_item('operator/a', 3)))
+        self.loop.advance(FIRST_WATCH_DELAY_SECONDS + 0.1)
+        now = self.loop.now()
+        self.assertEqual(now, self.watch.known_until(now))
+
+    def test_a_lost_history_proves_nothing(self):
+        """Guards against feeds before the keys were listed again."""
+        known_until = self.watch.known_until(self.loop.now())
+        self.loop.advance(0.5)
+        self.store.reply_to_watch(StoreReply(StoreOutcome.HISTORY_GONE))
+        now = self.loop.now()
+        self.assertEqual(known_until, self.watch.known_until(now))
+        self.loop.advance(0.2)
+        self.store.reply_to_list(make_reply(12, make_item('operator/a', 3)))
+        self.assertEqual(now, self.watch.known_until(self.loop.now()))
+
     def test_steady_feeds_keep_other_routers_from_the_store(self):
         """Guards against store calls by all routers between two renewals."""
         for step in range(200):
