--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -179,7 +179,7 @@
     ),
     Mutation(
         'a late answer reaches no other request',
-        NET + 'http_server.py',
+        NET + 'response_stream.py',
         '        if self.closed or self.started:\n            return\n',
         '',
         'tests.test_http_server.LateResponseTest',
