Give names one meaning and correct docstrings after merges

Names that stood for two things: - seal_keys is replace_keys_by_digests; a seal is the write by which a coordinator fences off an older one (docs/glossary.md). - Frontend.note_full is count_full_refusal, as UpstreamLoad.note_full records something else. - LimitWait.full_peers is limited_peers, as UpstreamRoom has full_peers. - KnownRouters.has_settled is has_settled_once, beside is_settled. - The Identity _UNKNOWN_IF_VALID is _CONFIG_STALE.

CLOCK_RATE_TOLERANCE was defined twice; prefix_watch imports it from discovery.freshness. Two checks of the same condition in Attempt.on_failure are one.

Feeds name an age since the merge, so the docstring of freshness_exchange no longer says that they name none. Tests are renamed only; behaviour is unchanged.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -230,15 +230,14 @@
         self.reason = str(exc)
         if self._conn.connected:
             self.peer.in_flight_bytes.note_broken()
+            if isinstance(exc, TimeoutError):
+                self.peer.load.note_unreachable(self._loop.now())
+            elif not self._reused and not self.status:
+                self.peer.load.note_connection_limit(self._loop.now())
         else:
-            self.peer.note_gone()
-        if not self._conn.connected:
             self.reason = f'connect: {exc}'
+            self.peer.note_gone()
             self.peer.load.note_unreachable(self._loop.now())
-        elif isinstance(exc, TimeoutError):
-            self.peer.load.note_unreachable(self._loop.now())
-        elif not self._reused and not self.status:
-            self.peer.load.note_connection_limit(self._loop.now())
         self._end()
         if self._streaming:
             self._exchange.on_stream_broken(self)
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -215,13 +215,13 @@
 
     def _dispatch_shared(self, now):
         frontend = self.frontend
-        limited_peers = self._limit_wait.full_peers
-        full_peers = limited_peers | self._upstream_room.full_peers
+        limited_peers = self._limit_wait.limited_peers
+        full_peers = self._upstream_room.full_peers
         peer = self._limit_wait.permitted_peer() or frontend.choose_upstream(
             self.service,
             now,
             self._failed_upstreams,
-            full_peers,
+            limited_peers | full_peers,
             min(self.route.objective, self.time_left(now)),
         )
         if peer is None and limited_peers:
@@ -353,7 +353,7 @@
         ):
             attempt.peer.load.note_full(now)
             if attempt.status != 421:
-                others_free = self.frontend.note_full(
+                others_free = self.frontend.count_full_refusal(
                     self, attempt.peer, 'upstream'
                 )
         self._log.failed(attempt, self._attempt_count, others_free)
@@ -459,7 +459,7 @@
 
     def _refuse_not_admitted(self, peer, decision):
         if decision.action is Action.REFUSE_BUSY:
-            self.frontend.note_full(self, peer, 'router')
+            self.frontend.count_full_refusal(self, peer, 'router')
         self.give_up(
             request_refusals.not_admitted(
                 peer.entry.upstream, decision, self.bound_retry_after
--- a/packages/gateway/src/bramleysill_gateway/freshness_exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/freshness_exchange.py
@@ -1,10 +1,10 @@
 """Keeps a router's knowledge of the store provably recent.
 
-The leader's feed says what has changed, but not when: a feed may have been
-buffered on its way. A follower therefore asks the leader, which answers with
-the age of its own knowledge, and only the time at which the follower has sent
-its request counts. If that does not suffice, the follower reads the
-configuration from the store.
+A feed names the age of the leader's knowledge when it was sent. It may have
+been buffered since, so that it proves nothing here. A follower therefore asks
+the leader, which answers with the age of its own knowledge, and only the time
+at which the follower has sent its request counts. If that does not suffice,
+the follower reads the configuration from the store.
 """
 
 from bramleysill_kernel.common import messages
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -400,7 +400,7 @@
             self._metrics.note_report_age(exchange.service.name, age)
         return age
 
-    def note_full(self, exchange, peer, refused_by):
+    def count_full_refusal(self, exchange, peer, refused_by):
         """Count a refusal because an upstream is full.
 
         `refused_by` is `upstream` or `router`. Returns how many others of a
--- a/packages/gateway/src/bramleysill_gateway/limit_wait.py
+++ b/packages/gateway/src/bramleysill_gateway/limit_wait.py
@@ -11,14 +11,14 @@
 class LimitWait:
     """The limits that one exchange has met."""
 
-    __slots__ = ('_exchange', '_permitted_peer', 'full_peers')
+    __slots__ = ('_exchange', '_permitted_peer', 'limited_peers')
 
     def __init__(self, exchange):
         self._exchange = exchange
         # The upstream whose pacing router has permitted the next attempt.
         self._permitted_peer = None
         # Upstreams whose limit leaves no room for this request.
-        self.full_peers = set()
+        self.limited_peers = set()
 
     def permitted_peer(self):
         """Return the upstream with room, None if there is none any more."""
@@ -70,5 +70,5 @@
         if self._exchange.service.keyed:
             self._exchange.refuse_limited((peer,))
             return
-        self.full_peers.add(peer)
+        self.limited_peers.add(peer)
         self._exchange.dispatch()
--- a/packages/gateway/src/bramleysill_gateway/pacing.py
+++ b/packages/gateway/src/bramleysill_gateway/pacing.py
@@ -55,7 +55,7 @@
 
         `max_wait` is the time in seconds that the request may wait.
         """
-        if not self._routers.has_settled():
+        if not self._routers.has_settled_once():
             callback(self._take_fallback(entry))
             return
         names = self._routers.running_names() or [self._name]
--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -19,6 +19,7 @@
 
 from bramleysill_kernel.common.store_types import StoredItem
 from bramleysill_kernel.common.store_types import StoreOutcome
+from bramleysill_kernel.discovery.freshness import CLOCK_RATE_TOLERANCE
 from bramleysill_kernel.discovery.freshness import Freshness
 from bramleysill_router.logs import log_event
 from bramleysill_router.logs import log_warning
@@ -40,8 +41,6 @@
 # lists the keys itself, and this often. A leader is elected within a second.
 COPY_WAIT_SECONDS = 1.5
 COPY_REQUEST_INTERVAL_SECONDS = 0.1
-# The clocks of two VMs differ in rate by at most this fraction.
-CLOCK_RATE_TOLERANCE = 0.02
 # Number of removed keys remembered for feed requests of other routers.
 MAX_REMOVED_KEYS = 1000
 
@@ -63,6 +62,8 @@
         self.listed = False
         self.reachable = False
         # How recent the copy is, by replies of the store and of the leader.
+        # Revocation and quotas rely on it; `_complete_until` only decides
+        # whether feeds are sent and trusted.
         self.freshness = Freshness(loop)
         # The revision of the last change of the prefix that is known.
         self.last_change = 0
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -229,13 +229,13 @@
         self._links.listen(*listen.peer)
         Listener(self.loop, *listen.readiness, readiness.accept)
         host = listen.peer[0]
-        operations = Readiness(
+        metrics_handler = Readiness(
             self._adapter.readiness_path,
             self.not_ready_reason,
             self.metrics,
             Explainer(self.frontend).explain,
         )
-        Listener(self.loop, host, metrics_port, operations.accept)
+        Listener(self.loop, host, metrics_port, metrics_handler.accept)
         self._listener = Listener(
             self.loop, *listen.callers, self.frontend.accept
         )
--- a/packages/gateway/src/bramleysill_gateway/readiness.py
+++ b/packages/gateway/src/bramleysill_gateway/readiness.py
@@ -1,4 +1,4 @@
-"""Serves the load balancer's readiness checks and the metrics."""
+"""Serves readiness checks, the metrics and explanations of requests."""
 
 import json
 
--- a/packages/gateway/src/bramleysill_gateway/upload.py
+++ b/packages/gateway/src/bramleysill_gateway/upload.py
@@ -73,7 +73,7 @@
         attempt.start(head, self.body.encode_buffered(), self.body.complete)
         if not self.streaming:
             return
-        # No retry can use them any more.
+        # A streamed request is not retried, so the buffer is not needed again.
         self.body.clear()
         if self._memory.may_send_more(attempt.unsent_bytes):
             self._exchange.stream.resume()
--- a/packages/kernel/src/bramleysill_kernel/config/__init__.py
+++ b/packages/kernel/src/bramleysill_kernel/config/__init__.py
@@ -1,1 +1,1 @@
-"""The manifest, the routing configuration, settings and timings."""
+"""Manifest, routing configuration, organisations, settings and timings."""
--- a/packages/kernel/src/bramleysill_kernel/config/credentials.py
+++ b/packages/kernel/src/bramleysill_kernel/config/credentials.py
@@ -26,7 +26,7 @@
 
 ANONYMOUS = Identity()
 _UNAUTHENTICATED = Identity(refusal_class=refusals.Unauthenticated)
-_UNKNOWN_IF_VALID = Identity(refusal_class=refusals.ConfigStale)
+_CONFIG_STALE = Identity(refusal_class=refusals.ConfigStale)
 
 
 def parse_bearer(values):
@@ -61,5 +61,5 @@
     if public:
         return ANONYMOUS
     if key is not None and not is_recent():
-        return _UNKNOWN_IF_VALID
+        return _CONFIG_STALE
     return _UNAUTHENTICATED
--- a/packages/kernel/src/bramleysill_kernel/config/organisation_labels.py
+++ b/packages/kernel/src/bramleysill_kernel/config/organisation_labels.py
@@ -1,4 +1,4 @@
-"""Names of organisations in metrics, of which there are few at most."""
+"""Chooses the organisations that metrics name; their number is bounded."""
 
 # Metrics name this many organisations; the others are counted together.
 MAX_NAMED_ORGANISATIONS = 50
--- a/packages/kernel/src/bramleysill_kernel/discovery/__init__.py
+++ b/packages/kernel/src/bramleysill_kernel/discovery/__init__.py
@@ -1,1 +1,1 @@
-"""What is known of the upstreams that have registered in the store."""
+"""Which upstreams are registered, and how recent what is known is."""
--- a/packages/kernel/src/bramleysill_kernel/load/__init__.py
+++ b/packages/kernel/src/bramleysill_kernel/load/__init__.py
@@ -1,1 +1,1 @@
-"""Whether and where a request is sent: queues, limits, retries, health."""
+"""Whether and where a request is sent, and how much memory it may take."""
--- a/packages/kernel/src/bramleysill_kernel/load/choice_policies.py
+++ b/packages/kernel/src/bramleysill_kernel/load/choice_policies.py
@@ -41,8 +41,9 @@
 SAMPLES = 3
 # Spare slots that `spare_capacity` assumes at a full upstream.
 MIN_SPARE_SLOTS = 0.05
-# A queue beyond this share of the objective would be refused by the admission
-# of the least urgent requests.
+# An upstream that is slow or has a queue counts as full if the response is
+# expected after this share of the objective. The admission (`send_policy`) has
+# lower bounds, by priority.
 MAX_SHARE_OF_OBJECTIVE = 0.9
 # An upstream without a report for this time gets at most this multiple of the
 # requests that the router usually has at an upstream, and one at least, while
--- a/packages/kernel/src/bramleysill_kernel/load/organisation_quotas.py
+++ b/packages/kernel/src/bramleysill_kernel/load/organisation_quotas.py
@@ -250,7 +250,7 @@
         """
         now = self._clock.now()
         if (
-            not self._routers.has_settled()
+            not self._routers.has_settled_once()
             or now < self._started_at + limit.fallback_span
         ):
             return 0
--- a/packages/kernel/src/bramleysill_kernel/load/shared_limits.py
+++ b/packages/kernel/src/bramleysill_kernel/load/shared_limits.py
@@ -73,8 +73,8 @@
         """Return whether the others have had time to register."""
         return self._clock.now() >= self._settled_at
 
-    def has_settled(self):
-        """Return whether the others have had this time since the start."""
+    def has_settled_once(self):
+        """Return whether `is_settled` was true at least once."""
         return self._clock.now() >= self._first_settled_at
 
     def is_registered(self, router):
--- a/packages/router/src/bramleysill_router/peer_links.py
+++ b/packages/router/src/bramleysill_router/peer_links.py
@@ -15,8 +15,7 @@
 from bramleysill_router.logs import log_warning
 from bramleysill_wire import codec
 
-# A link is closed if more than this waits to be sent to a slow peer, unless
-# the process has less memory (`PeerLinks.max_buffered_bytes`).
+# Default of `PeerLinks.max_buffered_bytes`.
 MAX_BUFFERED_BYTES = 64 << 20
 HELLO_TIMEOUT_SECONDS = 1.0
 REDIAL_DELAY_SECONDS = 0.2
@@ -164,7 +163,7 @@
 
     def __init__(self, loop, hello, metrics):
         self.hello = hello
-        # A link is closed if more than this waits to be sent.
+        # A link is closed if more than this waits to be sent to a slow peer.
         self.max_buffered_bytes = MAX_BUFFERED_BYTES
         self._loop = loop
         self._metrics = metrics
--- a/tests/gateway_helpers.py
+++ b/tests/gateway_helpers.py
@@ -122,7 +122,7 @@
 
     __slots__ = ()
 
-    def has_settled(self):
+    def has_settled_once(self):
         return True
 
     def is_settled(self):
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -56,23 +56,23 @@
         for value in (*table._by_digest, *table.by_name):
             self.assertNotIn('k-acme', repr(value))
 
-    def test_a_sealed_document_means_the_same(self):
+    def test_a_document_with_digests_means_the_same(self):
         """Guards against routers that differ in the keys that they accept."""
         odd = {'api_keys': ['with space', 'k-odd'], 'rate_per_s': 5}
         data = json.dumps({**CONFIG, 'tenants': {**TENANTS, 'odd': odd}})
-        sealed = tenants.seal_keys(data.encode())
+        replaced = tenants.replace_keys_by_digests(data.encode())
         for part in (b'k-acme', b'k-small', b'k-odd', b'with space'):
-            self.assertNotIn(part, sealed)
-        self.assertEqual(sealed, tenants.seal_keys(sealed))
+            self.assertNotIn(part, replaced)
+        self.assertEqual(replaced, tenants.replace_keys_by_digests(replaced))
         plain, table = (
-            documents.decode_config(d).organisations for d in (data, sealed)
+            documents.decode_config(d).organisations for d in (data, replaced)
         )
         self.assertEqual(plain._by_digest.keys(), table._by_digest.keys())
         self.assertEqual('odd', table.find('k-odd').name)
         self.assertEqual(5.0, table.find('k-odd').rate)
         self.assertEqual({'odd': 1}, table.unusable_keys)
 
-    def test_a_document_that_cannot_be_sealed_is_left_as_it_is(self):
+    def test_a_document_without_a_table_of_tenants_is_left_as_it_is(self):
         """Guards against a copy of the store that ends with odd data."""
         for data in (
             b'',
@@ -82,16 +82,18 @@
             b'{"tenants":[]}',
             json.dumps(CONFIG).encode(),
         ):
-            self.assertEqual(data, tenants.seal_keys(data))
+            self.assertEqual(data, tenants.replace_keys_by_digests(data))
 
-    def test_a_malformed_list_of_keys_is_refused_when_sealed_too(self):
+    def test_a_malformed_list_of_keys_is_refused_as_digests_too(self):
         """Guards against an organisation without keys for one odd value."""
         for keys in (KEY, None, [KEY, 1], {KEY: 1}, [[KEY]]):
             document = {**CONFIG, 'tenants': {'a': {'api_keys': keys}}}
-            sealed = tenants.seal_keys(json.dumps(document).encode())
-            self.assertNotIn(KEY.encode(), sealed)
+            replaced = tenants.replace_keys_by_digests(
+                json.dumps(document).encode()
+            )
+            self.assertNotIn(KEY.encode(), replaced)
             self.assertRaises(
-                fields.FieldError, documents.decode_config, sealed
+                fields.FieldError, documents.decode_config, replaced
             )
         for digests in (['00'], ['zz' * 32], [None], 'ab', None):
             value = {'a': {'api_key_digests': digests}}
@@ -113,7 +115,7 @@
             body = json.dumps({**document, 'current_rev': 3}).encode()
             reply = CallResult(200, {}, body, True, False)
             (item,) = store._decode_reply(reply, read).items
-            self.assertEqual(tenants.seal_keys(data), item.value)
+            self.assertEqual(tenants.replace_keys_by_digests(data), item.value)
             self.assertNotIn(KEY.encode(), item.value)
 
     def test_without_the_table_there_are_no_organisations(self):
