--- a/packages/kernel/src/bramleysill_kernel/load/choice_policies.py
+++ b/packages/kernel/src/bramleysill_kernel/load/choice_policies.py
@@ -46,7 +46,7 @@
 # An upstream that is slow or has a queue counts as full if the response is
 # expected after this share of the objective. It is the least share of the
 # admission (`send_policy`), which would refuse the request.
-MAX_SHARE_OF_OBJECTIVE = 0.6
+MAX_SHARE_OF_OBJECTIVE = 0.7
 # An upstream without a report for this time gets at most this multiple of the
 # requests that the router usually has at an upstream, and one at least, while
 # there are others. The estimate could otherwise fall behind without an end.
--- a/packages/kernel/src/bramleysill_kernel/load/send_policy.py
+++ b/packages/kernel/src/bramleysill_kernel/load/send_policy.py
@@ -27,7 +27,7 @@
 # numbers use the last value. The rest is for requests of other routers that
 # this one does not know of. Larger shares would lengthen the queue without
 # serving more requests, and every response would be late.
-MAX_SHARE_OF_OBJECTIVE_BY_PRIORITY = (0.8, 0.8, 0.6)
+MAX_SHARE_OF_OBJECTIVE_BY_PRIORITY = (0.9, 0.9, 0.7)
 # Bounds of the Retry-After value of a refusal.
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 1.5
