Make the test of connections over a limit fail without its fix

The test has a second upstream now, which is not counted as full and gets the second request. No assertion is eased.

--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -157,14 +157,19 @@
 
         Its caller may not send it again, although it certainly has not run.
         """
-        upstream = self.add_upstream('u1', lambda request_id: None)
-        upstream.resets = True
+        upstreams = [
+            self.add_upstream(name, lambda request_id: None)
+            for name in ('u1', 'u2')
+        ]
+        for upstream in upstreams:
+            upstream.resets = True
         status, _, _ = self.request('/write/1', body=b'x')
         self.assertEqual(502, status)
+        # The first one counts as full now, so the other gets this request.
         status, headers, _ = self.request('/write/2', body=b'x')
         self.assertEqual(503, status)
         self.assertIn('retry-after', headers)
-        self.assertEqual([], upstream.requests)
+        self.assertEqual([], upstreams[0].requests + upstreams[1].requests)
 
     def test_request_is_sent_once_the_connection_has_settled(self):
         """Guards against a request that is never sent after a reset."""
