Compute a request's deadline in one place, and note lost upstreams in one call

The frontend and the exchange both worked out the earlier one of the caller's and the route's deadline, and two places had to pair the load's note of an unreachable upstream with the one of its memory. Each is one method now.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -236,8 +236,7 @@
                 self.peer.load.note_connection_limit(self._loop.now())
         else:
             self.reason = f'connect: {exc}'
-            self.peer.note_gone()
-            self.peer.load.note_unreachable(self._loop.now())
+            self.peer.note_unreachable(self._loop.now())
         self._end()
         if self._streaming:
             self._exchange.on_stream_broken(self)
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -105,10 +105,7 @@
         self.received_at = now
         self.config_version = version
         # Until when the caller waits; None if it has not told.
-        self._caller_deadline = frontend.read_caller_deadline(req)
-        self._deadline = now + route.max_wait
-        if self._caller_deadline is not None:
-            self._deadline = min(self._deadline, self._caller_deadline)
+        self._caller_deadline, self._deadline = frontend.deadlines(req, route)
         # The RequestMemory of this request; see `check_memory`.
         self.memory, self._has_memory = frontend.memory.open(
             req, route.priority
@@ -321,8 +318,7 @@
     def _check_connected(self, attempt):
         if self._attempt is not attempt or attempt.connected:
             return
-        attempt.peer.load.note_unreachable(self.frontend.loop.now())
-        attempt.peer.note_gone()
+        attempt.peer.note_unreachable(self.frontend.loop.now())
         attempt.cancel('connect_timeout')
         self.on_failed(attempt)
 
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -230,7 +230,7 @@
         identity = self._identification.identify(config, route, req)
         if identity.refusal_class is not None:
             refusal = self._identification.make_refusal(
-                identity, self._time_left(req, route)
+                identity, self.deadlines(req, route)[1] - self.loop.now()
             )
             self._refuse_before_exchange(
                 stream, refusal, request_id, config.version
@@ -267,18 +267,18 @@
             exchange.check_memory()
         return exchange
 
-    def read_caller_deadline(self, req):
-        """Return until when the caller waits, or None if it doesn't tell."""
-        text = req.header(self.adapter.time_left_ms)
-        seconds = parse_milliseconds(text)
-        return None if seconds is None else req.arrived_at + seconds
+    def deadlines(self, req, route):
+        """Return until when the caller waits, and the request's deadline.
 
-    def _time_left(self, req, route):
+        The first is None if the caller doesn't tell. The second is the
+        earlier one of the caller's and the route's.
+        """
         deadline = req.arrived_at + route.max_wait
-        caller_deadline = self.read_caller_deadline(req)
-        if caller_deadline is not None:
-            deadline = min(deadline, caller_deadline)
-        return deadline - self.loop.now()
+        seconds = parse_milliseconds(req.header(self.adapter.time_left_ms))
+        if seconds is None:
+            return None, deadline
+        caller_deadline = req.arrived_at + seconds
+        return caller_deadline, min(deadline, caller_deadline)
 
     def _refuse_before_exchange(self, stream, refusal, request_id, version):
         self._metrics.requests['-', refusal.code] += 1
--- a/packages/gateway/src/bramleysill_gateway/upstreams.py
+++ b/packages/gateway/src/bramleysill_gateway/upstreams.py
@@ -76,6 +76,11 @@
                 limit=-1.0 if rate is None else rate,
             )
 
+    def note_unreachable(self, now):
+        """Record that no connection to the process could be made."""
+        self.load.note_unreachable(now)
+        self.note_gone()
+
     def note_gone(self):
         """Record that the process can't be reached, or was replaced."""
         held = self.in_flight_bytes.note_gone()
