Let a decision on a limit change only what the next dispatch finds

Callers saw 503 for a request that ran at its upstream. A request for a key whose upstream names a limit waits for a decision of the pacing router. If the owner table changed meanwhile, the request was dispatched again for each wait that it had begun, asked once more or was sent to the next owner, and a late decision 'no room' refused it while it ran.

Evidence: tests.test_refused.LateLimitDecisionTest, red on: one request asks five times after 0.2 s of moving keys, is sent after the first decision and answered 503 by the second.

A decision is now used only by the question that still waits, a pacing router is asked once at a time for a request, and 'no room' is noted and dispatched, so that only a dispatch, which never runs beside an attempt, can refuse. The request is no longer refused for the room of a former owner.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,23 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a decision on a limit never refuses a request by itself',
+        GATEWAY + 'limit_wait.py',
+        """        self.limited_peers.add(peer)
+        self._exchange.dispatch()
+""",
+        """        self.refuse((peer,))
+""",
+        'tests.test_refused.LateLimitDecisionTest',
+    ),
+    Mutation(
+        'a pacing router is asked once at a time for a request',
+        GATEWAY + 'limit_wait.py',
+        'if self._question is None or self._question.peer is not peer:',
+        'if True:',
+        'tests.test_refused.LateLimitDecisionTest',
+    ),
     Mutation(
         'a reply of the leader counts from its request',
         GATEWAY + 'freshness_exchange.py',
--- a/packages/gateway/src/bramleysill_gateway/limit_wait.py
+++ b/packages/gateway/src/bramleysill_gateway/limit_wait.py
@@ -3,19 +3,38 @@
 The pacing router of the upstream says when the request may be sent. If that
 would be too late, a request for a shared service goes to another upstream, and
 one for a key, which only its owner can serve, is refused.
+
+A decision only changes what the next dispatch finds. The request may have been
+sent by another way since the question was asked, and must not be refused then.
 """
 
 from bramleysill_gateway import request_refusals
 from bramleysill_kernel.load.send_policy import max_upstream_seconds
 
 
+class _Question:
+    """What a pacing router was asked: has the upstream `peer` room?"""
+
+    __slots__ = ('peer',)
+
+    def __init__(self, peer):
+        self.peer = peer
+
+
 class LimitWait:
     """The limits that one exchange has met."""
 
-    __slots__ = ('_exchange', '_permitted_peer', 'limited_peers')
+    __slots__ = (
+        '_exchange',
+        '_question',
+        '_permitted_peer',
+        'limited_peers',
+    )
 
     def __init__(self, exchange):
         self._exchange = exchange
+        # The _Question without a decision, or None.
+        self._question = None
         # The upstream whose pacing router has permitted the next attempt.
         self._permitted_peer = None
         # Upstreams whose limit leaves no room for this request.
@@ -38,18 +57,14 @@
         """
         permitted_peer, self._permitted_peer = self._permitted_peer, None
         if peer.limit is None or permitted_peer is peer:
+            self._question = None
             return True
-        exchange = self._exchange
-        allowed = max_upstream_seconds(exchange.route, exchange.time_left(now))
-        max_wait = max(0.0, allowed - expected_seconds)
-        if peer.limit_room_at - now > max_wait:
-            self._on_full(peer)
+        if peer in self.limited_peers:
+            # Only the owner of a key is asked for again.
+            self.refuse((peer,))
             return False
-        exchange.frontend.pacing.ask(
-            peer.entry,
-            max_wait,
-            lambda decision: self._on_decision(peer, decision),
-        )
+        if self._question is None or self._question.peer is not peer:
+            self._ask(peer, now, expected_seconds)
         return False
 
     def refuse(self, peers):
@@ -65,10 +80,26 @@
             )
         )
 
-    def _on_decision(self, peer, decision):
+    def _ask(self, peer, now, expected_seconds):
+        exchange = self._exchange
+        allowed = max_upstream_seconds(exchange.route, exchange.time_left(now))
+        max_wait = max(0.0, allowed - expected_seconds)
+        if peer.limit_room_at - now > max_wait:
+            self._on_full(peer)
+            return
+        question = self._question = _Question(peer)
+        exchange.frontend.pacing.ask(
+            peer.entry,
+            max_wait,
+            lambda decision: self._on_decision(question, decision),
+        )
+
+    def _on_decision(self, question, decision):
         exchange = self._exchange
-        if exchange.finished:
+        if exchange.finished or question is not self._question:
             return
+        self._question = None
+        peer = question.peer
         at = exchange.frontend.loop.now() + decision.delay
         if not decision.permitted:
             peer.limit_room_at = at
@@ -81,8 +112,6 @@
             exchange.dispatch_at(at)
 
     def _on_full(self, peer):
-        if self._exchange.service.keyed:
-            self.refuse((peer,))
-            return
+        self._question = None
         self.limited_peers.add(peer)
         self._exchange.dispatch()
--- a/tests/test_refused.py
+++ b/tests/test_refused.py
@@ -43,16 +43,19 @@
         """
         self.add_upstream('o1', self._limited, 'keyed')
         self.request('/keyed/x')
-        self.announcer.on_message(
-            messages.RangeNoticeList(
-                'leader', 'keyed', 1, [0], [65535], [1], [0.0]
-            )
-        )
+        self._announce_pause(fence=1)
         _, responses = self.start('/keyed/x', body=b'x')
         self.loop.run_until(lambda: self.pacing.callbacks, MOVE_SECONDS)
         self._assign('o1')
         return responses
 
+    def _announce_pause(self, fence):
+        self.announcer.on_message(
+            messages.RangeNoticeList(
+                'leader', 'keyed', 1, [0], [65535], [fence], [0.0]
+            )
+        )
+
     def _assign(self, upstream):
         tables = self.state.tables
         tables['keyed'] = tables['keyed'].assign(
@@ -81,6 +84,16 @@
         self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
         self.assertEqual(200, responses[0][0])
 
+    def test_not_refused_for_the_room_of_its_former_owner(self):
+        """Guards against a refusal while the next owner has room."""
+        responses = self._start_while_keys_move()
+        self._announce_pause(fence=2)
+        self.pacing.callbacks[0](PaceDecision(False, 0.5))
+        self.add_upstream('o2', signed_response, 'keyed')
+        self._assign('o2')
+        self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        self.assertEqual(200, responses[0][0])
+
 
 class EarlierAttemptTest(GatewayTestCase):
     """An earlier attempt may have run, and a later one is refused."""
