Let a denied quota change only what the next dispatch finds

The same fault as in the wait for a limit: a request that waits for a token is sent if another wait of it ends once the limit is removed, and the decision that comes later answered it 429 while it ran.

tests.test_quota_exchange: test_a_denial_after_the_request_was_sent fails without the change (1 failed) and passes with it.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,17 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a denied quota never refuses a request by itself',
+        GATEWAY + 'quota_hold.py',
+        """            self._denial = decision
+        exchange.dispatch()
+""",
+        """            self._refuse(decision)
+        exchange.dispatch()
+""",
+        'tests.test_quota_exchange.QuotaExchangeTest',
+    ),
     Mutation(
         'a decision on a limit never refuses a request by itself',
         GATEWAY + 'limit_wait.py',
--- a/packages/gateway/src/bramleysill_gateway/quota_hold.py
+++ b/packages/gateway/src/bramleysill_gateway/quota_hold.py
@@ -4,6 +4,8 @@
 was not used goes back, also while the request waits for something else, so
 that others can use it. An attempt that certainly has not run leaves its token
 to the next attempt; one that may have run has used it.
+
+A decision only changes what the next dispatch finds, as in `limit_wait`.
 """
 
 import enum
@@ -27,13 +29,15 @@
 class QuotaHold:
     """The token of one exchange, or its wait for one."""
 
-    __slots__ = ('_exchange', '_token', '_waiter', '_state')
+    __slots__ = ('_exchange', '_token', '_waiter', '_state', '_denial')
 
     def __init__(self, exchange):
         self._exchange = exchange
         self._token = None
         self._waiter = None
         self._state = _State.UNUSED
+        # The QuotaDecision against the request, or None.
+        self._denial = None
 
     def may_dispatch(self, now):
         """Return whether the request needs no token or has one.
@@ -49,6 +53,9 @@
         quotas = exchange.frontend.quotas
         if not quotas.has_limit(organisation.name):
             return True
+        if self._denial is not None:
+            self._refuse(self._denial)
+            return False
         if self._state is _State.WAITING:
             return False
         self._token = None
@@ -100,13 +107,16 @@
             # Another decision of the same reply has ended this request.
             self._give_back()
             return
-        if decision.action is QuotaAction.SEND:
-            exchange.dispatch()
-        else:
-            exchange.give_up(
-                request_refusals.over_quota(
-                    exchange.organisation.name,
-                    decision,
-                    exchange.bound_retry_after,
-                )
+        if decision.action is not QuotaAction.SEND:
+            self._denial = decision
+        exchange.dispatch()
+
+    def _refuse(self, decision):
+        exchange = self._exchange
+        exchange.give_up(
+            request_refusals.over_quota(
+                exchange.organisation.name,
+                decision,
+                exchange.bound_retry_after,
             )
+        )
--- a/tests/test_quota_exchange.py
+++ b/tests/test_quota_exchange.py
@@ -273,3 +273,21 @@
         self.quotas.callbacks[0](QuotaDecision(QuotaAction.SEND))
         self.run_until(lambda: responses)
         self.assertEqual(200, responses[0][0])
+
+    def test_a_denial_after_the_request_was_sent(self):
+        """Guards against REFUSED: a 429 for a request that runs."""
+        upstream = self.add_upstream('u1', lambda i: 'no_response')
+        self.quotas.decides = False
+        _, responses = self.start('/write/x', body=b'x', fields=FIELDS)
+        self.run_until(lambda: self.quotas.callbacks)
+        (exchange,) = self.frontend.active_exchanges
+        # Another wait of the request ends once the limit is removed.
+        self.quotas.limited = set()
+        exchange.dispatch()
+        self.run_until(lambda: upstream.requests)
+        self.quotas.callbacks[0](QuotaDecision(QuotaAction.REFUSE))
+        self.loop.run_until(lambda: responses, 0.1)
+        self.assertEqual([], responses)
+        upstream.last_conn.conn.write(signed_response('r1'))
+        self.run_until(lambda: responses)
+        self.assertEqual(200, responses[0][0])
