Keep one record of whether a request may have run

Callers saw 503 for a request whose first attempt had run: an idempotent request whose first upstream broke off and whose second one refused it. The final status was chosen from the last attempt alone, whether an attempt had run was decided in six places, and Exchange.refuse ended a running attempt without asking what it had done.

RunRecord holds the attempts that may have run, over the whole request. An attempt enters it with its first byte and leaves it only with a complete response that says 'not run'. Each refusal passes through Exchange.refuse, which asks the record after it has ended the attempt; give_up is gone. The log now shows the attempt that a refusal ends.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,34 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'no attempt that may have run is forgotten',
+        GATEWAY + 'run_record.py',
+        'self._attempts.append(attempt)',
+        'self._attempts[:] = [attempt]',
+        'tests.test_refused.EarlierAttemptTest',
+    ),
+    Mutation(
+        'a refusal is true while an attempt runs',
+        GATEWAY + 'exchange.py',
+        'if suspect is not None and refusal.status in NOT_RUN_STATUSES:',
+        'if False:',
+        'tests.test_refused.RunningAttemptTest',
+    ),
+    Mutation(
+        'an attempt counts from its first byte',
+        GATEWAY + 'attempt.py',
+        'self._exchange.run_record.note_sent(self)',
+        'pass',
+        'tests.test_refused.RunningAttemptTest',
+    ),
+    Mutation(
+        'only a refusal that says so takes an attempt back',
+        GATEWAY + 'attempt.py',
+        'if self._refused:',
+        'if not self._usable:',
+        'tests.test_gateway_exchange.ExchangeTest',
+    ),
     Mutation(
         'a denied quota never refuses a request by itself',
         GATEWAY + 'quota_hold.py',
--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -7,7 +7,6 @@
 """
 
 from bramleysill_kernel.common.bounded_values import parse_milliseconds
-from bramleysill_kernel.load.retry_rules import AttemptOutcome
 from bramleysill_net.chunk_buffer import ChunkBuffer
 from bramleysill_net.http_headers import end_to_end_fields
 from bramleysill_net.http_headers import first_value
@@ -28,7 +27,6 @@
 
     __slots__ = (
         'peer',
-        'outcome',
         'reason',
         'status',
         'response_complete',
@@ -47,13 +45,13 @@
         '_length',
         '_received_bytes',
         '_usable',
+        '_refused',
         '_streaming',
         '_ended',
     )
 
     def __init__(self, exchange, peer, adapter, loop):
         self.peer = peer
-        self.outcome = AttemptOutcome.NOT_RUN
         self.reason = ''
         self.status = 0
         # Whether a complete response, usable or not, was received.
@@ -77,6 +75,8 @@
         self._length = None
         self._received_bytes = 0
         self._usable = False
+        # Whether the head says that the upstream has not run the request.
+        self._refused = False
         self._streaming = False
         self._ended = False
 
@@ -110,6 +110,11 @@
             self._conn.write(data)
             self._conn.end_request()
 
+    @property
+    def outcome(self):
+        """Return the AttemptOutcome, as far as it is known."""
+        return self._exchange.run_record.outcome_of(self)
+
     @property
     def connected(self):
         """Return whether the connection to the upstream is established."""
@@ -126,17 +131,18 @@
         return self._streaming
 
     def cancel(self, reason):
-        """Abort the connection; return the AttemptOutcome."""
+        """Abort the connection."""
         if not self._ended:
-            if self._conn.sent_bytes:
-                self.outcome = AttemptOutcome.UNKNOWN
             self.reason = reason
             self._end()
             self._conn.abort()
-        return self.outcome
 
     # Callbacks of the connection.
 
+    def on_request_sent(self):
+        """Record that the first bytes of the request are sent."""
+        self._exchange.run_record.note_sent(self)
+
     def accepts(self, status, headers):
         """Return whether a response belongs to this request.
 
@@ -163,22 +169,22 @@
         signed = first_value(headers, adapter.signature)
         refused = first_value(headers, adapter.not_run) or status == 421
         if refused and not self._is_certainly_own(headers):
-            self._mark_unknown(f'unidentified_{status}')
+            self.reason = f'unidentified_{status}'
         elif refused:
+            self._refused = True
             self.reason = f'not_run_{status}'
             # The upstream may write the refusal again, with the same id.
             self._exchange.refused_conns.append(self._conn)
             self._check_upstream_id(headers)
         elif not signed:
-            self._mark_unknown(f'unsigned_{status}')
+            self.reason = f'unsigned_{status}'
         elif first_value(headers, 'content-encoding'):
-            self._mark_unknown('encoded')
+            self.reason = 'encoded'
         elif status in NOT_RUN_STATUSES:
             # These statuses tell the caller that its request has not run,
             # but the upstream did not set the header that says so.
-            self._mark_unknown(f'status_{status}')
+            self.reason = f'status_{status}'
         else:
-            self.outcome = AttemptOutcome.UNKNOWN
             self._usable = True
             if length is not None and length > MAX_BUFFERED_RESPONSE_BYTES:
                 self._start_streaming()
@@ -200,6 +206,8 @@
     def on_end(self):
         """Report the complete response to the exchange."""
         self.response_complete = True
+        if self._refused:
+            self._exchange.run_record.note_not_run(self)
         if self._usable:
             # A long body or a slow caller takes no time of the upstream.
             seconds = self._responded_at - self.sent_at
@@ -223,10 +231,6 @@
         """Report a connection that ended before the response did."""
         if self._ended:
             return
-        if self._conn.sent_bytes:
-            self.outcome = AttemptOutcome.UNKNOWN
-        else:
-            self.outcome = AttemptOutcome.NOT_RUN
         self.reason = str(exc)
         if self._conn.connected:
             self.peer.in_flight_bytes.note_broken()
@@ -303,10 +307,6 @@
         self._conn.abort()
         self._exchange.on_failed(self)
 
-    def _mark_unknown(self, reason):
-        self.outcome = AttemptOutcome.UNKNOWN
-        self.reason = reason
-
     def _start_streaming(self):
         self._streaming = True
         self._exchange.on_stream_start(
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -15,6 +15,7 @@
 from bramleysill_gateway.peer_selection import PeerSelection
 from bramleysill_gateway.quota_hold import QuotaHold
 from bramleysill_gateway.request_head import encode_head
+from bramleysill_gateway.run_record import RunRecord
 from bramleysill_gateway.upload import Upload
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.problems import to_problem
@@ -53,6 +54,7 @@
         'refused_conns',
         'dropped_fields',
         'memory',
+        'run_record',
         '_deadline',
         '_caller_deadline',
         '_upload',
@@ -108,9 +110,10 @@
         self._log = ExchangeLog(self)
         self._attempt = None
         self._attempt_count = 0
+        self.run_record = RunRecord()
         self._connect_timer = None
         self._dispatch_timer = None
-        # The last failed attempt; it determines the final refusal.
+        # The last failed attempt.
         self._last_failure = None
         # Upstreams that have failed this request.
         self._failed_upstreams = set()
@@ -215,7 +218,7 @@
     def _send(self, peer, now):
         if self._attempt_count:
             if not self.frontend.take_retry(self.service):
-                self.give_up(self._refusal_after_attempts('retry_budget'))
+                self.refuse(self._refusal_after_attempts('retry_budget'))
                 return
         else:
             self.frontend.note_request(self)
@@ -281,9 +284,9 @@
         self._failed_upstreams.add(attempt.peer.entry.upstream)
         left = self._deadline - now
         if self._upload.streaming or not may_retry(
-            self.route, attempt.outcome, self._attempt_count, left
+            self.route, self.run_record.outcome, self._attempt_count, left
         ):
-            self.give_up(self._refusal_after_attempts('no_more_attempts'))
+            self.refuse(self._refusal_after_attempts('no_more_attempts'))
             return
         if self.service.keyed and attempt.status != 421:
             self.dispatch_at(now + OWNER_RETRY_DELAY_SECONDS)
@@ -342,7 +345,7 @@
             self._quota.note_failed(attempt.outcome)
             self._last_failure = attempt
             self._log.failed(attempt, self._attempt_count)
-        self.give_up(self._refusal_after_attempts('deadline', timed_out=True))
+        self.refuse(self._refusal_after_attempts('deadline', timed_out=True))
 
     def _limit_stream(self):
         """Let a streamed response go on while the caller waits for it.
@@ -363,12 +366,11 @@
         self.on_stream_broken(attempt)
 
     def _refusal_after_attempts(self, step, timed_out=False):
-        return request_refusals.after_attempts(
-            self._last_failure,
-            self.service.name,
-            step,
-            timed_out,
-            self.bound_retry_after,
+        suspect = self.run_record.suspect
+        if suspect is not None:
+            return request_refusals.may_have_run(suspect, step, timed_out)
+        return request_refusals.not_run(
+            self._last_failure, self.service.name, step, self.bound_retry_after
         )
 
     def bound_retry_after(self, seconds):
@@ -376,27 +378,21 @@
         left = self._deadline - self.frontend.loop.now()
         return request_refusals.bound_retry_after(seconds, left)
 
-    def give_up(self, refusal):
-        """Refuse the request without a false claim that it has not run.
+    def refuse(self, refusal):
+        """Log a refusal and send it to the caller.
 
-        Some statuses tell the caller that its request has not run. They are
-        replaced if the last attempt may have run it.
+        Some statuses tell the caller that its request has not run and never
+        will. They are replaced if it may have run.
         """
-        last = self._last_failure
-        may_have_run = (
-            last is not None and last.outcome is AttemptOutcome.UNKNOWN
-        )
-        if may_have_run and refusal.status in NOT_RUN_STATUSES:
-            refusal = self._refusal_after_attempts('retry')
-        self.refuse(refusal)
-
-    def refuse(self, refusal):
-        """Log a refusal and send it to the caller."""
         if self.finished:
             return
         attempt, self._attempt = self._attempt, None
         if attempt is not None:
             attempt.cancel(refusal.code)
+            self._log.failed(attempt, self._attempt_count)
+        suspect = self.run_record.suspect
+        if suspect is not None and refusal.status in NOT_RUN_STATUSES:
+            refusal = request_refusals.may_have_run(suspect, 'retry')
         self._log.refused(refusal, self._attempt_count)
         self._finish(refusal.code, refusal.status)
         status, headers, body = to_problem(
--- a/packages/gateway/src/bramleysill_gateway/limit_wait.py
+++ b/packages/gateway/src/bramleysill_gateway/limit_wait.py
@@ -72,7 +72,7 @@
         exchange = self._exchange
         now = exchange.frontend.loop.now()
         peer = min(peers, key=lambda peer: peer.limit_room_at)
-        exchange.give_up(
+        exchange.refuse(
             request_refusals.limit_reached(
                 peer.entry.upstream,
                 peer.limit_room_at - now,
--- a/packages/gateway/src/bramleysill_gateway/owner_search.py
+++ b/packages/gateway/src/bramleysill_gateway/owner_search.py
@@ -58,7 +58,7 @@
         exchange = self._exchange
         owned_range = exchange.owned_range
         peer = owned_range.owner if owned_range else exchange.service.name
-        exchange.give_up(
+        exchange.refuse(
             request_refusals.no_owner(
                 message, peer, exchange.bound_retry_after
             )
@@ -80,7 +80,7 @@
 
     def _refuse_moving(self, seconds):
         exchange = self._exchange
-        exchange.give_up(
+        exchange.refuse(
             request_refusals.keys_moving(
                 exchange.owned_range, seconds, exchange.bound_retry_after
             )
--- a/packages/gateway/src/bramleysill_gateway/peer_selection.py
+++ b/packages/gateway/src/bramleysill_gateway/peer_selection.py
@@ -107,7 +107,7 @@
     def _refuse_no_upstream(self, now):
         exchange = self._exchange
         choice = exchange.frontend.choice
-        exchange.give_up(
+        exchange.refuse(
             request_refusals.no_upstream(
                 exchange.service.name,
                 choice.seconds_until_open(exchange.service, now),
@@ -117,7 +117,7 @@
 
     def _refuse_slow_start(self, peer):
         exchange = self._exchange
-        exchange.give_up(
+        exchange.refuse(
             request_refusals.in_slow_start(
                 peer.entry.upstream, exchange.bound_retry_after
             )
@@ -129,7 +129,7 @@
             exchange.frontend.choice.count_full_refusal(
                 exchange, peer, 'router'
             )
-        exchange.give_up(
+        exchange.refuse(
             request_refusals.not_admitted(
                 peer.entry.upstream, decision, exchange.bound_retry_after
             )
--- a/packages/gateway/src/bramleysill_gateway/quota_hold.py
+++ b/packages/gateway/src/bramleysill_gateway/quota_hold.py
@@ -113,7 +113,7 @@
 
     def _refuse(self, decision):
         exchange = self._exchange
-        exchange.give_up(
+        exchange.refuse(
             request_refusals.over_quota(
                 exchange.organisation.name,
                 decision,
--- a/packages/gateway/src/bramleysill_gateway/request_refusals.py
+++ b/packages/gateway/src/bramleysill_gateway/request_refusals.py
@@ -4,7 +4,6 @@
 """
 
 from bramleysill_kernel.common import refusals
-from bramleysill_kernel.load.retry_rules import AttemptOutcome
 from bramleysill_kernel.load.send_policy import Action
 from bramleysill_kernel.load.token_leases import QuotaAction
 
@@ -155,28 +154,31 @@
     )
 
 
-def after_attempts(last_failure, service, step, timed_out, bound):
-    """Refuse a request that is not retried.
+def not_run(last_failure, service, step, bound):
+    """Refuse a request that is not retried and that no upstream has run.
 
     `last_failure` is its last attempt, or None if there was none.
     """
-    if last_failure is None or last_failure.outcome is AttemptOutcome.NOT_RUN:
-        reason = (
-            last_failure.reason
-            if last_failure
-            else 'no upstream was available before the deadline'
-        )
-        return refusals.UpstreamShed(
-            f'the request was not run: {reason}',
-            step,
-            last_failure.peer.entry.upstream if last_failure else service,
-            retry_after=bound(SHORT_RETRY_AFTER_SECONDS),
-        )
+    reason = 'no upstream was available before the deadline'
+    peer = service
+    if last_failure is not None:
+        reason = last_failure.reason
+        peer = last_failure.peer.entry.upstream
+    return refusals.UpstreamShed(
+        f'the request was not run: {reason}',
+        step,
+        peer,
+        retry_after=bound(SHORT_RETRY_AFTER_SECONDS),
+    )
+
+
+def may_have_run(attempt, step, timed_out=False):
+    """Refuse a request that is not retried and may have run in an attempt."""
     refusal_class = (
         refusals.DeadlineUnknown if timed_out else refusals.ConnectionLost
     )
     return refusal_class(
-        f'the request may have run: {last_failure.reason}',
+        f'the request may have run: {attempt.reason}',
         step,
-        last_failure.peer.entry.upstream,
+        attempt.peer.entry.upstream,
     )
--- a/packages/gateway/src/bramleysill_gateway/upstream_room.py
+++ b/packages/gateway/src/bramleysill_gateway/upstream_room.py
@@ -45,7 +45,7 @@
             )
 
         peer = min(self.full_peers, key=seconds_until_room)
-        exchange.give_up(
+        exchange.refuse(
             request_refusals.upstream_memory(
                 peer.entry.upstream,
                 seconds_until_room(peer),
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -44,10 +44,11 @@
     connections over its limit would have done so. Such a reset then proves
     that the request has not run.
 
-    A sink may have a method `accepts(status, headers)`. If it returns False,
-    the response belongs to an earlier request on this connection; it is
-    discarded, and the next response is read instead. A sink that raises
-    ResponseTooLarge fails the exchange.
+    A sink may have a method `on_request_sent()`, called before the first byte
+    of the request is sent, and a method `accepts(status, headers)`. If that
+    returns False, the response belongs to an earlier request on this
+    connection; it is discarded, and the next response is read instead. A sink
+    that raises ResponseTooLarge fails the exchange.
 
     What a connection holds of a head is reserved in `loop.receive_budget`, for
     its `source`. Trailers are discarded.
@@ -173,6 +174,8 @@
         if self._settled:
             # From here on the bytes count as sent: any part of them may reach
             # the server.
+            if not self.sent_bytes:
+                self._notify_sent()
             self.sent_bytes += len(data)
             self.conn.write(data)
         else:
@@ -324,6 +327,11 @@
 
     # Internal.
 
+    def _notify_sent(self):
+        sink = self._sink
+        if sink is not None and hasattr(sink, 'on_request_sent'):
+            sink.on_request_sent()
+
     def _finish_settling(self):
         if self.conn.closed:
             return
--- a/tests/test_refused.py
+++ b/tests/test_refused.py
@@ -1,6 +1,7 @@
 """Tests that a caller is told "not run" only of a request that has not run."""
 
 from bramleysill_kernel.common import messages
+from bramleysill_kernel.common import refusals
 from bramleysill_kernel.load.rate_pacer import PaceDecision
 from bramleysill_kernel.ranges.key_ranges import Assignment
 from tests.gateway_helpers import NOT_RUN_LINE
@@ -106,6 +107,20 @@
         self.assertEqual(502, self.request('/read/x', body=b'')[0])
 
 
+class RunningAttemptTest(GatewayTestCase):
+    """A request is refused while an upstream works on it."""
+
+    def test_refused_while_an_attempt_runs(self):
+        """Guards against REFUSED from any part that refuses too late."""
+        upstream = self.add_upstream('u1', lambda i: 'no_response')
+        _, responses = self.start('/write/x', body=b'x')
+        self.loop.run_until(lambda: upstream.requests, TIMEOUT_SECONDS)
+        (exchange,) = self.frontend.active_exchanges
+        exchange.refuse(refusals.Overloaded('no room', 'limit', 'u1'))
+        self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        self.assertEqual(502, responses[0][0])
+
+
 class MisdirectedTest(GatewayTestCase):
     """An upstream responds 421, without the header for "not run"."""
 
