Take a 421 for "not run" only where it says so

So a 421 counts as not run with the header, or unsigned with the id of another process than the expected one.

tests.test_refused.MisdirectedTest: 503 and two runs before, 502 and one run now; a signed 421 is one more case. bench.mutate notices the change undone.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a 421 of the process that was meant proves nothing',
+        GATEWAY + 'attempt.py',
+        'not signed and self._is_misdirected(headers)',
+        'status == 421',
+        'tests.test_refused.MisdirectedTest',
+    ),
     Mutation(
         'no attempt that may have run is forgotten',
         GATEWAY + 'run_record.py',
--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -167,7 +167,9 @@
             self._note_availability(headers)
         adapter = self._adapter
         signed = first_value(headers, adapter.signature)
-        refused = first_value(headers, adapter.not_run) or status == 421
+        refused = first_value(headers, adapter.not_run) or (
+            not signed and self._is_misdirected(headers)
+        )
         if refused and not self._is_certainly_own(headers):
             self.reason = f'unidentified_{status}'
         elif refused:
@@ -276,6 +278,18 @@
         upstream_id = first_value(headers, self._adapter.upstream_id)
         return upstream_id == self.peer.entry.upstream
 
+    def _is_misdirected(self, headers):
+        """Return whether another process than the one meant has responded.
+
+        It doesn't run the request. A 421 that names no process, or the one
+        that was meant, proves nothing without the header for "not run".
+        """
+        upstream_id = first_value(headers, self._adapter.upstream_id)
+        return self.status == 421 and upstream_id not in (
+            '',
+            self.peer.entry.upstream,
+        )
+
     def _note_availability(self, headers):
         """Record that the upstream leaves, or wants no requests for a time."""
         adapter = self._adapter
--- a/tests/test_refused.py
+++ b/tests/test_refused.py
@@ -132,3 +132,10 @@
         ]
         self.assertEqual(502, self.request('/write/x', body=b'x')[0])
         self.assertEqual(1, sum(len(u.requests) for u in upstreams))
+
+    def test_refused_though_the_421_is_signed(self):
+        """Guards against REFUSED: only what has run is signed."""
+        line = 'X-Bramleysill-Instance-Id: u9\r\n'
+        response = signed_response('r1', extra=line)
+        self.add_upstream('u1', lambda i: response.replace(b'200', b'421'))
+        self.assertEqual(502, self.request('/write/x', body=b'x')[0])
