Let a request wait for a change of owners once

It is registered once now, and no more when it has ended.

tests.test_refused: test_an_ended_request_waits_no_more fails without it.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'an ended request waits for no change of owners',
+        GATEWAY + 'frontend.py',
+        'self._exchanges_awaiting_table.pop(exchange, None)',
+        'pass',
+        'tests.test_refused.LateLimitDecisionTest',
+    ),
     Mutation(
         'a 421 of the process that was meant proves nothing',
         GATEWAY + 'attempt.py',
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -102,7 +102,8 @@
         self._splitter = TrafficSplitter(rng)
         self._slow_start_limiter = SlowStartLimiter(loop)
         self._retry_budgets = {}
-        self._exchanges_awaiting_table = []
+        # The exchanges that wait for a change of owners, in their order.
+        self._exchanges_awaiting_table = {}
 
     # Callers' connections.
 
@@ -346,13 +347,13 @@
 
     def wait_for_table(self, exchange):
         """Call `exchange.dispatch` after the next change of owners."""
-        self._exchanges_awaiting_table.append(exchange)
+        self._exchanges_awaiting_table[exchange] = None
 
     def on_tables_changed(self):
         """Dispatch the requests that wait for a change of owners."""
         waiting, self._exchanges_awaiting_table = (
             self._exchanges_awaiting_table,
-            [],
+            {},
         )
         for exchange in waiting:
             exchange.dispatch()
@@ -365,6 +366,7 @@
     def on_finished(self, exchange, outcome, seconds):
         """Count the outcome of an exchange that has ended."""
         self.active_exchanges.discard(exchange)
+        self._exchanges_awaiting_table.pop(exchange, None)
         self._metrics.observe(exchange.service.name, outcome, seconds)
         if exchange.organisation is not None:
             self._organisation_counts.note(exchange.organisation, outcome)
--- a/tests/test_refused.py
+++ b/tests/test_refused.py
@@ -85,6 +85,22 @@
         self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
         self.assertEqual(200, responses[0][0])
 
+    def test_waits_and_asks_once(self):
+        """Guards against a question for each wait of one request."""
+        responses = self._start_while_keys_move()
+        (exchange,) = self.frontend.active_exchanges
+        exchange.dispatch()
+        self.assertEqual(1, len(self.pacing.callbacks))
+        self.pacing.callbacks[0](PaceDecision(True, 0.0))
+        self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+
+    def test_an_ended_request_waits_no_more(self):
+        """Guards against memory for requests whose keys never move on."""
+        self.add_upstream('o1', signed_response, 'keyed')
+        self._announce_pause(fence=1)
+        self.request('/keyed/x', left_ms=100)
+        self.assertEqual({}, self.frontend._exchanges_awaiting_table)
+
     def test_not_refused_for_the_room_of_its_former_owner(self):
         """Guards against a refusal while the next owner has room."""
         responses = self._start_while_keys_move()
