Use a permission under a limit at its time, not before

A pacing router may permit a request after a delay. The request waited for it by a timer, but any other dispatch, as after a change of the owner table, used the permission at once, so that an upstream got requests closer together than its limit allows. The permission keeps its time now.

tests.test_refused: test_not_sent_before_its_permission fails without it; the test of ended requests now waits until the request is registered, since it passed without the fix before.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a permission under a limit is not used early',
+        GATEWAY + 'limit_wait.py',
+        'if now >= permission.at:',
+        'if True:',
+        'tests.test_refused.LateLimitDecisionTest',
+    ),
     Mutation(
         'an ended request waits for no change of owners',
         GATEWAY + 'frontend.py',
--- a/packages/gateway/src/bramleysill_gateway/limit_wait.py
+++ b/packages/gateway/src/bramleysill_gateway/limit_wait.py
@@ -21,13 +21,23 @@
         self.peer = peer
 
 
+class _Permission:
+    """The upstream `peer` has room for the request at `at`, in seconds."""
+
+    __slots__ = ('peer', 'at')
+
+    def __init__(self, peer, at):
+        self.peer = peer
+        self.at = at
+
+
 class LimitWait:
     """The limits that one exchange has met."""
 
     __slots__ = (
         '_exchange',
         '_question',
-        '_permitted_peer',
+        '_permission',
         'limited_peers',
     )
 
@@ -35,19 +45,21 @@
         self._exchange = exchange
         # The _Question without a decision, or None.
         self._question = None
-        # The upstream whose pacing router has permitted the next attempt.
-        self._permitted_peer = None
+        # The _Permission for the next attempt, or None.
+        self._permission = None
         # Upstreams whose limit leaves no room for this request.
         self.limited_peers = set()
 
     def permitted_peer(self):
         """Return the upstream with room, None if there is none any more."""
-        peer = self._permitted_peer
+        if self._permission is None:
+            return None
+        peer = self._permission.peer
         exchange = self._exchange
         usable = exchange.frontend.state.directory.usable(
             exchange.service.name
         )
-        return peer if peer is not None and peer.entry in usable else None
+        return peer if peer.entry in usable else None
 
     def may_send(self, peer, now, expected_seconds):
         """Return whether the limit of the upstream has room now.
@@ -55,10 +67,12 @@
         Otherwise the exchange is dispatched again or refused later.
         `expected_seconds` is the time that the upstream needs to respond.
         """
-        permitted_peer, self._permitted_peer = self._permitted_peer, None
-        if peer.limit is None or permitted_peer is peer:
+        permission, self._permission = self._permission, None
+        if peer.limit is None:
             self._question = None
             return True
+        if permission is not None and permission.peer is peer:
+            return self._may_use(permission, now)
         if peer in self.limited_peers:
             # Only the owner of a key is asked for again.
             self.refuse((peer,))
@@ -80,6 +94,14 @@
             )
         )
 
+    def _may_use(self, permission, now):
+        """Return whether the time of a permission has come, or wait for it."""
+        if now >= permission.at:
+            return True
+        self._permission = permission
+        self._exchange.dispatch_at(permission.at)
+        return False
+
     def _ask(self, peer, now, expected_seconds):
         exchange = self._exchange
         allowed = max_upstream_seconds(exchange.route, exchange.time_left(now))
@@ -105,11 +127,8 @@
             peer.limit_room_at = at
             self._on_full(peer)
             return
-        self._permitted_peer = peer
-        if decision.delay <= 0.0:
-            exchange.dispatch()
-        else:
-            exchange.dispatch_at(at)
+        self._permission = _Permission(peer, at)
+        exchange.dispatch()
 
     def _on_full(self, peer):
         self._question = None
--- a/tests/test_refused.py
+++ b/tests/test_refused.py
@@ -94,12 +94,26 @@
         self.pacing.callbacks[0](PaceDecision(True, 0.0))
         self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
 
+    def test_not_sent_before_its_permission(self):
+        """Guards against LIMIT: a permission that is used too early."""
+        responses = self._start_while_keys_move()
+        (exchange,) = self.frontend.active_exchanges
+        self.pacing.callbacks[0](PaceDecision(True, SETTLE_SECONDS))
+        exchange.dispatch()
+        self.assertIsNone(exchange.run_record.suspect)
+        self.assertIsNone(exchange._attempt)
+        self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        self.assertEqual(200, responses[0][0])
+
     def test_an_ended_request_waits_no_more(self):
         """Guards against memory for requests whose keys never move on."""
         self.add_upstream('o1', signed_response, 'keyed')
         self._announce_pause(fence=1)
-        self.request('/keyed/x', left_ms=100)
-        self.assertEqual({}, self.frontend._exchanges_awaiting_table)
+        _, responses = self.start('/keyed/x', left_ms=400)
+        waiting = self.frontend._exchanges_awaiting_table
+        self.assertTrue(self.loop.run_until(lambda: waiting, TIMEOUT_SECONDS))
+        self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        self.assertEqual({}, waiting)
 
     def test_not_refused_for_the_room_of_its_former_owner(self):
         """Guards against a refusal while the next owner has room."""
