Report an error that a write or a FIN has hidden from the read

A response without a length ends with its connection. A caller got part of one as a complete 200, with a Content-Length of that part: the upstream reset the connection while the upload was written, the write took the error from the socket, and the next read, before the connection was closed for the failed write, found the end of the data and no error.

A read also finds only the FIN if a reset followed it: Linux looks for the FIN first. That is the case if a peer closes and its TCP then resets what arrives, as when a process ends during an upload.

A connection whose data has ended now fails if a write has failed before, or if the socket has an error left. RFC 9112 (section 8) takes the end of the connection for the end of the response unless the connection has an error.

With the change taken out, tests.test_mixed fails, and in tests.test_conn all three orders of events look like a clean end (reset then write, FIN then reset, close then write); with it both pass.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -411,6 +411,20 @@
         'if False:',
         'tests.test_http_client.OddResponseTest',
     ),
+    Mutation(
+        'an error that a write took from the socket fails the connection',
+        NET + 'conn.py',
+        'self._send_error = exc',
+        'pass',
+        'tests.test_mixed.HiddenResetTest',
+    ),
+    Mutation(
+        'a reset behind a FIN fails the connection',
+        NET + 'conn.py',
+        'if exc is None and code:',
+        'if False:',
+        'tests.test_conn.HiddenErrorTest',
+    ),
     Mutation(
         'a trailer is no header field',
         NET + 'http_client.py',
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -51,6 +51,7 @@
         '_sock',
         '_fileno',
         '_send_queue',
+        '_send_error',
         '_reading',
         '_awaiting_writable',
         '_connecting',
@@ -73,6 +74,8 @@
         self._sock = sock
         self._fileno = sock.fileno()
         self._send_queue = collections.deque()
+        # Why a write has failed, until the connection is closed for it.
+        self._send_error = None
         self._reading = True
         self._awaiting_writable = False
         self._connecting = False
@@ -272,11 +275,23 @@
                 self._close_socket(exc)
             return False
         if not data:
-            self._close_socket(None)
+            self._close_after_peer()
             return False
         self.protocol.on_data(data)
         return len(data) == size
 
+    def _close_after_peer(self):
+        """Close after the end of the peer's data, or fail after a reset.
+
+        A read finds the end of the data, and no error, if the reset followed
+        a FIN or if a write has already taken the error from the socket.
+        """
+        exc = self._send_error
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if exc is None and code:
+            exc = OSError(code, os.strerror(code))
+        self._close_socket(exc)
+
     def _send(self, data):
         """Return the number of bytes sent, or None if the write failed."""
         try:
@@ -366,6 +381,7 @@
     def _close_socket_later(self, exc):
         # A failed write must not call on_close while the caller of write()
         # is still running.
+        self._send_error = exc
         self.loop.scheduler.call_at(
             self.loop.now(), lambda: self._close_socket(exc)
         )
--- a/tests/test_conn.py
+++ b/tests/test_conn.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import struct
 
 import testtools
 
@@ -227,3 +228,64 @@
         loop.scheduler.call_at(loop.now() + 60, lambda: None)
         loop.run_until(lambda: waits, TIMEOUT_SECONDS)
         self.assertEqual([0], waits)
+
+
+class HiddenErrorTest(testtools.TestCase):
+    """A read finds the end of the data although the peer has reset.
+
+    Guards against a reset that looks like a clean close. Each case is a list
+    of steps that happen before the loop polls again.
+    """
+
+    RESET = struct.pack('ii', 1, 0)
+    CASES = (
+        # A write takes the error from the socket.
+        ('reset', 'write'),
+        # A read finds the FIN first.
+        ('fin', 'reset'),
+        # The peer has closed, and its TCP resets what arrives then.
+        ('close', 'write'),
+    )
+
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop()
+        self.protocol = RecordingProtocol()
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+
+    def _connect(self):
+        address = self.listener.getsockname()
+        self.protocol = protocol = RecordingProtocol()
+        self.conn = Conn.connect(self.loop, *address, protocol)
+        self.addCleanup(self.conn.close)
+        self.peer, _ = self.listener.accept()
+        self.addCleanup(self.peer.close)
+        self.loop.run_until(lambda: protocol.connects, TIMEOUT_SECONDS)
+
+    def _reset_peer(self):
+        self.peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, self.RESET)
+        self.peer.close()
+
+    def _take(self, steps):
+        actions = {
+            'reset': self._reset_peer,
+            'fin': lambda: self.peer.shutdown(socket.SHUT_WR),
+            'close': self.peer.close,
+            'write': lambda: self.conn.write(b'x'),
+        }
+        for step in steps:
+            actions[step]()
+
+    def test_every_order_of_events_is_a_failure(self):
+        clean = []
+        for steps in self.CASES:
+            self._connect()
+            self.peer.send(b'part')
+            self.loop.run_until(lambda: self.protocol.data, TIMEOUT_SECONDS)
+            at = self.loop.now()
+            self.loop.scheduler.call_at(at, lambda s=steps: self._take(s))
+            self.loop.run_until(lambda: self.protocol.closes, TIMEOUT_SECONDS)
+            if not isinstance(self.protocol.closes[0], OSError):
+                clean.append(steps)
+        self.assertEqual([], clean)
--- /dev/null
+++ b/tests/test_mixed.py
@@ -0,0 +1,104 @@
+"""Tests that a broken-off response never looks complete to a caller.
+
+A response without a length ends with its connection. If the upstream breaks
+it off while the upload is still being written, the error of the connection may
+be reported to the write only, and the read then finds a clean end.
+"""
+
+from bramleysill_net.conn import Conn
+from bramleysill_net.conn import Listener
+from tests.gateway_helpers import REQUEST_ID_HEADER
+from tests.gateway_helpers import SIGNATURE_LINE
+from tests.gateway_helpers import TIMEOUT_SECONDS
+from tests.gateway_helpers import GatewayTestCase
+from tests.test_conn import RecordingProtocol
+
+# More than a router buffers of a body, so that the rest is streamed.
+FIRST_PART_BYTES = 1536 << 10
+NEXT_PART_BYTES = 16384
+UPLOAD_BYTES = 4 << 20
+IDLE_SECONDS = 0.05
+MAX_BODY_BYTES = 8 << 20
+HEAD = (
+    f'HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: r1\r\n{SIGNATURE_LINE}'
+).encode()
+
+
+class _Upstream:
+    """Discards what it reads; `conns` are its connections."""
+
+    def __init__(self, loop):
+        self.conns = []
+        self.received = 0
+        self.listener = Listener(loop, '127.0.0.1', 0, self._accept)
+
+    def _accept(self, conn):
+        self.conns.append(conn)
+        protocol = RecordingProtocol()
+        protocol.on_data = self._count
+        return protocol
+
+    def _count(self, data):
+        self.received += len(data)
+
+
+class MixedTestCase(GatewayTestCase):
+    """Base of tests of uploads that are broken off by their upstream."""
+
+    def setUp(self):
+        super().setUp()
+        self.state.config.limits.body_bytes = MAX_BODY_BYTES
+        self.upstream = _Upstream(self.loop)
+        self.addCleanup(self.upstream.listener.close)
+        self.register_upstream('u1', self.upstream)
+
+    def run_until(self, done):
+        self.assertTrue(self.loop.run_until(done, TIMEOUT_SECONDS))
+
+    def start_upload(self, path='/write/', version='1.1'):
+        """Send the head and a part of an upload; return its caller."""
+        caller = RecordingProtocol()
+        caller.conn = Conn.connect(self.loop, *self.listener.address, caller)
+        self.addCleanup(caller.conn.abort)
+        head = (
+            f'POST {path} HTTP/{version}\r\nHost: h\r\n'
+            f'{REQUEST_ID_HEADER}: r1\r\n'
+            f'Content-Length: {UPLOAD_BYTES}\r\n\r\n'
+        )
+        caller.conn.write(head.encode() + b'x' * FIRST_PART_BYTES)
+        self.run_until(lambda: self.upstream.received > FIRST_PART_BYTES)
+        return caller
+
+    def wait_for_head(self):
+        """Wait until the router has read the head of the response."""
+        (exchange,) = self.frontend.active_exchanges
+        self.run_until(lambda: exchange._attempt.status)
+        # Events are reported in the order in which they occur only if an
+        # earlier poll has reported none for their sockets.
+        self.loop.run_until(lambda: False, IDLE_SECONDS)
+
+    def in_one_poll(self, callback):
+        """Call back between two polls; the loop sees all events at once."""
+        self.loop.scheduler.call_at(self.loop.now(), callback)
+
+
+class HiddenResetTest(MixedTestCase):
+    """An upstream resets while the upload is written."""
+
+    def test_reset_reported_to_a_write(self):
+        """Guards against part of a response that is passed on as complete.
+
+        The write to the upstream takes the error from the socket, so that the
+        read after it found the end of the data and no error.
+        """
+        caller = self.start_upload()
+        self.upstream.conns[0].write(HEAD + b'\r\npart')
+        self.wait_for_head()
+
+        def break_off():
+            caller.conn.write(b'x' * NEXT_PART_BYTES)
+            self.upstream.conns[0].abort()
+
+        self.in_one_poll(break_off)
+        self.run_until(lambda: caller.data)
+        self.assertTrue(caller.data.startswith(b'HTTP/1.1 502 '), caller.data)
