Let a close end a response only if the request was taken

A response without a length ends with a FIN. A server that fails during an upload closes with a FIN, too, if it has read all that had arrived: only its answer to our next bytes is a reset, and that comes after the end was passed on. HTTP/1.1 lets a server end an early response with its connection, but nothing tells that apart from one that was broken off. Such a response now fails its exchange: the caller gets 502 for a request that may have run, and never a part of a response as all of it. What this costs is the status of an early response without a length, from a server that does not read on.

The request counts as taken if it was written completely and no byte of it waits in our buffer or for an acknowledgement (TIOCOUTQ) when the FIN is read. A peer that closes with unread bytes sends a reset, so a FIN behind the last acknowledgement was meant. After the whole request a FIN still ends the response.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -425,6 +425,20 @@
         'if False:',
         'tests.test_conn.HiddenErrorTest',
     ),
+    Mutation(
+        'a close ends a response only once the request was written',
+        NET + 'http_client.py',
+        'is_sent = self._request_complete and not self._unsent',
+        'is_sent = True',
+        'tests.test_http_client.ResponseEndedByCloseTest',
+    ),
+    Mutation(
+        'a close ends a response only once the request was taken',
+        NET + 'http_client.py',
+        'is_sent and not self.conn.closed_early',
+        'is_sent',
+        'tests.test_http_client.ResponseEndedByCloseTest',
+    ),
     Mutation(
         'a trailer is no header field',
         NET + 'http_client.py',
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -2,9 +2,11 @@
 
 import collections
 import errno
+import fcntl
 import os
 import socket
 import struct
+import termios
 
 from bramleysill_net.chunk_buffer import append_chunk
 from bramleysill_net.peer_loss import CHECK_INTERVAL_SECONDS
@@ -28,6 +30,7 @@
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 1
 
+_INT = struct.Struct('=i')
 _RETRYABLE_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 
 
@@ -38,7 +41,8 @@
     `on_drain()`, called when the send buffer has become empty, and
     `on_close(exc)`, called exactly once; `exc` is None unless the connection
     failed. `buffered` is the number of bytes that `write` has accepted but
-    the kernel has not.
+    the kernel has not. `closed_early` is true in `on_close` if the peer has
+    closed before its TCP had acknowledged all that was written.
     """
 
     __slots__ = (
@@ -47,6 +51,7 @@
         'peer',
         'buffered',
         'closed',
+        'closed_early',
         'max_read_bytes',
         '_sock',
         '_fileno',
@@ -69,6 +74,7 @@
         self.peer = peer
         self.buffered = 0
         self.closed = False
+        self.closed_early = False
         # How much is read at once.
         self.max_read_bytes = MAX_READ_BYTES
         self._sock = sock
@@ -290,6 +296,7 @@
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if exc is None and code:
             exc = OSError(code, os.strerror(code))
+        self.closed_early = bool(self.buffered or _count_queued(self._sock))
         self._close_socket(exc)
 
     def _send(self, data):
@@ -400,6 +407,12 @@
             self.protocol.on_close(exc)
 
 
+def _count_queued(sock):
+    """Return the bytes that the kernel holds until they are acknowledged."""
+    data = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_INT.size))
+    return _INT.unpack(data)[0]
+
+
 def _start_connect(sock, host, port):
     """Return the error code of the connect; EINVAL for an unusable address.
 
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -247,7 +247,7 @@
 
     def on_close(self, exc):
         """Fail the exchange, or end a response delimited by the close."""
-        if self._read_until_close and self._in_body and exc is None:
+        if exc is None and self._is_ended_by_close():
             sink, self._sink = self._sink, None
             if sink is not None:
                 sink.on_end()
@@ -324,6 +324,18 @@
 
     # Internal.
 
+    def _is_ended_by_close(self):
+        """Return whether the close of the connection ends the response.
+
+        The close of a server that has not taken the whole request doesn't
+        tell whether it has ended the response or broken it off: a process
+        that fails during an upload may close with a FIN, too.
+        """
+        if not self._read_until_close or not self._in_body:
+            return False
+        is_sent = self._request_complete and not self._unsent
+        return is_sent and not self.conn.closed_early
+
     def _finish_settling(self):
         if self.conn.closed:
             return
--- a/tests/test_conn.py
+++ b/tests/test_conn.py
@@ -289,3 +289,14 @@
             if not isinstance(self.protocol.closes[0], OSError):
                 clean.append(steps)
         self.assertEqual([], clean)
+
+    def test_close_before_the_last_acknowledgement_is_early(self):
+        """Guards against a peer that has not taken all that was written."""
+        for size, is_early in ((0, False), (1, False), (16 << 20, True)):
+            self._connect()
+            self.conn.write(b'x' * size)
+            self.loop.run_until(lambda: False, 0.02)
+            self.peer.shutdown(socket.SHUT_WR)
+            self.loop.run_until(lambda: self.protocol.closes, TIMEOUT_SECONDS)
+            self.assertEqual([None], self.protocol.closes)
+            self.assertEqual(is_early, self.conn.closed_early, size)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,5 +1,8 @@
 """Tests of the HTTP client connection, over loopback."""
 
+import socket
+import time
+
 import testtools
 
 from bramleysill_kernel.load.receive_budget import STORE
@@ -8,6 +11,7 @@
 from bramleysill_net.conn import Listener
 from bramleysill_net.http_calls import HttpCallClient
 from bramleysill_net.http_client import MAX_RESPONSE_HEADERS
+from bramleysill_net.http_client import MAX_SETTLE_SECONDS
 from bramleysill_net.http_client import HttpClientConn
 from bramleysill_net.http_client import encode_request
 from bramleysill_net.http_server import HttpServerConn
@@ -310,6 +314,59 @@
         self.assertEqual([self.conn], self.idle)
 
 
+class ResponseEndedByCloseTest(testtools.TestCase):
+    """A server ends a response without a length with a FIN.
+
+    Guards against a partial response that looks complete: a server that fails
+    during an upload ends its response in the same way.
+    """
+
+    PART = b'HTTP/1.1 200 OK\r\n\r\npart'
+    # Bytes of the body, bytes sent of it, and whether the response counts.
+    CASES = (
+        (0, 0, True),
+        (1000, 1000, True),
+        (1000, 100, False),
+        (16 << 20, 16 << 20, False),
+    )
+
+    def _exchange(self, length, sent, settles=False):
+        loop = Loop()
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        address = listener.getsockname()
+        conn = HttpClientConn(loop, *address, settles=settles)
+        self.addCleanup(conn.abort)
+        responses = []
+        conn.request(
+            b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n'
+            % length,
+            ResponseCollector(lambda *found: responses.append(found)),
+            complete=length == sent,
+            body=[b'x' * sent],
+        )
+        peer, _ = listener.accept()
+        self.addCleanup(peer.close)
+        if settles:
+            # The connection then settles for the longest time.
+            time.sleep(MAX_SETTLE_SECONDS)
+        else:
+            loop.run_until(lambda: conn.sent_bytes > sent, TIMEOUT_SECONDS)
+        peer.send(self.PART)
+        peer.shutdown(socket.SHUT_WR)
+        loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        return responses[0][0]
+
+    def test_response_counts_once_the_request_was_taken(self):
+        for length, sent, is_complete in self.CASES:
+            status = self._exchange(length, sent)
+            self.assertEqual(200 if is_complete else 0, status, (length, sent))
+
+    def test_response_to_a_request_that_was_not_sent(self):
+        """Guards against a response before a new connection has settled."""
+        self.assertEqual(0, self._exchange(0, 0, settles=True))
+
+
 class OddResponseTest(ScriptedServerTestCase):
     """A faulty server sends a response that is legal but out of measure."""
 
