Take no invalid response for a limit of connections

An upstream resets new connections over its limit without a response, so that an attempt that failed on a new one before a head counted as such a reset: the upstream was full for 50 ms, with four requests for each slot, and new connections to the whole service settled for 5 s. An attempt also fails so if the upstream sends bytes that are no response. One path that does so at all upstreams thus took its service away: after one request to it and the retry, requests to other paths got 503.

Only a connection on which the upstream has sent nothing now counts as over the limit. Time-outs, failed connects and resets without a response count as before.

tests.test_broken_path: a status 1000, bytes that are not HTTP and a head that breaks off, with two upstreams. Before, 503 for the next request to another path; now 200.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -439,6 +439,20 @@
         'is_sent',
         'tests.test_http_client.ResponseEndedByCloseTest',
     ),
+    Mutation(
+        'an invalid response is no limit of connections',
+        GATEWAY + 'attempt.py',
+        'elif not self._reused and not self._conn.responding:',
+        'elif not self._reused and not self.status:',
+        'tests.test_broken_path.BrokenPathTest',
+    ),
+    Mutation(
+        'a reset without a response is a limit of connections',
+        GATEWAY + 'attempt.py',
+        'elif not self._reused and not self._conn.responding:',
+        'elif False:',
+        'tests.test_broken_path.BrokenPathTest',
+    ),
     Mutation(
         'a trailer is no header field',
         NET + 'http_client.py',
--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -232,7 +232,8 @@
             self.peer.in_flight_bytes.note_broken()
             if isinstance(exc, TimeoutError):
                 self.peer.load.note_unreachable(self._loop.now())
-            elif not self._reused and not self.status:
+            elif not self._reused and not self._conn.responding:
+                # A connection over the limit is reset without a response.
                 self.peer.load.note_connection_limit(self._loop.now())
         else:
             self.reason = f'connect: {exc}'
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -58,6 +58,7 @@
         'connected',
         'busy',
         'sent_bytes',
+        'responding',
         '_sink',
         '_parser',
         '_headers',
@@ -96,6 +97,8 @@
         self.connected = False
         self.busy = False
         self.sent_bytes = 0
+        # Whether the server has sent anything since the last request.
+        self.responding = False
         self._sink = None
         self._parser = None
         self._headers = []
@@ -157,6 +160,7 @@
         self._discarding = False
         self._has_extra_response = False
         self.sent_bytes = 0
+        self.responding = False
         self._parser = httptools.HttpResponseParser(self)
         # The previous exchange may have ended while reading was paused.
         self.conn.resume()
@@ -230,6 +234,7 @@
             # The server sent data without a request in progress.
             self.conn.abort()
             return
+        self.responding = True
         try:
             self._parse(data)
         except (httptools.HttpParserError, ResponseTooLarge) as exc:
