Fail an exchange at the head of a response without a valid status

A status from 100 to 199 is now interim, except 101, since no request asks for another protocol; 200 to 599 is final. All others fail the exchange at once with InvalidStatus, for the gateway, the control calls, the store and the dispatchers, which all use this connection. It is an InvalidResponse, as are ResponseTooLarge and now the errors of the parser, so that sinks no longer get errors of httptools.

tests.test_invalid_status tries 000, 001, 020, 099, 101, 600 and 999, and eight malformed ones that failed at once before. Without the change four of its five tests fail; with it all pass.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -453,6 +453,27 @@
         'elif False:',
         'tests.test_broken_path.BrokenPathTest',
     ),
+    Mutation(
+        'a status below 100 is not awaited as interim',
+        NET + 'http_client.py',
+        'INTERIM_STATUSES = range(100, 200)',
+        'INTERIM_STATUSES = range(0, 200)',
+        'tests.test_invalid_status.InvalidStatusTest',
+    ),
+    Mutation(
+        'a status from 600 on is not passed on',
+        NET + 'http_client.py',
+        'FINAL_STATUSES = range(200, 600)',
+        'FINAL_STATUSES = range(200, 1000)',
+        'tests.test_invalid_status.InvalidStatusAtGatewayTest',
+    ),
+    Mutation(
+        'a change of protocol is not awaited as interim',
+        NET + 'http_client.py',
+        ' or status == SWITCHING_PROTOCOLS',
+        '',
+        'tests.test_invalid_status.InvalidStatusTest',
+    ),
     Mutation(
         'a trailer is no header field',
         NET + 'http_client.py',
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -11,8 +11,15 @@
 from bramleysill_kernel.load.receive_budget import UPSTREAM
 from bramleysill_kernel.load.receive_budget import Reservation
 from bramleysill_net.conn import Conn
-from bramleysill_net.response_sinks import ResponseTooLarge
-
+from bramleysill_net.response_errors import InvalidResponse
+from bramleysill_net.response_errors import InvalidStatus
+from bramleysill_net.response_errors import ResponseTooLarge
+
+# Statuses by RFC 9110, section 15; all others are no status. 101 is not one
+# either here, as no request asks for another protocol.
+INTERIM_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
+SWITCHING_PROTOCOLS = 101
 # Also limits chunk extensions, trailers and interim responses: anything that
 # is received without a byte of the response's body.
 MAX_RESPONSE_HEAD_BYTES = 65536
@@ -37,7 +44,8 @@
 
     `request` starts an exchange. Its sink receives the response through
     `on_head(status, headers, length)`, `on_body(data)` and `on_end()`, or
-    a single `on_failure(exc)` if the exchange fails. The callbacks
+    a single `on_failure(exc)` if the exchange fails: an InvalidResponse for
+    bytes that are no response, and otherwise an OSError. The callbacks
     `on_idle(conn)` and `on_closed(conn)` notify the connection pool.
 
     With `settles`, a new connection sends nothing until a server that resets
@@ -237,7 +245,7 @@
         self.responding = True
         try:
             self._parse(data)
-        except (httptools.HttpParserError, ResponseTooLarge) as exc:
+        except InvalidResponse as exc:
             self._fail_exchange(exc)
             self.conn.abort()
             return
@@ -276,7 +284,7 @@
         if self._has_extra_response or self._in_body:
             return
         if len(self._headers) >= MAX_RESPONSE_HEADERS:
-            raise httptools.HttpParserError(
+            raise InvalidResponse(
                 f'the response has over {MAX_RESPONSE_HEADERS} header fields'
             )
         self._head_bytes += len(name) + len(value) + FIELD_SEPARATOR_BYTES
@@ -287,7 +295,7 @@
     def on_headers_complete(self):
         """Pass the head of a final response to the sink."""
         status = self._parser.get_status_code()
-        if status < 200 or self._has_extra_response:
+        if self._has_extra_response or _is_interim(status):
             return
         if not self._is_accepted(status):
             self._discarding = True
@@ -319,7 +327,7 @@
         """Complete the response, unless it was interim (1xx) or discarded."""
         if self._has_extra_response:
             return
-        if self._parser.get_status_code() < 200 or self._discarding:
+        if _is_interim(self._parser.get_status_code()) or self._discarding:
             self._clear_headers()
             self._discarding = False
             return
@@ -357,7 +365,7 @@
             self._on_idle(self)
 
     def _parse(self, data):
-        """Parse received bytes; raises an error if the exchange must fail."""
+        """Parse received bytes; raises InvalidResponse."""
         self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -365,9 +373,9 @@
             if not self._response_complete:
                 self._deliver_body()
                 # httptools wraps the exception that a callback raised.
-                if isinstance(exc.__context__, ResponseTooLarge):
+                if isinstance(exc.__context__, InvalidResponse):
                     raise exc.__context__
-                raise
+                raise InvalidResponse(str(exc)) from exc
             # The bytes after the response belong to no request.
             self._has_extra_response = True
         self._deliver_body()
@@ -404,7 +412,7 @@
         self._unparsed_bytes -= len(data)
         self._discarded_bytes += len(data)
         if self._discarded_bytes > MAX_DISCARDED_BODY_BYTES:
-            raise httptools.HttpParserError(
+            raise InvalidResponse(
                 'the responses to earlier requests are too large'
             )
 
@@ -436,6 +444,15 @@
             sink.on_failure(exc)
 
 
+def _is_interim(status):
+    """Return whether a final response follows; raises InvalidStatus."""
+    if status in FINAL_STATUSES:
+        return False
+    if status not in INTERIM_STATUSES or status == SWITCHING_PROTOCOLS:
+        raise InvalidStatus(f'the status {status:03} is invalid')
+    return True
+
+
 def encode_request(method, target, host, headers=(), body=None):
     """Return the bytes of a request with its complete body."""
     lines = [f'{method} {target} HTTP/1.1', f'Host: {host}']
--- a/packages/net/src/bramleysill_net/response_sinks.py
+++ b/packages/net/src/bramleysill_net/response_sinks.py
@@ -1,6 +1,7 @@
 """Sinks of HttpClientConn that receive the responses to short calls."""
 
 from bramleysill_net.chunk_buffer import ChunkBuffer
+from bramleysill_net.response_errors import ResponseTooLarge
 
 # The largest body that ResponseCollector keeps by default, and that
 # HeadCollector skips.
@@ -8,10 +9,6 @@
 MAX_SKIPPED_BODY_BYTES = 64 << 10
 
 
-class ResponseTooLarge(Exception):
-    """A response exceeds a limit, so that its exchange fails."""
-
-
 class ResponseCollector:
     """Keeps a small response and calls back once.
 
--- a/packages/router/src/bramleysill_router/local_attempt.py
+++ b/packages/router/src/bramleysill_router/local_attempt.py
@@ -6,8 +6,8 @@
 from bramleysill_kernel.load.admission import RESULT_OK
 from bramleysill_kernel.load.admission import RESULT_SHED
 from bramleysill_kernel.load.queueing import WorkItem
+from bramleysill_net.response_errors import ResponseTooLarge
 from bramleysill_net.response_sinks import MAX_SKIPPED_BODY_BYTES
-from bramleysill_net.response_sinks import ResponseTooLarge
 from bramleysill_router import headers
 
 _NOT_RUN_STATUSES = frozenset((409, 503))
