--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -5,6 +5,8 @@
 be reported to the write only, and the read then finds a clean end.
 """
 
+import itertools
+
 from bramleysill_net.conn import Conn
 from bramleysill_net.conn import Listener
 from tests.gateway_helpers import REQUEST_ID_HEADER
@@ -65,8 +67,11 @@
             f'{REQUEST_ID_HEADER}: r1\r\n'
             f'Content-Length: {UPLOAD_BYTES}\r\n\r\n'
         )
+        before = self.upstream.received
         caller.conn.write(head.encode() + b'x' * FIRST_PART_BYTES)
-        self.run_until(lambda: self.upstream.received > FIRST_PART_BYTES)
+        self.run_until(
+            lambda: self.upstream.received > before + FIRST_PART_BYTES
+        )
         return caller
 
     def wait_for_head(self):
@@ -102,3 +107,85 @@
         self.in_one_poll(break_off)
         self.run_until(lambda: caller.data)
         self.assertTrue(caller.data.startswith(b'HTTP/1.1 502 '), caller.data)
+
+
+class BrokenOffTest(MixedTestCase):
+    """An upstream breaks off its response during an upload.
+
+    Guards against part of a response that is passed on as complete. The
+    caller gets 502 or, once its response has begun, a reset.
+    """
+
+    LENGTH_FIELDS = (
+        b'',
+        b'Content-Length: 8388608\r\n',
+        b'Transfer-Encoding: chunked\r\n',
+    )
+    # More than 128 KiB are streamed to the caller.
+    SENT_BYTES = (0, 64 << 10, 3 << 20)
+    ENDS = ('reset', 'fin')
+
+    def _respond(self, length_field, size):
+        """Send `size` bytes of a response, as far as the router reads."""
+        conn = self.upstream.conns[-1]
+        body = b'y' * size
+        if b'chunked' in length_field and body:
+            body = b'%x\r\n%b\r\n' % (size, body)
+        conn.write(HEAD + length_field + b'\r\n' + body)
+        self.loop.run_until(lambda: not conn.buffered, IDLE_SECONDS)
+
+    def _end(self, end):
+        conn = self.upstream.conns[-1]
+        if end == 'reset':
+            conn.abort()
+        else:
+            conn.close()
+
+    def _check(self, caller, case):
+        caller.conn.resume()
+        self.run_until(lambda: caller.closes)
+        status = bytes(caller.data[:13])
+        if status != b'HTTP/1.1 502 ':
+            self.assertIn(status, (b'', b'HTTP/1.1 200 '), case)
+            self.assertIsInstance(caller.closes[0], OSError, case)
+
+    def _cases(self):
+        return itertools.product(
+            self.LENGTH_FIELDS, self.SENT_BYTES, self.ENDS
+        )
+
+    def test_caller_waits(self):
+        for case in self._cases():
+            caller = self.start_upload()
+            self._respond(*case[:2])
+            self._end(case[2])
+            self._check(caller, case)
+
+    def test_caller_goes_on_writing(self):
+        for case in self._cases():
+            caller = self.start_upload()
+            self._respond(*case[:2])
+
+            def end(caller=caller, how=case[2]):
+                caller.conn.write(b'x' * NEXT_PART_BYTES)
+                self._end(how)
+
+            self.in_one_poll(end)
+            self._check(caller, case)
+
+    def test_caller_does_not_read(self):
+        for case in self._cases():
+            caller = self.start_upload()
+            caller.conn.pause()
+            self._respond(*case[:2])
+            self._end(case[2])
+            self.loop.run_until(lambda: False, IDLE_SECONDS)
+            self._check(caller, case)
+
+    def test_caller_speaks_http_1_0(self):
+        """Guards against a clean end, which completes such a response."""
+        for case in self._cases():
+            caller = self.start_upload(version='1.0')
+            self._respond(*case[:2])
+            self._end(case[2])
+            self._check(caller, case)
