--- a/tests/dispatch_helpers.py
+++ b/tests/dispatch_helpers.py
@@ -79,11 +79,12 @@
         found = manifest.Manifest(
             'r', 'c', services={'s': service}, upstreams={'u1': declared}
         )
+        self.dispatcher_state = _State(found)
         context = DispatchContext(
             self.loop,
             random.Random(1),
             _Agent(),
-            _State(found),
+            self.dispatcher_state,
             lambda message: None,
             None,
         )
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -6,9 +6,16 @@
 """
 
 import itertools
+import random
 
 from bramleysill_net.conn import Conn
 from bramleysill_net.conn import Listener
+from bramleysill_router.entry import Entry
+from bramleysill_router.metrics import Metrics
+from bramleysill_router.remote_attempt import RemoteAttempt
+from bramleysill_router.remote_attempt import StreamDemultiplexer
+from bramleysill_router.retry_budgets import RetryBudgets
+from tests.dispatch_helpers import DispatchTestCase
 from tests.gateway_helpers import REQUEST_ID_HEADER
 from tests.gateway_helpers import SIGNATURE_LINE
 from tests.gateway_helpers import TIMEOUT_SECONDS
@@ -44,26 +51,23 @@
         self.received += len(data)
 
 
-class MixedTestCase(GatewayTestCase):
-    """Base of tests of uploads that are broken off by their upstream."""
+class UploadTests:
+    """Starts uploads to a router, whose address is `address`."""
 
-    def setUp(self):
-        super().setUp()
-        self.state.config.limits.body_bytes = MAX_BODY_BYTES
+    def add_mixed_upstream(self):
         self.upstream = _Upstream(self.loop)
         self.addCleanup(self.upstream.listener.close)
-        self.register_upstream('u1', self.upstream)
 
     def run_until(self, done):
         self.assertTrue(self.loop.run_until(done, TIMEOUT_SECONDS))
 
-    def start_upload(self, path='/write/', version='1.1'):
+    def start_upload(self, version='1.1'):
         """Send the head and a part of an upload; return its caller."""
         caller = RecordingProtocol()
-        caller.conn = Conn.connect(self.loop, *self.listener.address, caller)
+        caller.conn = Conn.connect(self.loop, *self.address, caller)
         self.addCleanup(caller.conn.abort)
         head = (
-            f'POST {path} HTTP/{version}\r\nHost: h\r\n'
+            f'POST {self.path} HTTP/{version}\r\nHost: h\r\n'
             f'{REQUEST_ID_HEADER}: r1\r\n'
             f'Content-Length: {UPLOAD_BYTES}\r\n\r\n'
         )
@@ -74,6 +78,27 @@
         )
         return caller
 
+    def in_one_poll(self, callback):
+        """Call back between two polls; the loop sees all events at once."""
+        self.loop.scheduler.call_at(self.loop.now(), callback)
+
+
+class GatewayUploadTestCase(UploadTests, GatewayTestCase):
+    """Base of tests of uploads through a gateway."""
+
+    path = '/write/'
+
+    def setUp(self):
+        super().setUp()
+        self.state.config.limits.body_bytes = MAX_BODY_BYTES
+        self.add_mixed_upstream()
+        self.register_upstream('u1', self.upstream)
+        self.address = self.listener.address
+
+
+class HiddenResetTest(GatewayUploadTestCase):
+    """An upstream resets while the upload is written."""
+
     def wait_for_head(self):
         """Wait until the router has read the head of the response."""
         (exchange,) = self.frontend.active_exchanges
@@ -82,14 +107,6 @@
         # earlier poll has reported none for their sockets.
         self.loop.run_until(lambda: False, IDLE_SECONDS)
 
-    def in_one_poll(self, callback):
-        """Call back between two polls; the loop sees all events at once."""
-        self.loop.scheduler.call_at(self.loop.now(), callback)
-
-
-class HiddenResetTest(MixedTestCase):
-    """An upstream resets while the upload is written."""
-
     def test_reset_reported_to_a_write(self):
         """Guards against part of a response that is passed on as complete.
 
@@ -109,7 +126,7 @@
         self.assertTrue(caller.data.startswith(b'HTTP/1.1 502 '), caller.data)
 
 
-class BrokenOffTest(MixedTestCase):
+class BrokenOffTests(UploadTests):
     """An upstream breaks off its response during an upload.
 
     Guards against part of a response that is passed on as complete. The
@@ -189,3 +206,79 @@
             self._respond(*case[:2])
             self._end(case[2])
             self._check(caller, case)
+
+
+class BrokenOffTest(BrokenOffTests, GatewayUploadTestCase):
+    """The caller is connected to a gateway."""
+
+
+class _Link:
+    """A link to another router of the same loop."""
+
+    ready = True
+    router = 'r2'
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.streams = {}
+        self.peer_streams = {}
+        self.next_stream = 1
+        self.peer = None
+        self.demultiplexer = None
+
+    def send(self, message):
+        peer = self.peer
+        self.loop.scheduler.call_at(
+            self.loop.now(),
+            lambda: peer.demultiplexer.on_stream(peer, message),
+        )
+
+
+class _Locator:
+    """Finds the only upstream, whose dispatcher is at the other router."""
+
+    def locate(self, target, excluded):
+        return 'u1', '', 0, 'r2'
+
+    def note_sent(self, service, upstream, since):
+        pass
+
+    def note_response_started(self, service, upstream, since):
+        pass
+
+    def note_ended(self, service, upstream, since, seconds, ok):
+        pass
+
+
+class BrokenOffBehindALinkTest(BrokenOffTests, DispatchTestCase):
+    """The caller is connected to a router without the dispatcher."""
+
+    path = '/s/k'
+
+    def setUp(self):
+        super().setUp()
+        self.add_mixed_upstream()
+        self.dispatch_to(self.upstream.listener)
+        service = self.dispatcher_state.manifest.services['s']
+        service.max_body_bytes = MAX_BODY_BYTES
+        self.link, far = _Link(self.loop), _Link(self.loop)
+        self.link.peer, far.peer = far, self.link
+        now = self.loop.now
+        self.link.demultiplexer = StreamDemultiplexer(None, now)
+        far.demultiplexer = StreamDemultiplexer(self.dispatcher.submit, now)
+        entry = Entry(
+            self.loop,
+            'r1',
+            self.dispatcher_state,
+            _Locator(),
+            self._submit,
+            RetryBudgets(self.loop, random.Random(1)),
+            Metrics(),
+        )
+        listener = Listener(self.loop, '127.0.0.1', 0, entry.accept)
+        self.addCleanup(listener.close)
+        self.address = listener.address
+
+    def _submit(self, router, head, sink, body, body_complete):
+        now = self.loop.now()
+        return RemoteAttempt(self.link, head, sink, now, body, body_complete)
