Reset a lingering connection that has not sent its response in time

A caller that speaks HTTP/1.0 takes a FIN for the end of a response without a length. It now gets a reset if bytes are still buffered.

tests.test_conn fails without the change and passes with it; the mutation is noticed.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -474,6 +474,13 @@
         '',
         'tests.test_invalid_status.InvalidStatusTest',
     ),
+    Mutation(
+        'bytes that are not sent in time end with a reset',
+        NET + 'conn.py',
+        'if self._send_queue and not self.closed:',
+        'if False:',
+        'tests.test_conn.ConnTest',
+    ),
     Mutation(
         'a trailer is no header field',
         NET + 'http_client.py',
--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -208,14 +208,15 @@
     def close_lingering(self):
         """Send the buffered bytes and a FIN, then wait for the peer to close.
 
-        The connection is closed after at most LINGER_TIMEOUT_SECONDS. Until
-        then the protocol still receives data, which it should discard.
+        The connection is closed after at most LINGER_TIMEOUT_SECONDS, with a
+        reset if bytes are still buffered. Until then the protocol still
+        receives data, which it should discard.
         """
         if self.closed or self._lingering:
             return
         self._lingering = True
         deadline = self.loop.now() + LINGER_TIMEOUT_SECONDS
-        self.loop.scheduler.call_at(deadline, lambda: self._close_socket(None))
+        self.loop.scheduler.call_at(deadline, self._end_lingering)
         if not self._send_queue:
             self._shutdown_write()
 
@@ -331,6 +332,12 @@
             self._send_queue.popleft()
         return True
 
+    def _end_lingering(self):
+        if self._send_queue and not self.closed:
+            # A FIN would look like the end of what was written.
+            self._reset_on_close()
+        self._close_socket(None)
+
     def _shutdown_write(self):
         try:
             self._sock.shutdown(socket.SHUT_WR)
--- a/tests/test_conn.py
+++ b/tests/test_conn.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from bramleysill_net import conn as conn_module
 from bramleysill_net.conn import Conn
 from bramleysill_net.conn import Listener
 from bramleysill_net.loop import Loop
@@ -104,6 +105,21 @@
         self.assertIsInstance(self.server.closes[0], ConnectionResetError)
         self.assertEqual(1, len(self.client.closes))
 
+    def test_lingering_close_never_truncates_with_a_fin(self):
+        """Guards against a truncated response that looks complete.
+
+        The peer reads too slowly to get all of it before the time limit.
+        """
+        self.patch(conn_module, 'LINGER_TIMEOUT_SECONDS', 0.1)
+        self._connect()
+        self.server.conn.pause()
+        self.client.conn.write(b'x' * LARGE_WRITE_BYTES)
+        self.client.conn.close_lingering()
+        self._run_until(lambda: self.client.closes)
+        self.server.conn.resume()
+        self._run_until(lambda: self.server.closes)
+        self.assertIsInstance(self.server.closes[0], ConnectionResetError)
+
     def test_lingering_close_delivers_despite_unread_bytes(self):
         """Guards against a reset that discards an early refusal.
 
