Reset unfinished responses when a router process ends

A process that ends with callers connected, after its grace period or with bytes in its send buffers, left the closing to the kernel. Without unread bytes that is a FIN, with which a caller that speaks HTTP/1.0 takes part of a response without a length for all of it. Both processes now reset the connections whose responses have not been sent completely. A process that is killed can't.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -481,6 +481,27 @@
         'if False:',
         'tests.test_conn.ConnTest',
     ),
+    Mutation(
+        'an ending process resets unfinished responses',
+        GATEWAY + 'process.py',
+        '        self.frontend.connections.abort_unfinished()\n',
+        '',
+        'tests.test_gateway_process.ShutdownTest',
+    ),
+    Mutation(
+        'a response in progress is unfinished',
+        NET + 'http_server.py',
+        'if not self.idle or self.conn.buffered:',
+        'if self.conn.buffered:',
+        'tests.test_mixed.ProcessEndTest',
+    ),
+    Mutation(
+        'an ending router resets unfinished responses',
+        ROUTER + 'process.py',
+        '            self.entry.abort_unfinished()\n',
+        '',
+        'tests.test_process.RouterProcessTest',
+    ),
     Mutation(
         'a trailer is no header field',
         NET + 'http_client.py',
--- a/packages/gateway/src/bramleysill_gateway/caller_connections.py
+++ b/packages/gateway/src/bramleysill_gateway/caller_connections.py
@@ -84,6 +84,11 @@
             if server.idle:
                 server.conn.close()
 
+    def abort_unfinished(self):
+        """Reset the connections with responses that have not been sent."""
+        for server in list(self._idle_times):
+            server.abort_unfinished()
+
     def count_unsent_responses(self):
         """Return the number of connections with unsent response bytes."""
         return sum(1 for server in self._idle_times if server.conn.buffered)
--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -329,6 +329,7 @@
             return
         if running:
             log_warning('grace_exceeded', running=running)
+        self.frontend.connections.abort_unfinished()
         self.state.stop()
         self._store.close()
         self._links.close()
--- a/packages/net/src/bramleysill_net/http_server.py
+++ b/packages/net/src/bramleysill_net/http_server.py
@@ -147,6 +147,15 @@
         """Return whether only the caller's reading is outstanding."""
         return not self._streams and self.conn.buffered > 0
 
+    def abort_unfinished(self):
+        """Reset the connection unless all its responses have been sent.
+
+        For the end of the process: the kernel would close with a FIN, which
+        may look like the end of a response.
+        """
+        if not self.idle or self.conn.buffered:
+            self.conn.abort()
+
     def resume_body(self):
         """Resume reading the body of the request in progress."""
         if not self._body_complete:
--- a/packages/router/src/bramleysill_router/entry.py
+++ b/packages/router/src/bramleysill_router/entry.py
@@ -96,6 +96,11 @@
             if server.idle:
                 server.conn.close()
 
+    def abort_unfinished(self):
+        """Reset the connections with responses that have not been sent."""
+        for server in list(self.conns):
+            server.abort_unfinished()
+
     def _find_target(self, req):
         if self._state.manifest is None:
             raise refusals.NoState(
--- a/packages/router/src/bramleysill_router/process.py
+++ b/packages/router/src/bramleysill_router/process.py
@@ -230,6 +230,7 @@
                 'grace_exceeded', running=running, roles=roles, busy=busy
             )
         if late or not (running or busy or roles or self._is_handing_over()):
+            self.entry.abort_unfinished()
             self._control_loop.stop()
             self.links.close()
             self.loop.stop()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -37,6 +37,7 @@
 
     def __init__(self):
         self.unsent = 0
+        self.aborted = False
 
     def __len__(self):
         return 1
@@ -47,6 +48,9 @@
     def count_unsent_responses(self):
         return self.unsent
 
+    def abort_unfinished(self):
+        self.aborted = True
+
 
 class _Frontend:
     """A frontend with one request in progress."""
@@ -144,6 +148,13 @@
         self._check_at(GRACE_SECONDS - GRACE_RESERVE_SECONDS)
         self.assertTrue(self.loop.stopped)
 
+    def test_unfinished_responses_are_reset_at_the_end(self):
+        """Guards against the FIN of an ending process in a response."""
+        self._check_at(GRACE_SECONDS - GRACE_RESERVE_SECONDS - 0.1)
+        self.assertFalse(self.frontend.connections.aborted)
+        self._check_at(GRACE_SECONDS - GRACE_RESERVE_SECONDS)
+        self.assertTrue(self.frontend.connections.aborted)
+
     def test_shutdown_resigns_as_leader(self):
         """Guards against a wait until a stopped router's lease has expired."""
         self.assertIn('resign', self.leader.calls)
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -126,6 +126,30 @@
         self.assertTrue(caller.data.startswith(b'HTTP/1.1 502 '), caller.data)
 
 
+class ProcessEndTest(GatewayUploadTestCase):
+    """The router ends while callers are connected to it."""
+
+    def _end_process(self):
+        self.frontend.connections.abort_unfinished()
+
+    def test_response_in_progress_is_reset(self):
+        """Guards against a FIN that completes it for an HTTP/1.0 caller."""
+        caller = self.start_upload(version='1.0')
+        self.upstream.conns[0].write(HEAD + b'\r\n' + b'y' * (256 << 10))
+        self.run_until(lambda: caller.data)
+        self._end_process()
+        self.run_until(lambda: caller.closes)
+        self.assertIsInstance(caller.closes[0], ConnectionResetError)
+
+    def test_idle_connection_stays(self):
+        caller = RecordingProtocol()
+        caller.conn = Conn.connect(self.loop, *self.address, caller)
+        self.addCleanup(caller.conn.abort)
+        self.run_until(lambda: len(self.frontend.connections))
+        self._end_process()
+        self.assertFalse(self.loop.run_until(lambda: caller.closes, 0.05))
+
+
 class BrokenOffTests(UploadTests):
     """An upstream breaks off its response during an upload.
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,9 +9,12 @@
 from bramleysill_kernel.config.manifest_parser import parse_manifest
 from bramleysill_kernel.units.planner import Planner
 from bramleysill_kernel.units.state import full_table
+from bramleysill_net.conn import Conn
 from bramleysill_router.process import RouterProcess
 from bramleysill_router.settings import check_options
+from tests.test_conn import RecordingProtocol
 
+TIMEOUT_SECONDS = 10.0
 MANIFEST = """
 [manifest]
 region = r
@@ -99,6 +102,22 @@
         self.assertEqual('no router lease', self.process.not_ready_reason())
         self.assertFalse(self.process.status()['ready'])
 
+    def test_end_resets_unfinished_responses(self):
+        """Guards against the FIN of an ending process in a response."""
+        loop = self.process.loop
+        caller = RecordingProtocol()
+        address = self.process._listener.address
+        caller.conn = Conn.connect(loop, *address, caller)
+        self.addCleanup(caller.conn.abort)
+        caller.conn.write(b'POST / HTTP/1.0\r\n')
+        loop.run_until(lambda: self.process.entry.conns, TIMEOUT_SECONDS)
+        (server,) = self.process.entry.conns
+        loop.run_until(lambda: not server.idle, TIMEOUT_SECONDS)
+        self.process.shut_down()
+        self.process._shutdown_deadline = 0.0
+        self.process._check_shutdown()
+        self.assertTrue(server.conn.closed)
+
     def test_faulty_message_does_not_end_the_link(self):
         """Guards against a failing handler that closes the whole link."""
 
