Test responses that break off after the whole request

Through a gateway and through a second router, without a length, with one and in chunks, with a reset and, where there is a framing, with a FIN.

--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -61,11 +61,27 @@
     def run_until(self, done):
         self.assertTrue(self.loop.run_until(done, TIMEOUT_SECONDS))
 
-    def start_upload(self, version='1.1'):
-        """Send the head and a part of an upload; return its caller."""
+    def connect(self):
         caller = RecordingProtocol()
         caller.conn = Conn.connect(self.loop, *self.address, caller)
         self.addCleanup(caller.conn.abort)
+        return caller
+
+    def send_whole_request(self):
+        """Send a request without a body; return its caller."""
+        caller = self.connect()
+        before = self.upstream.received
+        head = (
+            f'POST {self.path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n'
+            f'{REQUEST_ID_HEADER}: r1\r\nContent-Length: 0\r\n\r\n'
+        )
+        caller.conn.write(head.encode())
+        self.run_until(lambda: self.upstream.received > before)
+        return caller
+
+    def start_upload(self, version='1.1'):
+        """Send the head and a part of an upload; return its caller."""
+        caller = self.connect()
         head = (
             f'POST {self.path} HTTP/{version}\r\nHost: h\r\n'
             f'{REQUEST_ID_HEADER}: r1\r\n'
@@ -142,9 +158,7 @@
         self.assertIsInstance(caller.closes[0], ConnectionResetError)
 
     def test_idle_connection_stays(self):
-        caller = RecordingProtocol()
-        caller.conn = Conn.connect(self.loop, *self.address, caller)
-        self.addCleanup(caller.conn.abort)
+        caller = self.connect()
         self.run_until(lambda: len(self.frontend.connections))
         self._end_process()
         self.assertFalse(self.loop.run_until(lambda: caller.closes, 0.05))
@@ -223,6 +237,16 @@
             self.loop.run_until(lambda: False, IDLE_SECONDS)
             self._check(caller, case)
 
+    def test_whole_request_was_sent(self):
+        """Only a FIN then ends a response without a length."""
+        for case in self._cases():
+            if case[0] == b'' and case[2] == 'fin':
+                continue
+            caller = self.send_whole_request()
+            self._respond(*case[:2])
+            self._end(case[2])
+            self._check(caller, case)
+
     def test_caller_speaks_http_1_0(self):
         """Guards against a clean end, which completes such a response."""
         for case in self._cases():
