--- a/packages/net/src/bramleysill_net/conn.py
+++ b/packages/net/src/bramleysill_net/conn.py
@@ -2,9 +2,11 @@
 
 import collections
 import errno
+import fcntl
 import os
 import socket
 import struct
+import termios
 
 from bramleysill_net.chunk_buffer import append_chunk
 from bramleysill_net.peer_loss import CHECK_INTERVAL_SECONDS
@@ -28,6 +30,7 @@
 KEEP_ALIVE_INTERVAL_SECONDS = 1
 KEEP_ALIVE_PROBES = 1
 
+_INT = struct.Struct('=i')
 _RETRYABLE_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 
 
@@ -38,7 +41,8 @@
     `on_drain()`, called when the send buffer has become empty, and
     `on_close(exc)`, called exactly once; `exc` is None unless the connection
     failed. `buffered` is the number of bytes that `write` has accepted but
-    the kernel has not.
+    the kernel has not. `closed_early` is true in `on_close` if the peer has
+    closed before its TCP had acknowledged all that was written.
     """
 
     __slots__ = (
@@ -47,10 +51,12 @@
         'peer',
         'buffered',
         'closed',
+        'closed_early',
         'max_read_bytes',
         '_sock',
         '_fileno',
         '_send_queue',
+        '_send_error',
         '_reading',
         '_awaiting_writable',
         '_connecting',
@@ -68,11 +74,14 @@
         self.peer = peer
         self.buffered = 0
         self.closed = False
+        self.closed_early = False
         # How much is read at once.
         self.max_read_bytes = MAX_READ_BYTES
         self._sock = sock
         self._fileno = sock.fileno()
         self._send_queue = collections.deque()
+        # Why a write has failed, until the connection is closed for it.
+        self._send_error = None
         self._reading = True
         self._awaiting_writable = False
         self._connecting = False
@@ -199,14 +208,15 @@
     def close_lingering(self):
         """Send the buffered bytes and a FIN, then wait for the peer to close.
 
-        The connection is closed after at most LINGER_TIMEOUT_SECONDS. Until
-        then the protocol still receives data, which it should discard.
+        The connection is closed after at most LINGER_TIMEOUT_SECONDS, with a
+        reset if bytes are still buffered. Until then the protocol still
+        receives data, which it should discard.
         """
         if self.closed or self._lingering:
             return
         self._lingering = True
         deadline = self.loop.now() + LINGER_TIMEOUT_SECONDS
-        self.loop.scheduler.call_at(deadline, lambda: self._close_socket(None))
+        self.loop.scheduler.call_at(deadline, self._end_lingering)
         if not self._send_queue:
             self._shutdown_write()
 
@@ -272,11 +282,24 @@
                 self._close_socket(exc)
             return False
         if not data:
-            self._close_socket(None)
+            self._close_after_peer()
             return False
         self.protocol.on_data(data)
         return len(data) == size
 
+    def _close_after_peer(self):
+        """Close after the end of the peer's data, or fail after a reset.
+
+        A read finds the end of the data, and no error, if the reset followed
+        a FIN or if a write has already taken the error from the socket.
+        """
+        exc = self._send_error
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if exc is None and code:
+            exc = OSError(code, os.strerror(code))
+        self.closed_early = bool(self.buffered or _count_queued(self._sock))
+        self._close_socket(exc)
+
     def _send(self, data):
         """Return the number of bytes sent, or None if the write failed."""
         try:
@@ -309,6 +332,12 @@
             self._send_queue.popleft()
         return True
 
+    def _end_lingering(self):
+        if self._send_queue and not self.closed:
+            # A FIN would look like the end of what was written.
+            self._reset_on_close()
+        self._close_socket(None)
+
     def _shutdown_write(self):
         try:
             self._sock.shutdown(socket.SHUT_WR)
@@ -366,6 +395,7 @@
     def _close_socket_later(self, exc):
         # A failed write must not call on_close while the caller of write()
         # is still running.
+        self._send_error = exc
         self.loop.scheduler.call_at(
             self.loop.now(), lambda: self._close_socket(exc)
         )
@@ -384,6 +414,12 @@
             self.protocol.on_close(exc)
 
 
+def _count_queued(sock):
+    """Return the bytes that the kernel holds until they are acknowledged."""
+    data = fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(_INT.size))
+    return _INT.unpack(data)[0]
+
+
 def _start_connect(sock, host, port):
     """Return the error code of the connect; EINVAL for an unusable address.
 
--- a/tests/test_conn.py
+++ b/tests/test_conn.py
@@ -2,9 +2,11 @@
 
 import select
 import socket
+import struct
 
 import testtools
 
+from bramleysill_net import conn as conn_module
 from bramleysill_net.conn import Conn
 from bramleysill_net.conn import Listener
 from bramleysill_net.loop import Loop
@@ -103,6 +105,21 @@
         self.assertIsInstance(self.server.closes[0], ConnectionResetError)
         self.assertEqual(1, len(self.client.closes))
 
+    def test_lingering_close_never_truncates_with_a_fin(self):
+        """Guards against a truncated response that looks complete.
+
+        The peer reads too slowly to get all of it before the time limit.
+        """
+        self.patch(conn_module, 'LINGER_TIMEOUT_SECONDS', 0.1)
+        self._connect()
+        self.server.conn.pause()
+        self.client.conn.write(b'x' * LARGE_WRITE_BYTES)
+        self.client.conn.close_lingering()
+        self._run_until(lambda: self.client.closes)
+        self.server.conn.resume()
+        self._run_until(lambda: self.server.closes)
+        self.assertIsInstance(self.server.closes[0], ConnectionResetError)
+
     def test_lingering_close_delivers_despite_unread_bytes(self):
         """Guards against a reset that discards an early refusal.
 
@@ -227,3 +244,75 @@
         loop.scheduler.call_at(loop.now() + 60, lambda: None)
         loop.run_until(lambda: waits, TIMEOUT_SECONDS)
         self.assertEqual([0], waits)
+
+
+class HiddenErrorTest(testtools.TestCase):
+    """A read finds the end of the data although the peer has reset.
+
+    Guards against a reset that looks like a clean close. Each case is a list
+    of steps that happen before the loop polls again.
+    """
+
+    RESET = struct.pack('ii', 1, 0)
+    CASES = (
+        # A write takes the error from the socket.
+        ('reset', 'write'),
+        # A read finds the FIN first.
+        ('fin', 'reset'),
+        # The peer has closed, and its TCP resets what arrives then.
+        ('close', 'write'),
+    )
+
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop()
+        self.protocol = RecordingProtocol()
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+
+    def _connect(self):
+        address = self.listener.getsockname()
+        self.protocol = protocol = RecordingProtocol()
+        self.conn = Conn.connect(self.loop, *address, protocol)
+        self.addCleanup(self.conn.close)
+        self.peer, _ = self.listener.accept()
+        self.addCleanup(self.peer.close)
+        self.loop.run_until(lambda: protocol.connects, TIMEOUT_SECONDS)
+
+    def _reset_peer(self):
+        self.peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, self.RESET)
+        self.peer.close()
+
+    def _take(self, steps):
+        actions = {
+            'reset': self._reset_peer,
+            'fin': lambda: self.peer.shutdown(socket.SHUT_WR),
+            'close': self.peer.close,
+            'write': lambda: self.conn.write(b'x'),
+        }
+        for step in steps:
+            actions[step]()
+
+    def test_every_order_of_events_is_a_failure(self):
+        clean = []
+        for steps in self.CASES:
+            self._connect()
+            self.peer.send(b'part')
+            self.loop.run_until(lambda: self.protocol.data, TIMEOUT_SECONDS)
+            at = self.loop.now()
+            self.loop.scheduler.call_at(at, lambda s=steps: self._take(s))
+            self.loop.run_until(lambda: self.protocol.closes, TIMEOUT_SECONDS)
+            if not isinstance(self.protocol.closes[0], OSError):
+                clean.append(steps)
+        self.assertEqual([], clean)
+
+    def test_close_before_the_last_acknowledgement_is_early(self):
+        """Guards against a peer that has not taken all that was written."""
+        for size, is_early in ((0, False), (1, False), (16 << 20, True)):
+            self._connect()
+            self.conn.write(b'x' * size)
+            self.loop.run_until(lambda: False, 0.02)
+            self.peer.shutdown(socket.SHUT_WR)
+            self.loop.run_until(lambda: self.protocol.closes, TIMEOUT_SECONDS)
+            self.assertEqual([None], self.protocol.closes)
+            self.assertEqual(is_early, self.conn.closed_early, size)
