--- a/tests/test_upstream_limit.py
+++ b/tests/test_upstream_limit.py
@@ -1,8 +1,10 @@
 """Tests of how requests to an upstream with a named limit are paced."""
 
+from tests.gateway_helpers import NOT_RUN_LINE
 from tests.gateway_helpers import TIMEOUT_SECONDS
 from tests.gateway_helpers import GatewayTestCase
 from tests.gateway_helpers import signed_response
+from tests.gateway_helpers import unsigned_response
 
 LIMIT_PER_SECOND = 5
 # All requests of a test end within this time, as their deadline is earlier.
@@ -34,6 +36,18 @@
             len(upstream.requests), LIMIT_PER_SECOND * WINDOW_SECONDS
         )
 
+    def test_an_owner_that_refuses_all_requests_names_its_limit(self):
+        """Guards against LIMIT at an owner that no longer holds the key."""
+        line = f'{NOT_RUN_LINE}Server-Limit: {LIMIT_PER_SECOND}\r\n'
+        upstream = self.add_upstream(
+            'o', lambda i: unsigned_response(421, line), 'keyed'
+        )
+        self.request('/keyed/x')
+        self._send_burst('/keyed/x')
+        self.assertLessEqual(
+            len(upstream.requests), LIMIT_PER_SECOND * WINDOW_SECONDS
+        )
+
     def test_a_shared_upstream_gets_no_more_requests_than_its_limit(self):
         """Guards against LIMIT at an upstream of a shared service."""
         upstream = self.add_upstream('s', self._limited)
