Let the soak check all requests that are refused as not run

It now compares each id that was answered 408, 421, 429 or 503 with all runs in the ledgers, whatever the route, the time and the faults, and prints the seed and the trace of the id. It replaces the check "a refusal that says not run is true", which it covers.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -26,6 +26,7 @@
 FAULTS_END_AT = 100.0
 SHORT_RUN_SECONDS = 3
 RUN_TIMEOUT_SECONDS = 180
+NEVER_RUNS = 'a request answered 408, 421, 429 or 503 never runs'
 
 
 class _FakeProcess:
@@ -312,15 +313,66 @@
             )
             self.assertEqual(is_violated, promise in violated)
 
-    def test_a_false_refusal_is_found(self):
-        """Guards against a check that misses a "not run" request that ran."""
-        outcomes = [_outcome(503, 'c-2')] + [
+    def _false_refusals(self, status, route, at=1.0, **kwargs):
+        """Return the violations for a request that is refused and runs."""
+        outcomes = [_outcome(status, 'c-2', route)] + [
             _outcome(request_id=f'd-{n}') for n in range(20)
         ]
-        violated = self._violated(
-            _FakeProcess('u1', _run('c-2')), outcomes=outcomes
+        line = {**_run('c-2', path=f'/{route}/1'), 'at': at}
+        history = History(
+            outcomes,
+            [_FakeProcess('u1', line, **kwargs)],
+            {'router-1': _FakeRouter((0.0, 200.0), pause_spans=((0.0, 9.0),))},
+            FAULTS_END_AT,
+            seed=77,
+        )
+        return dict(run_checks(history))
+
+    def test_a_false_refusal_is_found(self):
+        """Guards against a check that leaves out a status or a route."""
+        for status in (408, 421, 429, 503):
+            for route in ('read', 'write', 'keyed', 'upload'):
+                found = self._false_refusals(status, route)
+                self.assertEqual({NEVER_RUNS}, set(found))
+
+    def test_a_late_run_of_a_refused_request_is_found(self):
+        """Guards against a check that ends with the response."""
+        self.assertEqual(
+            {NEVER_RUNS}, set(self._false_refusals(503, 'keyed', at=150.0))
+        )
+
+    def test_no_fault_excuses_a_false_refusal(self):
+        """Guards against a check that is blind around faults."""
+        found = self._false_refusals(
+            503, 'read', ended_at=2.0, fault_spans=((0.0, 200.0),)
         )
-        self.assertEqual({'a refusal that says "not run" is true'}, violated)
+        self.assertEqual({NEVER_RUNS}, set(found))
+
+    def test_a_false_refusal_of_the_first_requests_is_found(self):
+        """Guards against a check that leaves out requests before faults."""
+        probe = _outcome(503, 'probe-1')
+        history = History(
+            [_outcome()],
+            [_FakeProcess('u1', _run('probe-1'))],
+            {'router-1': _FakeRouter()},
+            FAULTS_END_AT,
+            sent=[probe, _outcome()],
+        )
+        self.assertEqual({NEVER_RUNS}, {n for n, _ in run_checks(history)})
+
+    def test_a_false_refusal_is_traced(self):
+        """Guards against a violation that names no seed or upstream."""
+        line = self._false_refusals(503, 'keyed')[NEVER_RUNS]
+        self.assertEqual(
+            'seed 77: c-2 (keyed) sent to router-1 at 120.000 got 503 at '
+            '120.100; u1 run 1.000',
+            line,
+        )
+
+    def test_other_statuses_of_requests_that_ran_are_allowed(self):
+        """Guards against a violation for an answer that promises nothing."""
+        for status in (200, 502, 504):
+            self.assertNotIn(NEVER_RUNS, self._false_refusals(status, 'keyed'))
 
     def test_a_truncated_response_is_found(self):
         """Guards against a check that compares only the status."""
