--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 SEED ?= 1
 
 soak: setup
-	PYTHONPATH=platform/soak $(BIN)/python -m bramleysill_soak --seed=$(SEED)
+	PYTHONPATH=platform/soak $(BIN)/python -m bramleysill_soak --seed=$(SEED) $(if $(FAULTS),--faults=$(FAULTS))
 
 golden-update: setup
 	GOLDEN_UPDATE=1 $(BIN)/python -m tests tests.test_sessions.GoldenTest
--- a/tests/test_soak_behaviours.py
+++ b/tests/test_soak_behaviours.py
@@ -170,6 +170,12 @@
         self.assertEqual(set(), set(MIX_FAULTS) - set(FAULTS))
         self.assertNotIn('refusal_mix', MIX_FAULTS)
 
+    def test_an_unknown_fault_is_rejected(self):
+        """Guards against a run that ends at its first misspelt fault."""
+        self.assertRaises(
+            ValueError, FaultInjector, _Cell(), _Rng(), None, ['leave_all']
+        )
+
     def test_named_faults_are_not_injected_by_default(self):
         """Guards against seeds that change with each new fault."""
         injector = FaultInjector(_Cell(), _Rng(), lambda *fault: None)
