Split the renewal of grants from the range coordinator

The coordinator of 500 lines both decided moves and sent the grants, with the state of each grant (due time, failures, handover).

--- a/packages/kernel/src/bramleysill_kernel/ranges/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/range_coordinator.py
@@ -24,6 +24,7 @@
 
 from bramleysill_kernel.common.call_outcome import CallOutcome
 from bramleysill_kernel.ranges.former_holds import FormerHolds
+from bramleysill_kernel.ranges.grant_renewals import GrantRenewals
 from bramleysill_kernel.ranges.hold_ledger import HoldLedger
 from bramleysill_kernel.ranges.hold_ledger import last_hold_end
 from bramleysill_kernel.ranges.key_ranges import Assignment
@@ -32,7 +33,6 @@
 from bramleysill_kernel.ranges.owner_pool import OwnerPool
 from bramleysill_kernel.ranges.process_fences import FenceRenewals
 from bramleysill_kernel.ranges.range_balance import plan_balance
-from bramleysill_kernel.ranges.range_moves import GrantRenewal
 from bramleysill_kernel.ranges.range_moves import MoveList
 from bramleysill_kernel.ranges.range_moves import RangeMove
 from bramleysill_kernel.ranges.range_moves import is_committed
@@ -41,14 +41,10 @@
 from bramleysill_kernel.ranges.range_planner import Capacity
 from bramleysill_kernel.ranges.range_planner import plan_new_upstreams
 from bramleysill_kernel.ranges.range_planner import plan_vacant_ranges
-from bramleysill_kernel.ranges.range_releases import RETRY_DELAY_SECONDS
 from bramleysill_kernel.ranges.range_releases import WRITE_BATCH_SECONDS
 from bramleysill_kernel.ranges.range_releases import RangeReleases
 from bramleysill_kernel.ranges.reassignment import ReassignmentRules
 
-# After this many failed grants in a row the range is moved away. Further
-# grants would only extend the time for which the owner may hold the keys.
-MAX_GRANT_FAILURES = 2
 # Delay before the first placement. It is longer than a heartbeat interval,
 # within which every upstream has registered.
 FIRST_PLACEMENT_DELAY_SECONDS = 2.0
@@ -80,13 +76,11 @@
         self._rules = None
         self._releases = None
         self._moves = MoveList()
-        self._renewals = {}
+        self._grants = None
         self._fence_renewals = FenceRenewals(clock)
-        self._handovers = {}
         self._pending_write = None
         self._fences_renewed = False
         self._next_balance_at = 0.0
-        self._last_call_number = 0
         self._busy_ranges = ()
         self._first_placement_at = 0.0
         self._lowest_fence = 0
@@ -135,6 +129,16 @@
         self._releases = RangeReleases(
             self._clock, self._directory, self._pool, self._holds, self._calls
         )
+        self._grants = GrantRenewals(
+            self._clock,
+            self._timings,
+            self._calls,
+            self._directory,
+            self._pool,
+            self._holds,
+            self._moves,
+            self._fence_renewals,
+        )
         if table is None:
             table = RangeTable.empty()
             self._holds.discard_inherited_holds()
@@ -156,7 +160,7 @@
             return
         self._settle()
         self._start_forced_moves()
-        self._renew()
+        self._renew_grants()
         self._renew_fences()
         self._advance_moves()
         self._commit_ready_moves()
@@ -165,8 +169,7 @@
     def extend_holds(self):
         """Renew all grants at once, with the hold that covers an outage."""
         self.store_unresponsive = True
-        for renewal in self._renewals.values():
-            renewal.due_at = 0.0
+        self._grants.make_all_due()
 
     def use_former_holds(self, former, is_last=False):
         """Use the FormerHolds of an earlier term; return whether they count.
@@ -251,50 +254,12 @@
             return False
         if self._pool.has_ended(item):
             return False
-        renewal = self._renewals.get((item.first, item.last, item.fence))
-        return renewal is None or renewal.failures < MAX_GRANT_FAILURES
+        return not self._grants.have_failed(item)
 
-    # Renewal of grants.
+    # Renewal of grants and fences.
 
-    def _renew(self):
-        now = self._clock.now()
-        seen = set()
-        for item in self.table.ranges:
-            if not item.owner or item.unsettled:
-                continue
-            entry = self._directory.get(item.owner)
-            if entry is None or entry.incarnation != item.incarnation:
-                continue
-            for part in self._moves.unmoved_subranges(item):
-                key = (part.first, part.last, part.fence)
-                seen.add(key)
-                renewal = self._renewals.get(key)
-                if renewal is None:
-                    renewal = self._renewals[key] = GrantRenewal()
-                if now >= renewal.due_at:
-                    self._grant(part, entry, renewal)
-        for key in set(self._renewals) - seen:
-            del self._renewals[key]
-
-    def _grant(self, part, entry, renewal):
-        if renewal.pending_call:
-            return
-        hold = self._timings.hold
-        if self.store_unresponsive:
-            hold = self._timings.outage_hold
-        self._last_call_number += 1
-        call = self._last_call_number
-        self._holds.record_grant_sent(part, call)
-        renewal.pending_call = call
-        renewal.due_at = self._clock.now() + self._timings.renew_interval
-        handover = self._handovers.get(part.fence, '')
-
-        def done(result):
-            self._on_granted(part, call, hold, result)
-
-        # In an outage no new fence can be stored, and keys stay served.
-        any_process = self.store_unresponsive
-        self._calls.grant(entry, part, hold, handover, done, any_process)
+    def _renew_grants(self):
+        self._grants.renew(self.table, self.store_unresponsive)
 
     def _renew_fences(self):
         """Write new fences for owners that may have been restarted."""
@@ -304,35 +269,6 @@
         if assignments:
             self._write(self.table.assign(assignments), [])
 
-    def _on_granted(self, part, call, hold, result):
-        now = self._clock.now()
-        renewal = self._renewals.get((part.first, part.last, part.fence))
-        if renewal is not None and renewal.pending_call == call:
-            renewal.pending_call = 0
-        if result is CallOutcome.OK:
-            self._holds.record_grant_confirmed(part, call, hold)
-            self._handovers.pop(part.fence, None)
-            self._pool.record_grant_success(part.owner)
-            if renewal is not None:
-                renewal.failures = 0
-            return
-        if result is CallOutcome.NEEDS_FENCE:
-            self._holds.record_grant_refused(part, call)
-            self._fence_renewals.add(part)
-            if renewal is not None:
-                renewal.due_at = now + RETRY_DELAY_SECONDS
-            return
-        if result is CallOutcome.REPLACED:
-            self._pool.record_process_end(part)
-        if result is CallOutcome.NO_RESPONSE:
-            self._holds.record_grant_unanswered(part, call, hold)
-        else:
-            self._holds.record_grant_refused(part, call)
-        self._pool.record_grant_failure(part.owner)
-        if renewal is not None:
-            renewal.failures += 1
-            renewal.due_at = now + RETRY_DELAY_SECONDS
-
     # Progress of moves.
 
     def _advance_moves(self):
@@ -483,18 +419,8 @@
         self._fences_renewed = True
         self.table = table
         self.revision = revision
-        self._fence_renewals.carry_over(table, self._holds, self._renewals)
+        self._grants.use_table(table)
         for move in moves:
-            if move.handover:
-                self._keep_handover(move)
+            self._grants.keep_handover(move, table)
             self._moves.remove(move)
-        self._renewals = {
-            key: value
-            for key, value in self._renewals.items()
-            if table.find(key[0]).fence == key[2]
-        }
-        self._renew()
-
-    def _keep_handover(self, move):
-        for item in self.table.overlapping(move.first, move.last):
-            self._handovers[item.fence] = move.handover
+        self._renew_grants()
