--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,7 +4,11 @@
 
 import testtools
 
-from bench import capacity
+from bench.capacity import page
+from bench.capacity.figures import compute_figures
+from bench.capacity.fit import fit_table
+from bench.capacity.formatting import NOT_MEASURED
+from bench.capacity.measurements import load_measurements
 
 
 def _round_slopes():
@@ -44,32 +48,30 @@
 class CapacityPageTest(testtools.TestCase):
     def test_page_matches_the_slopes(self):
         """Guards against slopes that were committed without the page."""
-        page = capacity.PAGE.read_text()
-        expected = capacity.render(
-            page, capacity.page_parts(*capacity.load_measurements())
-        )
-        if page != expected:
+        text = page.PAGE.read_text()
+        expected = page.render(text, page.page_parts(*load_measurements()))
+        if text != expected:
             self.fail('docs/CAPACITY.md is stale; run `make capacity`')
 
     def test_missing_marker_is_an_error(self):
         """Guards against a table left out because its marker is missing."""
-        self.assertRaises(ValueError, capacity.render, '', {'fit': 'x'})
+        self.assertRaises(ValueError, page.render, '', {'fit': 'x'})
 
     def test_changed_slope_changes_the_page(self):
         """Guards against a page that does not depend on the slopes."""
-        slopes, paths = capacity.load_measurements()
+        slopes, paths = load_measurements()
         changed = json.loads(json.dumps(slopes))
         changed['codec']['Heartbeat']['bytes'] += 100
         self.assertNotEqual(
-            capacity.page_parts(slopes, paths),
-            capacity.page_parts(changed, paths),
+            page.page_parts(slopes, paths),
+            page.page_parts(changed, paths),
         )
 
 
 class CapacityArithmeticTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.figures = capacity.compute_figures(_round_slopes(), None)
+        self.figures = compute_figures(_round_slopes(), None)
 
     def test_heartbeat_bytes(self):
         """Guards against a wrong number of peers or heartbeats."""
@@ -112,8 +114,8 @@
         paths = {
             'forwarded': {'requests_per_s': 1000, 'cpu_us_per_request': 500}
         }
-        figures = capacity.compute_figures(_round_slopes(), paths)
+        figures = compute_figures(_round_slopes(), paths)
         # 7,000,000 / 1,700 / 1,000.
         self.assertAlmostEqual(4.1176, figures['processes'], 4)
-        self.assertIn('4.1 processes per VM', capacity.fit_table(figures))
-        self.assertIn(capacity.NOT_MEASURED, capacity.fit_table(self.figures))
+        self.assertIn('4.1 processes per VM', fit_table(figures))
+        self.assertIn(NOT_MEASURED, fit_table(self.figures))
