Remove what nothing uses, and say a timeout once

MonotonicClock, Election.note_promise and OwnershipTable.owned_by have no caller, not even a test. The timeout of a store call stood in the kernel, which documents it, and again in the store client, which applies it; the client uses the kernel's constant now.

python -m tests of test_layers, test_docs, test_election, test_ownership, test_store_standin and test_control_loop: 47 passed.

--- a/packages/kernel/src/bramleysill_kernel/common/clock.py
+++ b/packages/kernel/src/bramleysill_kernel/common/clock.py
@@ -1,16 +1,4 @@
-"""Clocks that are passed to the decision logic."""
-
-import time
-
-
-class MonotonicClock:
-    """The monotonic clock of the process, in seconds."""
-
-    __slots__ = ()
-
-    def now(self):
-        """Return seconds since an arbitrary point."""
-        return time.monotonic()
+"""A clock that is passed to the decision logic in place of the loop."""
 
 
 class ManualClock:
--- a/packages/kernel/src/bramleysill_kernel/election/election.py
+++ b/packages/kernel/src/bramleysill_kernel/election/election.py
@@ -141,10 +141,6 @@
         self.promise_until = max(self.promise_until, until)
         return True
 
-    def note_promise(self, now):
-        """Record a promise that was sent to a coordinator at `now`."""
-        self.promise(now)
-
     def note_term(self, term):
         """Step down if another router leads under a newer term."""
         if term > self.term and self.state == LEADING:
--- a/packages/kernel/src/bramleysill_kernel/units/ownership.py
+++ b/packages/kernel/src/bramleysill_kernel/units/ownership.py
@@ -198,10 +198,6 @@
         for key, assignment in self.singles.items():
             yield SINGLE_KEY_PREFIX + key, assignment
 
-    def owned_by(self, owner):
-        """Return the units of an owner as a dict of unit to fence."""
-        return {u: a.fence for u, a in self.units() if a.owner == owner}
-
     def copy(self):
         """Return a deep copy."""
         return OwnershipTable.decode(self.encode(), self.version)
--- a/packages/router/src/bramleysill_router/store_client.py
+++ b/packages/router/src/bramleysill_router/store_client.py
@@ -8,6 +8,7 @@
 import urllib.parse
 
 from bramleysill_kernel.common import effects
+from bramleysill_kernel.common.lease import STORE_CALL_TIMEOUT_SECONDS
 from bramleysill_kernel.common.registry import Registry
 from bramleysill_kernel.load.receive_budget import STORE
 from bramleysill_kernel.load.receive_budget import Reservation
@@ -15,7 +16,6 @@
 from bramleysill_net.http_client import encode_request
 from bramleysill_net.response_sinks import ResponseCollector
 
-CALL_TIMEOUT_SECONDS = 0.5
 WATCH_WAIT_SECONDS = 10.0
 # How much longer than the wait of the store a watch call may take.
 WATCH_TIMEOUT_MARGIN_SECONDS = 2.0
@@ -55,7 +55,7 @@
         def on_reply(status, headers, data):
             callback(_make_store_reply(effect.op, kind, status, headers, data))
 
-        self._call(method, target, body, on_reply, CALL_TIMEOUT_SECONDS)
+        self._call(method, target, body, on_reply, STORE_CALL_TIMEOUT_SECONDS)
 
     def watch(self, key, after, callback):
         """Wait until the key has a version other than `after`.
@@ -92,7 +92,9 @@
         def on_reply(status, headers, data):
             callback(data if status == 200 else None)
 
-        self._call('GET', '/v1/vms', None, on_reply, CALL_TIMEOUT_SECONDS)
+        self._call(
+            'GET', '/v1/vms', None, on_reply, STORE_CALL_TIMEOUT_SECONDS
+        )
 
     def _call(self, method, target, body, callback, timeout):
         kind = method if '/watch/' not in target else 'WATCH'
