Split the leader key and a replaced lease from the election

LeaderElection also decoded the leader key of others and ended the lease of a leader that it had replaced, each with state of its own. No change of behaviour.

--- a/packages/gateway/src/bramleysill_gateway/leader.py
+++ b/packages/gateway/src/bramleysill_gateway/leader.py
@@ -1,11 +1,10 @@
 """Takes part in the leader election, and leads while elected."""
 
-import json
-
 from bramleysill_gateway.cell_state import LEADER_KEY
 from bramleysill_gateway.coordinators import Coordinators
-from bramleysill_kernel.common.bounded_values import is_token
-from bramleysill_kernel.common.bounded_values import parse_address
+from bramleysill_gateway.leader_key import LeaderKeyReader
+from bramleysill_gateway.leader_key import encode_leader
+from bramleysill_gateway.replaced_lease import ReplacedLease
 from bramleysill_kernel.common.store_types import Condition
 from bramleysill_kernel.common.store_types import Put
 from bramleysill_kernel.common.store_types import StoredItem
@@ -31,18 +30,8 @@
 MIN_TERM_SECONDS = 5.0
 # A refused renewal is sent again after this time.
 REFUSED_RENEWAL_DELAY_SECONDS = 0.15
-# Interval between attempts to end the lease of a leader that was replaced.
-END_LEASE_INTERVAL_SECONDS = 0.3
 # After these ends of a term nobody else can lead yet.
 REASONS_TO_TRUST_OWNERS = ('lease_over', 'store_restored')
-# What reading a document of another shape than a leader's may raise.
-_MALFORMED_ERRORS = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    RecursionError,
-)
 
 
 class LeaderElection:
@@ -60,9 +49,7 @@
         self._store = store
         self._state = state
         self._adapter = state.adapter
-        self._leader_key_value = json.dumps(
-            {'router': cfg.name, 'address': address}
-        ).encode()
+        self._leader_key_value = encode_leader(cfg.name, address)
         self.coordinators = Coordinators(
             loop,
             cfg.timings,
@@ -85,13 +72,8 @@
         self._name = cfg.name
         self._former_leader = None
         self._refused_renewals = 0
-        # The lease of a leader that this router has replaced, until it is
-        # known to have ended, or 0.
-        self._replaced_lease = 0
-        self._end_lease_at = 0.0
-        # The StoredItem decoded last, and the address from it.
-        self._decoded_item = None
-        self._leader_address = None
+        self._replaced_lease = ReplacedLease(loop, store)
+        self._leader_key_reader = LeaderKeyReader()
 
     @property
     def key(self):
@@ -109,24 +91,7 @@
 
     def current_leader(self):
         """Return (name, peer address) of the leader, or None."""
-        item = self._state.leader_item
-        if item is not self._decoded_item:
-            self._decoded_item = item
-            self._leader_address = self._decode_address(item)
-        return self._leader_address
-
-    def _decode_address(self, item):
-        if item is None:
-            return None
-        try:
-            document = json.loads(item.value)
-            router, address = document['router'], document['address']
-            if not is_token(router) or parse_address(address) is None:
-                raise ValueError('the router or its address is malformed')
-            return router, address
-        except _MALFORMED_ERRORS as exc:
-            log_warning('document_rejected', key=self.key, error=exc)
-            return None
+        return self._leader_key_reader.read(self._state.leader_item)
 
     def note_report(self, message):
         """Use a router's report of requests and service times, as leader."""
@@ -141,8 +106,8 @@
         self._check_leader_key()
         if leadership.leading:
             self._renew()
-            if self._replaced_lease:
-                self._end_replaced_lease()
+            if self._replaced_lease.lease:
+                self._replaced_lease.end(self._on_replaced_lease_ended)
                 return
             self.coordinators.tick()
             self._remove_former_keys()
@@ -177,7 +142,7 @@
         if leadership.campaigning_disabled or not self._state.own_watch.listed:
             return
         log_event('takeover_started', revision=item.revision)
-        self._replaced_lease = item.lease
+        self._replaced_lease.lease = item.lease
         self._campaign(item.revision)
 
     def yield_to(self, item):
@@ -193,27 +158,12 @@
         if leader is not None and leader[0] != self._name:
             self._former_leader = leader
 
-    def _end_replaced_lease(self):
-        """End the lease of the leader before, which might renew it yet.
-
-        Its grants count until its lease would be over by its own clock.
-        """
-        now = self._loop.now()
-        if now < self._end_lease_at:
-            return
-        self._end_lease_at = now + END_LEASE_INTERVAL_SECONDS
-        lease = self._replaced_lease
-
-        def on_ended(reply):
-            if lease != self._replaced_lease:
-                return
-            if reply.ok or reply.outcome is StoreOutcome.MISSING:
-                self._replaced_lease = 0
-                self.coordinators.former_leader_until = (
-                    self._loop.now() + self._timings.leader_lease
-                )
-
-        self._store.end_lease(lease, on_ended)
+    def _on_replaced_lease_ended(self):
+        # Grants of the leader before count until its lease would be over by
+        # its own clock.
+        self.coordinators.former_leader_until = (
+            self._loop.now() + self._timings.leader_lease
+        )
 
     def on_store_restored(self):
         """Stop leading: the lease and the leader key belong to the past."""
@@ -296,7 +246,7 @@
             self.leadership.next_attempt_at += self.leadership.lease_seconds
             self._lease = lease
             return
-        self._replaced_lease = 0
+        self._replaced_lease.forget()
 
     def _become_leader(self, lease, revision):
         self._campaigning = False
@@ -311,7 +261,7 @@
             valid=self.leadership.valid_until - self._loop.now(),
         )
         self._refused_renewals = 0
-        self._end_lease_at = 0.0
+        self._replaced_lease.end_at_once()
         self._state.watch_store()
         if self._former_leader is not None:
             item = StoredItem(
@@ -344,7 +294,7 @@
         )
         self.coordinators.end_term(reason in REASONS_TO_TRUST_OWNERS)
         self._former_keys_removed = False
-        self._replaced_lease = 0
+        self._replaced_lease.forget()
         lease = self.leadership.resign()
         # Keep an expired lease: the store may have paused it.
         self._lease = lease if reason == 'lease_over' else 0
