Split the known items from the watch of a prefix

PrefixWatch kept the items of its prefix (newest, replaced and removed ones) besides the calls that read them. Two lines of a test follow a private name. No change of behaviour.

--- a/packages/gateway/src/bramleysill_gateway/prefix_watch.py
+++ b/packages/gateway/src/bramleysill_gateway/prefix_watch.py
@@ -15,11 +15,8 @@
 
 import math
 
-from absl import logging
-
-from bramleysill_gateway.removed_keys import RemovedKeys
+from bramleysill_gateway.prefix_items import PrefixItems
 from bramleysill_gateway.watch_retry import WatchRetry
-from bramleysill_kernel.common.store_types import StoredItem
 from bramleysill_kernel.common.store_types import StoreOutcome
 from bramleysill_kernel.discovery.freshness import CLOCK_RATE_TOLERANCE
 from bramleysill_kernel.discovery.freshness import Freshness
@@ -48,7 +45,6 @@
     def __init__(
         self, loop, rng, timings, store, prefix, on_change, on_recovered
     ):
-        self.items = {}
         # Whether all keys were listed at least once, and in this era.
         self.synced = False
         self.listed = False
@@ -57,8 +53,7 @@
         # Revocation and quotas rely on it; `_complete_until` only decides
         # whether feeds are sent and trusted.
         self.freshness = Freshness(loop)
-        # The revision of the last change of the prefix that is known.
-        self.last_change = 0
+        self._copy = PrefixItems(on_change)
         # Returns the longest wait of a watch in seconds; a reply to a shorter
         # one proves sooner that nothing has changed.
         self.longest_wait = lambda: math.inf
@@ -66,7 +61,6 @@
         self._timings = timings
         self._store = store
         self.prefix = prefix
-        self._on_change = on_change
         self._on_recovered = on_recovered
         self._revision = 0
         self._listing = {}
@@ -97,9 +91,16 @@
         self._copy_wait_until = 0.0
         # When the store is called instead; 0.0 if no request is pending.
         self._leader_reply_deadline = 0.0
-        self._removed = RemovedKeys()
-        # By key, the item that the present one has replaced.
-        self._previous = {}
+
+    @property
+    def items(self):
+        """Return the newest StoredItem of each key."""
+        return self._copy.by_key
+
+    @property
+    def last_change(self):
+        """Return the revision of the last change that is known."""
+        return self._copy.last_change
 
     @property
     def revision(self):
@@ -136,7 +137,7 @@
             return
         for item in items:
             if item.revision > self._revision:
-                self._apply(item)
+                self._copy.apply(item)
         self._revision = max(self._revision, revision)
         self._leader_reply_deadline = 0.0
         now = self._loop.now()
@@ -154,14 +155,12 @@
 
     def previous_of(self, item):
         """Return the item that this one has replaced, or None if unknown."""
-        if self.items.get(item.key) is not item:
-            return None
-        return self._previous.get(item.key)
+        return self._copy.previous_of(item)
 
     def apply_item(self, item):
         """Apply an item that another router knows of."""
         if self.listed:
-            self._apply(item)
+            self._copy.apply(item)
 
     def end_feed(self):
         """Watch the store now instead of when the last feed is too old."""
@@ -178,11 +177,9 @@
 
     def changes_since(self, revision):
         """Return the changes after a revision, None if some are unknown."""
-        if not self.listed or revision < self._removed.known_after:
+        if not self.listed:
             return None
-        found = [i for i in self.items.values() if i.revision > revision]
-        found += self._removed.since(revision)
-        return sorted(found, key=lambda item: item.revision)
+        return self._copy.changes_since(revision)
 
     def start(self):
         """Start with the leader's copy or with a listing of the prefix."""
@@ -214,8 +211,7 @@
         self._generation += 1
         self.listed = False
         self._revision = 0
-        self.last_change = 0
-        self._removed.clear()
+        self._copy.start_era()
         self._retry.failures = 0
         self._feed_valid_until = 0.0
         self._feed_received = False
@@ -285,17 +281,9 @@
     def _finish_listing(self, revision):
         listing = self._listing
         self._revision = self._listing_revision
-        # Keys may have been removed up to this revision.
-        self.last_change = max(self.last_change, revision)
-        for key in set(self.items) - set(listing):
-            self._apply_listed(StoredItem(key, None, revision))
-        for item in listing.values():
-            self._apply_listed(item)
-        # Other routers may not have listed what was replaced.
-        self._previous.clear()
+        self._copy.use_listing(listing, revision, is_first=not self.listed)
         self.synced = True
         self.listed = True
-        self._removed.known_after = revision
         log_event('store_listed', prefix=self.prefix, keys=len(listing))
         self._call_after(FIRST_WATCH_DELAY_SECONDS, self._watch)
 
@@ -364,7 +352,7 @@
         self._note_complete(self._loop.now())
         base = self._revision
         for item in reply.items:
-            self._apply(item)
+            self._copy.apply(item)
             self._revision = max(self._revision, item.revision)
         self._revision = max(self._revision, reply.revision)
         if reply.items:
@@ -376,42 +364,6 @@
         delay = self._timings.batch_delay if reply.items else 0.0
         self._call_after(delay, self._watch)
 
-    def _apply_listed(self, item):
-        """Apply an item of a listing, the first of an era without a check."""
-        if self.listed:
-            self._apply(item)
-        else:
-            self._replace(item)
-
-    def _apply(self, item):
-        known = self.items.get(item.key)
-        if known is not None and known.revision >= item.revision:
-            if known.revision > item.revision:
-                log_event(
-                    'store_item_ignored',
-                    key=item.key,
-                    revision=item.revision,
-                    known_revision=known.revision,
-                )
-            return
-        self._replace(item)
-
-    def _replace(self, item):
-        known = self.items.get(item.key)
-        self.last_change = max(self.last_change, item.revision)
-        if item.value is None:
-            self.items.pop(item.key, None)
-            self._previous.pop(item.key, None)
-            self._removed.note(item.key, item.revision)
-        else:
-            self.items[item.key] = item
-            self._previous[item.key] = known
-        try:
-            self._on_change(item)
-        except Exception:
-            # One item must not keep this router from following the others.
-            logging.exception('event=store_item_error key=%r', item.key)
-
     def _note_complete(self, at):
         """Record that the store's changes before a time are known."""
         self._complete_until = max(self._complete_until, at)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -165,7 +165,7 @@
     def _write(self, version, revision, data=None):
         if data is None:
             data = json.dumps({**CONFIG, 'version': version}).encode()
-        self.state.operator_watch._apply(
+        self.state.operator_watch._copy.apply(
             StoredItem('op/config', data, revision)
         )
 
@@ -207,7 +207,9 @@
     def test_removed_configuration_stays_in_use(self):
         """Guards against a 404 for all routes when the key is deleted."""
         self._write('r7', 10)
-        self.state.operator_watch._apply(StoredItem('op/config', None, 11))
+        self.state.operator_watch._copy.apply(
+            StoredItem('op/config', None, 11)
+        )
         self.assertEqual(7, self.state.config.version)
 
 
