Split the reports of key loads from the process

GatewayProcess builds, runs and stops the components, and also made the KeyLoads messages itself. No change of behaviour.

python -m tests of test_gateway_process, test_docs, test_layers, test_load_reports and test_platform_start: 42 passed.

--- a/packages/gateway/src/bramleysill_gateway/process.py
+++ b/packages/gateway/src/bramleysill_gateway/process.py
@@ -9,6 +9,7 @@
 from bramleysill_gateway.explanation import Explainer
 from bramleysill_gateway.freshness_exchange import FreshnessExchange
 from bramleysill_gateway.frontend import Frontend
+from bramleysill_gateway.key_load_reports import KeyLoadReports
 from bramleysill_gateway.leader import LeaderElection
 from bramleysill_gateway.pacing import Pacing
 from bramleysill_gateway.quotas import Quotas
@@ -85,7 +86,7 @@
         every = self.loop.scheduler.call_every
         every(TICK_INTERVAL_SECONDS, self._tick)
         every(SWEEP_INTERVAL_SECONDS, self._sweep)
-        every(KEY_REPORT_INTERVAL_SECONDS, self._report_key_loads)
+        every(KEY_REPORT_INTERVAL_SECONDS, self._key_load_reports.send)
         every(
             UPSTREAM_REPORT_INTERVAL_SECONDS, self._exchange_upstream_reports
         )
@@ -233,6 +234,13 @@
             self.state,
             self.leader,
         )
+        self._key_load_reports = KeyLoadReports(
+            cfg.name,
+            self._links,
+            self.leader,
+            self._upstreams,
+            self.frontend.key_counts,
+        )
         self._message_handlers = self._make_message_handlers()
 
     def _listen(self, metrics_port):
@@ -345,20 +353,6 @@
         self._links.update_addresses({name: address})
         self._links.get(name)
 
-    def _report_key_loads(self):
-        leader = self.leader.current_leader()
-        counts = self.frontend.key_counts
-        if leader is None:
-            return
-        name = leader[0]
-        for service, keys in counts.items():
-            message = self._make_key_loads(service, keys)
-            if name == self.cfg.name:
-                self.leader.note_report(message)
-                continue
-            self._links.send(name, message)
-        counts.clear()
-
     def _exchange_upstream_reports(self):
         leader = self._leader_name()
         self._pacing.exchange_reports(leader)
@@ -368,18 +362,6 @@
         leader = self.leader.current_leader()
         return None if leader is None else leader[0]
 
-    def _make_key_loads(self, service, keys):
-        observations = self._upstreams.take_observations(service)
-        return messages.KeyLoads(
-            self.cfg.name,
-            service,
-            list(keys),
-            list(keys.values()),
-            [row[0] for row in observations],
-            [row[1] for row in observations],
-            [row[2] for row in observations],
-        )
-
     def _on_message(self, link, message):
         self._message_handlers[type(message)](link, message)
 
