--- a/bench/capacity/roles.py
+++ b/bench/capacity/roles.py
@@ -33,7 +33,7 @@
             'messages',
             'requests/s / nodes',
             'given',
-            f'{rate}/s in, {rate}/s answered',
+            f'{rate}/s in, as many responses',
             'balancer spreads callers',
         ],
         [
@@ -94,7 +94,7 @@
             'messages',
             'upstreams / nodes / 0.3 s',
             'none',
-            f'{f["grants_per_s"]:.1f} grants/s out and as many answers',
+            f'{f["grants_per_s"]:.1f} grants/s out and as many responses',
             'one grant per upstream, not per shard',
         ],
         [
@@ -111,7 +111,7 @@
             'bytes',
             'grants/s x bytes of a POST',
             f'{SLOPES_SOURCE}, 16 shards',
-            f'{kb(f["grant_bytes"])}/s without answers',
+            f'{kb(f["grant_bytes"])}/s without responses',
             'one grant per upstream',
         ],
         [
