Explain the two senses of a route's priority

manifest.Route and routing_config.Route order priorities in opposite senses, since each follows the format that it is read from.

--- a/packages/kernel/src/bramleysill_kernel/config/manifest.py
+++ b/packages/kernel/src/bramleysill_kernel/config/manifest.py
@@ -33,7 +33,9 @@
 
     `suffix` is the path after the key, for example `openings` in
     `/ledger/CAP-1/openings`; an empty suffix matches the key alone. A request
-    of a `repeatable` route may safely run twice.
+    of a `repeatable` route may safely run twice. A higher `priority` is sent
+    first; in routing_config.Route, which follows the platform's format, a
+    lower one is.
     """
 
     name: str
--- a/packages/kernel/src/bramleysill_kernel/config/routing_config.py
+++ b/packages/kernel/src/bramleysill_kernel/config/routing_config.py
@@ -31,7 +31,8 @@
     `max_wait` is the longest time that a caller is kept waiting and
     `objective` the latency up to which a response meets the service level
     objective, both in seconds. `repeatability` is a Repeatability. `priority`
-    0 is the most urgent. Requests of a `public` route need no API key.
+    0 is the most urgent, as in the platform's format; in manifest.Route a
+    higher number is more urgent. Requests of a `public` route need no API key.
     """
 
     __slots__ = (
