Drop handovers whose keys have moved on

A leader kept the handover of a range by its fence until the new owner accepted a grant. If that owner was lost before, the handover stayed for the rest of the term. Its fence is never granted again, so it is dropped with the table that has a newer one; nothing else changes.

The new test of the map fails without the change. python -m tests of test_grant_renewals, test_range_coordinator, test_takeover, test_process_fences and test_range_notices: 80 passed.

--- a/packages/kernel/src/bramleysill_kernel/ranges/grant_renewals.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/grant_renewals.py
@@ -84,6 +84,13 @@
             for key, value in self._renewals.items()
             if table.find(key[0]).fence == key[2]
         }
+        # An owner may have been lost before it accepted its first grant.
+        fences = {item.fence for item in table.ranges}
+        self._handovers = {
+            fence: handover
+            for fence, handover in self._handovers.items()
+            if fence in fences
+        }
 
     def renew(self, table, store_unresponsive):
         """Send the grants that are due.
