List the mutations of the key ranges in one loop

Four copies of a list expression differed in the scope and its mutations. list_checks() returns the same list as before; python -m tests tests.test_model passes.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -49,22 +49,13 @@
 def list_range_checks():
     """Return the checks of the key range protocol."""
     checks = [(SAFETY, scope, '') for scope in range_protocol.SCOPES]
-    checks += [
-        (MUTATION, 'range_takeovers', mutation)
-        for mutation in range_protocol.MUTATIONS
-    ]
-    checks += [
-        (MUTATION, 'range_handovers', mutation)
-        for mutation in range_protocol.HANDOVER_MUTATIONS
-    ]
-    checks += [
-        (MUTATION, 'range_restores', mutation)
-        for mutation in range_protocol.RESTORE_MUTATIONS
-    ]
-    checks += [
-        (MUTATION, 'range_restarts', mutation)
-        for mutation in range_protocol.RESTART_MUTATIONS
-    ]
+    for scope, mutations in (
+        ('range_takeovers', range_protocol.MUTATIONS),
+        ('range_handovers', range_protocol.HANDOVER_MUTATIONS),
+        ('range_restores', range_protocol.RESTORE_MUTATIONS),
+        ('range_restarts', range_protocol.RESTART_MUTATIONS),
+    ):
+        checks += [(MUTATION, scope, mutation) for mutation in mutations]
     return checks
 
 
