Say the latency buckets once

The router's metrics and the tool's alert rules had a copy each, which a test compared. Both import the kernel's now; the test stays.

--- a/packages/ctl/src/sillctl/report_command.py
+++ b/packages/ctl/src/sillctl/report_command.py
@@ -5,6 +5,7 @@
 import time
 
 from bramleysill_kernel.common.exceptions import SettingsError
+from bramleysill_kernel.common.latency_buckets import LATENCY_BUCKETS_SECONDS
 from sillctl import collector
 from sillctl import snapshot_files
 from sillctl.alert_rules import alert_rules
@@ -13,21 +14,6 @@
 from sillctl.report_output import to_html
 from sillctl.windows import FULL_COVERAGE_RATIO
 
-# Upper bounds of the router's latency buckets in seconds; a test compares
-# them with the router's.
-LATENCY_BOUNDS_SECONDS = (
-    0.001,
-    0.002,
-    0.004,
-    0.009,
-    0.018,
-    0.036,
-    0.05,
-    0.1,
-    0.25,
-    1.0,
-    5.0,
-)
 UNTIL_LATEST = 'latest'
 
 
@@ -72,7 +58,7 @@
             'report',
             hint='Add a section [objective SERVICE]; see docs/manifest.md.',
         )
-    return alert_rules(declared, LATENCY_BOUNDS_SECONDS)
+    return alert_rules(declared, LATENCY_BUCKETS_SECONDS)
 
 
 def build_report(
--- a/packages/router/src/bramleysill_router/metrics.py
+++ b/packages/router/src/bramleysill_router/metrics.py
@@ -13,21 +13,7 @@
 from aioprometheus import Registry
 from aioprometheus import render
 
-# Upper bounds of the latency buckets in seconds. 9 ms is the stated target,
-# 50 ms and 250 ms are the objectives that manifests declare today.
-LATENCY_BUCKETS_SECONDS = (
-    0.001,
-    0.002,
-    0.004,
-    0.009,
-    0.018,
-    0.036,
-    0.05,
-    0.1,
-    0.25,
-    1.0,
-    5.0,
-)
+from bramleysill_kernel.common.latency_buckets import LATENCY_BUCKETS_SECONDS
 
 # Upper bounds of the buckets of the age of load reports, in seconds.
 REPORT_AGE_BUCKETS_SECONDS = (0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -94,7 +94,7 @@
         """Guards against alert rules that query a missing bucket."""
         self.assertEqual(
             metrics.LATENCY_BUCKETS_SECONDS,
-            report_command.LATENCY_BOUNDS_SECONDS,
+            report_command.LATENCY_BUCKETS_SECONDS,
         )
 
 
