Split the choice of new owners from the range coordinator

OwnerChoice picks the owners of ranges that moved away and plans the moves that balance the load; the coordinator starts the moves and writes the table. No change of behaviour.

python -m tests of test_range_coordinator, test_takeover, test_process_fences, test_range_notices, test_store_restored, test_layers, test_docs, test_range_planner, test_load, test_load_reports: 141 passed, and the known red of test_store_restored fails as before.

--- a/packages/kernel/src/bramleysill_kernel/ranges/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/range_coordinator.py
@@ -27,20 +27,14 @@
 from bramleysill_kernel.ranges.grant_renewals import GrantRenewals
 from bramleysill_kernel.ranges.hold_ledger import HoldLedger
 from bramleysill_kernel.ranges.hold_ledger import last_hold_end
-from bramleysill_kernel.ranges.key_ranges import Assignment
 from bramleysill_kernel.ranges.key_ranges import RangeTable
-from bramleysill_kernel.ranges.key_rates import KeyRates
+from bramleysill_kernel.ranges.owner_choice import OwnerChoice
 from bramleysill_kernel.ranges.owner_pool import OwnerPool
 from bramleysill_kernel.ranges.process_fences import FenceRenewals
-from bramleysill_kernel.ranges.range_balance import plan_balance
 from bramleysill_kernel.ranges.range_moves import MoveList
 from bramleysill_kernel.ranges.range_moves import RangeMove
 from bramleysill_kernel.ranges.range_moves import is_committed
 from bramleysill_kernel.ranges.range_notices import PausedRange
-from bramleysill_kernel.ranges.range_notices import busy_ranges
-from bramleysill_kernel.ranges.range_planner import Capacity
-from bramleysill_kernel.ranges.range_planner import plan_new_upstreams
-from bramleysill_kernel.ranges.range_planner import plan_vacant_ranges
 from bramleysill_kernel.ranges.range_releases import WRITE_BATCH_SECONDS
 from bramleysill_kernel.ranges.range_releases import RangeReleases
 from bramleysill_kernel.ranges.reassignment import ReassignmentRules
@@ -81,7 +75,7 @@
         self._pending_write = None
         self._fences_renewed = False
         self._next_balance_at = 0.0
-        self._busy_ranges = ()
+        self._owners = None
         self._first_placement_at = 0.0
         self._lowest_fence = 0
         # When the rest of the wait for unsettled keys is stored again.
@@ -144,6 +138,9 @@
             self._moves,
             self._grants,
         )
+        self._owners = OwnerChoice(
+            self._directory, self._pool, self.loads, self._moves, self._rules
+        )
         if table is None:
             table = RangeTable.empty()
             self._holds.discard_inherited_holds()
@@ -202,7 +199,7 @@
 
         Requests that were refused count too.
         """
-        return self._busy_ranges
+        return self._owners.busy_ranges
 
     def paused_ranges(self):
         """Return the PausedRange of each move whose keys nobody serves."""
@@ -284,46 +281,13 @@
             waiting or self._has_pending_release()
         ):
             return
-        assignments = self._choose_owners(ready)
+        assignments = self._owners.choose(ready, self.table)
         if assignments:
             self._write(self.table.assign(assignments), ready)
 
     def _has_pending_release(self):
         return any(m.release_pending for m in self._moves)
 
-    def _choose_owners(self, ready):
-        chosen = []
-        vacant = []
-        for move in ready:
-            target = self._current_target(move.target)
-            if target is None and move.target_required:
-                # The process has restarted again.
-                move.target = None
-                move.target_required = False
-                move.ready_at = None
-                continue
-            if target is None:
-                vacant.append(move.old_range)
-                continue
-            chosen.append(
-                Assignment(
-                    move.first, move.last, target.upstream, target.incarnation
-                )
-            )
-        if vacant:
-            capacities = self._pool.capacities()
-            rates = self.loads.sorted_rates()
-            chosen += plan_vacant_ranges(vacant, self.table, capacities, rates)
-        return chosen
-
-    def _current_target(self, target):
-        if target is None:
-            return None
-        entry = self._directory.get(target.owner)
-        if entry is None or entry.incarnation != target.incarnation:
-            return None
-        return Capacity(entry.upstream, entry.incarnation, 1.0)
-
     # Load balancing.
 
     def _balance(self):
@@ -333,30 +297,14 @@
         if self._rules.are_moves_delayed:
             return
         if self.unconfirmed_spans or self.store_unresponsive:
-            self._busy_ranges = ()
+            self._owners.busy_ranges = ()
             # A move could not be completed, and its keys would have no owner.
             return
         self._next_balance_at = now + BALANCE_INTERVAL_SECONDS
         self.loads.decay()
         self._pool.discard_expired_backoffs()
         self._holds.prune(self.table.ranges)
-        capacities = self._pool.capacities()
-        rates = self.loads.sorted_rates()
-        self._busy_ranges = busy_ranges(
-            self.table,
-            {c.upstream: c.max_rate for c in capacities},
-            KeyRates(rates),
-        )
-        # Keys of planned moves already count as load of the target. Moves from
-        # unresponsive owners can take seconds and must not delay balancing.
-        targets = [move.target for move in self._moves if move.target]
-        table = self.table.assign(targets)
-        plan = plan_new_upstreams(
-            table, capacities, rates, self._rules.may_move
-        )
-        if not plan:
-            plan = plan_balance(table, capacities, rates, self._rules.may_move)
-        for item in plan:
+        for item in self._owners.plan_balance(self.table):
             old = self.table.find(item.first)
             part = old.subrange(item.first, item.last)
             self._moves.add(RangeMove(part, item))
