--- a/packages/kernel/src/bramleysill_kernel/ranges/range_coordinator.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/range_coordinator.py
@@ -24,31 +24,21 @@
 
 from bramleysill_kernel.common.call_outcome import CallOutcome
 from bramleysill_kernel.ranges.former_holds import FormerHolds
+from bramleysill_kernel.ranges.grant_renewals import GrantRenewals
 from bramleysill_kernel.ranges.hold_ledger import HoldLedger
 from bramleysill_kernel.ranges.hold_ledger import last_hold_end
-from bramleysill_kernel.ranges.key_ranges import Assignment
 from bramleysill_kernel.ranges.key_ranges import RangeTable
-from bramleysill_kernel.ranges.key_rates import KeyRates
+from bramleysill_kernel.ranges.owner_choice import OwnerChoice
 from bramleysill_kernel.ranges.owner_pool import OwnerPool
 from bramleysill_kernel.ranges.process_fences import FenceRenewals
-from bramleysill_kernel.ranges.range_balance import plan_balance
-from bramleysill_kernel.ranges.range_moves import GrantRenewal
 from bramleysill_kernel.ranges.range_moves import MoveList
 from bramleysill_kernel.ranges.range_moves import RangeMove
 from bramleysill_kernel.ranges.range_moves import is_committed
 from bramleysill_kernel.ranges.range_notices import PausedRange
-from bramleysill_kernel.ranges.range_notices import busy_ranges
-from bramleysill_kernel.ranges.range_planner import Capacity
-from bramleysill_kernel.ranges.range_planner import plan_new_upstreams
-from bramleysill_kernel.ranges.range_planner import plan_vacant_ranges
-from bramleysill_kernel.ranges.range_releases import RETRY_DELAY_SECONDS
 from bramleysill_kernel.ranges.range_releases import WRITE_BATCH_SECONDS
 from bramleysill_kernel.ranges.range_releases import RangeReleases
 from bramleysill_kernel.ranges.reassignment import ReassignmentRules
 
-# After this many failed grants in a row the range is moved away. Further
-# grants would only extend the time for which the owner may hold the keys.
-MAX_GRANT_FAILURES = 2
 # Delay before the first placement. It is longer than a heartbeat interval,
 # within which every upstream has registered.
 FIRST_PLACEMENT_DELAY_SECONDS = 2.0
@@ -80,14 +70,12 @@
         self._rules = None
         self._releases = None
         self._moves = MoveList()
-        self._renewals = {}
+        self._grants = None
         self._fence_renewals = FenceRenewals(clock)
-        self._handovers = {}
         self._pending_write = None
         self._fences_renewed = False
         self._next_balance_at = 0.0
-        self._last_call_number = 0
-        self._busy_ranges = ()
+        self._owners = None
         self._first_placement_at = 0.0
         self._lowest_fence = 0
         # When the rest of the wait for unsettled keys is stored again.
@@ -129,12 +117,30 @@
         if table is not None and table.settles_in is not None:
             settled_at = min(settled_at, now + table.settles_in)
         self.settled_at = settled_at
-        self._rules = ReassignmentRules(
-            self._clock, self._directory, self._pool, self._holds
-        )
         self._releases = RangeReleases(
             self._clock, self._directory, self._pool, self._holds, self._calls
         )
+        self._grants = GrantRenewals(
+            self._clock,
+            self._timings,
+            self._calls,
+            self._directory,
+            self._pool,
+            self._holds,
+            self._moves,
+            self._fence_renewals,
+        )
+        self._rules = ReassignmentRules(
+            self._clock,
+            self._directory,
+            self._pool,
+            self._holds,
+            self._moves,
+            self._grants,
+        )
+        self._owners = OwnerChoice(
+            self._directory, self._pool, self.loads, self._moves, self._rules
+        )
         if table is None:
             table = RangeTable.empty()
             self._holds.discard_inherited_holds()
@@ -156,7 +162,7 @@
             return
         self._settle()
         self._start_forced_moves()
-        self._renew()
+        self._renew_grants()
         self._renew_fences()
         self._advance_moves()
         self._commit_ready_moves()
@@ -165,8 +171,7 @@
     def extend_holds(self):
         """Renew all grants at once, with the hold that covers an outage."""
         self.store_unresponsive = True
-        for renewal in self._renewals.values():
-            renewal.due_at = 0.0
+        self._grants.make_all_due()
 
     def use_former_holds(self, former, is_last=False):
         """Use the FormerHolds of an earlier term; return whether they count.
@@ -194,7 +199,7 @@
 
         Requests that were refused count too.
         """
-        return self._busy_ranges
+        return self._owners.busy_ranges
 
     def paused_ranges(self):
         """Return the PausedRange of each move whose keys nobody serves."""
@@ -229,72 +234,15 @@
 
     def _start_forced_moves(self):
         for item in self.table.ranges:
-            if item.unsettled or self._can_keep_owner(item):
-                continue
-            if (
-                self._rules.are_moves_delayed
-                and not self._rules.restarted_owner(item)
-            ):
+            if not self._rules.must_move(item):
                 continue
             for part in self._moves.unmoved_subranges(item):
                 self._moves.add(RangeMove(part))
 
-    def _can_keep_owner(self, item):
-        if not item.owner:
-            return False
-        entry = self._directory.get(item.owner)
-        if entry is None or entry.incarnation != item.incarnation:
-            return False
-        if entry.service != self.service:
-            return False
-        if not self._directory.accepts_new_work(entry):
-            return False
-        if self._pool.has_ended(item):
-            return False
-        renewal = self._renewals.get((item.first, item.last, item.fence))
-        return renewal is None or renewal.failures < MAX_GRANT_FAILURES
+    # Renewal of grants and fences.
 
-    # Renewal of grants.
-
-    def _renew(self):
-        now = self._clock.now()
-        seen = set()
-        for item in self.table.ranges:
-            if not item.owner or item.unsettled:
-                continue
-            entry = self._directory.get(item.owner)
-            if entry is None or entry.incarnation != item.incarnation:
-                continue
-            for part in self._moves.unmoved_subranges(item):
-                key = (part.first, part.last, part.fence)
-                seen.add(key)
-                renewal = self._renewals.get(key)
-                if renewal is None:
-                    renewal = self._renewals[key] = GrantRenewal()
-                if now >= renewal.due_at:
-                    self._grant(part, entry, renewal)
-        for key in set(self._renewals) - seen:
-            del self._renewals[key]
-
-    def _grant(self, part, entry, renewal):
-        if renewal.pending_call:
-            return
-        hold = self._timings.hold
-        if self.store_unresponsive:
-            hold = self._timings.outage_hold
-        self._last_call_number += 1
-        call = self._last_call_number
-        self._holds.record_grant_sent(part, call)
-        renewal.pending_call = call
-        renewal.due_at = self._clock.now() + self._timings.renew_interval
-        handover = self._handovers.get(part.fence, '')
-
-        def done(result):
-            self._on_granted(part, call, hold, result)
-
-        # In an outage no new fence can be stored, and keys stay served.
-        any_process = self.store_unresponsive
-        self._calls.grant(entry, part, hold, handover, done, any_process)
+    def _renew_grants(self):
+        self._grants.renew(self.table, self.store_unresponsive)
 
     def _renew_fences(self):
         """Write new fences for owners that may have been restarted."""
@@ -304,35 +252,6 @@
         if assignments:
             self._write(self.table.assign(assignments), [])
 
-    def _on_granted(self, part, call, hold, result):
-        now = self._clock.now()
-        renewal = self._renewals.get((part.first, part.last, part.fence))
-        if renewal is not None and renewal.pending_call == call:
-            renewal.pending_call = 0
-        if result is CallOutcome.OK:
-            self._holds.record_grant_confirmed(part, call, hold)
-            self._handovers.pop(part.fence, None)
-            self._pool.record_grant_success(part.owner)
-            if renewal is not None:
-                renewal.failures = 0
-            return
-        if result is CallOutcome.NEEDS_FENCE:
-            self._holds.record_grant_refused(part, call)
-            self._fence_renewals.add(part)
-            if renewal is not None:
-                renewal.due_at = now + RETRY_DELAY_SECONDS
-            return
-        if result is CallOutcome.REPLACED:
-            self._pool.record_process_end(part)
-        if result is CallOutcome.NO_RESPONSE:
-            self._holds.record_grant_unanswered(part, call, hold)
-        else:
-            self._holds.record_grant_refused(part, call)
-        self._pool.record_grant_failure(part.owner)
-        if renewal is not None:
-            renewal.failures += 1
-            renewal.due_at = now + RETRY_DELAY_SECONDS
-
     # Progress of moves.
 
     def _advance_moves(self):
@@ -362,46 +281,13 @@
             waiting or self._has_pending_release()
         ):
             return
-        assignments = self._choose_owners(ready)
+        assignments = self._owners.choose(ready, self.table)
         if assignments:
             self._write(self.table.assign(assignments), ready)
 
     def _has_pending_release(self):
         return any(m.release_pending for m in self._moves)
 
-    def _choose_owners(self, ready):
-        chosen = []
-        vacant = []
-        for move in ready:
-            target = self._current_target(move.target)
-            if target is None and move.target_required:
-                # The process has restarted again.
-                move.target = None
-                move.target_required = False
-                move.ready_at = None
-                continue
-            if target is None:
-                vacant.append(move.old_range)
-                continue
-            chosen.append(
-                Assignment(
-                    move.first, move.last, target.upstream, target.incarnation
-                )
-            )
-        if vacant:
-            capacities = self._pool.capacities()
-            rates = self.loads.sorted_rates()
-            chosen += plan_vacant_ranges(vacant, self.table, capacities, rates)
-        return chosen
-
-    def _current_target(self, target):
-        if target is None:
-            return None
-        entry = self._directory.get(target.owner)
-        if entry is None or entry.incarnation != target.incarnation:
-            return None
-        return Capacity(entry.upstream, entry.incarnation, 1.0)
-
     # Load balancing.
 
     def _balance(self):
@@ -411,40 +297,18 @@
         if self._rules.are_moves_delayed:
             return
         if self.unconfirmed_spans or self.store_unresponsive:
-            self._busy_ranges = ()
+            self._owners.busy_ranges = ()
             # A move could not be completed, and its keys would have no owner.
             return
         self._next_balance_at = now + BALANCE_INTERVAL_SECONDS
         self.loads.decay()
         self._pool.discard_expired_backoffs()
         self._holds.prune(self.table.ranges)
-        capacities = self._pool.capacities()
-        rates = self.loads.sorted_rates()
-        self._busy_ranges = busy_ranges(
-            self.table,
-            {c.upstream: c.max_rate for c in capacities},
-            KeyRates(rates),
-        )
-        # Keys of planned moves already count as load of the target. Moves from
-        # unresponsive owners can take seconds and must not delay balancing.
-        targets = [move.target for move in self._moves if move.target]
-        table = self.table.assign(targets)
-        plan = plan_new_upstreams(table, capacities, rates, self._is_movable)
-        if not plan:
-            plan = plan_balance(table, capacities, rates, self._is_movable)
-        for item in plan:
+        for item in self._owners.plan_balance(self.table):
             old = self.table.find(item.first)
             part = old.subrange(item.first, item.last)
             self._moves.add(RangeMove(part, item))
 
-    def _is_movable(self, item):
-        if item.unsettled:
-            return False
-        now = self._clock.now()
-        if self._moves.overlapping(item.first, item.last):
-            return False
-        return self._holds.expiry_after_release(item) <= now
-
     # Table writes.
 
     def _write(self, table, moves):
@@ -483,18 +347,8 @@
         self._fences_renewed = True
         self.table = table
         self.revision = revision
-        self._fence_renewals.carry_over(table, self._holds, self._renewals)
+        self._grants.use_table(table)
         for move in moves:
-            if move.handover:
-                self._keep_handover(move)
+            self._grants.keep_handover(move, table)
             self._moves.remove(move)
-        self._renewals = {
-            key: value
-            for key, value in self._renewals.items()
-            if table.find(key[0]).fence == key[2]
-        }
-        self._renew()
-
-    def _keep_handover(self, move):
-        for item in self.table.overlapping(move.first, move.last):
-            self._handovers[item.fence] = move.handover
+        self._renew_grants()
