Say responses in the reports of key loads

The message and KeyLoads counted answers; the glossary's term is responses. The frames of all samples of tests.test_codec are the same bytes, since the schema numbers its fields.

--- a/packages/gateway/src/bramleysill_gateway/coordinators.py
+++ b/packages/gateway/src/bramleysill_gateway/coordinators.py
@@ -58,7 +58,7 @@
         self._key_loads_of(message.service).add(counts)
         for row in zip(
             message.upstreams,
-            message.answers,
+            message.responses,
             message.busy_times,
             strict=True,
         ):
--- a/packages/kernel/src/bramleysill_kernel/common/messages.py
+++ b/packages/kernel/src/bramleysill_kernel/common/messages.py
@@ -204,7 +204,7 @@
     """What a router has observed of a service since its last report.
 
     `counts` has the number of requests for each of `keys`. For each of
-    `upstreams`, `answers` has the number of its responses and `busy_times`
+    `upstreams`, `responses` has how many it has sent and `busy_times`
     the sum of their service times in seconds.
     """
 
@@ -213,7 +213,7 @@
     keys: list
     counts: list
     upstreams: list = dataclasses.field(default_factory=list)
-    answers: list = dataclasses.field(default_factory=list)
+    responses: list = dataclasses.field(default_factory=list)
     busy_times: list = dataclasses.field(default_factory=list)
 
 
--- a/packages/kernel/src/bramleysill_kernel/ranges/key_loads.py
+++ b/packages/kernel/src/bramleysill_kernel/ranges/key_loads.py
@@ -24,19 +24,19 @@
     def __init__(self):
         self._times = {}
 
-    def add(self, upstream, answers, busy_seconds):
+    def add(self, upstream, responses, busy_seconds):
         """Add a report of responses and the sum of their service times.
 
-        `answers` is the number of responses; `busy_seconds` is the sum.
+        `responses` is their number and `busy_seconds` the sum.
         """
-        if answers <= 0:
+        if responses <= 0:
             return
-        sample = busy_seconds / answers
+        sample = busy_seconds / responses
         old = self._times.get(upstream)
         if old is None:
             self._times[upstream] = sample
             return
-        weight = 1.0 - (1.0 - SAMPLE_WEIGHT) ** answers
+        weight = 1.0 - (1.0 - SAMPLE_WEIGHT) ** responses
         self._times[upstream] = old + weight * (sample - old)
 
     def service_time(self, upstream):
--- a/packages/wire/src/bramleysill_wire/message_fields.py
+++ b/packages/wire/src/bramleysill_wire/message_fields.py
@@ -148,7 +148,7 @@
     messages.ProbeResult: _plain_fields('upstream', 'reachable'),
     messages.KeyLoads: _plain_fields('router', 'service')
     + _plain_list_fields(
-        'keys', 'counts', 'upstreams', 'answers', 'busy_times'
+        'keys', 'counts', 'upstreams', 'responses', 'busy_times'
     ),
     messages.StoreCopy: _plain_fields(*messages.StoreCopy.__slots__),
     messages.FeedRequest: _plain_fields('router', 'prefix', 'revision', 'era'),
--- a/packages/wire/src/bramleysill_wire/messages.capnp
+++ b/packages/wire/src/bramleysill_wire/messages.capnp
@@ -154,7 +154,7 @@
   keys @2 :List(UInt16);
   counts @3 :List(UInt32);
   upstreams @4 :List(Text);
-  answers @5 :List(UInt32);
+  responses @5 :List(UInt32);
   busyTimes @6 :List(Float32);
 }
 
