Announce the close of a connection in an early response

A caller whose upload was refused before its body was in sent its next request on the same connection and got no response: the head was written before the server found that it would have to close the connection, so it named no close.

The rest of the request is looked at before the head is encoded. tests.test_http_server: test_early_response_announces_the_close fails without the change; bench.mutate notices it undone.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'an early response announces that the connection closes',
+        NET + 'response_stream.py',
+        'self._server_conn.finish_reading(self)',
+        'pass',
+        'tests.test_http_server.PipelineTest',
+    ),
     Mutation(
         'a permission under a limit is not used early',
         GATEWAY + 'limit_wait.py',
--- a/packages/net/src/bramleysill_net/http_server.py
+++ b/packages/net/src/bramleysill_net/http_server.py
@@ -123,8 +123,7 @@
         """Send the responses that follow, and continue with new requests."""
         if self._closing:
             return
-        if self._streams and stream is self._streams[-1]:
-            self._finish_reading()
+        self.finish_reading(stream)
         while self._streams and not self._closing:
             first = self._streams[0]
             if first.aborted:
@@ -142,6 +141,19 @@
         self.idle = not self._streams and not self._parser.events
         self._deliver_events()
 
+    def finish_reading(self, stream):
+        """End a request whose response is complete before its body.
+
+        The connection closes after the response if the body is still to come.
+        """
+        if self._body_complete or not self._streams:
+            return
+        if stream is not self._streams[-1]:
+            return
+        self._discard_parsed_body()
+        if not self._body_complete:
+            stream.disable_keep_alive()
+
     @property
     def awaits_reader(self):
         """Return whether only the caller's reading is outstanding."""
@@ -259,13 +271,6 @@
         self._body_complete = True
         self.conn.max_read_bytes = HEAD_READ_BYTES
 
-    def _finish_reading(self):
-        """End the request whose response is complete before its body."""
-        if not self._body_complete:
-            self._discard_parsed_body()
-        if not self._body_complete:
-            self._streams[-1].disable_keep_alive()
-
     def _discard_parsed_body(self):
         # If the rest of the body has already been parsed, the connection can
         # be reused after an early response.
--- a/packages/net/src/bramleysill_net/response_stream.py
+++ b/packages/net/src/bramleysill_net/response_stream.py
@@ -179,6 +179,8 @@
             return
         self.started = True
         self.finished = True
+        # Before the head, which tells whether the connection closes.
+        self._server_conn.finish_reading(self)
         headers = list(headers)
         if status in (204, 304):
             self._is_bodiless = True
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -87,6 +87,13 @@
         self.assertEqual([(503, b'')], parse_responses(handler.conn.sent))
         self.assertEqual('linger', handler.conn.ending)
 
+    def test_early_response_announces_the_close(self):
+        """Guards against LOST: a next request on a connection that closes."""
+        handler = RecordingHandler()
+        handler.on_request = lambda stream, req: stream.send(503, [])
+        handler.feed(PUT[:-2])
+        self.assertIn(b'Connection: close', handler.conn.sent)
+
 
 class SlowCallerTest(testtools.TestCase):
     def test_byte_by_byte(self):
