Reset a response that its own request's refusal ends

If a body grew beyond its limit while the upstream's response was already being streamed, the attempt was cancelled and the refusal dropped, as a response had begun: the caller got neither the rest nor an end until it gave up. The connection is reset now.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a refusal during a response resets the connection',
+        GATEWAY + 'exchange.py',
+        'if self.stream.started:',
+        'if False:',
+        'tests.test_gateway_exchange.ExchangeTest',
+    ),
     Mutation(
         'an early response announces that the connection closes',
         NET + 'response_stream.py',
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -395,6 +395,10 @@
             refusal = request_refusals.may_have_run(suspect, 'retry')
         self._log.refused(refusal, self._attempt_count)
         self._finish(refusal.code, refusal.status)
+        if self.stream.started:
+            # The caller has a part of a response that doesn't go on.
+            self.stream.abort()
+            return
         status, headers, body = to_problem(
             refusal, self.request_id, whole_seconds=False
         )
--- a/tests/test_gateway_exchange.py
+++ b/tests/test_gateway_exchange.py
@@ -5,12 +5,16 @@
 must be sent once.
 """
 
+from bramleysill_gateway.attempt import MAX_BUFFERED_RESPONSE_BYTES
 from tests.gateway_helpers import NOT_RUN_LINE
 from tests.gateway_helpers import TIMEOUT_SECONDS
 from tests.gateway_helpers import GatewayTestCase
 from tests.gateway_helpers import signed_response
 from tests.gateway_helpers import unsigned_response
 
+# Of a request whose body follows in chunks.
+CHUNKED_FIELDS = (('Transfer-Encoding', 'chunked'),)
+
 
 class ExchangeTest(GatewayTestCase):
     def test_response_is_forwarded_unchanged(self):
@@ -139,6 +143,23 @@
         status, _, _ = self.request('/write/', left_ms=1000, body=b'x')
         self.assertEqual(200, status)
 
+    def test_refusal_during_a_response_resets_the_connection(self):
+        """Guards against a caller that waits for the rest of a response."""
+        self.state.config.limits.body_bytes = 2 << 20
+        body = 'x' * MAX_BUFFERED_RESPONSE_BYTES
+        part = signed_response('r1', body + 'yz')[:-1]
+        upstream = self.add_upstream('u1', lambda i: part)
+        conn, responses = self.start('/write/x', fields=CHUNKED_FIELDS)
+        chunk = b'10000\r\n' + bytes(65536) + b'\r\n'
+        for _ in range(20):
+            conn.write(chunk)
+        self.loop.run_until(lambda: upstream.requests, TIMEOUT_SECONDS)
+        self.loop.run_until(lambda: conn.responding, TIMEOUT_SECONDS)
+        for _ in range(20):
+            conn.write(chunk)
+        self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        self.assertEqual(0, responses[0][0])
+
     def test_shutdown_drains_then_refuses(self):
         """Guards against requests aborted at the end of the grace period."""
         self.add_upstream('u1', signed_response)
