Show a caller that waits for ever after a long upload

A chunked upload that exceeds its limit while its response is streamed ends the exchange with 413, but the response has begun: nothing of the refusal is sent, the response is neither ended nor aborted, and the connection stays open, as it never counts as idle.

--- a/tests/fuzz_upstreams.py
+++ b/tests/fuzz_upstreams.py
@@ -216,7 +216,8 @@
 @running.register('odd_status')
 def _odd_status(req):
     status = req.pick(0, 99, 600, 999)
-    return [req.encode(status, signed=req.pick(True, False)), req.leave]
+    response = req.encode(status, signed=req.pick(True, False))
+    return [response, req.pick(req.leave, req.encode(200))]
 
 
 @running.register('interim_refusal')
--- a/tests/test_upload_framing.py
+++ b/tests/test_upload_framing.py
@@ -256,3 +256,32 @@
         self.assertTrue(self.loop.run_until(is_streaming, TIMEOUT_SECONDS))
         (exchange,) = self.frontend.active_exchanges
         self.assertEqual([], exchange._upload.body.encode_buffered())
+
+
+class UploadOverTheLimitTest(GatewayTestCase):
+    """A chunked upload exceeds its limit while its response is streamed."""
+
+    def test_the_caller_notices(self):
+        """Guards against a caller that waits for the rest for ever."""
+        self.state.config.limits.body_bytes = 2 * UPLOAD_BYTES
+        self.add_upstream(
+            'u1', lambda i: signed_response(i, 'x' * UPLOAD_BYTES)[:-1]
+        )
+        conn = HttpClientConn(self.loop, *self.listener.address)
+        self.addCleanup(conn.abort)
+        responses = []
+        collector = ResponseCollector(lambda *r: responses.append(r))
+        conn.request(
+            f'POST /write/1 HTTP/1.1\r\nHost: h\r\n{REQUEST_ID_HEADER}: r1\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'.encode(),
+            collector,
+            complete=False,
+        )
+        chunk = b'%x\r\n%b\r\n' % (UPLOAD_BYTES, b'x' * UPLOAD_BYTES)
+        conn.write(chunk)
+        self.assertTrue(
+            self.loop.run_until(lambda: collector._status, TIMEOUT_SECONDS)
+        )
+        conn.write(chunk + chunk)
+        self.loop.run_until(lambda: responses, 0.5)
+        self.assertEqual([0], [response[0] for response in responses])
