Show a request that is dispatched within itself without end

A request with a body for a shared service waits under the limit of an upstream. If that upstream may hold no more bytes by the time it is permitted, PeerSelection chooses it again for its permission, UpstreamRoom finds it full and dispatches again, until the RecursionError. The request then waits for its deadline. The directed test is known red.

--- a/tests/test_upstream_limit.py
+++ b/tests/test_upstream_limit.py
@@ -1,6 +1,7 @@
 """Tests of how requests to an upstream with a named limit are paced."""
 
 from tests.gateway_helpers import NOT_RUN_LINE
+from bramleysill_kernel.load.rate_pacer import PaceDecision
 from tests.gateway_helpers import TIMEOUT_SECONDS
 from tests.gateway_helpers import GatewayTestCase
 from tests.gateway_helpers import signed_response
@@ -56,3 +57,26 @@
         self.assertLessEqual(
             len(upstream.requests), LIMIT_PER_SECOND * WINDOW_SECONDS
         )
+
+
+class NoRoomTest(GatewayTestCase):
+    """An upstream has no memory for a body by the time it is permitted."""
+
+    def test_the_request_is_refused_once(self):
+        """Guards against a request that is dispatched within itself."""
+        self.add_upstream(
+            's', lambda i: signed_response(i, extra='Server-Limit: 5\r\n')
+        )
+        self.request('/read/x')
+        callbacks = []
+        self.frontend.pacing.ask = lambda *args: callbacks.append(args[-1])
+        _, responses = self.start('/write/x', body=b'x')
+        self.loop.run_until(lambda: callbacks, TIMEOUT_SECONDS)
+        estimates = self.upstreams.memory_estimates
+        estimates.note_lost('s', 0)
+        peer = self.upstreams.peer(self.state.directory.get('s'))
+        peer.in_flight_bytes.add(int(estimates.bound('s')))
+        callbacks[0](PaceDecision(True, 0.0))
+        self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        self.assertEqual(503, responses[0][0])
+        self.assertIn(b'"step":"upstream_memory"', responses[0][2])
