--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -249,6 +249,16 @@
         exchange.on_refused(refusals.ConnectionLost('lost', 's', 'u'))
         self.assertTrue(self.stream.aborted)
 
+    def test_oversized_body_during_a_response_closes_the_connection(self):
+        """Guards against a caller that waits for the rest for ever."""
+        exchange = self._start('POST', chunked=True)
+        exchange.on_body(b'x' * REPLAY_BUFFER_BYTES)
+        exchange.on_admitted()
+        exchange.on_response_head(200, [], 100)
+        exchange.on_body(b'x' * (10 * REPLAY_BUFFER_BYTES))
+        self.assertTrue(self.entry.attempts[0].cancelled)
+        self.assertTrue(self.stream.aborted)
+
     def test_disconnected_caller_cancels_its_attempt(self):
         """Guards against a slot that a disconnected caller keeps."""
         exchange = self._start()
