--- a/tests/request_fuzz.py
+++ b/tests/request_fuzz.py
@@ -44,6 +44,7 @@
 from bramleysill_kernel.ranges.key_ranges import RangeTable
 from bramleysill_net.http_client import HttpClientConn
 from bramleysill_net.response_sinks import ResponseCollector
+from tests.bounds import make_bounds
 from tests.fuzz_upstreams import PROMISES
 from tests.fuzz_upstreams import FuzzUpstream
 from tests.fuzz_upstreams import Ledger
@@ -166,6 +167,9 @@
     def _set_up_router(self):
         self.pacing.links = self.frontend.quotas.links = _LateLinks(self)
         self.state.read_routers = lambda: None
+        self.cfg.bounds = make_bounds(
+            retry_extra=self.rng.choice((3, 64)), retry_ratio=0.0
+        )
         for router in ROUTERS:
             self.state.routers.add(router)
         total = self.rng.choice((None, None, MEMORY_BYTES))
--- a/tests/test_refused_fuzz.py
+++ b/tests/test_refused_fuzz.py
@@ -36,6 +36,7 @@
     ('shutting_down', 'route'),
     ('upstream_shed', 'deadline'),
     ('upstream_shed', 'no_more_attempts'),
+    ('upstream_shed', 'retry_budget'),
     ('upstream_unreachable', 'admit'),
 }
 
