Choose no upstream again that has no room for the body

A request for a shared service that its limit permits, but whose body the upstream may not hold any more, was dispatched within itself until the RecursionError, and then waited for its deadline: the permitted upstream was chosen again and again. It is left out now as the other full ones are.

tests.test_upstream_limit.NoRoomTest, red before, is green.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a permitted upstream without room is not chosen again',
+        GATEWAY + 'peer_selection.py',
+        'if peer is None or peer in full_peers:',
+        'if peer is None:',
+        'tests.test_upstream_limit.NoRoomTest',
+    ),
     Mutation(
         'a refusal during a response resets the connection',
         GATEWAY + 'exchange.py',
--- a/packages/gateway/src/bramleysill_gateway/peer_selection.py
+++ b/packages/gateway/src/bramleysill_gateway/peer_selection.py
@@ -59,7 +59,7 @@
         limited_peers = self._limit_wait.limited_peers
         full_peers = self._upstream_room.full_peers
         peer = self._limit_wait.permitted_peer()
-        if peer is None:
+        if peer is None or peer in full_peers:
             peer = exchange.frontend.choice.choose(
                 exchange.service,
                 now,
