Never dispatch a request within its own dispatch

A request that must run at most once was sent twice (TWICE). The dispatch that notices that its organisation's limit was removed settles all who wait for a token, itself among them: the inner dispatch sent the request, and the outer one went on and sent it again. Found by the request fuzz, two arrivals within 0.1 ms.

A dispatch that is called during another one takes its turn after it, and then finds the attempt.

tests.test_refused_fuzz.RemovedLimitTest, red before, is green; bench.mutate notices the change undone.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a request is not dispatched within its dispatch',
+        GATEWAY + 'exchange.py',
+        '        if self._dispatching:\n            return\n',
+        '',
+        'tests.test_refused_fuzz.RemovedLimitTest',
+    ),
     Mutation(
         'a permitted upstream without room is not chosen again',
         GATEWAY + 'peer_selection.py',
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -66,6 +66,8 @@
         '_deadline_timer',
         '_connect_timer',
         '_dispatch_timer',
+        '_dispatching',
+        '_dispatch_due',
         '_last_failure',
         '_failed_upstreams',
         '_quota',
@@ -113,6 +115,9 @@
         self.run_record = RunRecord()
         self._connect_timer = None
         self._dispatch_timer = None
+        # Whether `dispatch` is running, and whether it was called again.
+        self._dispatching = False
+        self._dispatch_due = False
         # The last failed attempt.
         self._last_failure = None
         # Upstreams that have failed this request.
@@ -186,7 +191,23 @@
     # Dispatch.
 
     def dispatch(self):
-        """Send the request to an upstream, delay it or refuse it."""
+        """Send the request to an upstream, delay it or refuse it.
+
+        A call during another one, as by a decision that comes at once, takes
+        its turn after it, so that no two of them send the request.
+        """
+        self._dispatch_due = True
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            while self._dispatch_due:
+                self._dispatch_due = False
+                self._dispatch_once()
+        finally:
+            self._dispatching = False
+
+    def _dispatch_once(self):
         if self.finished or self._attempt is not None:
             return
         now = self.frontend.loop.now()
