Close a connection to an upstream of the own protocol after a refusal

Its responses name no request. A second copy of a refusal, written late, was taken for the response to the next request on the connection, which was reported as not run while it ran. Connections to the platform's upstreams need no such close, as their responses carry the id of the request.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a connection with a refusal serves no other request',
+        ROUTER + 'local_attempt.py',
+        'self._conn.close_after_response()',
+        'pass',
+        'tests.test_dispatched_refusals.RepeatedRefusalTest',
+    ),
     Mutation(
         'a request is not dispatched within its dispatch',
         GATEWAY + 'exchange.py',
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -85,6 +85,7 @@
         '_read_until_close',
         '_in_body',
         '_reusable',
+        '_closes_after_response',
         '_discarding',
         '_has_extra_response',
         '_settles',
@@ -128,6 +129,7 @@
         self._read_until_close = False
         self._in_body = False
         self._reusable = False
+        self._closes_after_response = False
         self._discarding = False
         self._has_extra_response = False
         self._settles = settles
@@ -197,6 +199,10 @@
         """Record that the whole request was written."""
         self._request_complete = True
 
+    def close_after_response(self):
+        """Use the connection for no other request after this one."""
+        self._closes_after_response = True
+
     def set_read_size(self, size):
         """Read at most this many bytes at once."""
         self.conn.max_read_bytes = size
@@ -435,7 +441,7 @@
         if not self._request_complete or self.buffered:
             # The server has responded before it has read the request.
             self.conn.abort()
-        elif not self._reusable or self._has_extra_response:
+        elif not self._may_reuse():
             self.conn.close()
         elif self._on_idle is not None:
             # Called before on_end, so that a request started there can reuse
@@ -444,6 +450,11 @@
         if sink is not None:
             sink.on_end()
 
+    def _may_reuse(self):
+        if self._closes_after_response or self._has_extra_response:
+            return False
+        return self._reusable
+
     def _fail_exchange(self, exc):
         sink, self._sink = self._sink, None
         self.busy = False
--- a/packages/router/src/bramleysill_router/local_attempt.py
+++ b/packages/router/src/bramleysill_router/local_attempt.py
@@ -199,6 +199,9 @@
             values = dict(fields)
             if values.get(headers.NOT_RUN) == '1':
                 self._not_run_reason = values.get('sill-reason', 'shed')
+                # Responses name no request: a second copy of the refusal
+                # would be taken for the response to the next one.
+                self._conn.close_after_response()
                 return
         self.response_started = True
         self._recording.note_head(status, fields)
