--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,16 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a refusal during a response resets the connection of the own interface',
+        ROUTER + 'exchange.py',
+        """        if self._stream.started:
+            # The caller has a part of a response that doesn't go on.
+""",
+        """        if False:
+""",
+        'tests.test_exchange.ExchangeTest',
+    ),
     Mutation(
         'a connection with a refusal serves no other request',
         ROUTER + 'local_attempt.py',
--- a/packages/router/src/bramleysill_router/exchange.py
+++ b/packages/router/src/bramleysill_router/exchange.py
@@ -376,6 +376,10 @@
             # An earlier attempt may have run, even if the last one has not.
             refusal.outcome = OUTCOME_UNKNOWN
         self._finish(refusal.code, refusal)
+        if self._stream.started:
+            # The caller has a part of a response that doesn't go on.
+            self._stream.abort()
+            return
         status, fields, body = to_problem(refusal, self._request_id)
         fields.append(('Sill-Request-Id', self._request_id))
         self._stream.send(status, fields, body)
