--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -28,7 +28,7 @@
 
 MUTATIONS = (
     Mutation(
-        'a refusal during a response resets the connection of the own interface',
+        'a refusal during a response ends it at the own interface',
         ROUTER + 'exchange.py',
         """        if self._stream.started:
             # The caller has a part of a response that doesn't go on.
