--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -538,7 +538,7 @@
         NET + 'conn.py',
         'self._send_error = exc',
         'pass',
-        'tests.test_mixed.HiddenResetTest',
+        'tests.test_conn.HiddenErrorTest',
     ),
     Mutation(
         'a reset behind a FIN fails the connection',
