--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -611,9 +611,16 @@
         'tests.test_gateway_process.ShutdownTest',
     ),
     Mutation(
-        'a response in progress is unfinished',
+        'a lingering connection is not reset',
         NET + 'http_server.py',
+        'if self._streams or self.conn.buffered:',
         'if not self.idle or self.conn.buffered:',
+        'tests.test_mixed.ProcessEndTest',
+    ),
+    Mutation(
+        'a response in progress is unfinished',
+        NET + 'http_server.py',
+        'if self._streams or self.conn.buffered:',
         'if self.conn.buffered:',
         'tests.test_mixed.ProcessEndTest',
     ),
--- a/packages/net/src/bramleysill_net/http_server.py
+++ b/packages/net/src/bramleysill_net/http_server.py
@@ -163,9 +163,10 @@
         """Reset the connection unless all its responses have been sent.
 
         For the end of the process: the kernel would close with a FIN, which
-        may look like the end of a response.
+        may look like the end of a response. A reset would also discard a
+        response that the caller has not read yet.
         """
-        if not self.idle or self.conn.buffered:
+        if self._streams or self.conn.buffered:
             self.conn.abort()
 
     def resume_body(self):
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -157,6 +157,25 @@
         self.run_until(lambda: caller.closes)
         self.assertIsInstance(caller.closes[0], ConnectionResetError)
 
+    def test_sent_response_is_not_discarded(self):
+        """Guards against a reset that overtakes a refusal.
+
+        The connection lingers, as the upload is not complete.
+        """
+        self.state.config.limits.body_bytes = FIRST_PART_BYTES
+        caller = self.connect()
+        caller.conn.pause()
+        caller.conn.write(
+            b'POST /write/ HTTP/1.1\r\nHost: h\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            b'%x\r\n' % UPLOAD_BYTES + b'x' * (FIRST_PART_BYTES + 1)
+        )
+        self.run_until(lambda: self.frontend.connections)
+        (server,) = self.frontend.connections
+        self.run_until(lambda: server._closing)
+        self._end_process()
+        self.assertFalse(server.conn.closed)
+
     def test_idle_connection_stays(self):
         caller = self.connect()
         self.run_until(lambda: len(self.frontend.connections))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -104,15 +104,17 @@
 
     def test_end_resets_unfinished_responses(self):
         """Guards against the FIN of an ending process in a response."""
+        self.process.apply_state('r1', make_update())
         loop = self.process.loop
         caller = RecordingProtocol()
         address = self.process._listener.address
         caller.conn = Conn.connect(loop, *address, caller)
         self.addCleanup(caller.conn.abort)
-        caller.conn.write(b'POST / HTTP/1.0\r\n')
-        loop.run_until(lambda: self.process.entry.conns, TIMEOUT_SECONDS)
+        caller.conn.write(
+            b'POST /intake/x HTTP/1.0\r\nContent-Length: 9\r\n\r\n'
+        )
+        loop.run_until(lambda: self.process.entry.active, TIMEOUT_SECONDS)
         (server,) = self.process.entry.conns
-        loop.run_until(lambda: not server.idle, TIMEOUT_SECONDS)
         self.process.shut_down()
         self.process._shutdown_deadline = 0.0
         self.process._check_shutdown()
