Add failing tests of further false refusals, from a review

All 7 fail on (.venv/bin/python -m unittest tests.test_refused_review): a copy of a refusal with the id of a repeated request; a header for "not run" with the value 0 or in a signed response; the outcome not_run of a 400 and a 413 while an upload runs; a caller that waits for the end of a response after a 413, in the gateway and in the product's own path.

--- /dev/null
+++ b/tests/test_refused_review.py
@@ -0,0 +1,179 @@
+"""Tests of further ways to a false "not run", found in a review."""
+
+import json
+
+import testtools
+
+from bramleysill_kernel.config import manifest
+from bramleysill_kernel.config.routing_config import Limits
+from bramleysill_kernel.load.request_memory import MAX_BUFFERED_BODY_BYTES
+from bramleysill_net.http_client import HttpClientConn
+from bramleysill_net.http_client import encode_request
+from bramleysill_net.http_server import HttpRequest
+from bramleysill_net.response_sinks import ResponseCollector
+from bramleysill_router.exchange import REPLAY_BUFFER_BYTES
+from bramleysill_router.exchange import Exchange
+from bramleysill_router.routing import find_target
+from tests import test_exchange
+from tests.gateway_helpers import NOT_RUN_LINE
+from tests.gateway_helpers import REQUEST_ID_HEADER
+from tests.gateway_helpers import TIMEOUT_SECONDS
+from tests.gateway_helpers import GatewayTestCase
+from tests.gateway_helpers import signed_response
+from tests.gateway_helpers import unsigned_response
+
+# More than the limit of a body in LongUploadTest.
+LONG_BODY_BYTES = 2 << 20
+PIECE_BYTES = 64 << 10
+# More than a response that is buffered before it is sent on.
+RESPONSE_BYTES = 1 << 20
+# How long the end of a response is waited for.
+END_SECONDS = 1.0
+
+
+class RepeatedRefusalTest(GatewayTestCase):
+    """An upstream writes a refusal again, on the same connection."""
+
+    def test_copy_reaches_the_next_request_with_the_same_id(self):
+        """Guards against REFUSED by a copy of an earlier refusal.
+
+        The caller repeats its refused request with the same id. The first
+        exchange has avoided the connections, and the second must, too.
+        """
+        line = f'{REQUEST_ID_HEADER}: r1\r\n'
+        refusal = unsigned_response(503, NOT_RUN_LINE + line)
+        refused_conns = []
+        runs = []
+
+        def respond(request_id):
+            conn = upstream.last_conn
+            if conn not in refused_conns and not has_capacity:
+                refused_conns.append(conn)
+                return refusal
+            runs.append(request_id)
+            copy = refusal if conn in refused_conns else b''
+            return copy + signed_response(request_id)
+
+        has_capacity = []
+        upstream = self.add_upstream('u1', respond)
+        self.assertEqual(503, self.request('/write/x', body=b'x')[0])
+        self.assertEqual([], runs)
+        has_capacity.append(True)
+        self.loop.run_until(lambda: False, END_SECONDS)
+        status = self.request('/write/x', body=b'x')[0]
+        self.assertEqual((200, ['r1']), (status, runs))
+
+
+class DoubtfulRefusalTest(GatewayTestCase):
+    """A response with the header for "not run" that contradicts itself."""
+
+    def test_header_says_that_it_has_run(self):
+        """Guards against REFUSED: any value is taken for "not run"."""
+        line = f'{REQUEST_ID_HEADER}: r1\r\nX-Bramleysill-Not-Executed: 0\r\n'
+        self.add_upstream('u1', lambda i: unsigned_response(503, line))
+        self.assertEqual(502, self.request('/write/x', body=b'x')[0])
+
+    def test_refusal_is_signed(self):
+        """Guards against REFUSED: only what has run is signed."""
+        response = signed_response('r1', extra=NOT_RUN_LINE)
+        response = response.replace(b'200 OK', b'503 X')
+        self.add_upstream('u1', lambda i: response)
+        self.assertEqual(502, self.request('/write/x', body=b'x')[0])
+
+
+class LongUploadTest(GatewayTestCase):
+    """A streamed upload exceeds the limit of bodies, or is malformed."""
+
+    def setUp(self):
+        super().setUp()
+        # Longer bodies than this are not buffered as a whole.
+        self.state.config.limits = Limits(
+            16384, MAX_BUFFERED_BODY_BYTES + 4 * PIECE_BYTES, 3.0, 15.0
+        )
+
+    def _start_upload(self):
+        """Return the connection and the responses of a chunked upload."""
+        responses = []
+        conn = HttpClientConn(self.loop, *self.listener.address)
+        self.addCleanup(conn.abort)
+        fields = (
+            (REQUEST_ID_HEADER, 'r1'),
+            ('X-Bramleysill-Deadline-Ms', '3000'),
+            ('Transfer-Encoding', 'chunked'),
+        )
+        conn.request(
+            encode_request('POST', '/write/x', 'h', fields),
+            ResponseCollector(lambda *response: responses.append(response)),
+            complete=False,
+        )
+        return conn, responses
+
+    def _write_until(self, conn, condition):
+        """Write pieces of the body until the condition holds."""
+        piece = b'x' * PIECE_BYTES
+        for _ in range(LONG_BODY_BYTES // PIECE_BYTES):
+            if condition() or conn.closed:
+                return
+            conn.write(b'%x\r\n%b\r\n' % (len(piece), piece))
+            self.loop.run_until(condition, 0.01)
+
+    def _document_outcome(self, response):
+        return json.loads(response[2])['outcome']
+
+    def test_outcome_of_a_too_long_upload(self):
+        """Guards against "not run" in the document of a 413."""
+        upstream = self.add_upstream('u1', lambda i: 'no_response')
+        conn, responses = self._start_upload()
+        self._write_until(conn, lambda: responses)
+        self.loop.run_until(lambda: responses, END_SECONDS)
+        self.assertEqual(1, len(upstream.requests))
+        self.assertEqual(413, responses[0][0])
+        self.assertEqual('unknown', self._document_outcome(responses[0]))
+
+    def test_outcome_of_a_malformed_upload(self):
+        """Guards against "not run" in the document of a 400."""
+        upstream = self.add_upstream('u1', lambda i: 'no_response')
+        conn, responses = self._start_upload()
+        self._write_until(conn, lambda: upstream.requests)
+        self.assertEqual(1, len(upstream.requests))
+        conn.write(b'no chunk\r\n')
+        self.loop.run_until(lambda: responses, END_SECONDS)
+        self.assertEqual(400, responses[0][0])
+        self.assertEqual('unknown', self._document_outcome(responses[0]))
+
+    def test_too_long_after_the_response_has_started(self):
+        """Guards against a caller that waits for the end of a response.
+
+        Nothing can be sent in place of a response that has started, so the
+        connection must be reset.
+        """
+        response = signed_response('r1', body='x' * RESPONSE_BYTES)
+        upstream = self.add_upstream('u1', lambda i: response[:-1])
+        conn, responses = self._start_upload()
+        self._write_until(conn, lambda: upstream.requests)
+        self.loop.run_until(lambda: conn.responding, TIMEOUT_SECONDS)
+        self._write_until(conn, lambda: responses)
+        self.loop.run_until(lambda: responses or conn.closed, END_SECONDS)
+        self.assertEqual(set(), self.frontend.active_exchanges)
+        self.assertTrue(conn.closed)
+
+
+class DispatchedUploadTest(testtools.TestCase):
+    """The same upload, in the product's own path."""
+
+    def test_too_long_after_the_response_has_started(self):
+        """Guards against a caller that waits for the end of a response."""
+        service = manifest.Service('s', manifest.KIND_SHARED, '/s/')
+        service.max_body_bytes = 2 * REPLAY_BUFFER_BYTES
+        declared = manifest.Manifest('r', 'c', services={'s': service})
+        stream = test_exchange._Stream()
+        headers = [('host', 'x')]
+        req = HttpRequest('POST', '/s/k', headers, 0, True, False)
+        exchange = Exchange(test_exchange._Entry(), stream, req, 'id-1')
+        exchange.start(find_target(declared, req))
+        exchange.on_body(b'x' * REPLAY_BUFFER_BYTES)
+        exchange.on_admitted()
+        exchange.on_response_head(200, [], None)
+        exchange.on_body(b'x' * (REPLAY_BUFFER_BYTES + 1))
+        self.assertTrue(exchange.finished)
+        self.assertTrue(stream.aborted)
