--- a/tests/test_refused_review.py
+++ b/tests/test_refused_review.py
@@ -6,6 +6,7 @@
 
 from bramleysill_kernel.config import manifest
 from bramleysill_kernel.config.routing_config import Limits
+from bramleysill_kernel.load.rate_pacer import PaceDecision
 from bramleysill_kernel.load.request_memory import MAX_BUFFERED_BODY_BYTES
 from bramleysill_net.http_client import HttpClientConn
 from bramleysill_net.http_client import encode_request
@@ -27,6 +28,8 @@
 PIECE_BYTES = 64 << 10
 # More than a response that is buffered before it is sent on.
 RESPONSE_BYTES = 1 << 20
+# More than may be sent to an upstream that was lost with as much.
+LARGE_BODY_BYTES = 512 << 10
 # How long the end of a response is waited for.
 END_SECONDS = 1.0
 
@@ -81,6 +84,38 @@
         self.assertEqual(502, self.request('/write/x', body=b'x')[0])
 
 
+class _HeldPacing:
+    """Keeps the questions of requests until the test answers them."""
+
+    def __init__(self):
+        self.callbacks = []
+
+    def ask(self, entry, max_wait, callback):
+        self.callbacks.append(callback)
+
+
+class PermittedUpstreamTest(GatewayTestCase):
+    """An upstream that has permitted a request has no memory for it."""
+
+    def test_another_upstream_or_a_refusal(self):
+        """Guards against a dispatch that calls itself without end.
+
+        The permission is kept, and chosen again and again, although the
+        upstream was lost while the request waited for its time.
+        """
+        pacing = self.frontend.pacing = _HeldPacing()
+        self.add_upstream(
+            'u1', lambda i: signed_response(i, extra='Server-Limit: 5\r\n')
+        )
+        self.request('/write/x', body=b'x')
+        _, responses = self.start('/write/x', body=b'x' * LARGE_BODY_BYTES)
+        self.loop.run_until(lambda: pacing.callbacks, TIMEOUT_SECONDS)
+        self.upstreams.memory_estimates.note_lost('u1', LARGE_BODY_BYTES)
+        pacing.callbacks[0](PaceDecision(True, 0.0))
+        self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        self.assertEqual(503, responses[0][0])
+
+
 class LongUploadTest(GatewayTestCase):
     """A streamed upload exceeds the limit of bodies, or is malformed."""
 
