--- a/tests/test_refused_review.py
+++ b/tests/test_refused_review.py
@@ -8,13 +8,19 @@
 from bramleysill_kernel.config.routing_config import Limits
 from bramleysill_kernel.load.rate_pacer import PaceDecision
 from bramleysill_kernel.load.request_memory import MAX_BUFFERED_BODY_BYTES
+from bramleysill_net.conn import Listener
 from bramleysill_net.http_client import HttpClientConn
 from bramleysill_net.http_client import encode_request
 from bramleysill_net.http_server import HttpRequest
+from bramleysill_net.loop import Loop
 from bramleysill_net.response_sinks import ResponseCollector
+from bramleysill_router.entry import Entry
 from bramleysill_router.exchange import REPLAY_BUFFER_BYTES
 from bramleysill_router.exchange import Exchange
+from bramleysill_router.metrics import Metrics
+from bramleysill_router.remote_attempt import StreamDemultiplexer
 from bramleysill_router.routing import find_target
+from bramleysill_wire import streams
 from tests import test_exchange
 from tests.gateway_helpers import NOT_RUN_LINE
 from tests.gateway_helpers import REQUEST_ID_HEADER
@@ -212,3 +218,91 @@
         exchange.on_body(b'x' * (REPLAY_BUFFER_BYTES + 1))
         self.assertTrue(exchange.finished)
         self.assertTrue(stream.aborted)
+
+    def test_outcome_of_a_malformed_upload(self):
+        """Guards against "not run" in the document of a 400."""
+        loop = Loop()
+        fakes = test_exchange._Entry()
+        service = manifest.Service('s', manifest.KIND_SHARED, '/s/')
+        service.max_body_bytes = 4 * REPLAY_BUFFER_BYTES
+        entry = Entry(
+            loop, 'r1', _State(service), fakes, fakes.submit, fakes, Metrics()
+        )
+        listener = Listener(loop, '127.0.0.1', 0, entry.accept)
+        self.addCleanup(listener.close)
+        responses = []
+        conn = HttpClientConn(loop, *listener.address)
+        self.addCleanup(conn.abort)
+        fields = (('Transfer-Encoding', 'chunked'),)
+        conn.request(
+            encode_request('POST', '/s/k', 'h', fields),
+            ResponseCollector(lambda *response: responses.append(response)),
+            complete=False,
+        )
+        piece = b'x' * REPLAY_BUFFER_BYTES
+        conn.write(b'%x\r\n%b\r\n' % (len(piece), piece))
+        loop.run_until(lambda: fakes.attempts, TIMEOUT_SECONDS)
+        (exchange,) = entry.active
+        exchange.on_admitted()
+        conn.write(b'no chunk\r\n')
+        loop.run_until(lambda: responses, TIMEOUT_SECONDS)
+        self.assertEqual(400, responses[0][0])
+        self.assertEqual('unknown', json.loads(responses[0][2])['outcome'])
+
+
+class _State:
+    def __init__(self, service):
+        self.manifest = manifest.Manifest('r', 'c', services={'s': service})
+
+
+class _OverrunLink:
+    """A link that closes at the first message, as its buffer is full."""
+
+    router = 'r1'
+
+    def __init__(self):
+        self.streams = {}
+        self.peer_streams = {}
+        self.demultiplexer = None
+
+    def send(self, message):
+        self.demultiplexer.on_lost(self)
+
+
+class _RunningAttempt:
+    """An attempt that a dispatcher admits at once."""
+
+    buffered = 0
+
+    def __init__(self, sink):
+        self.cancelled = False
+        sink.on_admitted()
+
+    def cancel(self):
+        self.cancelled = True
+
+
+class LostLinkTest(testtools.TestCase):
+    """The link to the entry is lost while a request is admitted."""
+
+    def test_attempt_is_cancelled(self):
+        """Guards against work that runs on without its caller.
+
+        The loss ends with an AttributeError, and the other streams of the
+        link are not told of it.
+        """
+        attempts = []
+
+        def submit(head, sink):
+            attempts.append(_RunningAttempt(sink))
+            return attempts[-1]
+
+        link = _OverrunLink()
+        link.demultiplexer = StreamDemultiplexer(submit, lambda: 0.0)
+        names = streams.join_texts(*[''] * len(streams.TEXT_FIELDS))
+        message = streams.StreamOpen(
+            1, names, 0, streams.encode_header_block([]), -1, 1000, False, 1,
+            b'', False,
+        )  # fmt: skip
+        link.demultiplexer.on_stream(link, message)
+        self.assertTrue(attempts[0].cancelled)
