Test a reply that is read before the timer of its timeout

The reply of another router is used 10 s after it was due, if a suspended process reads it first (tests.test_refused_review.SuspendedProcessTest fails).

--- a/tests/test_refused_review.py
+++ b/tests/test_refused_review.py
@@ -4,6 +4,8 @@
 
 import testtools
 
+from bramleysill_gateway.pending_requests import PendingRequests
+from bramleysill_kernel.common.clock import ManualClock
 from bramleysill_kernel.config import manifest
 from bramleysill_kernel.config.routing_config import Limits
 from bramleysill_kernel.load.rate_pacer import PaceDecision
@@ -306,3 +308,19 @@
         )  # fmt: skip
         link.demultiplexer.on_stream(link, message)
         self.assertTrue(attempts[0].cancelled)
+
+
+class SuspendedProcessTest(testtools.TestCase):
+    """A process is suspended while it waits for the reply of a router."""
+
+    def test_late_reply_is_dropped_before_its_timer_runs(self):
+        """Guards against LIMIT: an old permission that is used as a new one.
+
+        On resume the reply may be read before the timer of its timeout runs.
+        """
+        loop = test_exchange.FakeLoop()
+        pending = PendingRequests(loop, 0.15, lambda request: None)
+        number = pending.next_number()
+        pending.add(number, 'request')
+        ManualClock.advance(loop, 10.0)
+        self.assertIsNone(pending.take(number))
