--- a/tests/test_refused_review.py
+++ b/tests/test_refused_review.py
@@ -38,6 +38,8 @@
 RESPONSE_BYTES = 1 << 20
 # More than may be sent to an upstream that was lost with as much.
 LARGE_BODY_BYTES = 512 << 10
+# How long a second request that must not come is waited for.
+SETTLE_SECONDS = 0.2
 # How long the end of a response is waited for.
 END_SECONDS = 1.0
 
@@ -102,6 +104,36 @@
         self.callbacks.append(callback)
 
 
+class GuardTest(GatewayTestCase):
+    """Guards of the exchange that no other test notices; they pass."""
+
+    def test_second_dispatch_sends_nothing(self):
+        """Guards against a second run while the first attempt runs."""
+        upstream = self.add_upstream('u1', lambda i: 'no_response')
+        self.start('/write/x', body=b'x')
+        self.loop.run_until(lambda: upstream.requests, TIMEOUT_SECONDS)
+        (exchange,) = self.frontend.active_exchanges
+        exchange.dispatch()
+        self.loop.run_until(lambda: False, SETTLE_SECONDS)
+        self.assertEqual(1, len(upstream.requests))
+
+    def test_owner_without_room_is_asked_once(self):
+        """Guards against a request for a key that is never refused."""
+        pacing = self.frontend.pacing = _HeldPacing()
+        self.add_upstream(
+            'o1',
+            lambda i: signed_response(i, extra='Server-Limit: 5\r\n'),
+            'keyed',
+        )
+        self.request('/keyed/x', body=b'x')
+        _, responses = self.start('/keyed/x', body=b'x')
+        self.loop.run_until(lambda: pacing.callbacks, TIMEOUT_SECONDS)
+        pacing.callbacks[0](PaceDecision(False, 0.5))
+        self.loop.run_until(lambda: responses, SETTLE_SECONDS)
+        self.assertEqual([503], [response[0] for response in responses])
+        self.assertEqual(1, len(pacing.callbacks))
+
+
 class PermittedUpstreamTest(GatewayTestCase):
     """An upstream that has permitted a request has no memory for it."""
 
