Test responses to HEAD through the gateway

Both tests fail on: HttpClientConn waits for the body that Content-Length names, also with head_only, and the gateway doesn't pass head_only.

--- a/tests/test_refused_review.py
+++ b/tests/test_refused_review.py
@@ -284,6 +284,42 @@
         self.assertEqual('unknown', json.loads(responses[0][2])['outcome'])
 
 
+class HeadRequestTest(GatewayTestCase):
+    """A response to HEAD names the length of a body that doesn't follow."""
+
+    def _request_head(self, address):
+        responses = []
+        conn = HttpClientConn(self.loop, *address)
+        self.addCleanup(conn.abort)
+        fields = (
+            (REQUEST_ID_HEADER, 'r1'),
+            ('X-Bramleysill-Deadline-Ms', '500'),
+        )
+        conn.request(
+            encode_request('HEAD', '/read/x', 'h', fields),
+            ResponseCollector(lambda *response: responses.append(response)),
+            head_only=True,
+        )
+        self.loop.run_until(lambda: responses, END_SECONDS)
+        return [response[0] for response in responses]
+
+    def _add_upstream(self):
+        response = signed_response('r1', body='x').removesuffix(b'x')
+        return self.add_upstream('u1', lambda i: response)
+
+    def test_connection_ends_a_response_without_a_body(self):
+        """Guards against a client that waits for the body."""
+        upstream = self._add_upstream()
+        status = self._request_head(upstream.listener.address)
+        self.assertEqual([200], status)
+
+    def test_gateway_sends_it_on(self):
+        """Guards against a 504 for each request with HEAD."""
+        self._add_upstream()
+        status = self._request_head(self.listener.address)
+        self.assertEqual([200], status)
+
+
 class _State:
     def __init__(self, service):
         self.manifest = manifest.Manifest('r', 'c', services={'s': service})
