--- a/tests/test_refused_review.py
+++ b/tests/test_refused_review.py
@@ -5,6 +5,7 @@
 import testtools
 
 from bramleysill_gateway.pending_requests import PendingRequests
+from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.clock import ManualClock
 from bramleysill_kernel.config import manifest
 from bramleysill_kernel.config.routing_config import Limits
@@ -133,6 +134,31 @@
         self.assertEqual([503], [response[0] for response in responses])
         self.assertEqual(1, len(pacing.callbacks))
 
+    def test_refusal_that_breaks_off_proves_nothing(self):
+        """Guards against REFUSED by a response that is not whole."""
+        line = f'{REQUEST_ID_HEADER}: r1\r\n'
+        refusal = unsigned_response(503, NOT_RUN_LINE + line, 'x')
+
+        def respond(request_id):
+            conn = upstream.last_conn.conn
+            conn.write(refusal.removesuffix(b'x'))
+            conn.close()
+            return 'no_response'
+
+        upstream = self.add_upstream('u1', respond)
+        self.assertEqual(502, self.request('/write/x', body=b'x')[0])
+        self.assertEqual(1, len(upstream.requests))
+
+    def test_refusal_ends_the_attempt(self):
+        """Guards against an attempt that nobody waits for."""
+        upstream = self.add_upstream('u1', lambda i: 'no_response')
+        self.start('/write/x', body=b'x')
+        self.loop.run_until(lambda: upstream.requests, TIMEOUT_SECONDS)
+        (exchange,) = self.frontend.active_exchanges
+        exchange.refuse(refusals.Overloaded('no room', 'limit', 'u1'))
+        self.loop.run_until(lambda: upstream.closed, SETTLE_SECONDS)
+        self.assertEqual(1, upstream.closed)
+
 
 class PermittedUpstreamTest(GatewayTestCase):
     """An upstream that has permitted a request has no memory for it."""
