Remember the refused ids of a connection, not of a request

A caller that repeats a refused request with the same id could be told "not run" for one that runs: the pool gave it a connection on which the upstream had refused the first one, a second copy of that refusal carries the id that is expected, and was believed. The connections that had refused a request were known to its own exchange only. Each connection keeps the ids that were refused on it now, and closes after 256 of them.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -92,7 +92,7 @@
         self.peer.requests_sent += 1
         self._count_bytes()
         self._conn, self._reused = self.peer.pool.acquire(
-            self._exchange.refused_conns,
+            self._exchange.request_id,
             self.peer.load.resets_connections(now),
         )
         self._conn.set_read_size(self._exchange.memory.first_read_size)
@@ -175,8 +175,7 @@
         elif refused:
             self._refused = True
             self.reason = f'not_run_{status}'
-            # The upstream may write the refusal again, with the same id.
-            self._exchange.refused_conns.append(self._conn)
+            self.peer.pool.note_refused(self._conn, self._exchange.request_id)
             self._check_upstream_id(headers)
         elif not signed:
             self.reason = f'unsigned_{status}'
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -51,7 +51,6 @@
         'owned_range',
         'peer',
         'report_age',
-        'refused_conns',
         'dropped_fields',
         'memory',
         'run_record',
@@ -127,8 +126,6 @@
         self.peer = None
         # Age of the upstream's load report at the last send, in seconds.
         self.report_age = math.inf
-        # Connections on which an upstream has refused this request.
-        self.refused_conns = []
         self._quota = QuotaHold(self)
         self._selection = PeerSelection(self, now)
         stream.on_drained = self._on_caller_drained
--- a/packages/gateway/src/bramleysill_gateway/upstream_pool.py
+++ b/packages/gateway/src/bramleysill_gateway/upstream_pool.py
@@ -8,6 +8,8 @@
 # If the upstream closed it while a request is in transit, it would be unknown
 # whether the request has run.
 IDLE_REUSE_FRACTION = 0.6
+# A connection on which so many requests were refused is not used again.
+MAX_REFUSED_IDS = 256
 # A connection is closed if the upstream's TCP has not acknowledged what was
 # sent for this long. An upstream that only keeps its window closed is not.
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
@@ -27,14 +29,14 @@
             DEFAULT_IDLE_TIMEOUT_SECONDS * IDLE_REUSE_FRACTION
         )
 
-    def acquire(self, avoided=(), settles=False):
+    def acquire(self, request_id, settles=False):
         """Return (connection, whether it is reused).
 
-        The connections `avoided` are not reused. `settles` is for a new one,
-        see HttpClientConn.
+        A connection on which a request with this id was refused is not
+        reused. `settles` is for a new one, see HttpClientConn.
         """
         self.in_use += 1
-        conn = self._take_idle(avoided)
+        conn = self._take_idle(request_id)
         if conn is not None:
             return conn, True
         conn = HttpClientConn(
@@ -46,7 +48,16 @@
         )
         return conn, False
 
-    def _take_idle(self, avoided):
+    def note_refused(self, conn, request_id):
+        """Record that the upstream has refused a request on a connection.
+
+        It may write the refusal again, with the same id.
+        """
+        conn.refused_ids.add(request_id)
+        if len(conn.refused_ids) >= MAX_REFUSED_IDS:
+            conn.close_after_response()
+
+    def _take_idle(self, request_id):
         """Return an idle connection, or None."""
         now = self._loop.now()
         kept = []
@@ -57,7 +68,7 @@
                 continue
             if now >= idle_until:
                 conn.close()
-            elif conn in avoided:
+            elif request_id in conn.refused_ids:
                 kept.append((conn, idle_until))
             else:
                 found = conn
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -68,6 +68,7 @@
         'busy',
         'sent_bytes',
         'responding',
+        'refused_ids',
         '_sink',
         '_parser',
         '_headers',
@@ -109,6 +110,8 @@
         self.sent_bytes = 0
         # Whether the server has sent anything since the last request.
         self.responding = False
+        # Ids of requests that the server has refused here; kept by the pool.
+        self.refused_ids = set()
         self._sink = None
         self._parser = None
         self._headers = []
