End the response to HEAD at its head

Each request with HEAD whose response names a length got 504 at its deadline: the parser waited for the body, and the gateway didn't tell the connection that none follows. tests.test_refused_elsewhere.HeadRequestTest, two tests red before, is green.

--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -96,7 +96,13 @@
             self.peer.load.resets_connections(now),
         )
         self._conn.set_read_size(self._exchange.memory.first_read_size)
-        self._conn.request(head, self, complete=complete, body=chunks)
+        self._conn.request(
+            head,
+            self,
+            head_only=self._exchange.req.method == 'HEAD',
+            complete=complete,
+            body=chunks,
+        )
 
     def write(self, data):
         """Send another chunk of the body."""
--- a/packages/net/src/bramleysill_net/http_client.py
+++ b/packages/net/src/bramleysill_net/http_client.py
@@ -324,9 +324,14 @@
         elif length is None and not chunked:
             self._read_until_close = True
         self._sink.on_head(status, self._headers, length)
+        if self._head_only:
+            # The parser would wait for the body that the head may announce.
+            self._complete_response()
 
     def on_body(self, data):
         """Collect part of the body for the sink."""
+        if self._response_complete:
+            self._has_extra_response = True
         if self._has_extra_response:
             return
         if self._discarding:
@@ -343,12 +348,16 @@
             self._clear_headers()
             self._discarding = False
             return
-        self._response_complete = True
-        # Read here: the parser resets it after this callback.
-        self._reusable = self._parser.should_keep_alive()
+        if not self._response_complete:
+            self._complete_response()
 
     # Internal.
 
+    def _complete_response(self):
+        self._response_complete = True
+        # Read here: the parser resets it after its callback.
+        self._reusable = self._parser.should_keep_alive()
+
     def _notify_sent(self):
         sink = self._sink
         if sink is not None and hasattr(sink, 'on_request_sent'):
