Take a reply as late by its deadline, not by its timer

A process that was suspended may read a reply before the timer of its timeout is called: an old permission under a limit then counted from now. The deadline is stored and compared. tests.test_refused_elsewhere.SuspendedProcessTest, red before, is green.

--- a/packages/gateway/src/bramleysill_gateway/pending_requests.py
+++ b/packages/gateway/src/bramleysill_gateway/pending_requests.py
@@ -4,12 +4,13 @@
 
 
 class _Pending:
-    """A request and the timer of its timeout."""
+    """A request, its deadline in seconds and the timer of its timeout."""
 
-    __slots__ = ('request', 'timer')
+    __slots__ = ('request', 'deadline', 'timer')
 
-    def __init__(self, request, timer):
+    def __init__(self, request, deadline, timer):
         self.request = request
+        self.deadline = deadline
         self.timer = timer
 
 
@@ -47,17 +48,22 @@
 
     def add(self, number, request):
         """Keep a request that has been sent now."""
+        deadline = self._loop.now() + self._timeout_seconds
         timer = self._loop.scheduler.call_at(
-            self._loop.now() + self._timeout_seconds,
-            lambda: self._expire(number),
+            deadline, lambda: self._expire(number)
         )
-        self._pending[number] = _Pending(request, timer)
+        self._pending[number] = _Pending(request, deadline, timer)
 
     def take(self, number):
-        """Return the request of a reply, or None if it comes too late."""
-        pending = self._pending.pop(number, None)
-        if pending is None:
+        """Return the request of a reply, or None if it comes too late.
+
+        After a suspension of the process a late reply may be read before the
+        timer of the timeout is called.
+        """
+        pending = self._pending.get(number)
+        if pending is None or self._loop.now() >= pending.deadline:
             return None
+        del self._pending[number]
         pending.timer.cancel()
         return pending.request
 
