Cancel an attempt whose link is lost while it is submitted

The loss raised AttributeError, so that the attempt ran on without its caller and the other streams of the link weren't told. tests.test_refused_elsewhere.LostLinkTest, red before, is green.

--- a/packages/router/src/bramleysill_router/remote_attempt.py
+++ b/packages/router/src/bramleysill_router/remote_attempt.py
@@ -226,6 +226,7 @@
         '_unacked_bytes',
         '_unreturned_credit',
         '_finished',
+        '_link_lost',
         '_streaming',
     )
 
@@ -238,9 +239,12 @@
         self._unacked_bytes = 0
         self._unreturned_credit = 0
         self._finished = False
+        self._link_lost = False
         self._streaming = not message.last
         link.peer_streams[message.stream] = self
         self._attempt = submit(_decode_open(message, now), self)
+        if self._link_lost:
+            self._attempt.cancel()
         if self._finished:
             return
         if message.body:
@@ -266,8 +270,11 @@
 
     def on_link_lost(self):
         """Cancel the attempt, because the entry no longer waits for it."""
-        if not self._finished:
-            self._finish()
+        if self._finished:
+            return
+        self._finish()
+        self._link_lost = True
+        if self._attempt is not None:
             self._attempt.cancel()
 
     # The sink of the attempt.
