Say "unknown" in the document of a 400 or 413 of a running request

A body that turns malformed or too long while it is streamed ends the request, of which an upstream may have begun to run the part that it has. The problem document said "not_run", against docs/errors.md. tests.test_refused_elsewhere: three tests of LongUploadTest and DispatchedUploadTest, red before, are green.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -103,7 +103,7 @@
     Mutation(
         'a refusal is true while an attempt runs',
         GATEWAY + 'exchange.py',
-        'if suspect is not None and refusal.status in NOT_RUN_STATUSES:',
+        'if refusal.status in NOT_RUN_STATUSES:',
         'if False:',
         'tests.test_refused.RunningAttemptTest',
     ),
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -18,6 +18,7 @@
 from bramleysill_gateway.run_record import RunRecord
 from bramleysill_gateway.upload import Upload
 from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.exceptions import OUTCOME_UNKNOWN
 from bramleysill_kernel.common.problems import to_problem
 from bramleysill_kernel.load.retry_rules import AttemptOutcome
 from bramleysill_kernel.load.retry_rules import may_retry
@@ -409,8 +410,10 @@
             attempt.cancel(refusal.code)
             self._log.failed(attempt, self._attempt_count)
         suspect = self.run_record.suspect
-        if suspect is not None and refusal.status in NOT_RUN_STATUSES:
-            refusal = request_refusals.may_have_run(suspect, 'retry')
+        if suspect is not None:
+            refusal.outcome = OUTCOME_UNKNOWN
+            if refusal.status in NOT_RUN_STATUSES:
+                refusal = request_refusals.may_have_run(suspect, 'retry')
         self._log.refused(refusal, self._attempt_count)
         self._finish(refusal.code, refusal.status)
         if self.stream.started:
--- a/packages/gateway/src/bramleysill_gateway/frontend.py
+++ b/packages/gateway/src/bramleysill_gateway/frontend.py
@@ -12,6 +12,7 @@
 from bramleysill_gateway.stale_owners import StaleOwners
 from bramleysill_kernel.common import refusals
 from bramleysill_kernel.common.bounded_values import parse_milliseconds
+from bramleysill_kernel.common.exceptions import OUTCOME_UNKNOWN
 from bramleysill_kernel.common.exceptions import Refusal
 from bramleysill_kernel.common.problems import to_problem
 from bramleysill_kernel.config.routing_config import TrafficSplitter
@@ -122,9 +123,11 @@
         refusal_class = refusals.BadRequest
         if status == 431:
             refusal_class = refusals.HeadTooLarge
-        self._send_refusal(
-            stream, refusal_class(reason, 'parse', stream.peer), ''
-        )
+        refusal = refusal_class(reason, 'parse', stream.peer)
+        if stream.has_request:
+            # The part of its body that was read may have been sent on.
+            refusal.outcome = OUTCOME_UNKNOWN
+        self._send_refusal(stream, refusal, '')
 
     def may_overlap(self, req):
         """Return whether a pipelined request may start before its turn.
--- a/packages/net/src/bramleysill_net/response_stream.py
+++ b/packages/net/src/bramleysill_net/response_stream.py
@@ -89,6 +89,11 @@
         self._keep_alive = req is not None and not req.closes_connection
         self._is_bodiless = req is not None and req.method == 'HEAD'
 
+    @property
+    def has_request(self):
+        """Return whether the head of a request was read."""
+        return self._req is not None
+
     @property
     def peer(self):
         """Return the caller's address."""
--- a/packages/router/src/bramleysill_router/entry.py
+++ b/packages/router/src/bramleysill_router/entry.py
@@ -3,6 +3,7 @@
 import itertools
 
 from bramleysill_kernel.common import refusals
+from bramleysill_kernel.common.exceptions import OUTCOME_UNKNOWN
 from bramleysill_kernel.common.exceptions import Refusal
 from bramleysill_kernel.common.problems import to_problem
 from bramleysill_net.http_server import HttpServerConn
@@ -81,6 +82,9 @@
         """Refuse a request that can't be parsed."""
         cls = refusals.HeadTooLarge if status == 431 else refusals.BadRequest
         refusal = cls(reason, 'parse', stream.peer)
+        if stream.has_request:
+            # The part of its body that was read may have been sent on.
+            refusal.outcome = OUTCOME_UNKNOWN
         status, fields, body = to_problem(refusal, '')
         self.metrics.requests['', refusal.code] += 1
         stream.send(status, fields, body)
