--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -25,7 +25,21 @@
 
 FAULTS_END_AT = 100.0
 SHORT_RUN_SECONDS = 3
+REFUSALS_RUN_SECONDS = 4
 RUN_TIMEOUT_SECONDS = 180
+# Owners move while they name limits, and upstreams lie or break answers off.
+REFUSAL_FAULTS = (
+    'ask_time_upstream',
+    'break_off_upstreams',
+    'break_off_upstreams',
+    'configure',
+    'deny_upstream',
+    'deny_upstream',
+    'drain_upstream',
+    'leave_upstream',
+    'limit_owners',
+    'stutter_router',
+)
 NEVER_RUNS = 'a request answered 408, 421, 429 or 503 never runs'
 
 
@@ -507,8 +521,7 @@
 
 
 class ShortSoakTest(testtools.TestCase):
-    def test_a_short_run_with_a_fixed_seed(self):
-        """Guards against violations under a few faults."""
+    def _run(self, seed, seconds, *arguments):
         path = [str(SOAK_PATH), str(ROOT / 'platform' / 'src')]
         path += [str(p) for p in (ROOT / 'packages').glob('*/src')]
         done = subprocess.run(
@@ -516,8 +529,9 @@
                 sys.executable,
                 '-m',
                 'bramleysill_soak',
-                '--seed=1',
-                f'--seconds={SHORT_RUN_SECONDS}',
+                f'--seed={seed}',
+                f'--seconds={seconds}',
+                *arguments,
             ],
             capture_output=True,
             text=True,
@@ -526,3 +540,17 @@
             check=False,
         )
         self.assertEqual(0, done.returncode, done.stdout + done.stderr)
+
+    def test_a_short_run_with_a_fixed_seed(self):
+        """Guards against violations under a few faults."""
+        self._run(1, SHORT_RUN_SECONDS)
+
+    def test_a_short_run_with_refusals(self):
+        """Guards against "not run" for a request that ran."""
+        self._run(
+            2,
+            REFUSALS_RUN_SECONDS,
+            '--gap=0.25',
+            '--callers=24',
+            '--faults=' + ','.join(REFUSAL_FAULTS),
+        )
