--- a/tests/test_upstream_limit.py
+++ b/tests/test_upstream_limit.py
@@ -1,7 +1,7 @@
 """Tests of how requests to an upstream with a named limit are paced."""
 
-from tests.gateway_helpers import NOT_RUN_LINE
 from bramleysill_kernel.load.rate_pacer import PaceDecision
+from tests.gateway_helpers import NOT_RUN_LINE
 from tests.gateway_helpers import TIMEOUT_SECONDS
 from tests.gateway_helpers import GatewayTestCase
 from tests.gateway_helpers import signed_response
