--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,62 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'a connection keeps the refused ids',
+        GATEWAY + 'upstream_pool.py',
+        'elif request_id in conn.refused_ids:',
+        'elif False:',
+        'tests.test_refused_elsewhere.RepeatedRefusalTest',
+    ),
+    Mutation(
+        'a response to HEAD ends at its head',
+        NET + 'http_client.py',
+        'if self._head_only:\n',
+        'if False:\n',
+        'tests.test_refused_elsewhere.HeadRequestTest',
+    ),
+    Mutation(
+        'a reply is late by its deadline',
+        GATEWAY + 'pending_requests.py',
+        'self._loop.now() >= pending.deadline',
+        'False',
+        'tests.test_refused_elsewhere.SuspendedProcessTest',
+    ),
+    Mutation(
+        'an attempt whose link is lost while it is submitted is cancelled',
+        ROUTER + 'remote_attempt.py',
+        '        if self._link_lost:\n            self._attempt.cancel()\n',
+        '',
+        'tests.test_refused_elsewhere.LostLinkTest',
+    ),
+    Mutation(
+        'a request that is malformed while it runs has an unknown outcome',
+        GATEWAY + 'frontend.py',
+        'if stream.has_request:',
+        'if False:',
+        'tests.test_refused_elsewhere.LongUploadTest',
+    ),
+    Mutation(
+        'a request that is too long while it runs has an unknown outcome',
+        GATEWAY + 'exchange.py',
+        'refusal.outcome = OUTCOME_UNKNOWN',
+        'pass',
+        'tests.test_refused_elsewhere.LongUploadTest',
+    ),
+    Mutation(
+        'a second dispatch sends nothing',
+        GATEWAY + 'exchange.py',
+        'if self.finished or self._attempt is not None:',
+        'if self.finished:',
+        'tests.test_refused_elsewhere.GuardTest',
+    ),
+    Mutation(
+        'a refusal ends the attempt',
+        GATEWAY + 'exchange.py',
+        'attempt.cancel(refusal.code)',
+        'pass',
+        'tests.test_refused_elsewhere.GuardTest',
+    ),
     Mutation(
         'a refusal during a response ends it at the own interface',
         ROUTER + 'exchange.py',
