Say 502 for a request that may have run at the own interface, too

The statuses that promise that a request has not run stand in one place now, for both ways through the product.

Names that stopped a reviewer are replaced: a response says that the request has not run, and the run record has the last attempt that may have run.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -159,7 +159,7 @@
     Mutation(
         'a refusal is true while an attempt runs',
         GATEWAY + 'exchange.py',
-        'if refusal.status in NOT_RUN_STATUSES:',
+        'if refusal.status in refusals.NOT_RUN_STATUSES:',
         'if False:',
         'tests.test_refused.RunningAttemptTest',
     ),
@@ -173,7 +173,7 @@
     Mutation(
         'only a refusal that says so takes an attempt back',
         GATEWAY + 'attempt.py',
-        'if self._refused:',
+        'if self._says_not_run:',
         'if not self._usable:',
         'tests.test_gateway_exchange.ExchangeTest',
     ),
--- a/packages/gateway/src/bramleysill_gateway/attempt.py
+++ b/packages/gateway/src/bramleysill_gateway/attempt.py
@@ -7,6 +7,7 @@
 """
 
 from bramleysill_kernel.common.bounded_values import parse_milliseconds
+from bramleysill_kernel.common.refusals import NOT_RUN_STATUSES
 from bramleysill_net.chunk_buffer import ChunkBuffer
 from bramleysill_net.http_headers import end_to_end_fields
 from bramleysill_net.http_headers import first_value
@@ -14,8 +15,6 @@
 
 # Responses up to this size are buffered before they are sent on.
 MAX_BUFFERED_RESPONSE_BYTES = 128 << 10
-# Statuses that tell the caller that its request has not run.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class Attempt:
@@ -45,7 +44,7 @@
         '_length',
         '_received_bytes',
         '_usable',
-        '_refused',
+        '_says_not_run',
         '_streaming',
         '_ended',
     )
@@ -76,7 +75,7 @@
         self._received_bytes = 0
         self._usable = False
         # Whether the head says that the upstream has not run the request.
-        self._refused = False
+        self._says_not_run = False
         self._streaming = False
         self._ended = False
 
@@ -179,7 +178,7 @@
         if refused and not self._is_certainly_own(headers):
             self.reason = f'unidentified_{status}'
         elif refused:
-            self._refused = True
+            self._says_not_run = True
             self.reason = f'not_run_{status}'
             self.peer.pool.note_refused(self._conn, self._exchange.request_id)
             self._check_upstream_id(headers)
@@ -188,8 +187,7 @@
         elif first_value(headers, 'content-encoding'):
             self.reason = 'encoded'
         elif status in NOT_RUN_STATUSES:
-            # These statuses tell the caller that its request has not run,
-            # but the upstream did not set the header that says so.
+            # The upstream did not set the header that says so.
             self.reason = f'status_{status}'
         else:
             self._usable = True
@@ -213,7 +211,7 @@
     def on_end(self):
         """Report the complete response to the exchange."""
         self.response_complete = True
-        if self._refused:
+        if self._says_not_run:
             self._exchange.run_record.note_not_run(self)
         if self._usable:
             # A long body or a slow caller takes no time of the upstream.
--- a/packages/gateway/src/bramleysill_gateway/exchange.py
+++ b/packages/gateway/src/bramleysill_gateway/exchange.py
@@ -9,7 +9,6 @@
 import math
 
 from bramleysill_gateway import request_refusals
-from bramleysill_gateway.attempt import NOT_RUN_STATUSES
 from bramleysill_gateway.attempt import Attempt
 from bramleysill_gateway.exchange_log import ExchangeLog
 from bramleysill_gateway.peer_selection import PeerSelection
@@ -284,6 +283,8 @@
         if self.finished:
             return
         now = self.frontend.loop.now()
+        # An attempt uses up its own token only. Whether the request may be
+        # sent again depends on all its attempts.
         self._quota.note_failed(attempt.outcome)
         others_free = 0
         if attempt.status == 421 and self.service.keyed:
@@ -385,9 +386,9 @@
         self.on_stream_broken(attempt)
 
     def _refusal_after_attempts(self, step, timed_out=False):
-        suspect = self.run_record.suspect
-        if suspect is not None:
-            return request_refusals.may_have_run(suspect, step, timed_out)
+        attempt = self.run_record.last_that_may_have_run
+        if attempt is not None:
+            return request_refusals.may_have_run(attempt, step, timed_out)
         return request_refusals.not_run(
             self._last_failure, self.service.name, step, self.bound_retry_after
         )
@@ -409,11 +410,11 @@
         if attempt is not None:
             attempt.cancel(refusal.code)
             self._log.failed(attempt, self._attempt_count)
-        suspect = self.run_record.suspect
-        if suspect is not None:
+        attempt = self.run_record.last_that_may_have_run
+        if attempt is not None:
             refusal.outcome = OUTCOME_UNKNOWN
-            if refusal.status in NOT_RUN_STATUSES:
-                refusal = request_refusals.may_have_run(suspect, 'retry')
+            if refusal.status in refusals.NOT_RUN_STATUSES:
+                refusal = request_refusals.may_have_run(attempt, 'retry')
         self._log.refused(refusal, self._attempt_count)
         self._finish(refusal.code, refusal.status)
         if self.stream.started:
--- a/packages/gateway/src/bramleysill_gateway/quota_hold.py
+++ b/packages/gateway/src/bramleysill_gateway/quota_hold.py
@@ -101,6 +101,8 @@
     def _on_decision(self, decision):
         exchange = self._exchange
         self._waiter = None
+        # The token is unused even if the request was sent without it, once
+        # the limit was removed.
         self._state = _State.UNUSED
         self._token = decision.token
         if exchange.finished:
--- a/packages/gateway/src/bramleysill_gateway/run_record.py
+++ b/packages/gateway/src/bramleysill_gateway/run_record.py
@@ -28,14 +28,14 @@
             self._attempts.remove(attempt)
 
     @property
-    def suspect(self):
+    def last_that_may_have_run(self):
         """Return the last attempt that may have run, or None."""
         return self._attempts[-1] if self._attempts else None
 
     @property
     def outcome(self):
         """Return the AttemptOutcome of the request, over all attempts."""
-        return _outcome(self._attempts)
+        return _outcome(bool(self._attempts))
 
     def outcome_of(self, attempt):
         """Return the AttemptOutcome of one attempt."""
--- a/packages/kernel/src/bramleysill_kernel/common/refusals.py
+++ b/packages/kernel/src/bramleysill_kernel/common/refusals.py
@@ -7,6 +7,10 @@
 from bramleysill_kernel.common.exceptions import Refusal
 from bramleysill_kernel.common.registry import Registry
 
+# Statuses that promise the caller that its request has not run and never
+# will.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
 refusals = Registry('refusal')
 
 
--- a/packages/router/src/bramleysill_router/exchange.py
+++ b/packages/router/src/bramleysill_router/exchange.py
@@ -375,6 +375,12 @@
         if self._may_have_run:
             # An earlier attempt may have run, even if the last one has not.
             refusal.outcome = OUTCOME_UNKNOWN
+            if refusal.status in refusals.NOT_RUN_STATUSES:
+                refusal = refusals.ConnectionLost(
+                    f'the request may have run: {refusal.message}',
+                    refusal.step,
+                    refusal.peer,
+                )
         self._finish(refusal.code, refusal)
         if self._stream.started:
             # The caller has a part of a response that doesn't go on.
--- a/tests/test_refused.py
+++ b/tests/test_refused.py
@@ -100,7 +100,7 @@
         (exchange,) = self.frontend.active_exchanges
         self.pacing.callbacks[0](PaceDecision(True, SETTLE_SECONDS))
         exchange.dispatch()
-        self.assertIsNone(exchange.run_record.suspect)
+        self.assertIsNone(exchange.run_record.last_that_may_have_run)
         self.assertIsNone(exchange._attempt)
         self.loop.run_until(lambda: responses, TIMEOUT_SECONDS)
         self.assertEqual(200, responses[0][0])
