--- a/tests/request_fuzz.py
+++ b/tests/request_fuzz.py
@@ -65,8 +65,10 @@
 LEFT_MS = (60, 200, 400, 800)
 LEAVING_SHARE = 0.06
 MEMORY_BYTES = 3 << 20
+# The limits of bodies; the largest body is streamed, and exceeds the second.
 MAX_BODY_BYTES = 8 << 20
-# The pieces of bodies; the largest body is streamed.
+SMALL_BODY_BYTES = 1200 << 10
+# The pieces of bodies.
 BODIES = ([], [], [30], [30] * 3, [100 << 10] * 13)
 ROUTERS = ('router', 'r2', 'r3')
 SHARED = ('s0', 's1', 's2')
@@ -187,7 +189,8 @@
             for name, (kind, _, service) in ROUTES.items()
         ]
         services = self.services
-        limits = Limits(16384, MAX_BODY_BYTES, 3.0, 15.0)
+        body_bytes = MAX_BODY_BYTES if rate else SMALL_BODY_BYTES
+        limits = Limits(16384, body_bytes, 3.0, 15.0)
         table = None
         if rate is not None:
             rows = [
--- a/tests/test_refused_fuzz.py
+++ b/tests/test_refused_fuzz.py
@@ -22,6 +22,7 @@
 FURTHER_SEEDS = range(100, 120)
 # (code, step) of the refusals that the fuzz must reach.
 REACHED = {
+    ('body_too_large', 'receive'),
     ('connection_lost', 'no_more_attempts'),
     ('deadline_unknown', 'deadline'),
     ('memory_full', 'memory'),
