--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -27,6 +27,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'no promising status for what may have run at the own interface',
+        ROUTER + 'exchange.py',
+        'if refusal.status in refusals.NOT_RUN_STATUSES:',
+        'if False:',
+        'tests.test_exchange.ExchangeTest',
+    ),
     Mutation(
         'a connection keeps the refused ids',
         GATEWAY + 'upstream_pool.py',
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -238,8 +238,10 @@
         exchange.on_refused(refusals.ConnectionLost('lost', 's', 'u'))
         self.entry.loop.advance(0.02)
         exchange.on_refused(refusals.UpstreamShed('shed', 's', 'u'))
-        _, _, body = self.stream.sent
+        status, _, body = self.stream.sent
         self.assertIn(b'"outcome":"unknown"', body)
+        # 503 would promise that the request has not run.
+        self.assertEqual(502, status)
 
     def test_incomplete_response_closes_the_connection(self):
         """Guards against a partial response that looks complete."""
