--- a/tests/request_fuzz.py
+++ b/tests/request_fuzz.py
@@ -406,6 +406,8 @@
             is_own = call.body.rstrip() == f'{call.id} ran'.encode()
         elif call.body.startswith(b'{'):
             is_own = json.loads(call.body)['request_id'] == call.id
+        if not is_own:
+            self.note(call.id, f'got {call.status} {call.body[:80]}')
         rules = {
             'REFUSED': call.status not in PROMISES or not runs,
             'TWICE': runs <= ROUTES[call.route][1],
